--- a/oxbowloom/drill.py
+++ b/larchgw/wirehost.py
@@ -1,4 +1,4 @@
-"""`python -m oxbowloom.drill`: hosts dispatchers on the simulator's wire, over standard input and output."""
+"""`python -m larchgw.wirehost`: hosts dispatchers on the simulator's wire, over standard input and output."""
 
 from __future__ import annotations
 
@@ -81,7 +81,7 @@
             sink.write(host.answer(frame))
             sink.flush()
     except wire.WireError as error:
-        print(f"oxbowloom: {error}", file=sys.stderr)
+        print(f"larchgw: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from oxbowloom import Dispatcher, Settings
-from oxbowloom.interface import JobClass, ListKind, Member, Outcome, Presence, Request, Status
+from larchgw import Dispatcher, Settings
+from larchgw.interface import JobClass, ListKind, Member, Outcome, Presence, Request, Status
 
 
 class Recorder:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,8 +3,8 @@
 import pytest
 from bench import Rig
 
-from oxbowloom import Dispatcher
-from oxbowloom.interface import JobClass, Member, Settings, Status
+from larchgw import Dispatcher
+from larchgw.interface import JobClass, Member, Settings, Status
 
 
 def test_a_key_stays_with_its_holder():
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,7 +2,7 @@
 
 from bench import Rig
 
-from oxbowloom.interface import Member, Note, Request, Status
+from larchgw.interface import Member, Note, Request, Status
 
 
 def end_after(rig: Rig, request: int, run: float) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from oxbowloom import Dispatcher, Settings
-from oxbowloom.interface import JobClass, ListKind, Member, Note, Outcome, Presence, Request, Status
+from larchgw import Dispatcher, Settings
+from larchgw.interface import JobClass, ListKind, Member, Note, Outcome, Presence, Request, Status
 
 NEVER = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 CLASSES = [
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from oxbowloom import wire
-from oxbowloom.drill import Host, serve
-from oxbowloom.interface import Status
+from larchgw import wire
+from larchgw.wirehost import Host, serve
+from larchgw.interface import Status
 
 CLASS = {"name": "a", "aim": 0.4, "deadline": 6.0, "effect": "deduplicated", "group": "zone"}
 SETTINGS = {
@@ -122,20 +122,20 @@
 def test_malformed_input_ends_with_a_message_and_no_half_reply(bad, capsys):
     sink = io.BytesIO()
     assert serve(io.BytesIO(struct.pack("<I", len(bad)) + bad), sink) == 1
-    assert sink.getvalue() == b"" and "oxbowloom:" in capsys.readouterr().err
+    assert sink.getvalue() == b"" and "larchgw:" in capsys.readouterr().err
 
 
 def test_end_of_input_is_a_clean_exit():
     root = Path(__file__).parent.parent
-    done = subprocess.run([sys.executable, "-m", "oxbowloom.drill"], input=b"", cwd=root, capture_output=True)
+    done = subprocess.run([sys.executable, "-m", "larchgw.wirehost"], input=b"", cwd=root, capture_output=True)
     assert (done.returncode, done.stdout) == (0, b"")
     cut = subprocess.run(
-        [sys.executable, "-m", "oxbowloom.drill"], input=b"\x10", cwd=root, capture_output=True
+        [sys.executable, "-m", "larchgw.wirehost"], input=b"\x10", cwd=root, capture_output=True
     )
     assert cut.returncode == 1 and cut.stdout == b"" and cut.stderr
 
 
 def test_our_own_fault_is_said_on_the_wire(monkeypatch):
-    monkeypatch.setattr("oxbowloom.choice.Dispatcher.on_request", lambda *a: 1 / 0)
+    monkeypatch.setattr("larchgw.choice.Dispatcher.on_request", lambda *a: 1 / 0)
     reply = Host().answer(frame(spawn(), LEDGER, SYNC, ORDER))
     assert any(code == 9 and b"ZeroDivisionError" in fields for code, fields in records(reply))
