--- /dev/null
+++ b/larchgw/config.py
@@ -0,0 +1,97 @@
+"""What a dispatcher is told at its start; whatever is wrong is named in one line."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from .checks import check_settings
+from .interface import Settings
+from .net.connection import parse_address
+from .wire import WireError, decode_settings
+
+DEFAULT_SOCKETS = 1024
+
+
+class ConfigError(ValueError):
+    """`field: what is wrong with it`."""
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int] | None
+    seed: int
+    sockets: int
+    known: dict[str, Any] | None
+    raw: dict[str, Any]
+    settings: Settings = field(repr=False)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """From `PROXY_CONFIG`'s file; the other variables fill in what it leaves out."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: is not set")
+    try:
+        top = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"PROXY_CONFIG: cannot read it: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"PROXY_CONFIG: not JSON: {error}") from error
+    return read(top, environ)
+
+
+def read(top: Any, environ: Mapping[str, str] | None = None) -> Config:
+    """From the parsed JSON."""
+    environ = environ or {}
+    if not isinstance(top, dict):
+        raise ConfigError("PROXY_CONFIG: must hold a JSON object")
+    raw = _part(top, "settings", dict)
+    limits = _part(top, "limits", dict, {})
+    sockets = limits.get("sockets", DEFAULT_SOCKETS)
+    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
+        raise ConfigError("limits.sockets: must be a whole number, 64 or more")
+    try:
+        settings = decode_settings(json.dumps(raw).encode())
+        check_settings(settings)
+    except WireError as error:
+        raise ConfigError(str(error).replace("settings:", "settings: cannot be read:", 1)) from error
+    except (ValueError, TypeError) as error:
+        raise ConfigError(f"settings.{error}") from error
+    seed = top.get("seed", "")
+    try:
+        number = int(seed, 16) if isinstance(seed, str) and seed else int.from_bytes(os.urandom(8), "little")
+    except ValueError as error:
+        raise ConfigError("seed: must be a hexadecimal number") from error
+    known = top.get("known")
+    if known is not None and not isinstance(known, dict):
+        raise ConfigError("known: must be a JSON object")
+    return Config(
+        name=str(top.get("name") or environ.get("PROXY_NAME", "larchgw")),
+        listen=_address(top, environ, "listen", "PROXY_LISTEN"),
+        discovery=_address(top, environ, "discovery", "PROXY_DISCOVERY"),
+        seed=number, sockets=sockets, known=known, raw=raw, settings=settings,
+    )
+
+
+def _part(top: dict[str, Any], name: str, kind: type, default: Any = None) -> Any:
+    value = top.get(name, default)
+    if not isinstance(value, kind):
+        raise ConfigError(f"{name}: is missing or no JSON object")
+    return value
+
+
+def _address(top: dict[str, Any], environ: Mapping[str, str], name: str, variable: str) -> tuple[str, int]:
+    text = top.get(name) or environ.get(variable)
+    if not isinstance(text, str):
+        raise ConfigError(f"{name}: is missing")
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise ConfigError(f"{name}: {error}") from error
--- /dev/null
+++ b/larchgw/core/dispatch.py
@@ -0,0 +1,220 @@
+"""The core: runs requests through the stages and is the decision module's `Actions`."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+
+import structlog
+
+from ..choice import Dispatcher
+from ..interface import ListKind, Member, Note, Settings, Status, WorkerId
+from .boxes import Boxes
+from .counters import Counters
+from .deadlines import Clock, Deadlines
+from .outcomes import Answer, AnswerKind, End
+from .requests import Attempt, News, Request, Transport
+from .stages import Admit, Book, Relay, Route, Send, TakeIn
+
+BACKSTOP = 0.02  # after a request's time, for the module to have answered it
+MAX_BODY_BYTES = 32 << 20  # of open requests
+log = structlog.get_logger()
+
+
+class Core:
+    """Whatever comes in is queued and told to the module one by one.
+
+    The module acts while it is told something, and what it starts may end at once. Were that told to it
+    there and then, it would be entered a second time in the middle of a decision.
+    """
+
+    def __init__(self, settings: Settings, seed: int, clock: Clock, deadlines: Deadlines,
+                 max_open: int = 1000) -> None:
+        self.settings, self.clock, self.deadlines = settings, clock, deadlines
+        self.counters = Counters()
+        self.boxes = Boxes(clock.now(), settings.warm_up)
+        self.on_subscribe: Callable[[], None] = lambda: None
+        self.on_list: list[Callable[[], None]] = []
+        self._queue: deque[tuple[Callable[[], None], Request | None]] = deque()
+        self._busy = False
+        self._unsettled: list[Request] = []
+        self.dispatcher = Dispatcher(settings, seed, self)
+        self.take_in = TakeIn(self.counters, [c.name for c in settings.classes])
+        self.admit = Admit(self.counters, self.take_in, max_open, MAX_BODY_BYTES)
+        self.route = Route(self.dispatcher)
+        self.sender = Send(self.counters, deadlines, self._expire)
+        self.relay = Relay(self.counters, deadlines)
+        self.book = Book(self.counters, deadlines, self.dispatcher, self.take_in)
+
+    def add_transport(self, transport: Transport) -> None:
+        """Transports are asked in the order of their adding."""
+        self.sender.transports.append(transport)
+
+    def open_requests(self) -> int:
+        return len(self.take_in.open)
+
+    # From fronts
+
+    def take(self, request: Request) -> None:
+        """A request has come in whole; its front hears the answer, perhaps at once."""
+        now = self.clock.now()
+        self.take_in.run(now, request)
+        answer = self.admit.run(request)
+        if answer is not None:
+            self.relay.run(request, answer)
+            self.book.settle(request)
+            return
+        request.deadline = self.deadlines.add(request.give_up_at + BACKSTOP, lambda: self._overdue(request))
+        self._feed(lambda: self.route.run(self.clock.now(), request), request)
+
+    def gone(self, request: Request) -> None:
+        """The client has left before its answer."""
+        if request.over():
+            return
+        request.gone = True
+        self.counters.gone.labels(request.front.name).inc()
+        self._feed(lambda: self._tell_gone(request), request)
+
+    # From transports
+
+    def started(self, attempt: Attempt) -> None:
+        self._note(attempt, True, 0.0)
+
+    def progress(self, attempt: Attempt, share: float) -> None:
+        self._note(attempt, False, share)
+
+    def news(self, attempt: Attempt, kind: News, data: bytes) -> None:
+        if attempt.ended:
+            self.counters.late.labels("news").inc()
+        else:
+            self.relay.news(attempt.request, kind, data)
+
+    def ended(self, attempt: Attempt, end: End) -> None:
+        """An attempt has ended. Only the first end of an attempt counts."""
+        if not self.book.close(attempt, end):
+            return
+        if end.status == Status.OK:
+            self.relay.run(attempt.request, Answer(AnswerKind.SERVED, end.result))
+        self._feed(lambda: self.book.run(self.clock.now(), attempt, end), attempt.request)
+
+    def probed(self, worker: WorkerId, status: Status, latency: float, report: Sequence[float]) -> None:
+        self._feed(lambda: self.dispatcher.on_probed(self.clock.now(), worker, status, latency, report))
+
+    # From whoever knows the boxes
+
+    def listed(self, kind: ListKind, members: Iterable[Member]) -> None:
+        """Discovery's list, or a change to it."""
+        told = [] if kind == ListKind.FAILED else self.boxes.take_list(kind, members)
+        self._feed(lambda: self.dispatcher.on_members(self.clock.now(), kind, told))
+        for told_too in self.on_list:
+            told_too()
+
+    def joined(self, worker: WorkerId) -> None:
+        """A box has connected to us."""
+        self._delta(self.boxes.join(worker, self.clock.now()))
+
+    def left(self, worker: WorkerId) -> None:
+        """A box has closed its last connection to us."""
+        self._delta(self.boxes.leave(worker))
+
+    def _delta(self, member: Member | None) -> None:
+        if member is not None:
+            self._feed(lambda: self.dispatcher.on_members(self.clock.now(), ListKind.DELTA, [member]))
+
+    # The module's actions
+
+    def send(self, request: int, worker: WorkerId, timeout: float) -> None:
+        found = self.take_in.open.get(request)
+        if found is None:
+            log.error("send.unknown", request=request)
+            return
+        attempt = self.sender.run(self.clock.now(), found, worker, timeout)
+        if found.over():
+            # Its client's leaving is still queued, so the module counts this send: it needs an end, too, or
+            # the box's pending count would never fall again.
+            self.ended(attempt, End(Status.MOOT))
+
+    def refuse(self, request: int, retry_after: float) -> None:
+        self._answer(request, Answer(AnswerKind.REFUSED, retry_after=retry_after, reason="no room in time"))
+
+    def fail(self, request: int) -> None:
+        self._answer(request, Answer(AnswerKind.FAILED, reason="it may have run, and gave no answer"))
+
+    def cancel(self, request: int, attempt: int) -> None:
+        found = self.take_in.open.get(request)
+        if found is not None and attempt < len(found.attempts):
+            self._give_up(found.attempts[attempt], late=False)
+
+    def timer(self, at: float, token: int) -> None:
+        self.deadlines.add(
+            at, lambda: self._feed(lambda: self.dispatcher.on_timer(self.clock.now(), token)))
+
+    def probe(self, worker: WorkerId) -> None:
+        for transport in self.sender.transports:
+            if transport.speaks(worker):
+                transport.probe(worker)
+                return
+        self.probed(worker, Status.CONNECT_FAILED, 0.0, ())
+
+    def subscribe(self) -> None:
+        self.on_subscribe()
+
+    # Within
+
+    def _feed(self, tell: Callable[[], None], request: Request | None = None) -> None:
+        self._queue.append((tell, request))
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._queue:
+                step, of = self._queue.popleft()
+                try:
+                    step()
+                except Exception:  # a fault of ours in one decision must not take the others' answers along
+                    self.counters.faults.labels("decision").inc()
+                    log.exception("fault.decision", request=of.name.decode("latin-1") if of else None)
+                if of is not None:
+                    self._unsettled.append(of)
+        finally:
+            self._busy = False
+        unsettled, self._unsettled = self._unsettled, []
+        for request_ in unsettled:
+            self.book.settle(request_)
+
+    def _note(self, attempt: Attempt, started: bool, share: float) -> None:
+        if attempt.ended:
+            self.counters.late.labels("note").inc()
+            return
+        note = Note(attempt.request.id, attempt.index, attempt.worker, started, share)
+        self._feed(lambda: self.dispatcher.on_note(self.clock.now(), note))
+
+    def _tell_gone(self, request: Request) -> None:
+        self.dispatcher.on_gone(self.clock.now(), request.id)
+        for attempt in request.attempts:  # where the module may not cancel, nobody waits for them either
+            self._give_up(attempt, late=False)
+
+    def _answer(self, request: int, answer: Answer) -> None:
+        found = self.take_in.open.get(request)
+        if found is not None:
+            self.relay.run(found, answer)
+            self._unsettled.append(found)
+
+    def _give_up(self, attempt: Attempt, late: bool) -> None:
+        if not attempt.ended:
+            self.ended(attempt, End(attempt.transport.give_up(attempt, late)))
+
+    def _expire(self, attempt: Attempt) -> None:
+        """The time of an attempt is over."""
+        self._give_up(attempt, late=True)
+
+    def _overdue(self, request: Request) -> None:
+        """The module should have answered by now. A failure is true whatever has run."""
+        if request.over():
+            return
+        log.error("answer.overdue", request=request.name.decode("latin-1"))
+        self.counters.faults.labels("overdue").inc()
+        for attempt in request.attempts:
+            self._give_up(attempt, late=True)
+        if self.relay.run(request, Answer(AnswerKind.FAILED, reason="its time is over")):
+            self._feed(lambda: self.dispatcher.on_gone(self.clock.now(), request.id), request)
--- /dev/null
+++ b/larchgw/core/requests.py
@@ -0,0 +1,94 @@
+"""Requests and their attempts, and what the core expects of fronts and transports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from ..interface import Status, WorkerId
+from .deadlines import Deadline
+from .outcomes import Answer
+
+
+class News(Enum):
+    """What a box may say of a job while it runs."""
+
+    DATA = "data"
+    WARNING = "warning"
+    STATUS = "status"  # done and total, divided by a NUL
+    EXCEPTION = "exception"
+
+
+class Front(Protocol):
+    """Hands requests in and carries their answers out."""
+
+    name: str
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        """Gives the client its one final answer."""
+
+    def news(self, request: Request, kind: News, data: bytes) -> None:
+        """Passes on what the box says before the end."""
+
+
+class Transport(Protocol):
+    """Carries attempts to boxes over one protocol."""
+
+    name: str
+
+    def speaks(self, worker: WorkerId) -> bool:
+        """Whether this box can be reached over this protocol now."""
+
+    def send(self, attempt: Attempt) -> None:
+        """Starts the attempt; its end comes as `Core.ended`, perhaps at once."""
+
+    def give_up(self, attempt: Attempt, late: bool) -> Status:
+        """Closes what carries the attempt and says how it ended; nothing more is heard of it."""
+
+    def probe(self, worker: WorkerId) -> None:
+        """Asks for a load report; the answer comes as `Core.probed`."""
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """A request that a front has taken; `wait` is how long its client still waits."""
+
+    front: Front
+    name: bytes  # the id its client gave it
+    job_class: int
+    target: bytes  # path and query
+    body: bytes
+    wait: float
+    key: int = 0
+    slots: float = 1.0
+    memory: float = 0.0
+    hint: float = 0.0
+    repeat: bool = False
+    extra: Any = None  # the front's own
+    id: int = 0
+    taken_at: float = 0.0
+    give_up_at: float = 0.0
+    attempts: list[Attempt] = field(default_factory=list)
+    answer: Answer | None = None
+    gone: bool = False
+    deadline: Deadline | None = None
+
+    def over(self) -> bool:
+        """Whether nothing is owed any more."""
+        return self.answer is not None or self.gone
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request to a box."""
+
+    request: Request
+    index: int
+    worker: WorkerId
+    transport: Transport
+    sent_at: float
+    ended: bool = False
+    cancelled: bool = False
+    deadline: Deadline | None = None
+    carrier: Any = None  # the transport's own
--- /dev/null
+++ b/larchgw/core/stages/admit.py
@@ -0,0 +1,33 @@
+"""Admit: what the machine's memory cannot hold is turned away before the module sees it."""
+
+from __future__ import annotations
+
+import structlog
+
+from ..counters import Counters
+from ..outcomes import Answer, AnswerKind
+from ..requests import Request
+from .take_in import TakeIn
+
+RETRY_AFTER = 0.5
+log = structlog.get_logger()
+
+
+class Admit:
+    def __init__(self, counters: Counters, take_in: TakeIn, max_open: int, max_body_bytes: int) -> None:
+        self._counters, self._take_in = counters, take_in
+        self._max_open, self._max_body_bytes = max_open, max_body_bytes
+        self._full = False
+
+    def run(self, request: Request) -> Answer | None:
+        """The answer that keeps a request out, or None to let it pass. Nothing has run: a refusal is true."""
+        full = (len(self._take_in.open) > self._max_open
+                or self._take_in.body_bytes > self._max_body_bytes)
+        if full != self._full:
+            self._full = full
+            log.warning("cap.open" if full else "cap.open.over", open=len(self._take_in.open),
+                        body_bytes=self._take_in.body_bytes)
+        if not full:
+            return None
+        self._counters.caps.labels("open").inc()
+        return Answer(AnswerKind.REFUSED, retry_after=RETRY_AFTER, reason="open requests at their limit")
--- /dev/null
+++ b/larchgw/core/stages/book.py
@@ -0,0 +1,41 @@
+"""Book: tells the module how an attempt ended, once, and lets go of what is over."""
+
+from __future__ import annotations
+
+from ...choice import Dispatcher
+from ...interface import Outcome
+from ..counters import Counters
+from ..deadlines import Deadlines
+from ..outcomes import End
+from ..requests import Attempt, Request
+from .take_in import TakeIn
+
+
+class Book:
+    def __init__(self, counters: Counters, deadlines: Deadlines, dispatcher: Dispatcher,
+                 take_in: TakeIn) -> None:
+        self._counters, self._deadlines = counters, deadlines
+        self._dispatcher, self._take_in = dispatcher, take_in
+
+    def close(self, attempt: Attempt, end: End) -> bool:
+        """Marks the attempt ended; False if it had ended before, and the event is dropped and counted."""
+        if attempt.ended:
+            self._counters.late.labels("end").inc()
+            return False
+        attempt.ended = True
+        self._deadlines.drop(attempt.deadline)
+        self._counters.ended.labels(attempt.transport.name, end.status.name.lower()).inc()
+        return True
+
+    def run(self, now: float, attempt: Attempt, end: End) -> None:
+        request = attempt.request
+        self._dispatcher.on_outcome(now, Outcome(
+            request.id, attempt.index, attempt.worker, end.status, request.over(), now - attempt.sent_at,
+            end.report,
+        ))
+
+    def settle(self, request: Request) -> None:
+        """Forgets a request that is over and has no attempt out."""
+        if request.over() and all(a.ended for a in request.attempts):
+            self._deadlines.drop(request.deadline)
+            self._take_in.release(request)
--- /dev/null
+++ b/larchgw/core/stages/route.py
@@ -0,0 +1,18 @@
+"""Route: hands a request to the decision module."""
+
+from __future__ import annotations
+
+from ... import interface
+from ...choice import Dispatcher
+from ..requests import Request
+
+
+class Route:
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    def run(self, now: float, request: Request) -> None:
+        self._dispatcher.on_request(now, interface.Request(
+            id=request.id, give_up_at=request.give_up_at, job_class=request.job_class, key=request.key,
+            slots=request.slots, memory=request.memory, hint=request.hint, repeat=request.repeat,
+        ))
--- /dev/null
+++ b/larchgw/core/stages/take_in.py
@@ -0,0 +1,34 @@
+"""Take in: a request gets its number, its times and its place among the open ones."""
+
+from __future__ import annotations
+
+from itertools import count
+
+from ..counters import Counters
+from ..requests import Request
+
+# A deadline counts from the client's send, which we do not see, and the answer has a way to go as well.
+MARGIN, MARGIN_SHARE = 0.1, 0.2
+
+
+class TakeIn:
+    def __init__(self, counters: Counters, classes: list[str]) -> None:
+        self.open: dict[int, Request] = {}
+        self.body_bytes = 0
+        self._ids = count(1)
+        self._counters, self._classes = counters, classes
+
+    def run(self, now: float, request: Request) -> None:
+        request.id = next(self._ids)
+        request.taken_at = now
+        request.give_up_at = now + request.wait - min(MARGIN, MARGIN_SHARE * request.wait)
+        self.open[request.id] = request
+        self.body_bytes += len(request.body)
+        self._counters.taken.labels(request.front.name, self._classes[request.job_class]).inc()
+        self._counters.open.set(len(self.open))
+
+    def release(self, request: Request) -> None:
+        """The request has its answer and no attempt is out."""
+        if self.open.pop(request.id, None) is not None:
+            self.body_bytes -= len(request.body)
+            self._counters.open.set(len(self.open))
--- /dev/null
+++ b/larchgw/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: the loop, connections, HTTP, discovery and the transport to HTTP runners."""
--- /dev/null
+++ b/larchgw/net/connection.py
@@ -0,0 +1,178 @@
+"""One non-blocking TCP connection with a bounded buffer of what is still to be written."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import Protocol
+
+from ..core.deadlines import Deadline
+from .ending import Ending
+from .loop import READ, WRITE, Loop
+
+CHUNK = 65536
+MAX_UNSENT = 1 << 20
+LINGER = 1.0  # seconds for the other side to read our last answer before the connection is closed
+
+
+class Owner(Protocol):
+    def on_open(self) -> None:
+        """It has come up."""
+
+    def on_data(self, data: bytes) -> None:
+        """Bytes have come."""
+
+    def on_written(self) -> None:
+        """Nothing is left to write."""
+
+    def on_end(self, ending: Ending) -> None:
+        """It is over and closed; not called for an end that we asked for."""
+
+
+class Connection:
+    """`unsent` is what the kernel has not taken yet."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False) -> None:
+        self.loop, self.sock, self.owner = loop, sock, owner
+        self.connecting, self.closed, self._paused = connecting, False, False
+        self._finishing = False
+        self._linger: Deadline | None = None
+        self._out = bytearray()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._watch()
+
+    @property
+    def unsent(self) -> int:
+        return len(self._out)
+
+    def write(self, data: bytes) -> None:
+        if self.closed or self._finishing:
+            return
+        self._out += data
+        if not self.connecting:
+            self._flush()
+            if not self.closed and len(self._out) > MAX_UNSENT:
+                self._end(Ending.CLOGGED)
+
+    def pause(self, paused: bool) -> None:
+        """Reads nothing for a while, so that the other side's writing stops."""
+        if paused != self._paused and not self.closed:
+            self._paused = paused
+            self._watch()
+
+    def finish(self) -> None:
+        """Writes what is left, then closes.
+
+        Closing at once while bytes from the other side lie unread would reset the connection, and the reset
+        can overtake our last answer.
+        """
+        if self.closed or self._finishing:
+            return
+        self._finishing = True
+        self._linger = self.loop.deadlines.add(self.loop.clock.now() + LINGER, self.close)
+        if not self._out:
+            self._shut()
+        self._paused = False
+        if not self.closed:
+            self._watch()
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.loop.deadlines.drop(self._linger)
+        self.loop.forget(self.sock)
+        self.sock.close()
+
+    def _end(self, ending: Ending) -> None:
+        finishing = self._finishing
+        self.close()
+        if not finishing:
+            self.owner.on_end(ending)
+
+    def _shut(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+
+    def _watch(self) -> None:
+        events = 0 if self._paused or self.connecting else READ
+        if self._out or self.connecting:
+            events |= WRITE
+        self.loop.watch(self.sock, events, self._ready)
+
+    def _ready(self, mask: int) -> None:
+        if self.closed:  # closed earlier in this turn
+            return
+        if self.connecting:
+            self._connected()
+            return
+        if mask & WRITE:
+            self._flush()
+        if mask & READ and not self.closed:
+            self._read()
+
+    def _connected(self) -> None:
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._end(Ending.REFUSED if error == errno.ECONNREFUSED else Ending.NEVER_UP)
+            return
+        self.connecting = False
+        self.owner.on_open()
+        if not self.closed:
+            self._flush()
+
+    def _flush(self) -> None:
+        if self._out:
+            try:
+                sent = self.sock.send(self._out)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self._end(Ending.BROKE)
+                return
+            del self._out[:sent]
+            if not self._out:
+                if self._finishing:
+                    self._shut()
+                else:
+                    self.owner.on_written()
+        if not self.closed:
+            self._watch()
+
+    def _read(self) -> None:
+        try:
+            data = self.sock.recv(CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._end(Ending.BROKE)
+            return
+        if not data:
+            self._end(Ending.CLOSED)
+        elif not self._finishing:
+            self.owner.on_data(data)
+
+
+def connect(loop: Loop, address: tuple[str, int], owner: Owner) -> Connection | Ending:
+    """Opens a connection, or says at once why not."""
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        return Ending.NO_SOCKET
+    sock.setblocking(False)
+    error = sock.connect_ex(address)
+    if error not in (0, errno.EINPROGRESS):
+        sock.close()
+        return Ending.REFUSED if error == errno.ECONNREFUSED else Ending.NEVER_UP
+    return Connection(loop, sock, owner, connecting=True)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`host:port`; ValueError if it is not."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not host:port")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/larchgw/net/discovery.py
@@ -0,0 +1,220 @@
+"""Follows discovery: the whole list first, then one watch after another."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+import structlog
+
+from ..core import Core
+from ..core.deadlines import Deadline
+from ..interface import ListKind, Member, Presence, WorkerId
+from .connection import Connection, connect, parse_address
+from .ending import Ending
+from .loop import Loop
+
+WAIT_MS = 10_000  # how long a watch may wait
+ANSWER_TIME = 1.0  # beyond that wait, until discovery counts as silent
+FIRST_BACKOFF, LAST_BACKOFF = 0.1, 2.0
+MAX_ANSWER = 8 << 20
+STATES = {"SERVING": Presence.READY, "DRAINING": Presence.DRAINING, "DELETED": Presence.GONE}
+log = structlog.get_logger()
+
+
+class Names:
+    """Numbers for zones and kinds: the settings' order first, then as they turn up."""
+
+    def __init__(self, names: list[str]) -> None:
+        self._numbers = {name: index for index, name in enumerate(names)}
+
+    def number(self, name: str) -> int:
+        return self._numbers.setdefault(name, len(self._numbers))
+
+
+@dataclass(slots=True)
+class Listing:
+    """One answer of discovery, read whole before any of it counts."""
+
+    version: int
+    full: bool
+    members: list[Member]
+    addresses: dict[WorkerId, tuple[str, int] | None]
+
+
+class ListReader:
+    """Reads discovery's form."""
+
+    def __init__(self, raw_settings: dict[str, Any]) -> None:
+        self._zones = Names(raw_settings.get("areas") or [])
+        self._kinds = Names(raw_settings.get("shapes") or [])
+
+    def read(self, said: Any) -> Listing:
+        """ValueError if it is not a list of boxes."""
+        try:
+            listing = Listing(int(said["version"]), bool(said["full"]), [], {})
+            for entry in said["servers"]:
+                worker = str(entry["id"]).encode()
+                presence = STATES[entry["state"]]
+                listing.members.append(Member(
+                    worker, presence, float(entry.get("started_ms") or 0) / 1000.0,
+                    self._kinds.number(str(entry.get("kind", ""))),
+                    self._zones.number(str(entry.get("zone", ""))),
+                    int(entry.get("cell") or 0), float(entry.get("weight", 1.0)),
+                ))
+                address = entry.get("addr")
+                listing.addresses[worker] = (
+                    parse_address(address) if address and presence == Presence.READY else None)
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"not a list of boxes: {type(error).__name__}: {error}") from error
+        return listing
+
+
+class Discovery:
+    """One connection; whatever goes wrong on it, the old list stays and the watch is tried again."""
+
+    def __init__(self, loop: Loop, core: Core, address: tuple[str, int], reader: ListReader,
+                 locate: Callable[[WorkerId, tuple[str, int] | None], None]) -> None:
+        self.loop, self.core, self.address, self.reader, self.locate = loop, core, address, reader, locate
+        self.version: int | None = None
+        self._known: set[WorkerId] = set()
+        self._connection: Connection | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body = bytearray()
+        self._complete = False
+        self._timer: Deadline | None = None
+        self._backoff = FIRST_BACKOFF
+        self._random = random.Random()
+        self._down = self._stopped = False
+
+    def start(self) -> None:
+        self._connect()
+
+    def stop(self) -> None:
+        self._stopped = True
+        self._drop()
+
+    def ask(self) -> None:
+        """The module wants to be told of changes; the watch does so at any rate."""
+        if self._connection is None and not self._stopped:
+            self._connect()
+
+    def apply(self, listing: Listing, kind: ListKind) -> None:
+        """Takes a list over, or a change to it."""
+        if kind != ListKind.DELTA:
+            for worker in self._known - set(listing.addresses):
+                self.locate(worker, None)
+            self._known = set()
+        self._known.update(listing.addresses)
+        for worker, address in listing.addresses.items():
+            self.locate(worker, address)
+        self.core.counters.lists.labels(kind.name.lower()).inc()
+        self.core.listed(kind, listing.members)
+
+    def _connect(self) -> None:
+        self._drop()
+        opened = connect(self.loop, self.address, self)
+        if isinstance(opened, Ending):
+            self.on_end(opened)
+            return
+        self._connection = opened
+        self._ask()
+
+    def _ask(self) -> None:
+        if self._connection is None:
+            return
+        path, wait = "/api/targets", 0.0
+        if self.version is not None:
+            path += f"?after={self.version}&wait_ms={WAIT_MS}"
+            wait = WAIT_MS / 1000.0
+        self._parser, self._complete = httptools.HttpResponseParser(self), False
+        self._body.clear()
+        self.loop.deadlines.drop(self._timer)
+        self._timer = self.loop.deadlines.add(
+            self.loop.clock.now() + wait + ANSWER_TIME, lambda: self._failed("silent"))
+        host = f"{self.address[0]}:{self.address[1]}"
+        self._connection.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+
+    def _drop(self) -> None:
+        self.loop.deadlines.drop(self._timer)
+        self._timer = None
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _failed(self, why: str) -> None:
+        """Keeps the old list and tries again, later each time, and not in step with the others."""
+        self._drop()
+        if self._stopped:
+            return
+        if not self._down:
+            self._down = True
+            log.warning("discovery.down", why=why)
+        self.core.counters.lists.labels("failed").inc()
+        if self.core.settings.must_subscribe:
+            self.core.listed(ListKind.FAILED, ())
+        wait = self._backoff * self._random.uniform(0.5, 1.0)
+        self._backoff = min(2 * self._backoff, LAST_BACKOFF)
+        self._timer = self.loop.deadlines.add(self.loop.clock.now() + wait, self._connect)
+
+    def _answered(self) -> None:
+        parser, self._complete = self._parser, False
+        if parser is None or parser.get_status_code() != 200:
+            self._failed(f"status {parser.get_status_code() if parser else 0}")
+            return
+        try:
+            listing = self.reader.read(json.loads(bytes(self._body)))
+        except ValueError as error:
+            self._failed(f"bad answer: {error}")
+            return
+        if not listing.full and self.version is None:
+            self._failed("changes came where the whole list was asked for")
+            return
+        if self._down:
+            self._down = False
+            log.info("discovery.up", version=listing.version)
+        self._backoff = FIRST_BACKOFF
+        self.version = listing.version
+        # The next watch goes out first: a gap of 200 ms would make it a new one.
+        if parser.should_keep_alive():
+            self._ask()
+        else:
+            self._connect()
+        if listing.full or listing.members:
+            self.apply(listing, ListKind.FULL if listing.full else ListKind.DELTA)
+
+    # From the connection
+
+    def on_open(self) -> None:
+        pass
+
+    def on_data(self, data: bytes) -> None:
+        if self._parser is None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._failed("not HTTP")
+            return
+        if len(self._body) > MAX_ANSWER:
+            self._failed("the answer is too long")
+        elif self._complete:
+            self._answered()
+
+    def on_written(self) -> None:
+        pass
+
+    def on_end(self, ending: Ending) -> None:
+        self._failed(ending.value)
+
+    # From the parser
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        self._complete = True
--- /dev/null
+++ b/larchgw/net/ending.py
@@ -0,0 +1,66 @@
+"""Every way in which a connection, or what it carries, can end, and what that means to the module."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ..interface import Status
+
+
+class Ending(Enum):
+    """How a connection ended, or the attempt that it carried."""
+
+    DONE = "the box served it"
+    FAILED = "the box failed it"
+    TURNED_AWAY = "the box turned it away or handed it back unstarted"
+    KILLED = "the box says that the job was lost"
+    REFUSED = "the connection was refused"
+    NEVER_UP = "the connection never came up"
+    NEVER_GRABBED = "no worker of the box grabbed the job"
+    NO_SOCKET = "no descriptor was left for a connection"
+    BROKE_UNSENT = "it broke before the request's last byte was written"
+    BROKE = "it broke after the request's last byte was written"
+    CUT_SHORT = "it was closed in order, but before the last line"
+    GARBLED = "what came is not of the protocol"
+    STRANGER = "what came names another request"
+    SILENT = "nothing came in time"
+    GIVEN_UP = "we cancelled it"
+    # Ends of connections that carry no attempt
+    CLOSED = "the other side closed it between requests"
+    IDLE = "it stood idle for too long"
+    SLOW = "the other side was too slow with a message"
+    CLOGGED = "the other side does not read"
+    STOPPED = "we stop"
+
+
+_STATUS = {
+    Ending.DONE: Status.OK,
+    Ending.FAILED: Status.ERROR,
+    Ending.TURNED_AWAY: Status.FULL,
+    Ending.KILLED: Status.RESET,
+    Ending.REFUSED: Status.CONNECT_FAILED,
+    Ending.NEVER_UP: Status.CONNECT_FAILED,
+    Ending.NEVER_GRABBED: Status.CONNECT_FAILED,
+    Ending.NO_SOCKET: Status.MOOT,
+    Ending.BROKE_UNSENT: Status.CONNECT_FAILED,
+    Ending.BROKE: Status.RESET,
+    Ending.CUT_SHORT: Status.RESET,
+    Ending.GARBLED: Status.RESET,
+    Ending.STRANGER: Status.RESET,
+    Ending.SILENT: Status.TIMEOUT,
+    Ending.GIVEN_UP: Status.CANCELLED,
+    # Should one of these meet an attempt all the same, it may have run.
+    Ending.CLOSED: Status.RESET,
+    Ending.IDLE: Status.RESET,
+    Ending.SLOW: Status.TIMEOUT,
+    Ending.CLOGGED: Status.RESET,
+    Ending.STOPPED: Status.RESET,
+}
+
+
+def status_of(ending: Ending, written: bool = True) -> Status:
+    """The module's outcome; `written`: whether the request's last byte had been written."""
+    status = _STATUS[ending]
+    if not written and status in (Status.RESET, Status.TIMEOUT):
+        return Status.CONNECT_FAILED  # a runner begins with the last byte: without it, it never ran
+    return status
--- /dev/null
+++ b/larchgw/net/httpserver.py
@@ -0,0 +1,282 @@
+"""HTTP/1.1 towards clients: parsing, pipelining, limits, answers. What a request means is the handler's."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import httptools
+import structlog
+
+from ..core.counters import Counters
+from ..core.deadlines import Deadline
+from .connection import Connection
+from .ending import Ending
+from .listener import Listener
+from .loop import Loop
+
+MAX_BODY = 65536
+MAX_HEAD = 16384
+MAX_HEADERS = 100
+MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # as it comes, in chunks however small
+MAX_WAITING = 8  # requests read ahead on one connection
+MESSAGE_TIME = 10.0  # for one request to come in whole, from its first byte
+IDLE_TIME = 300.0
+WRITE_TIME = 30.0  # for a client to read an answer
+log = structlog.get_logger()
+
+
+class Exchange:
+    """One request and its answer."""
+
+    __slots__ = ("link", "method", "target", "path", "headers", "body", "arrived", "keep", "error", "extra",
+                 "done")
+
+    def __init__(self, link: Link, method: bytes = b"", target: bytes = b"") -> None:
+        self.link, self.method, self.target = link, method, target
+        self.path = target.partition(b"?")[0]
+        self.headers: dict[bytes, bytes] = {}
+        self.body = b""
+        self.arrived = link.server.loop.clock.now()
+        self.keep = True
+        self.error: tuple[int, str] | None = None
+        self.extra: Any = None
+        self.done = False
+
+    def reply(self, status: int, body: bytes = b"", headers: tuple[tuple[str, str], ...] = ()) -> None:
+        if not self.done:
+            self.done = True
+            self.link.reply(self, status, body, headers)
+
+
+class Handler(Protocol):
+    name: str
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        """A request has come in whole."""
+
+    def on_client_gone(self, exchange: Exchange) -> None:
+        """Its client left before the answer."""
+
+
+class Link:
+    """A client's connection. The parser's callbacks only note what they see: they must not raise."""
+
+    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+        self.server = server
+        self.current: Exchange | None = None
+        self.waiting: deque[Exchange] = deque()
+        self._coming: Exchange | None = None
+        self._broken = False  # nothing after this point can be told apart
+        self._advancing = False
+        self._timer: Deadline | None = None
+        self._head = self._raw = 0
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._url = b""
+        self._parser = httptools.HttpRequestParser(self)
+        self.connection = Connection(server.loop, sock, self)
+        self._time(IDLE_TIME, Ending.IDLE)
+
+    def idle(self) -> bool:
+        return self.current is None and not self.waiting and self._coming is None and not self._broken
+
+    # From the connection
+
+    def on_open(self) -> None:
+        pass
+
+    def on_data(self, data: bytes) -> None:
+        if self._broken:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._break(400, "no upgrades here")
+        except httptools.HttpParserError as error:
+            self._break(400, f"not HTTP: {error}")
+        if self._coming is not None and not self._broken:
+            self._raw += len(data)
+            if self._raw > MAX_RAW:
+                self._break(400, "the request is too long")
+        self.connection.pause(len(self.waiting) >= MAX_WAITING)
+        self.advance()
+
+    def on_written(self) -> None:
+        if self.idle():
+            self._time(IDLE_TIME, Ending.IDLE)
+
+    def on_end(self, ending: Ending) -> None:
+        self.server.loop.deadlines.drop(self._timer)
+        self.server.links.pop(self, None)
+        exchange, self.current = self.current, None
+        self.waiting.clear()
+        if exchange is not None and not exchange.done:
+            exchange.done = True
+            self.server.handler.on_client_gone(exchange)
+
+    # From the parser
+
+    def on_message_begin(self) -> None:
+        self._url, self._parts, self._size, self._head = b"", [], 0, 0
+        self._raw = 0
+        self._coming = Exchange(self)
+        self._time(MESSAGE_TIME, Ending.SLOW)
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._head += len(url)
+        if self._head > MAX_HEAD:
+            self._url = b""
+            if self._coming is not None:
+                self._coming.error = (414, "the path is too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._coming is None:
+            return
+        headers, name = self._coming.headers, name.lower()
+        self._head += len(name) + len(value)
+        if len(headers) >= MAX_HEADERS or self._head > MAX_HEAD:
+            self._coming.error = (431, "too many headers")
+        elif name in headers and name != b"cookie":
+            headers[name] += b"," + value
+        else:
+            headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        coming = self._coming
+        if coming is None:
+            return
+        coming.method = self._parser.get_method()
+        coming.target, coming.path = self._url, self._url.partition(b"?")[0]
+        coming.keep = self._parser.should_keep_alive()
+        length = coming.headers.get(b"content-length", b"0")
+        if coming.error is not None:
+            self._break(*coming.error)
+        elif length.isdigit() and int(length) > MAX_BODY:
+            self._break(413, "the body is over 64 KiB")
+        elif coming.headers.get(b"expect", b"").lower() == b"100-continue" and (
+                self.current is None and not self.waiting):
+            self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        if self._broken:
+            return
+        self._size += len(body)
+        if self._size > MAX_BODY:
+            self._break(413, "the body is over 64 KiB")
+        else:
+            self._parts.append(body)
+
+    def on_message_complete(self) -> None:
+        coming, self._coming = self._coming, None
+        if coming is None or self._broken:
+            return
+        coming.body = b"".join(self._parts)
+        coming.arrived = self.server.loop.clock.now()
+        self._parts = []
+        self.waiting.append(coming)
+        self._time(None)
+
+    def _break(self, status: int, reason: str) -> None:
+        """The framing is in doubt: what came before is answered, then this error, then it closes."""
+        if self._broken:
+            return
+        self._broken, self._coming = True, None
+        error = Exchange(self)
+        error.error, error.keep = (status, reason), False
+        self.waiting.append(error)
+
+    # One request at a time
+
+    def advance(self) -> None:
+        if self._advancing:  # an answer that came at once: the loop below goes on
+            return
+        self._advancing = True
+        while self.waiting and self.current is None and not self.connection.closed:
+            exchange = self.current = self.waiting.popleft()
+            if exchange.error is not None:
+                self.server.counters.bad.labels(self.server.handler.name, str(exchange.error[0])).inc()
+                exchange.reply(exchange.error[0], exchange.error[1].encode() + b"\n")
+            else:
+                self.server.handler.on_exchange(exchange)
+        self._advancing = False
+        if not self.connection.closed:
+            self.connection.pause(len(self.waiting) >= MAX_WAITING)
+
+    def reply(self, exchange: Exchange, status: int, body: bytes,
+              headers: tuple[tuple[str, str], ...]) -> None:
+        if exchange is not self.current:
+            return
+        keep = exchange.keep and not (self.server.stopping and not self.waiting)
+        lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Length: {len(body)}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        lines += [] if keep else ["Connection: close"]
+        head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
+        self._time(WRITE_TIME, Ending.CLOGGED)
+        self.connection.write(head if exchange.method == b"HEAD" else head + body)
+        self.current = None
+        if self.connection.closed:
+            return
+        if not keep:
+            self.close()
+        elif self._coming is not None:
+            self._time(MESSAGE_TIME, Ending.SLOW)
+        elif not self.connection.unsent:
+            self._time(IDLE_TIME, Ending.IDLE)
+        self.advance()
+
+    def close(self) -> None:
+        """Closes in good order, after what is written."""
+        self.server.loop.deadlines.drop(self._timer)
+        self.server.links.pop(self, None)
+        self.waiting.clear()
+        self._broken = True
+        self.connection.finish()
+
+    def _time(self, seconds: float | None, ending: Ending = Ending.IDLE) -> None:
+        deadlines = self.server.loop.deadlines
+        deadlines.drop(self._timer)
+        self._timer = None
+        if seconds is not None:
+            self._timer = deadlines.add(self.server.loop.clock.now() + seconds, lambda: self._expire(ending))
+
+    def _expire(self, ending: Ending) -> None:
+        if ending is Ending.SLOW and self._coming is not None:
+            self._break(408, "the request came too slowly")
+            self.advance()
+        elif ending is Ending.IDLE and self.idle():
+            self.close()
+        elif ending is Ending.CLOGGED:
+            self.connection.close()
+            self.on_end(ending)
+
+
+class HttpServer:
+    """Listens, and keeps its clients' connections in the order of their coming."""
+
+    def __init__(self, loop: Loop, counters: Counters, address: tuple[str, int], handler: Handler,
+                 cap: int) -> None:
+        self.loop, self.counters, self.handler = loop, counters, handler
+        self.links: dict[Link, None] = {}
+        self.stopping = False
+        self.listener = Listener(loop, counters, handler.name, address, cap, self._take,
+                                 lambda: len(self.links), self._make_room)
+
+    def _take(self, sock: socket.socket) -> None:
+        self.links[Link(self, sock)] = None
+
+    def _make_room(self) -> bool:
+        """Closes one connection that stands between requests."""
+        for link in self.links:
+            if link.idle():
+                link.close()
+                self.counters.caps.labels(self.handler.name + "_idle").inc()
+                return True
+        return False
+
+    def close_idle(self) -> None:
+        for link in [x for x in self.links if x.idle()]:
+            link.close()
--- /dev/null
+++ b/larchgw/net/runners.py
@@ -0,0 +1,334 @@
+"""The transport to boxes that speak HTTP: one request at a time on each kept connection."""
+
+from __future__ import annotations
+
+import json
+from collections import deque
+from collections.abc import Sequence
+from typing import Any
+
+import httptools
+import structlog
+
+from ..core import Attempt, Core, End
+from ..core.deadlines import Deadline
+from ..interface import Status, WorkerId
+from .connection import Connection, connect
+from .ending import Ending, status_of
+from .loop import Loop
+
+MAX_LINE = 1 << 20  # of a runner's answer
+PROBE_TIME = 0.5
+IDLE_SHARE, IDLE_MARGIN = 0.8, 1.0  # we close well before the runner's machine does
+# The settings name the report's fields by the simulator's words, the sockets by these.
+FIELD = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
+         "fail_rate": "eps"}
+log = structlog.get_logger()
+
+
+class RunnerLink:
+    """One connection to a runner. The parser's callbacks only note what they see: they must not raise."""
+
+    def __init__(self, pool: Runners, worker: WorkerId, address: tuple[str, int]) -> None:
+        self.pool, self.worker, self.address = pool, worker, address
+        self.attempt: Attempt | None = None
+        self.probe_at = 0.0  # when a probe was sent; 0: none
+        self.timer: Deadline | None = None
+        self.idle_since = 0.0
+        self._busy = False  # an answer is still coming in, whether or not its attempt has ended
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[bytes, bytes] = {}
+        self._body = bytearray()
+        self._ending: Ending | None = None
+        self._result, self._report = b"", ()  # type: tuple[bytes, Sequence[float]]
+        self.connection: Connection | Ending = connect(pool.loop, address, self)
+
+    def begin(self, attempt: Attempt) -> None:
+        self.attempt = attempt
+        attempt.carrier = self
+        request = attempt.request
+        left = max(int(1000 * (request.give_up_at - self.pool.loop.clock.now())), 1)
+        host = f"{self.address[0]}:{self.address[1]}".encode()
+        key = b"X-Key: %016x\r\n" % request.key if request.key else b""
+        self._write(b"POST %b HTTP/1.1\r\nHost: %b\r\nX-Request-Id: %b\r\n%bX-Deadline-Ms: %d\r\n"
+                    b"Content-Length: %d\r\n\r\n%b"
+                    % (request.target, host, request.name, key, left, len(request.body), request.body))
+
+    def begin_probe(self) -> None:
+        self.probe_at = self.pool.loop.clock.now()
+        self.time(PROBE_TIME, Ending.SILENT)
+        self._write(b"GET /-/load HTTP/1.1\r\nHost: %b:%d\r\n\r\n"
+                    % (self.address[0].encode(), self.address[1]))
+
+    def written(self) -> bool:
+        """Whether the last byte of the request has gone to the kernel."""
+        return isinstance(self.connection, Connection) and not self.connection.unsent
+
+    def time(self, seconds: float, ending: Ending) -> None:
+        self.pool.loop.deadlines.drop(self.timer)
+        self.timer = self.pool.loop.deadlines.add(
+            self.pool.loop.clock.now() + seconds, lambda: self._over(ending))
+
+    def close(self) -> None:
+        self.pool.loop.deadlines.drop(self.timer)
+        self.pool.forget(self)
+        if isinstance(self.connection, Connection):
+            self.connection.close()
+
+    def _write(self, data: bytes) -> None:
+        self._busy, self._ending, self._result, self._report = True, None, b"", ()
+        assert isinstance(self.connection, Connection)
+        self.connection.write(data)
+
+    def _over(self, ending: Ending) -> None:
+        """The connection is of no more use, for this reason."""
+        written = self.written()
+        self.close()
+        self._settle(ending, written)
+
+    def _settle(self, ending: Ending, written: bool = True) -> None:
+        attempt, self.attempt = self.attempt, None
+        status = status_of(ending, written)
+        if self.probe_at:
+            latency, self.probe_at = self.pool.loop.clock.now() - self.probe_at, 0.0
+            self.pool.core.probed(self.worker, status, latency, self._report)
+        elif attempt is not None:
+            if ending in UNUSUAL:
+                log.warning("runner.ending", box=self.worker.decode("latin-1"), ending=ending.name,
+                            request=attempt.request.name.decode("latin-1"))
+            self.pool.core.ended(attempt, End(status, self._result, self._report, ending.value))
+
+    # From the connection
+
+    def on_open(self) -> None:
+        self.pool.loop.deadlines.drop(self.timer)
+        self.timer = None
+
+    def on_data(self, data: bytes) -> None:
+        if not self._busy:
+            self._over(Ending.GARBLED)  # an answer that nobody asked for
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._ending = self._ending or Ending.GARBLED
+            self._busy = True
+            self._over(self._ending)
+            return
+        if self._ending is not None and (self.attempt is not None or self.probe_at):
+            ending = self._ending
+            if not self._busy and self._reusable(ending):
+                self.pool.keep(self)  # before the end is told: the next send may want it
+                self._settle(ending)
+                return
+            if self._busy and self._reusable(ending):
+                self._settle(ending)  # the last chunk is still to come
+                self.time(PROBE_TIME, Ending.SLOW)
+                return
+            self._over(ending)
+        elif not self._busy and self._reusable(Ending.DONE):
+            self.pool.keep(self)  # the last chunk of an answer whose end was told before
+        elif not self._busy:
+            self.close()
+
+    def _reusable(self, ending: Ending) -> bool:
+        return ending not in (Ending.GARBLED, Ending.STRANGER) and self.written() and (
+            self._busy or self._parser.should_keep_alive())
+
+    def on_written(self) -> None:
+        pass
+
+    def on_end(self, ending: Ending) -> None:
+        if isinstance(self.connection, Connection) and self.connection.connecting:
+            self._over(ending)
+        elif ending is Ending.CLOSED:
+            self._over(Ending.CUT_SHORT)
+        else:
+            self._over(ending)
+
+    # From the parser
+
+    def on_message_begin(self) -> None:
+        self._headers.clear()
+        self._body.clear()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        load = self._headers.get(b"x-load")
+        if load:
+            self._report = self.pool.report_of(
+                dict(p.partition("=")[::2] for p in load.decode("latin-1").split(",")))
+
+    def on_body(self, body: bytes) -> None:
+        if self._parser.get_status_code() != 200 or self.probe_at:
+            return
+        self._body += body
+        *lines, rest = self._body.split(b"\n")
+        self._body = bytearray(rest)
+        for line in lines:
+            if line.strip() and self._ending is None:
+                self._line(bytes(line))
+        if len(self._body) > MAX_LINE:
+            self._ending = Ending.GARBLED
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        self._busy = False
+        if self._body.strip() and self._ending is None and status == 200 and not self.probe_at:
+            self._line(bytes(self._body))  # a last line without its end
+        if self._ending is None:
+            never = status in (503, 504) and self._headers.get(b"x-not-run") == b"1"
+            if self.probe_at and status == 200:
+                self._ending = Ending.DONE
+            elif status == 200:
+                self._ending = Ending.CUT_SHORT  # EOF, or a last chunk, without a last line is no answer
+            else:
+                self._ending = Ending.TURNED_AWAY if never else Ending.FAILED
+
+    def _line(self, line: bytes) -> None:
+        attempt = self.attempt
+        if attempt is None:
+            return
+        try:
+            said: Any = json.loads(line)
+            state, name = said["state"], said["id"]
+        except (ValueError, KeyError, TypeError):
+            self._ending = Ending.GARBLED
+            return
+        if name != attempt.request.name.decode("latin-1"):
+            self._ending = Ending.STRANGER  # a result of another request must never reach this client
+            return
+        if isinstance(said.get("load"), dict):
+            self._report = self.pool.report_of(said["load"])
+        if state == "started":
+            self.pool.core.started(attempt)
+        elif state == "running":
+            share = said.get("share")
+            self.pool.core.progress(attempt, float(share) if isinstance(share, (int, float)) else 0.0)
+        elif state == "done":
+            result = said.get("result", "")
+            self._result = (result if isinstance(result, str) else json.dumps(result)).encode()
+            self._ending = Ending.DONE
+        else:
+            self._ending = {"failed": Ending.FAILED, "returned": Ending.TURNED_AWAY,
+                            "lost": Ending.KILLED}.get(state, Ending.GARBLED)
+
+
+UNUSUAL = (Ending.GARBLED, Ending.STRANGER, Ending.NO_SOCKET)
+
+
+class Runners:
+    """Addresses of the boxes, and the kept connections to each, newest last."""
+
+    name = "http"
+
+    def __init__(self, loop: Loop, core: Core, raw_settings: dict[str, Any], cap: int) -> None:
+        self.loop, self.core, self.cap = loop, core, cap
+        allowed = raw_settings.get("allowed", {})
+        idle = float(allowed.get("idleClose", 15.0))
+        self.idle_time = max(min(IDLE_SHARE * idle, idle - IDLE_MARGIN), 0.1 * idle)
+        self.dial_time = float(allowed.get("dialTimeout", 0.25)) or 0.25
+        report = raw_settings.get("report", {})
+        self._fields: list[str] = report.get("fields", []) if report.get("via", "silent") != "silent" else []
+        self.addresses: dict[WorkerId, tuple[str, int]] = {}
+        self.idle: dict[WorkerId, deque[RunnerLink]] = {}
+        self.links: set[RunnerLink] = set()
+        self._capped = False
+
+    def report_of(self, named: dict[str, Any]) -> Sequence[float]:
+        """The report's figures in the order of the settings; empty if there is none."""
+        try:
+            return [float(named.get(FIELD.get(f, f), named.get(f, 0.0))) for f in self._fields]
+        except (TypeError, ValueError):
+            return ()
+
+    def locate(self, worker: WorkerId, address: tuple[str, int] | None) -> None:
+        """Where a box is now, or that it wants nothing more."""
+        if address is None or self.addresses.get(worker) != address:
+            for link in list(self.idle.get(worker, ())):
+                link.close()
+        if address is None:
+            self.addresses.pop(worker, None)
+        else:
+            self.addresses[worker] = address
+
+    def speaks(self, worker: WorkerId) -> bool:
+        return worker in self.addresses
+
+    def send(self, attempt: Attempt) -> None:
+        link = self._link(attempt.worker)
+        if isinstance(link, Ending):
+            self.core.ended(attempt, End(status_of(link), why=link.value))
+        else:
+            link.begin(attempt)
+
+    def give_up(self, attempt: Attempt, late: bool) -> Status:
+        link: RunnerLink = attempt.carrier
+        written = link.written()
+        link.attempt = None
+        link.close()
+        return status_of(Ending.SILENT if late else Ending.GIVEN_UP, written)
+
+    def probe(self, worker: WorkerId) -> None:
+        link = self._link(worker)
+        if isinstance(link, Ending):
+            self.core.probed(worker, status_of(link), 0.0, ())
+        else:
+            link.begin_probe()
+
+    def keep(self, link: RunnerLink) -> None:
+        link.idle_since = self.loop.clock.now()
+        if self.addresses.get(link.worker) != link.address:
+            link.close()
+            return
+        link.time(self.idle_time, Ending.IDLE)
+        self.idle.setdefault(link.worker, deque()).append(link)
+
+    def forget(self, link: RunnerLink) -> None:
+        self.links.discard(link)
+        idle = self.idle.get(link.worker)
+        if idle is not None and link in idle:
+            idle.remove(link)
+            if not idle:
+                del self.idle[link.worker]
+
+    def close(self) -> None:
+        for link in list(self.links):
+            link.close()
+
+    def _link(self, worker: WorkerId) -> RunnerLink | Ending:
+        """A kept connection, or a new one."""
+        idle = self.idle.get(worker)
+        while idle:
+            link = idle.pop()
+            if self.loop.clock.now() - link.idle_since < self.idle_time:
+                self.loop.deadlines.drop(link.timer)
+                link.timer = None
+                return link
+            link.close()  # we were held up: the runner's machine may be closing it by now
+        address = self.addresses.get(worker)
+        if address is None:
+            return Ending.NEVER_UP
+        if len(self.links) >= self.cap and not self._make_room():
+            return Ending.NO_SOCKET
+        link = RunnerLink(self, worker, address)
+        if isinstance(link.connection, Ending):
+            return link.connection
+        self.links.add(link)
+        link.time(self.dial_time, Ending.NEVER_UP)
+        return link
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has stood idle longest."""
+        self.core.counters.caps.labels("runners").inc()
+        if not self._capped:
+            self._capped = True
+            log.warning("cap.runners", cap=self.cap)
+        oldest = min((q[0] for q in self.idle.values() if q), key=lambda x: x.idle_since, default=None)
+        if oldest is not None:
+            oldest.close()
+        return oldest is not None
--- /dev/null
+++ b/larchgw/node.py
@@ -0,0 +1,73 @@
+"""Puts a dispatcher's parts together, for the daemon and for the middleware alike."""
+
+from __future__ import annotations
+
+import socket
+
+import structlog
+
+from .config import Config, ConfigError
+from .core import Core
+from .core.deadlines import Clock, Deadlines
+from .interface import ListKind
+from .net.discovery import Discovery, ListReader
+from .net.loop import Loop
+from .net.runners import Runners
+
+RESERVED = 64  # descriptors for the loop, listeners, discovery, logs and what closes slowly
+RUNNER_SHARE = 0.4  # of the descriptors left; the clients' connections have the rest
+log = structlog.get_logger()
+
+
+class Node:
+    """Loop, core, discovery and the transport to HTTP runners."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        clock, deadlines = Clock(), Deadlines()
+        self.loop = Loop(clock, deadlines)
+        free = config.sockets - min(RESERVED, config.sockets // 4)
+        self.client_cap = int((1 - RUNNER_SHARE) * free)
+        self.core = Core(config.settings, config.seed, clock, deadlines, max_open=2 * self.client_cap)
+        self.loop.counters = self.core.counters
+        self.runners = Runners(self.loop, self.core, config.raw, int(RUNNER_SHARE * free))
+        self.stopping = False
+        reader = ListReader(config.raw)
+        self.discovery: Discovery | None = None
+        if config.discovery is not None:
+            self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate)
+            self.core.on_subscribe = self.discovery.ask
+            if config.known is not None:
+                try:
+                    known = reader.read(config.known)
+                except ValueError as error:
+                    raise ConfigError(f"known: {error}") from error
+                self.discovery.apply(known, ListKind.CACHED)
+
+    def start(self) -> None:
+        """Call it once all transports are added."""
+        self.core.add_transport(self.runners)  # last: it also tells of boxes that nothing speaks to
+        if self.discovery is not None:
+            self.discovery.start()
+
+    def ready(self) -> bool:
+        """Whether new requests are welcome."""
+        return not self.stopping and bool(self.core.boxes.listed or self.core.boxes.joined)
+
+    def close(self) -> None:
+        if self.discovery is not None:
+            self.discovery.stop()
+        self.runners.close()
+
+
+def wake_on_signals(loop: Loop) -> None:
+    """Lets signals end the loop's wait; `Loop.on_signal` gets their numbers."""
+    import signal
+
+    def nothing(number: int, frame: object) -> None:
+        """The number comes through the pipe."""
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        signal.signal(number, nothing)
+    signal.set_wakeup_fd(loop.wake_out.fileno(), warn_on_full_buffer=False)
+    assert isinstance(loop.wake_out, socket.socket)
