Reuse connections: keep-alive is read inside the parser's last callback

Checked: a small probe with one stand-in runner opened 20 connections for 20 requests, with nothing in the log, so no connection ended badly. The fault: net/runners.py and net/discovery.py asked the parser's should_keep_alive() after feed_data had returned; by then it has reset its flags and says no.

--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -85,7 +85,7 @@
         self._connection: Connection | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body = bytearray()
-        self._complete = False
+        self._complete = self._keep = False
         self._timer: Deadline | None = None
         self._backoff = FIRST_BACKOFF
         self._random = random.Random()
@@ -180,7 +180,7 @@
         self._backoff = FIRST_BACKOFF
         self.version = listing.version
         # The next watch goes out first: a gap of 200 ms would make it a new one.
-        if parser.should_keep_alive():
+        if self._keep:
             self._ask()
         else:
             self._connect()
@@ -218,3 +218,5 @@
 
     def on_message_complete(self) -> None:
         self._complete = True
+        if self._parser is not None:
+            self._keep = self._parser.should_keep_alive()  # the parser forgets it after this call
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -35,6 +35,7 @@
         self.probe_at = 0.0  # when a probe was sent; 0: none
         self.timer: Deadline | None = None
         self.idle_since = 0.0
+        self._keep = False
         self._busy = False  # an answer is still coming in, whether or not its attempt has ended
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[bytes, bytes] = {}
@@ -133,7 +134,7 @@
 
     def _reusable(self, ending: Ending) -> bool:
         return ending not in (Ending.GARBLED, Ending.STRANGER) and self.written() and (
-            self._busy or self._parser.should_keep_alive())
+            self._busy or self._keep)
 
     def on_written(self) -> None:
         pass
@@ -178,6 +179,7 @@
         if status < 200:
             return
         self._busy = False
+        self._keep = self._parser.should_keep_alive()  # the parser forgets it after this call
         if self._body.strip() and self._ending is None and status == 200 and not self.probe_at:
             self._line(bytes(self._body))  # a last line without its end
         if self._ending is None:
