--- a/larchgw/__init__.py
+++ b/larchgw/__init__.py
@@ -1,6 +1,7 @@
-"""Decisions of a dispatcher that pushes jobs to workers: see README.md."""
+"""A dispatcher that pushes jobs to workers: see README.md."""
 
 from .choice import Dispatcher
 from .interface import Settings
 
-__all__ = ["Dispatcher", "Settings"]
+__version__ = "0.2.0"
+__all__ = ["Dispatcher", "Settings", "__version__"]
--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -11,34 +11,59 @@
 
 import structlog
 
-from . import config
+from . import __version__, config
+from .fronts.agentcheck import AgentCheck, Ops
+from .fronts.gearman import GearmanFront
 from .fronts.platform import PlatformFront
+from .net.listener import Listener
 from .node import Node, wake_on_signals
 
 # After SIGTERM clients still come for a while; whoever is let in must be answered.
 ACCEPT_AT_LEAST, ACCEPT_QUIET, ACCEPT_AT_MOST = 0.5, 0.2, 1.5
 STEP = 0.05
+GEARMAN_SHARE = 0.4  # of the connections from clients, where that front is on
 log = structlog.get_logger()
 
 
 class Daemon:
     """One node behind its fronts."""
 
-    def __init__(self, settings: config.Config, fronts: Path | None) -> None:
-        self.node = Node(settings)
-        self.platform = PlatformFront(self.node.loop, self.node.core, settings.listen, self.node.client_cap,
-                                      self.node.ready)
-        self.node.start()
-        self.node.loop.on_signal = self.on_signal
+    def __init__(self, settings: config.Config, fronts: config.Fronts) -> None:
+        self.node = node = Node(settings)
+        loop, core = node.loop, node.core
+        assert settings.listen is not None
+        cap, gearman_cap = node.client_cap, 0
+        if fronts.gearman:
+            gearman_cap = int(GEARMAN_SHARE * cap)
+        self.platform = PlatformFront(loop, core, settings.listen, cap - gearman_cap, node.ready)
+        self._listening(self.platform.name, self.platform.server.listener)
+        self.gearman: GearmanFront | None = None
+        if fronts.gearman:
+            self.gearman = GearmanFront(loop, core, fronts.gearman, gearman_cap, fronts.grab_wait,
+                                        fronts.remember)
+            core.add_transport(self.gearman.workers)
+            self._listening(self.gearman.name, self.gearman.listener)
+        if fronts.agent_check:
+            agent = AgentCheck(loop, core.counters, fronts.agent_check, lambda: node.stopping,
+                               core.boxes.ready_share)
+            self._listening(agent.name, agent.listener)
+        if fronts.ops:
+            ops = Ops(loop, core.counters, fronts.ops, node.ready)
+            self._listening(ops.name, ops.server.listener)
+        node.start()
+        loop.on_signal = self.on_signal
         self._stop_at = 0.0
 
+    def _listening(self, front: str, listener: Listener) -> None:
+        host, port = listener.address
+        log.info("listening", front=front, listen=f"{host}:{port}")
+
     def run(self) -> None:
         wake_on_signals(self.node.loop)
-        listen = "{}:{}".format(*self.platform.server.listener.address)
-        log.info("start", name=self.node.config.name, listen=listen, pid=os.getpid())
+        log.info("start", name=self.node.config.name, version=__version__, pid=os.getpid())
         self.node.loop.run()
-        self.node.close()
         log.info("exit", **self.node.core.counters.figures())
+        self.node.close()
 
     def on_signal(self, number: int) -> None:
         if number == signal.SIGUSR1:
@@ -51,15 +76,21 @@
 
     def _stopping(self) -> None:
         """Lets the last clients in, then answers what is open, then ends."""
-        now, server = self.node.loop.clock.now(), self.platform.server
+        now, server, gearman = self.node.loop.clock.now(), self.platform.server, self.gearman
         quiet = now - max(server.listener.last_accept, self._stop_at)
         if server.listener.open and now - self._stop_at >= ACCEPT_AT_LEAST and (
                 quiet >= ACCEPT_QUIET or now - self._stop_at >= ACCEPT_AT_MOST):
             server.listener.close()
             server.stopping = True
+            if gearman:
+                gearman.listener.close()
+                gearman.stopping = True
         if not server.listener.open:
             server.close_idle()
-            if not server.links and not self.node.core.open_requests():
+            if gearman:
+                gearman.close_idle()
+            waiting = len(server.links) + self.node.loop.finishing + (gearman.clients() if gearman else 0)
+            if not waiting and not self.node.core.open_requests():
                 log.info("stop.end", seconds=round(now - self._stop_at, 3))
                 self.node.loop.stop()
                 return
@@ -81,7 +112,8 @@
         cache_logger_on_first_use=True,
     )
     try:
-        daemon = Daemon(config.load(os.environ), options.fronts)
+        fronts = config.load_fronts(options.fronts) if options.fronts else config.Fronts()
+        daemon = Daemon(config.load(os.environ), fronts)
     except config.ConfigError as error:
         print(f"larchgw: {error}", file=sys.stderr)
         return 2
--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,8 +25,8 @@
 @dataclass(slots=True)
 class Config:
     name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int] | None
+    listen: tuple[str, int] | None
+    discovery: tuple[str, int]
     seed: int
     sockets: int
     known: dict[str, Any] | None
@@ -47,8 +48,8 @@
     return read(top, environ)
 
 
-def read(top: Any, environ: Mapping[str, str] | None = None) -> Config:
-    """From the parsed JSON."""
+def read(top: Any, environ: Mapping[str, str] | None = None, need_listen: bool = True) -> Config:
+    """From the parsed JSON. What is embedded listens nowhere."""
     environ = environ or {}
     if not isinstance(top, dict):
         raise ConfigError("PROXY_CONFIG: must hold a JSON object")
@@ -74,12 +75,53 @@
         raise ConfigError("known: must be a JSON object")
     return Config(
         name=str(top.get("name") or environ.get("PROXY_NAME", "larchgw")),
-        listen=_address(top, environ, "listen", "PROXY_LISTEN"),
+        listen=_address(top, environ, "listen", "PROXY_LISTEN") if need_listen else None,
         discovery=_address(top, environ, "discovery", "PROXY_DISCOVERY"),
         seed=number, sockets=sockets, known=known, raw=raw, settings=settings,
     )
 
 
+@dataclass(slots=True)
+class Fronts:
+    """The fronts beside the platform's; None for one that is off."""
+
+    gearman: tuple[str, int] | None = None
+    agent_check: tuple[str, int] | None = None
+    ops: tuple[str, int] | None = None
+    grab_wait: float = 2.0  # seconds that a job waits at a box for a worker to grab it
+    remember: float = 900.0  # seconds that the end of a release is kept for those who submit it again
+
+
+def load_fronts(path: Path) -> Fronts:
+    """From a file like deploy/fronts.toml."""
+    try:
+        top = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise ConfigError(f"--fronts: cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise ConfigError(f"--fronts: {path} is not TOML: {error}") from error
+    fronts = Fronts()
+    figures = {"grab_wait_s": "grab_wait", "remember_s": "remember"}
+    for name, table in top.items():
+        if name not in ("gearman", "agent_check", "ops") or not isinstance(table, dict):
+            raise ConfigError(f"{name}: no such front; there are gearman, agent_check and ops")
+        for field_name, value in table.items():
+            if field_name == "listen":
+                try:
+                    setattr(fronts, name, parse_address(str(value)))
+                except ValueError as error:
+                    raise ConfigError(f"{name}.listen: {error}") from error
+            elif name == "gearman" and field_name in figures:
+                if not isinstance(value, int | float) or isinstance(value, bool) or not value > 0:
+                    raise ConfigError(f"{name}.{field_name}: must be a figure above 0")
+                setattr(fronts, figures[field_name], float(value))
+            else:
+                raise ConfigError(f"{name}.{field_name}: no such setting")
+        if "listen" not in table:
+            raise ConfigError(f"{name}.listen: is missing")
+    return fronts
+
+
 def _part(top: dict[str, Any], name: str, kind: type, default: Any = None) -> Any:
     value = top.get(name, default)
     if not isinstance(value, kind):
--- a/larchgw/core/boxes.py
+++ b/larchgw/core/boxes.py
@@ -31,15 +31,17 @@
             told += [m for m in self.joined.values() if m.worker not in self.listed]
         return told
 
-    def join(self, worker: WorkerId, now: float) -> Member | None:
+    def join(self, worker: WorkerId, now: float, restarted: bool) -> Member | None:
         """A box has connected; what to tell the module, if it is news.
 
         Nobody says when such a box started. One that comes when we have run for a while is taken for a cold
-        one, or it would be pushed over; one that is there from our start on was there before us.
+        one, or it would be pushed over; one that is there from our start on was there before us. A box that
+        is back after we had closed its last connection has not restarted.
         """
         if worker in self.joined:
             return None
-        member = Member(worker, up_since=now if now > self._old_until else 0.0)
+        fresh = restarted and now > self._old_until
+        member = Member(worker, up_since=now if fresh else 0.0)
         self.joined[worker] = member
         return None if worker in self.listed else member
 
--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -42,7 +42,7 @@
         self.take_in = TakeIn(self.counters, [c.name for c in settings.classes])
         self.admit = Admit(self.counters, self.take_in, max_open, MAX_BODY_BYTES)
         self.route = Route(self.dispatcher)
-        self.sender = Send(self.counters, deadlines, self._expire)
+        self.sender = Send(self.counters, deadlines, self.expire)
         self.relay = Relay(self.counters, deadlines)
         self.book = Book(self.counters, deadlines, self.dispatcher, self.take_in)
 
@@ -78,6 +78,7 @@
     # From transports
 
     def started(self, attempt: Attempt) -> None:
+        attempt.started = True
         self._note(attempt, True, 0.0)
 
     def progress(self, attempt: Attempt, share: float) -> None:
@@ -109,9 +110,9 @@
         for told_too in self.on_list:
             told_too()
 
-    def joined(self, worker: WorkerId) -> None:
-        """A box has connected to us."""
-        self._delta(self.boxes.join(worker, self.clock.now()))
+    def joined(self, worker: WorkerId, restarted: bool) -> None:
+        """A box has connected to us; `restarted`: its process may be new."""
+        self._delta(self.boxes.join(worker, self.clock.now(), restarted))
 
     def left(self, worker: WorkerId) -> None:
         """A box has closed its last connection to us."""
@@ -151,7 +152,7 @@
 
     def probe(self, worker: WorkerId) -> None:
         for transport in self.sender.transports:
-            if transport.speaks(worker):
+            if any(transport.reach(worker, c) for c in range(len(self.settings.classes))):
                 transport.probe(worker)
                 return
         self.probed(worker, Status.CONNECT_FAILED, 0.0, ())
@@ -204,7 +205,7 @@
         if not attempt.ended:
             self.ended(attempt, End(attempt.transport.give_up(attempt, late)))
 
-    def _expire(self, attempt: Attempt) -> None:
+    def expire(self, attempt: Attempt) -> None:
         """The time of an attempt is over."""
         self._give_up(attempt, late=True)
 
--- a/larchgw/core/requests.py
+++ b/larchgw/core/requests.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import Any, Protocol
 
 from ..interface import Status, WorkerId
 from .deadlines import Deadline
 from .outcomes import Answer
 
+PROOFS = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)  # these say that the attempt never ran
+
 
 class News(Enum):
     """What a box may say of a job while it runs."""
@@ -20,6 +22,14 @@
     EXCEPTION = "exception"
 
 
+class Reach(IntEnum):
+    """Whether a transport can carry a job of some class to a box."""
+
+    NO = 0
+    WAITS = 1  # it can, but the job would wait for a slot
+    NOW = 2
+
+
 class Front(Protocol):
     """Hands requests in and carries their answers out."""
 
@@ -37,8 +47,8 @@
 
     name: str
 
-    def speaks(self, worker: WorkerId) -> bool:
-        """Whether this box can be reached over this protocol now."""
+    def reach(self, worker: WorkerId, job_class: int) -> Reach:
+        """Whether jobs of this class can go to this box over this protocol."""
 
     def send(self, attempt: Attempt) -> None:
         """Starts the attempt; its end comes as `Core.ended`, perhaps at once."""
@@ -65,6 +75,8 @@
     memory: float = 0.0
     hint: float = 0.0
     repeat: bool = False
+    unique: bytes = b""  # what its client calls the job on each of its tries; empty for none
+    priority: int = 0  # among jobs that wait at one box; higher goes first
     extra: Any = None  # the front's own
     id: int = 0
     taken_at: float = 0.0
@@ -78,6 +90,10 @@
         """Whether nothing is owed any more."""
         return self.answer is not None or self.gone
 
+    def never_ran(self) -> bool:
+        """Whether it is proved that no attempt has run, or may still."""
+        return all(a.status in PROOFS for a in self.attempts)
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -89,6 +105,7 @@
     transport: Transport
     sent_at: float
     ended: bool = False
-    cancelled: bool = False
+    status: Status | None = None  # once it has ended
+    started: bool = False
     deadline: Deadline | None = None
     carrier: Any = None  # the transport's own
--- a/larchgw/core/stages/send.py
+++ b/larchgw/core/stages/send.py
@@ -7,7 +7,7 @@
 from ...interface import WorkerId
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..requests import Attempt, Request, Transport
+from ..requests import Attempt, Reach, Request, Transport
 
 
 class Send:
@@ -17,7 +17,7 @@
         self._counters, self._deadlines, self._expire = counters, deadlines, expire
 
     def run(self, now: float, request: Request, worker: WorkerId, timeout: float) -> Attempt:
-        transport = speaking(self.transports, worker)
+        transport = reaching(self.transports, worker, request.job_class)
         attempt = Attempt(request, len(request.attempts), worker, transport, now)
         request.attempts.append(attempt)
         if request.over():
@@ -29,6 +29,11 @@
         return attempt
 
 
-def speaking(transports: Sequence[Transport], worker: WorkerId) -> Transport:
-    """The first transport that the box speaks; the last one tells of a box that cannot be reached."""
-    return next((t for t in transports if t.speaks(worker)), transports[-1])
+def reaching(transports: Sequence[Transport], worker: WorkerId, job_class: int) -> Transport:
+    """The transport that gets it there soonest, the first of equals.
+
+    Where none does, the last one is asked all the same: it tells of a box that cannot be reached.
+    """
+    reaches = [t.reach(worker, job_class) for t in transports]
+    best = max(reaches)
+    return transports[reaches.index(best)] if best > Reach.NO else transports[-1]
--- /dev/null
+++ b/larchgw/fronts/agentcheck.py
@@ -0,0 +1,104 @@
+"""What balancers ask of us: the agent-check over TCP, and health and counters over HTTP."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from ..core.counters import Counters
+from ..net.connection import Connection
+from ..net.ending import Ending
+from ..net.httpserver import Exchange, HttpServer
+from ..net.listener import Listener
+from ..net.loop import Loop
+
+CAP = 16
+
+
+class AgentCheck:
+    """Says one line to whoever connects, then closes.
+
+    `drain` while we stop, `down` while we know no box, else `up ready` with the share of the known boxes that
+    take new work: HAProxy makes that the weight. `up` and `ready` undo an earlier `down` and `drain`.
+    """
+
+    name = "agent_check"
+
+    def __init__(self, loop: Loop, counters: Counters, address: tuple[str, int], stopping: Callable[[], bool],
+                 share: Callable[[], float]) -> None:
+        self._loop, self._stopping, self._share = loop, stopping, share
+        self._open: set[Line] = set()
+        self.listener = Listener(loop, counters, self.name, address, CAP, self._take,
+                                 lambda: len(self._open), lambda: False)
+
+    def text(self) -> str:
+        if self._stopping():
+            return "drain\n"
+        share = self._share()
+        return f"up ready {max(round(100 * share), 1)}%\n" if share > 0 else "down\n"
+
+    def _take(self, sock: socket.socket) -> None:
+        line = Line(self._open)
+        line.connection = Connection(self._loop, sock, line)
+        line.connection.write(self.text().encode())
+        line.connection.finish()
+        if not line.connection.closed:
+            line.expect_end(self._loop)
+
+
+class Line:
+    """A connection that is told its line; what the other side may send is of no account."""
+
+    def __init__(self, among: set[Line]) -> None:
+        self._among = among
+        self.connection: Connection | None = None
+        among.add(self)
+
+    def expect_end(self, loop: Loop) -> None:
+        def look() -> None:
+            if self.connection is None or self.connection.closed:
+                self._among.discard(self)
+            else:
+                loop.deadlines.add(loop.clock.now() + 0.1, look)
+
+        look()
+
+    def on_open(self) -> None:
+        pass
+
+    def on_data(self, data: bytes) -> None:
+        pass
+
+    def on_written(self) -> None:
+        pass
+
+    def on_end(self, ending: Ending) -> None:
+        self._among.discard(self)
+
+
+class Ops:
+    """`/ready`, `/alive` and `/metrics`."""
+
+    name = "ops"
+
+    def __init__(self, loop: Loop, counters: Counters, address: tuple[str, int],
+                 ready: Callable[[], bool]) -> None:
+        self._counters, self._ready = counters, ready
+        self.server = HttpServer(loop, counters, address, self, CAP)
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        if exchange.method not in (b"GET", b"HEAD"):
+            exchange.reply(405, b"GET only\n", (("Allow", "GET, HEAD"),))
+        elif exchange.path == b"/ready":
+            up = self._ready()
+            exchange.reply(200 if up else 503, b"ready\n" if up else b"not ready\n")
+        elif exchange.path == b"/alive":
+            exchange.reply(200, b"alive\n")
+        elif exchange.path == b"/metrics":
+            exchange.reply(200, self._counters.text(),
+                           (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),))
+        else:
+            exchange.reply(404, b"/ready, /alive and /metrics are here\n")
+
+    def on_client_gone(self, exchange: Exchange) -> None:
+        """Every answer here is given at once."""
--- /dev/null
+++ b/larchgw/fronts/gearman_jobs.py
@@ -0,0 +1,126 @@
+"""Gearman jobs: which are alive, who waits for them, and how releases ended."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Protocol
+
+import structlog
+
+from ..core import Answer, AnswerKind, Request
+from ..core.counters import Counters
+from ..core.deadlines import Clock
+from ..interface import Settings
+
+MAX_REMEMBERED = 50_000
+MAX_RESULT_BYTES = 16 << 20  # of remembered releases
+LOST = Answer(AnswerKind.FAILED, reason="it was done before, but its result is not kept any more")
+log = structlog.get_logger()
+Name = tuple[int, bytes]  # class and unique
+
+
+class Waiter(Protocol):
+    """A client's connection that waits for a job's end."""
+
+    def write(self, data: bytes) -> None:
+        """A packet on the way there."""
+
+    def finish(self, job: Job, answer: Answer) -> None:
+        """Its one final answer."""
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    handle: bytes
+    unique: bytes
+    job_class: int
+    background: bool
+    waiters: list[Waiter] = field(default_factory=list)  # one for each foreground submit
+    request: Request | None = None
+    status: tuple[bytes, bytes] = (b"0", b"0")
+    exception: bytes = b""
+
+    def running(self) -> bool:
+        return self.request is not None and any(a.started and not a.ended for a in self.request.attempts)
+
+
+class Jobs:
+    """Jobs by handle, and by class and unique."""
+
+    def __init__(self, settings: Settings, clock: Clock, counters: Counters, remember: float) -> None:
+        self._settings, self._clock, self._counters = settings, clock, counters
+        self._remember = remember
+        self._serial = 0
+        self.by_handle: dict[bytes, Job] = {}
+        self._by_name: dict[Name, Job] = {}
+        # Oldest first. What a client submits again after the end must not run again.
+        self._ended: OrderedDict[Name, tuple[float, bytes, Answer]] = OrderedDict()
+        self._result_bytes = 0
+
+    def find(self, unique: bytes) -> Job | None:
+        return next((job for (_, name), job in self._by_name.items() if name == unique), None)
+
+    def alive(self, job_class: int, unique: bytes) -> Job | None:
+        return self._by_name.get((job_class, unique)) if unique else None
+
+    def ended(self, job_class: int, unique: bytes) -> tuple[bytes, Answer] | None:
+        """The handle and the end of a release that is still remembered."""
+        self._expire()
+        found = self._ended.get((job_class, unique)) if unique else None
+        return found[1:] if found else None
+
+    def create(self, job_class: int, unique: bytes, background: bool) -> Job:
+        self._serial += 1
+        job = Job(b"H:larchgw:%d" % self._serial, unique, job_class, background)
+        self.by_handle[job.handle] = job
+        if unique:
+            self._by_name[job_class, unique] = job
+        return job
+
+    def end(self, job: Job, answer: Answer) -> None:
+        """The job is over. Kept is what says that a release ran, or may have run."""
+        self.by_handle.pop(job.handle, None)
+        if not job.unique:
+            return
+        name = (job.job_class, job.unique)
+        self._by_name.pop(name, None)
+        if self._settings.classes[job.job_class].effect == "safe" or answer.kind is AnswerKind.REFUSED:
+            return
+        self._expire()
+        self._result_bytes += len(answer.result)
+        self._ended[name] = (self._clock.now() + self._remember, job.handle, answer)
+        if self._result_bytes > MAX_RESULT_BYTES:
+            self._shed_results()
+        if len(self._ended) > MAX_REMEMBERED:
+            self._cap("remembered")
+            self._forget_oldest()
+
+    def _expire(self) -> None:
+        now = self._clock.now()
+        while self._ended and next(iter(self._ended.values()))[0] <= now:
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        _, (_, _, answer) = self._ended.popitem(last=False)
+        self._result_bytes -= len(answer.result)
+
+    def _shed_results(self) -> None:
+        """Lets the oldest results go, but not that they ran."""
+        self._cap("remembered_results")
+        for name, (until, handle, answer) in self._ended.items():
+            if self._result_bytes <= MAX_RESULT_BYTES // 2:
+                return
+            if answer.result:
+                self._result_bytes -= len(answer.result)
+                self._ended[name] = (until, handle, LOST)
+
+    def _cap(self, cap: str) -> None:
+        self._counters.caps.labels(cap).inc()
+        log.warning("cap." + cap, kept=len(self._ended), bytes=self._result_bytes)
+
+
+def full_unique(unique: bytes, workload: bytes) -> bytes:
+    """As with other job servers, the unique "-" stands for the workload itself."""
+    return blake2b(workload, digest_size=16).hexdigest().encode() if unique == b"-" else unique
--- a/larchgw/fronts/platform.py
+++ b/larchgw/fronts/platform.py
@@ -2,35 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Callable
-from hashlib import blake2b
 
-from ..core import Answer, AnswerKind, Core, Request
+from ..core import Answer, Core, Request
 from ..core.requests import News
 from ..net.httpserver import Exchange, HttpServer
 from ..net.loop import Loop
-
-NAME = re.compile(rb"[!-~]{1,128}")
-LONGEST_WAIT_MS = 3_600_000
-
-
-def key_number(text: bytes) -> int:
-    """A key as the module wants it: 64 bits, and 0 for none."""
-    if not text:
-        return 0
-    if len(text) <= 16:
-        try:
-            return int(text, 16)
-        except ValueError:
-            pass
-    return int.from_bytes(blake2b(text, digest_size=8).digest(), "little")
-
-
-def read_extras(text: bytes) -> dict[str, float]:
-    """`name=value,name=value`; ValueError if a value is no figure."""
-    pairs = (part.partition("=") for part in text.decode("latin-1").split(",") if part.strip())
-    return {name.strip(): float(value) for name, _, value in pairs}
+from .jobheaders import http_answer, read_job
 
 
 class PlatformFront:
@@ -66,31 +44,15 @@
             self._core.gone(exchange.extra)
 
     def _take(self, exchange: Exchange, job_class: int) -> None:
-        headers = exchange.headers
-        name, wait = headers.get(b"x-request-id", b""), headers.get(b"x-deadline-ms", b"")
-        if not NAME.fullmatch(name):
-            self._bad(exchange, 400, "X-Request-Id is missing or bad")
-            return
-        if not wait.isdigit() or not 0 < int(wait[:12]) <= LONGEST_WAIT_MS:
-            self._bad(exchange, 400, "X-Deadline-Ms is missing or bad")
-            return
         try:
-            extras = read_extras(headers.get(b"x-extras", b""))
-            hint = float(headers.get(b"x-cost-hint", b"0"))
-        except ValueError:
-            self._bad(exchange, 400, "X-Extras or X-Cost-Hint is bad")
-            return
-        figures = (hint, extras.get("slots", 1.0), extras.get("memory", 0.0))
-        if not all(0.0 <= f < 1e6 for f in figures):
-            self._bad(exchange, 400, "X-Extras or X-Cost-Hint is out of range")
+            job = read_job(exchange.headers)
+        except ValueError as error:
+            self._bad(exchange, 400, str(error))
             return
         waited = self._core.clock.now() - exchange.arrived  # behind others on its connection
-        exchange.extra = request = Request(
-            self, name, job_class, exchange.target, exchange.body, int(wait) / 1000.0 - waited,
-            key_number(headers.get(b"x-key", b"")), figures[1] or 1.0, figures[2], hint,
-            headers.get(b"x-retry") == b"1",
-        )
-        request.extra = exchange
+        request = exchange.extra = Request(
+            self, job.name, job_class, exchange.target, exchange.body, job.wait - waited, job.key, job.slots,
+            job.memory, job.hint, job.repeat, extra=exchange)
         self._core.take(request)
 
     def _bad(self, exchange: Exchange, status: int, reason: str,
@@ -102,12 +64,7 @@
 
     def answer(self, request: Request, answer: Answer) -> None:
         exchange: Exchange = request.extra
-        if answer.kind is AnswerKind.SERVED:
-            exchange.reply(200, answer.result)
-        elif answer.kind is AnswerKind.REFUSED:
-            exchange.reply(503, answer.reason.encode() + b"\n", (("Retry-After", f"{answer.retry_after:g}"),))
-        else:
-            exchange.reply(500, answer.reason.encode() + b"\n")
+        exchange.reply(*http_answer(answer))
 
     def news(self, request: Request, kind: News, data: bytes) -> None:
         """HTTP clients of the platform hear of the end only."""
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -70,6 +70,7 @@
         if self.closed or self._finishing:
             return
         self._finishing = True
+        self.loop.finishing += 1
         self._linger = self.loop.deadlines.add(self.loop.clock.now() + LINGER, self.close)
         if not self._out:
             self._shut()
@@ -81,6 +82,7 @@
         if self.closed:
             return
         self.closed = True
+        self.loop.finishing -= self._finishing
         self.loop.deadlines.drop(self._linger)
         self.loop.forget(self.sock)
         self.sock.close()
--- a/larchgw/net/ending.py
+++ b/larchgw/net/ending.py
@@ -18,6 +18,7 @@
     NEVER_UP = "the connection never came up"
     NEVER_GRABBED = "no worker of the box grabbed the job"
     NO_SOCKET = "no descriptor was left for a connection"
+    NO_WAY = "nothing that the box speaks carries this job"
     BROKE_UNSENT = "it broke before the request's last byte was written"
     BROKE = "it broke after the request's last byte was written"
     CUT_SHORT = "it was closed in order, but before the last line"
@@ -42,6 +43,7 @@
     Ending.NEVER_UP: Status.CONNECT_FAILED,
     Ending.NEVER_GRABBED: Status.CONNECT_FAILED,
     Ending.NO_SOCKET: Status.MOOT,
+    Ending.NO_WAY: Status.FULL,
     Ending.BROKE_UNSENT: Status.CONNECT_FAILED,
     Ending.BROKE: Status.RESET,
     Ending.CUT_SHORT: Status.RESET,
--- a/larchgw/net/loop.py
+++ b/larchgw/net/loop.py
@@ -26,6 +26,7 @@
         self._selector = selectors.DefaultSelector()
         self._calls: deque[Callable[[], None]] = deque()
         self._running = True
+        self.finishing = 0  # connections that write their last bytes
         self.on_signal: Callable[[int], None] = lambda number: None
         self._wake_in, self.wake_out = socket.socketpair()
         self._wake_in.setblocking(False)
@@ -60,6 +61,9 @@
     def run(self) -> None:
         while self._running:
             self.turn()
+
+    def close(self) -> None:
+        """Once everything that it watched has been closed."""
         self._selector.close()
         self._wake_in.close()
         self.wake_out.close()
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -12,6 +12,7 @@
 
 from ..core import Attempt, Core, End
 from ..core.deadlines import Deadline
+from ..core.requests import Reach
 from ..interface import Status, WorkerId
 from .connection import Connection, connect
 from .ending import Ending, status_of
@@ -258,8 +259,8 @@
         else:
             self.addresses[worker] = address
 
-    def speaks(self, worker: WorkerId) -> bool:
-        return worker in self.addresses
+    def reach(self, worker: WorkerId, job_class: int) -> Reach:
+        return Reach.NOW if worker in self.addresses else Reach.NO
 
     def send(self, attempt: Attempt) -> None:
         link = self._link(attempt.worker)
@@ -314,7 +315,7 @@
             link.close()  # we were held up: the runner's machine may be closing it by now
         address = self.addresses.get(worker)
         if address is None:
-            return Ending.NEVER_UP
+            return Ending.NO_WAY
         if len(self.links) >= self.cap and not self._make_room():
             return Ending.NO_SOCKET
         link = RunnerLink(self, worker, address)
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import socket
+import signal
 
 import structlog
 
@@ -33,41 +33,35 @@
         self.runners = Runners(self.loop, self.core, config.raw, int(RUNNER_SHARE * free))
         self.stopping = False
         reader = ListReader(config.raw)
-        self.discovery: Discovery | None = None
-        if config.discovery is not None:
-            self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate)
-            self.core.on_subscribe = self.discovery.ask
-            if config.known is not None:
-                try:
-                    known = reader.read(config.known)
-                except ValueError as error:
-                    raise ConfigError(f"known: {error}") from error
-                self.discovery.apply(known, ListKind.CACHED)
+        self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate)
+        self.core.on_subscribe = self.discovery.ask
+        if config.known is not None:
+            try:
+                known = reader.read(config.known)
+            except ValueError as error:
+                raise ConfigError(f"known: {error}") from error
+            self.discovery.apply(known, ListKind.CACHED)
 
     def start(self) -> None:
         """Call it once all transports are added."""
         self.core.add_transport(self.runners)  # last: it also tells of boxes that nothing speaks to
-        if self.discovery is not None:
-            self.discovery.start()
+        self.discovery.start()
 
     def ready(self) -> bool:
         """Whether new requests are welcome."""
         return not self.stopping and bool(self.core.boxes.listed or self.core.boxes.joined)
 
     def close(self) -> None:
-        if self.discovery is not None:
-            self.discovery.stop()
+        self.discovery.stop()
         self.runners.close()
+        self.loop.close()
 
 
 def wake_on_signals(loop: Loop) -> None:
     """Lets signals end the loop's wait; `Loop.on_signal` gets their numbers."""
-    import signal
-
     def nothing(number: int, frame: object) -> None:
         """The number comes through the pipe."""
 
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
         signal.signal(number, nothing)
     signal.set_wakeup_fd(loop.wake_out.fileno(), warn_on_full_buffer=False)
-    assert isinstance(loop.wake_out, socket.socket)
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,237 @@
+"""Stand-ins for what the program talks to, and the program itself as a process."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from http.client import HTTPConnection, HTTPResponse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 20.0  # for a condition; nothing is measured by it
+
+
+def job_class(name: str, effect: str, deadline: float) -> dict[str, Any]:
+    return {"name": name, "aim": 4.0, "deadline": deadline, "effect": effect, "points": 1.0}
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    classes = [job_class("proof", "idempotent", 10.0), job_class("release", "at_most_once", 25.0)]
+    return {
+        "requestClasses": changes.pop("classes", classes), "nInstances": 1, "areas": ["a"], "shapes": ["m"],
+        "allowed": {"cancel": True, "maxAttempts": 3, "dialTimeout": 0.25, "idleClose": 15.0,
+                    "retryAfter": True, "maxRetryAfter": 2.0},
+        "familyInfo": {"tellsStart": True, "classStretch": [2.0, 2.0]},
+        "obligations": {"coldFrom": 0.2, "warmUp": 20.0, "drainGrace": 1.0, "tipMultiple": 2.5, "fall": 3.0},
+        "report": {"via": "piggyback", "fields": ["fail_rate", "q", "x0"]},
+    } | changes
+
+
+def until(condition: Callable[[], Any], what: str = "it") -> Any:
+    """Waits for a condition and returns what it gave."""
+    end = time.monotonic() + PATIENCE
+    while not (found := condition()):
+        assert time.monotonic() < end, f"waited in vain for {what}"
+        time.sleep(0.01)
+    return found
+
+
+class Server:
+    """An HTTP server on an ephemeral port, a thread a connection."""
+
+    def __init__(self, handler: type[BaseHTTPRequestHandler]) -> None:
+        self.http = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self.http.daemon_threads = True
+        self.http.handle_error = lambda *a: None  # type: ignore[method-assign]  # peers leave as they like
+        self.http.owner = self  # type: ignore[attr-defined]
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        threading.Thread(target=self.http.serve_forever, args=(0.02,), daemon=True).start()
+
+    def close(self) -> None:
+        self.http.shutdown()
+        self.http.server_close()
+
+
+class Quiet(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args: Any) -> None:
+        pass
+
+
+class DiscoveryHandler(Quiet):
+    def do_GET(self) -> None:
+        owner: Discovery = self.server.owner  # type: ignore[attr-defined]
+        if owner.bad:
+            owner.asked += 1
+            self.send_response(200)
+            self.send_header("Content-Length", "2")
+            self.end_headers()
+            self.wfile.write(b"[]")
+            return
+        with owner.changed:
+            owner.asked += 1
+            watch = "after=" in self.path
+            after = int(self.path.split("after=")[1].split("&")[0]) if watch else 0
+            owner.changed.wait_for(lambda: not watch or owner.version != after, 5.0)
+            news = {"version": owner.version, "full": True, "servers": list(owner.boxes.values())}
+        body = json.dumps(news).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Discovery(Server):
+    def __init__(self) -> None:
+        self.version, self.asked, self.bad = 1, 0, False
+        self.boxes: dict[str, dict[str, Any]] = {}
+        self.changed = threading.Condition()
+        super().__init__(DiscoveryHandler)
+
+    def tell(self, box: str, state: str = "SERVING", addr: str = "") -> None:
+        with self.changed:
+            self.version += 1
+            self.boxes[box] = {"id": box, "addr": addr, "zone": "a", "kind": "m", "cell": 0, "state": state,
+                               "weight": 1.0, "started_ms": 0}
+            self.changed.notify_all()
+
+
+class RunnerHandler(Quiet):
+    def setup(self) -> None:
+        super().setup()
+        self.server.owner.opened += 1  # type: ignore[attr-defined]
+
+    def do_POST(self) -> None:
+        owner: Runner = self.server.owner  # type: ignore[attr-defined]
+        body = self.rfile.read(int(self.headers["Content-Length"]))
+        name = self.headers["X-Request-Id"]
+        owner.seen.append((name, self.path, body))
+        owner.runs[body] += 1
+        how = owner.how(name) if callable(owner.how) else owner.how
+        self.close_connection = how in ("cut", "reset", "hang")
+        if how == "full":
+            self.send_response(503)
+            self.send_header("X-Not-Run", "1")
+            self.send_header("Content-Length", "0")
+            self.end_headers()
+            return
+        if how == "hang":
+            owner.hung.append(self.connection)
+            owner.gave_up.append(self.connection.recv(1) == b"")
+            return
+        if how == "reset":
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            return
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self._say(id=name, state="started")
+        if how == "hold":
+            owner.release.wait(PATIENCE)
+        if how == "cut":
+            return
+        name = "another" if how == "stranger" else name
+        state = {"fail": "failed", "lost": "lost", "returned": "returned"}.get(how, "done")
+        self._say(id=name, state=state, result=owner.name + ":" + body.decode(), load={"eps": 0, "x0": 2})
+        self.wfile.write(b"0\r\n\r\n")
+
+    def _say(self, **line: Any) -> None:
+        text = json.dumps(line).encode() + b"\n"
+        self.wfile.write(b"%x\r\n%b\r\n" % (len(text), text))
+        self.wfile.flush()
+
+
+class Runner(Server):
+    """A render box on HTTP; `how` says what becomes of its jobs, for all or by request id."""
+
+    def __init__(self, name: str, how: Any = "done") -> None:
+        self.name, self.how = name, how
+        self.seen: list[tuple[str, str, bytes]] = []
+        self.runs: Counter[bytes] = Counter()
+        self.hung: list[socket.socket] = []
+        self.gave_up: list[bool] = []
+        self.opened = 0
+        self.release = threading.Event()
+        super().__init__(RunnerHandler)
+
+
+class Program:
+    """The real program as a process; its addresses are read from its log."""
+
+    def __init__(self, folder: Path, discovery: str, fronts: bool = False, **changes: Any) -> None:
+        config = {"name": "t", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
+                  "limits": {"sockets": 1024}, "settings": settings(**changes.pop("settings", {}))} | changes
+        (folder / "config.json").write_text(json.dumps(config))
+        command = [sys.executable, "-m", "larchgw"]
+        if fronts:
+            (folder / "fronts.toml").write_text("".join(
+                f'[{name}]\nlisten = "127.0.0.1:0"\n' for name in ("gearman", "agent_check", "ops")))
+            command += ["--fronts", str(folder / "fronts.toml")]
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, text=True, stderr=subprocess.PIPE,
+            env=os.environ | {"PROXY_CONFIG": str(folder / "config.json"), "PYTHONDONTWRITEBYTECODE": "1"})
+        self.lines: list[str] = []
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
+        until(lambda: self.logged("event=start "), "the start")
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.append(line)
+
+    def logged(self, text: str) -> list[str]:
+        return [line for line in list(self.lines) if text in line]
+
+    def address(self, front: str = "platform") -> tuple[str, int]:
+        line = self.logged(f"event=listening front={front}")[0]
+        host, port = line.split("listen=")[1].split()[0].rsplit(":", 1)
+        return host, int(port)
+
+    def ask(self, method: str, path: str, body: bytes = b"", front: str = "platform",
+            **headers: str) -> tuple[int, bytes]:
+        response, content = self.exchange(method, path, body, front, **headers)
+        return response.status, content
+
+    def exchange(self, method: str, path: str, body: bytes = b"", front: str = "platform",
+                 **headers: str) -> tuple[HTTPResponse, bytes]:
+        connection = HTTPConnection(*self.address(front), timeout=PATIENCE)
+        try:
+            connection.request(method, path, body, {k.replace("_", "-"): v for k, v in headers.items()})
+            response = connection.getresponse()
+            return response, response.read()
+        finally:
+            connection.close()
+
+    def job(self, name: str, body: bytes = b"", path: str = "/proof", key: str = "0",
+            wait: int = 10_000) -> tuple[int, bytes]:
+        return self.ask("POST", path, body, X_Request_Id=name, X_Key=key, X_Deadline_Ms=str(wait))
+
+    def ready(self) -> None:
+        until(lambda: self.ask("GET", "/-/ready")[0] == 200, "ready")
+
+    def counters(self) -> dict[str, float]:
+        """As the ops listener shows them."""
+        text = self.ask("GET", "/metrics", front="ops")[1].decode()
+        rows = [line.rpartition(" ") for line in text.splitlines() if not line.startswith("#")]
+        return {name: float(value) for name, _, value in rows}
+
+    def stop(self) -> str:
+        """SIGTERM, and the log once it has ended in good order."""
+        self.process.terminate()
+        assert self.process.wait(PATIENCE) == 0, self.lines
+        self._reader.join(PATIENCE)
+        assert not self.logged("event=fault"), self.lines
+        return "".join(self.lines)
--- /dev/null
+++ b/tests/test_network.py
@@ -0,0 +1,280 @@
+"""The real program between stand-in clients, runners and discovery."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from stand_ins import PATIENCE, ROOT, Discovery, Program, Runner, settings, until
+
+
+@contextmanager
+def running(folder: Path, *runners: Runner, **changes: Any) -> Iterator[tuple[Program, Discovery]]:
+    discovery = Discovery()
+    for runner in runners:
+        discovery.tell(runner.name, addr=runner.address)
+    program = Program(folder, discovery.address, fronts=True, **changes)
+    try:
+        program.ready()
+        yield program, discovery
+        program.stop()
+    finally:
+        program.process.kill()
+        for server in (discovery, *runners):
+            server.close()
+
+
+def raw(program: Program, *parts: bytes) -> bytes:
+    """Everything that comes back until the program closes the connection."""
+    with socket.create_connection(program.address(), timeout=PATIENCE) as s:
+        for part in parts:
+            s.sendall(part)
+        return b"".join(iter(lambda: s.recv(65536), b""))
+
+
+def post(name: str, body: bytes = b"", more: str = "", path: str = "/proof") -> bytes:
+    return (f"POST {path} HTTP/1.1\r\nHost: x\r\nX-Request-Id: {name}\r\nX-Deadline-Ms: 9000\r\n"
+            f"{more}Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def test_a_job_is_served_with_its_own_result_over_one_kept_connection(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        for n in range(5):
+            assert program.job(f"id{n}", b"art%d" % n, "/proof/x?y=1") == (200, b"s-1:art%d" % n)
+        assert runner.seen[0] == ("id0", "/proof/x?y=1", b"art0")
+        assert runner.opened <= 2  # a connection costs the runner work: the parser once hid keep-alive
+        counted = program.counters()
+    assert counted['larchgw_taken_total{front="platform",job_class="proof"}'] == 5
+    assert counted['larchgw_answered_total{front="platform",outcome="served"}'] == 5
+
+
+@pytest.mark.parametrize("how", ["fail", "lost", "cut", "reset", "stranger"])
+def test_a_release_that_may_have_run_fails_and_is_not_sent_again(tmp_path: Path, how: str) -> None:
+    runners = Runner("s-1", how), Runner("s-2", how)
+    with running(tmp_path, *runners) as (program, _):
+        status, body = program.job("r1", b"press", "/release")
+        assert status == 500 and b"s-" not in body
+        assert sum(r.runs[b"press"] for r in runners) == 1
+
+
+@pytest.mark.parametrize("how", ["full", "returned", "refused"])
+def test_a_release_that_never_ran_goes_to_another_box(tmp_path: Path, how: str) -> None:
+    bad, good = Runner("s-1", how), Runner("s-2")
+    if how == "refused":
+        bad.close()
+    with running(tmp_path, bad, good) as (program, _):
+        answers = [program.job(f"r{n}", b"press%d" % n, "/release") for n in range(4)]
+        assert answers == [(200, b"s-2:press%d" % n) for n in range(4)]
+        assert all(good.runs[b"press%d" % n] == 1 for n in range(4))
+
+
+def test_a_safe_job_is_cancelled_at_a_silent_box_and_served_by_another(tmp_path: Path) -> None:
+    runners = [Runner(f"s-{n}") for n in range(4)]
+    first: list[str] = []
+
+    def once(name: str) -> str:
+        first.append(name)
+        return "hang" if name == "p1" and first.count("p1") == 1 else "done"
+
+    for runner in runners:
+        runner.how = once
+    with running(tmp_path, *runners) as (program, _):
+        assert program.job("p1", b"proof")[0] == 200
+        assert until(lambda: sum((r.gave_up for r in runners), []), "the cancelled connection") == [True]
+
+
+def test_no_answer_comes_at_its_deadline_and_not_as_a_refusal_when_it_may_have_run(tmp_path: Path) -> None:
+    runner = Runner("s-1", "hang")
+    with running(tmp_path, runner) as (program, _):
+        assert program.job("r1", b"press", "/release", wait=700)[0] == 500
+        assert until(lambda: runner.gave_up) == [True] and runner.runs[b"press"] == 1
+
+
+def test_a_refusal_says_when_to_come_back(tmp_path: Path) -> None:
+    runners = Runner("s-1", "full"), Runner("s-2", "full")
+    with running(tmp_path, *runners) as (program, _):
+        response, _body = program.exchange("POST", "/release", b"x", X_Request_Id="r", X_Deadline_Ms="25000")
+        assert response.status == 503 and float(response.headers["Retry-After"]) > 0
+        assert sum(r.runs[b"x"] for r in runners) <= 3
+
+
+def test_a_client_that_leaves_takes_its_attempt_along(tmp_path: Path) -> None:
+    runner = Runner("s-1", "hang")
+    with running(tmp_path, runner) as (program, _):
+        with socket.create_connection(program.address(), timeout=PATIENCE) as s:
+            s.sendall(post("gone", b"art"))
+            until(lambda: runner.seen)
+        assert until(lambda: runner.gave_up) == [True]
+        until(lambda: program.counters().get('larchgw_gone_total{front="platform"}') == 1)
+
+
+def test_nothing_goes_to_a_box_that_drains(tmp_path: Path) -> None:
+    one, two = Runner("s-1"), Runner("s-2")
+    with running(tmp_path, one, two) as (program, discovery):
+        discovery.tell("s-1", "DRAINING", one.address)
+        until(lambda: program.counters().get('larchgw_lists_total{kind="full"}', 0) >= 2)
+        before = len(one.seen)
+        assert all(program.job(f"d{n}", b"x")[1] == b"s-2:x" for n in range(6))
+        assert len(one.seen) == before
+
+
+def test_bad_or_silent_discovery_keeps_the_old_list_and_is_asked_again(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, discovery):
+        discovery.bad = True
+        discovery.tell("s-1", addr=runner.address)
+        until(lambda: program.logged("event=discovery.down"))
+        assert program.job("a", b"x") == (200, b"s-1:x")
+        asked = discovery.asked
+        until(lambda: discovery.asked > asked + 1, "another try")
+        discovery.bad = False
+        until(lambda: program.logged("event=discovery.up"))
+
+
+def test_it_starts_from_the_known_list_while_discovery_is_away(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    known = {"version": 1, "full": True, "servers": [
+        {"id": "s-1", "addr": runner.address, "zone": "a", "kind": "m", "state": "SERVING", "started_ms": 0}]}
+    with socket.create_server(("127.0.0.1", 0)) as mute:
+        program = Program(tmp_path, f"127.0.0.1:{mute.getsockname()[1]}", known=known)
+        program.ready()
+        assert program.job("a", b"x") == (200, b"s-1:x")
+        program.stop()
+    runner.close()
+
+
+def test_pipelined_and_dribbled_requests_are_answered_in_order(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        text = post("a", b"1") + post("b", b"2") + post("c", b"3", "Connection: close\r\n")
+        got = raw(program, *(text[i:i + 7] for i in range(0, len(text), 7)))
+        assert [got.count(b"s-1:%d" % n) for n in (1, 2, 3)] == [1, 1, 1]
+        assert got.index(b"s-1:1") < got.index(b"s-1:2") < got.index(b"s-1:3")
+
+
+BAD = [
+    (b"nonsense\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nHost x\r\n\r\n", 400),
+    (post("a", b"", "Content-Length: 5\r\n"), 400),
+    (post("a", b"", "Transfer-Encoding: chunked\r\n"), 400),
+    (post("a").replace(b"X-Request-Id: a\r\n", b"Connection: close\r\n"), 400),
+    (post("a", b"", "Connection: close\r\n").replace(b"9000", b"soon"), 400),
+    (post("a", b"", "Connection: close\r\n").replace(b"9000", b"0"), 400),
+    (post("a", b"", "Connection: close\r\nX-Extras: slots=nan\r\n"), 400),
+    (post("a", b"", "Connection: close\r\n", "/nosuch"), 404),
+    (post("a", b"", "Connection: close\r\n").replace(b"POST", b"PUT"), 405),
+    (post("a", b"x" * 65537), 413),
+    (post("a", b"", "X-Long: " + "y" * 20000 + "\r\n"), 431),
+]
+
+
+def test_bad_input_is_answered_and_reaches_neither_the_module_nor_the_next_client(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        for text, status in BAD:
+            assert raw(program, text).startswith(b"HTTP/1.1 %d " % status), text[:80]
+        assert not runner.seen and program.job("good", b"x" * 65536)[0] == 200
+        assert program.counters()['larchgw_taken_total{front="platform",job_class="proof"}'] == 1
+
+
+def test_many_clients_get_one_answer_each(tmp_path: Path) -> None:
+    runners = [Runner(f"s-{n}") for n in range(4)]
+    with running(tmp_path, *runners) as (program, _), ThreadPoolExecutor(16) as pool:
+        paths = ("/proof", "/release")
+        got = list(pool.map(lambda n: program.job(f"m{n}", b"%d" % n, paths[n % 2]), range(120)))
+        served = [n for n, (status, body) in enumerate(got) if status == 200]
+        assert {status for status, _ in got} <= {200, 503} and len(served) > 60
+        assert all(got[n][1].endswith(b":%d" % n) for n in served)
+        assert all(sum(r.runs[b"%d" % n] for r in runners) <= 1 for n in range(1, 120, 2))
+
+
+def test_sigterm_answers_what_is_open_and_what_still_comes(tmp_path: Path) -> None:
+    runner = Runner("s-1", lambda name: "hold" if name == "slow" else "done")
+    with running(tmp_path, runner) as (program, _), ThreadPoolExecutor(1) as pool:
+        slow = pool.submit(program.job, "slow", b"1", "/release")
+        until(lambda: runner.seen)
+        program.process.terminate()
+        until(lambda: program.logged("event=stop.begin"))
+        assert program.job("late", b"2") == (200, b"s-1:2")
+        assert program.ask("GET", "/-/ready")[0] == 503
+        runner.release.set()
+        assert slow.result(PATIENCE) == (200, b"s-1:1")
+        assert program.process.wait(PATIENCE) == 0
+        until(lambda: program.logged("larchgw_answered_total_platform_served=2"))
+
+
+def test_counters_are_told_on_sigusr1_and_health_and_agent_check_answer(tmp_path: Path) -> None:
+    one, two = Runner("s-1"), Runner("s-2")
+    with running(tmp_path, one, two) as (program, discovery):
+        program.job("a")
+        program.process.send_signal(signal.SIGUSR1)
+        until(lambda: any("larchgw_sent_total_http=1" in x for x in program.logged("event=counters")))
+        paths = ("/ready", "/alive", "/other")
+        assert [program.ask("GET", path, front="ops")[0] for path in paths] == [200, 200, 404]
+
+        def agent() -> bytes:
+            with socket.create_connection(program.address("agent_check"), timeout=PATIENCE) as s:
+                return b"".join(iter(lambda: s.recv(64), b""))
+
+        assert agent() == b"up ready 100%\n"
+        discovery.tell("s-1", "DRAINING")
+        until(lambda: agent() == b"up ready 50%\n")
+        discovery.tell("s-2", "DRAINING")
+        until(lambda: agent() == b"down\n")
+
+
+def test_a_fault_in_one_connection_leaves_the_others_alone(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner, limits={"sockets": 128}) as (program, _):
+        socks = [socket.create_connection(program.address(), timeout=PATIENCE) for _ in range(150)]
+        assert program.job("a", b"x")[0] == 200  # idle ones make room
+        assert program.counters()['larchgw_caps_total{cap="platform_idle"}'] > 0
+        for s in socks:
+            s.close()
+
+
+@pytest.mark.parametrize("field, change", [
+    ("discovery", {"discovery": "nowhere"}), ("limits.sockets", {"limits": {"sockets": 3}}),
+    ("settings.classes", {"settings": settings(classes=[])}), ("settings", {"settings": 3}),
+    ("known", {"known": {"servers": [{}]}}), ("seed", {"seed": "xyz"}),
+])
+def test_bad_configuration_is_one_line_with_the_field_and_exit_2(
+        tmp_path: Path, field: str, change: dict[str, Any]) -> None:
+    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings()} | change
+    (tmp_path / "c.json").write_text(json.dumps(config))
+    done = subprocess.run([sys.executable, "-m", "larchgw"], cwd=ROOT, capture_output=True, text=True,
+                          env=os.environ | {"PROXY_CONFIG": str(tmp_path / "c.json")}, timeout=PATIENCE)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1
+    assert done.stderr.startswith(f"larchgw: {field}")
+
+
+def test_a_silent_port_is_given_up_after_the_dial_time(tmp_path: Path) -> None:
+    good = Runner("s-2")
+    full = socket.create_server(("127.0.0.1", 0), backlog=0)
+    with full, running(tmp_path, good) as (program, discovery):
+        fillers = [socket.socket() for _ in range(4)]  # its queue is full: connections never come up
+        for s in fillers:
+            s.setblocking(False)
+            s.connect_ex(full.getsockname())
+        discovery.tell("s-1", addr=f"127.0.0.1:{full.getsockname()[1]}")
+        until(lambda: program.counters().get('larchgw_lists_total{kind="full"}', 0) >= 2)
+        threads = [threading.Thread(target=program.job, args=(f"r{n}", b"%d" % n, "/release"))
+                   for n in range(3)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(PATIENCE)
+        assert [good.runs[b"%d" % n] for n in range(3)] == [1, 1, 1]
+        for s in fillers:
+            s.close()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 import pytest
 
 from larchgw import wire
-from larchgw.wirehost import Host, serve
 from larchgw.interface import Status
+from larchgw.wirehost import Host, serve
 
 CLASS = {"name": "a", "aim": 0.4, "deadline": 6.0, "effect": "deduplicated", "group": "zone"}
 SETTINGS = {
@@ -127,11 +127,10 @@
 
 def test_end_of_input_is_a_clean_exit():
     root = Path(__file__).parent.parent
-    done = subprocess.run([sys.executable, "-m", "larchgw.wirehost"], input=b"", cwd=root, capture_output=True)
+    host = [sys.executable, "-m", "larchgw.wirehost"]
+    done = subprocess.run(host, input=b"", cwd=root, capture_output=True)
     assert (done.returncode, done.stdout) == (0, b"")
-    cut = subprocess.run(
-        [sys.executable, "-m", "larchgw.wirehost"], input=b"\x10", cwd=root, capture_output=True
-    )
+    cut = subprocess.run(host, input=b"\x10", cwd=root, capture_output=True)
     assert cut.returncode == 1 and cut.stdout == b"" and cut.stderr
 
 
