--- a/larchgw/fronts/gearman.py
+++ b/larchgw/fronts/gearman.py
@@ -283,7 +283,7 @@
         lines = []
         for function, number in self._classes.items():
             mine = [r for r in requests if r.job_class == number and not r.over()]
-            running = sum(any(not a.ended for a in r.attempts) for r in mine)
+            running = sum(any(a.started and not a.ended for a in r.attempts) for r in mine)
             able = sum(function in link.slot.abilities for link in self.links)
             lines.append(b"%b\t%d\t%d\t%d\n" % (function, len(mine), running, able))
         return lines
--- /dev/null
+++ b/tests/test_gearman.py
@@ -0,0 +1,423 @@
+"""The Gearman front: stand-in clients and workers against the real program."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections import Counter
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from stand_ins import PATIENCE, Discovery, Program, Runner, job_class, until
+
+CAN_DO, CANT_DO, PRE_SLEEP, NOOP, SUBMIT, CREATED, GRAB, NO_JOB, ASSIGN = 1, 2, 4, 6, 7, 8, 9, 10, 11
+STATUS, COMPLETE, FAIL, GET_STATUS, ECHO, ECHO_RES, SUBMIT_BG, ERROR, STATUS_RES = range(12, 21)
+SUBMIT_HIGH, SET_ID, EXCEPTION, OPTION, OPTION_RES, DATA, WARNING, GRAB_UNIQ, ASSIGN_UNIQ = (
+    21, 22, 25, 26, 27, 28, 29, 30, 31)
+
+
+class Peer:
+    """One Gearman connection, as a client or as a worker has it."""
+
+    def __init__(self, program: Program) -> None:
+        self.sock = socket.create_connection(program.address("gearman"), timeout=PATIENCE)
+        self.file = self.sock.makefile("rb")
+
+    def send(self, kind: int, *args: bytes) -> None:
+        data = b"\0".join(args)
+        self.sock.sendall(b"\0REQ" + struct.pack(">II", kind, len(data)) + data)
+
+    def read(self) -> tuple[int, list[bytes]]:
+        """The next packet; ConnectionError once it is closed."""
+        head = self.file.read(12)
+        if len(head) < 12:
+            raise ConnectionError("closed")
+        assert head[:4] == b"\0RES"
+        kind, size = struct.unpack(">II", head[4:])
+        return kind, self.file.read(size).split(b"\0")
+
+    def expect(self, *kinds: int) -> list[bytes]:
+        kind, args = self.read()
+        assert kind in kinds, (kind, args)
+        return args
+
+    def submit(self, function: bytes, unique: bytes, data: bytes, kind: int = SUBMIT) -> bytes:
+        self.send(kind, function, unique, data)
+        return self.expect(CREATED)[0]
+
+    def ask(self, line: bytes) -> list[bytes]:
+        self.sock.sendall(line + b"\n")
+        lines = []
+        while (got := self.file.readline().rstrip(b"\n")) != b".":
+            lines.append(got)
+        return lines
+
+    def closed(self) -> bool:
+        try:
+            return self.file.read(1) == b""
+        except OSError:
+            return True
+
+    def close(self) -> None:
+        self.file.close()
+        self.sock.close()
+
+
+class Worker(Peer):
+    """A worker connection of a box: one slot."""
+
+    def __init__(self, program: Program, box: bytes, *functions: bytes) -> None:
+        super().__init__(program)
+        self.send(SET_ID, box)
+        for function in functions or (b"proof", b"release"):
+            self.send(CAN_DO, function)
+        self.send(PRE_SLEEP)
+
+    def grab(self) -> list[bytes]:
+        """Sleeps until there is a job, and takes it: handle, function, unique, workload."""
+        while True:
+            self.send(GRAB_UNIQ)
+            kind, args = self.read()
+            while kind == NOOP:
+                kind, args = self.read()
+            if kind == ASSIGN_UNIQ:
+                return args
+            assert kind == NO_JOB
+            self.send(PRE_SLEEP)
+            self.expect(NOOP)
+
+
+@contextmanager
+def running(folder: Path, *runners: Runner, **changes: Any) -> Iterator[tuple[Program, Discovery]]:
+    discovery = Discovery()
+    for runner in runners:
+        discovery.tell(runner.name, addr=runner.address)
+    program = Program(folder, discovery.address, fronts=True, **changes)
+    try:
+        yield program, discovery
+    finally:
+        program.process.kill()
+        for server in (discovery, *runners):
+            server.close()
+
+
+def boxes_joined(program: Program, count: int) -> None:
+    until(lambda: len(program.logged("event=gearman.box_joined")) >= count, "the boxes")
+
+
+def settled(program: Program) -> dict[str, float]:
+    """The counters once every request has its answer; taken and answered or left must agree."""
+    until(lambda: program.counters()["larchgw_open_requests"] == 0, "the last answer")
+    counted = program.counters()
+    taken, answered, gone = (sum(v for k, v in counted.items() if k.startswith(f"larchgw_{name}_total"))
+                             for name in ("taken", "answered", "gone"))
+    assert taken == answered + gone and taken > 0, "unanswered jobs"
+    return counted
+
+
+def served(worker: Worker, runs: Counter[bytes]) -> None:
+    handle, _, _, work = worker.grab()
+    runs[work] += 1
+    worker.send(COMPLETE, handle, b"made:" + work)
+
+
+def serve_all(worker: Worker, runs: Counter[bytes]) -> None:
+    """Works until the connection closes."""
+    try:
+        while True:
+            served(worker, runs)
+    except (OSError, ValueError):
+        pass
+
+
+def test_one_whole_path(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, client = Worker(program, b"s-1"), Peer(program)
+        boxes_joined(program, 1)
+        handle = client.submit(b"release", b"label-7", b"art")
+        task, function, unique, work = worker.grab()
+        assert (function, unique, work) == (b"release", b"label-7", b"art")
+        client.send(GET_STATUS, handle)
+        assert client.expect(STATUS_RES) == [handle, b"1", b"1", b"0", b"0"]
+        worker.send(STATUS, task, b"1", b"2")
+        worker.send(DATA, task, b"half")
+        worker.send(WARNING, task, b"ink low")
+        worker.send(COMPLETE, task, b"press")
+        assert [client.read() for _ in range(4)] == [
+            (STATUS, [handle, b"1", b"2"]), (DATA, [handle, b"half"]), (WARNING, [handle, b"ink low"]),
+            (COMPLETE, [handle, b"press"])]
+        client.send(GET_STATUS, handle)
+        assert client.expect(STATUS_RES) == [handle, b"0", b"0", b"0", b"0"]
+        counted = settled(program)
+        assert counted['larchgw_answered_total{front="gearman",outcome="served"}'] == 1
+        program.stop()
+
+
+def test_a_background_job_runs_after_its_client_has_left(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, client, runs = Worker(program, b"s-1"), Peer(program), Counter[bytes]()
+        boxes_joined(program, 1)
+        client.submit(b"proof", b"", b"art", SUBMIT_BG)
+        client.close()
+        served(worker, runs)
+        settled(program)
+        assert runs == {b"art": 1}
+
+
+def test_a_foreground_job_that_nobody_waits_for_is_given_up(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, client = Worker(program, b"s-1"), Peer(program)
+        boxes_joined(program, 1)
+        client.submit(b"release", b"u", b"art")
+        worker.grab()
+        client.close()
+        assert worker.closed()
+        again = Peer(program)  # it may have run: it must not run again
+        again.submit(b"release", b"u", b"art")
+        again.expect(FAIL)
+        assert settled(program)['larchgw_sent_total{transport="gearman"}'] == 1
+
+
+def test_the_same_unique_joins_a_living_job_and_a_release_never_runs_twice(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, clients, runs = Worker(program, b"s-1"), [Peer(program) for _ in range(3)], Counter[bytes]()
+        boxes_joined(program, 1)
+        handles = {c.submit(b"release", b"same", b"art") for c in clients}
+        assert len(handles) == 1
+        served(worker, runs)
+        assert all(c.expect(COMPLETE)[1] == b"made:art" for c in clients)
+        late = Peer(program)
+        assert late.submit(b"release", b"same", b"art") in handles
+        assert late.expect(COMPLETE)[1] == b"made:art"
+        settled(program)
+        assert runs == {b"art": 1}
+
+
+def test_the_end_of_a_release_is_remembered_for_a_time_only_and_never_a_refusal() -> None:
+    from larchgw.core import Answer, AnswerKind
+    from larchgw.core.counters import Counters
+    from larchgw.core.deadlines import Clock
+    from larchgw.fronts.gearman_jobs import Jobs
+    from larchgw.interface import JobClass, Settings
+
+    clock = Clock()
+    jobs = Jobs(Settings([JobClass("r", 1, 2), JobClass("p", 1, 2, effect="safe")]), clock, Counters(), 60.0)
+    for number, kind in enumerate(AnswerKind):
+        jobs.end(jobs.create(0, b"%d" % number, False), Answer(kind, b"x"))
+        jobs.end(jobs.create(1, b"%d" % number, False), Answer(kind, b"x"))
+    assert [jobs.ended(0, b"%d" % n) is not None for n in range(3)] == [True, False, True]
+    assert not any(jobs.ended(1, b"%d" % n) for n in range(3))
+    clock.offset += 61
+    assert not any(jobs.ended(0, b"%d" % n) for n in range(3))
+
+
+def test_a_silent_worker_times_out_and_its_connection_is_closed(tmp_path: Path) -> None:
+    short = [job_class("proof", "idempotent", 1.0), job_class("release", "at_most_once", 1.0)]
+    with running(tmp_path, settings={"classes": short}) as (program, _):
+        worker, other, client = Worker(program, b"s-1"), Worker(program, b"s-2"), Peer(program)
+        boxes_joined(program, 2)
+        client.send(OPTION, b"exceptions")
+        assert client.expect(OPTION_RES) == [b"exceptions"]
+        client.submit(b"release", b"u", b"art")
+        with ThreadPoolExecutor(2) as pool:
+            grabs = [pool.submit(w.grab) for w in (worker, other)]
+            until(lambda: any(g.done() for g in grabs))
+            holder = worker if grabs[0].done() else other
+            assert client.expect(EXCEPTION)[1]
+            client.expect(FAIL)
+            assert holder.closed()
+            for w in (worker, other):
+                w.sock.shutdown(socket.SHUT_RDWR)
+        counted = settled(program)
+        assert counted['larchgw_sent_total{transport="gearman"}'] == 1
+        assert counted['larchgw_ended_total{outcome="timeout",transport="gearman"}'] == 1
+
+
+@pytest.mark.parametrize("function, again", [(b"release", False), (b"proof", True)])
+def test_a_worker_that_dies_after_its_job_was_assigned(tmp_path: Path, function: bytes, again: bool) -> None:
+    with running(tmp_path) as (program, _):
+        workers, client = [Worker(program, b"s-%d" % n) for n in range(2)], Peer(program)
+        runs: Counter[bytes] = Counter()
+        boxes_joined(program, 2)
+        client.submit(function, b"u", b"art")
+        with ThreadPoolExecutor(2) as pool:
+            grabs = [pool.submit(w.grab) for w in workers]
+            until(lambda: any(g.done() for g in grabs))
+            dead = 0 if grabs[0].done() else 1
+            runs[b"art"] += 1
+            workers[dead].close()
+            if again:
+                task = grabs[1 - dead].result(PATIENCE)
+                runs[b"art"] += 1
+                workers[1 - dead].send(COMPLETE, task[0], b"made")
+                assert client.expect(COMPLETE)[1] == b"made"
+            else:
+                client.expect(FAIL)
+                workers[1 - dead].sock.shutdown(socket.SHUT_RDWR)
+        settled(program)
+        assert runs[b"art"] == (2 if again else 1)
+
+
+def test_a_worker_that_dies_before_it_grabs_never_ran_the_release(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        lazy, client, runs = Worker(program, b"s-1"), Peer(program), Counter[bytes]()
+        boxes_joined(program, 1)
+        client.submit(b"release", b"u", b"art")
+        lazy.expect(NOOP)
+        worker = Worker(program, b"s-2")
+        boxes_joined(program, 2)
+        lazy.close()
+        served(worker, runs)
+        assert client.expect(COMPLETE)[1] == b"made:art"
+        counted = settled(program)
+        assert runs == {b"art": 1} and counted['larchgw_sent_total{transport="gearman"}'] == 2
+
+
+def test_a_refused_job_fails_with_the_time_to_come_back(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        polite, plain = Peer(program), Peer(program)
+        polite.send(OPTION, b"exceptions")
+        polite.expect(OPTION_RES)
+        handles = [peer.submit(b"release", b"", b"art") for peer in (polite, plain)]  # there is no box
+        handle, reason = polite.expect(EXCEPTION)
+        assert handle == handles[0] and b"come back in" in reason
+        assert [polite.expect(FAIL), plain.expect(FAIL)] == [[handles[0]], [handles[1]]]
+        assert settled(program)['larchgw_answered_total{front="gearman",outcome="refused"}'] == 2
+
+
+def test_a_drained_box_gets_no_job_and_hands_back_what_waits_there(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, discovery):
+        drained, client, runs = Worker(program, b"s-1"), Peer(program), Counter[bytes]()
+        boxes_joined(program, 1)
+        client.submit(b"release", b"u", b"art")
+        drained.expect(NOOP)  # it waits there
+        other = Worker(program, b"s-2")
+        boxes_joined(program, 2)
+        discovery.tell("s-1", "DRAINING")
+        served(other, runs)
+        assert client.expect(COMPLETE)[1] == b"made:art"
+        drained.send(GRAB)
+        drained.expect(NO_JOB)
+        for n in range(4):
+            client.submit(b"proof", b"", b"%d" % n)
+            served(other, runs)
+            client.expect(COMPLETE)
+        settled(program)
+        assert runs[b"art"] == 1
+
+
+def test_http_and_gearman_compete_for_one_box(tmp_path: Path) -> None:
+    box, elsewhere = Runner("s-1"), Runner("s-2")
+    with running(tmp_path, box, elsewhere) as (program, _), ThreadPoolExecutor(16) as pool:
+        program.ready()
+        runs: Counter[bytes] = Counter()
+        workers = [Worker(program, b"s-1") for _ in range(2)]
+        boxes_joined(program, 1)
+        for worker in workers:
+            pool.submit(serve_all, worker, runs)
+
+        def by_gearman(n: int) -> tuple[int, bytes]:
+            client = Peer(program)
+            client.submit(b"release", b"g%d" % n, b"g%d" % n)
+            kind, args = client.read()
+            client.close()
+            return kind, args[-1]
+
+        over_http = [pool.submit(program.job, f"h{n}", b"h%d" % n, "/release") for n in range(30)]
+        over_gearman = [pool.submit(by_gearman, n) for n in range(30)]
+        got = [f.result(PATIENCE) for f in over_http + over_gearman]
+        assert {kind for kind, _ in got} <= {200, 503, COMPLETE, FAIL}
+        counted = settled(program)
+        for worker in workers:
+            worker.sock.shutdown(socket.SHUT_RDWR)
+        total = runs + box.runs + elsewhere.runs
+        assert max(total.values()) == 1, "a release ran twice"
+        done = [n for n, (kind, _) in enumerate(got) if kind in (200, COMPLETE)]
+        assert len(done) == sum(total.values()) > 0
+        assert all(counted[f'larchgw_sent_total{{transport="{t}"}}'] > 0 for t in ("gearman", "http"))
+        crossed = [k for k in runs if k.startswith(b"h")]
+        crossed += [k for k in box.runs + elsewhere.runs if k.startswith(b"g")]
+        assert crossed, "no job went over the other protocol than its client's"
+
+
+def test_urgent_jobs_are_grabbed_first(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, client = Worker(program, b"s-1"), Peer(program)
+        boxes_joined(program, 1)
+        client.submit(b"proof", b"", b"normal")
+        client.submit(b"proof", b"", b"high", SUBMIT_HIGH)
+        until(lambda: program.counters().get('larchgw_sent_total{transport="gearman"}') == 2)
+        assert worker.grab()[3] == b"high"
+
+
+def test_a_worker_exception_is_told_with_the_end(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, client = Worker(program, b"s-1"), Peer(program)
+        boxes_joined(program, 1)
+        client.send(OPTION, b"exceptions")
+        client.expect(OPTION_RES)
+        client.submit(b"release", b"", b"art")
+        task = worker.grab()[0]
+        worker.send(EXCEPTION, task, b"die missing")
+        worker.send(FAIL, task)
+        assert client.expect(EXCEPTION)[1] == b"die missing"
+        client.expect(FAIL)
+        worker.send(COMPLETE, task, b"too late")
+        worker.expect(ERROR)
+        assert settled(program)['larchgw_late_events_total{event="work_complete"}'] == 1
+
+
+def send_raw(data: bytes) -> Callable[[Peer], None]:
+    return lambda peer: peer.sock.sendall(data)
+
+
+@pytest.mark.parametrize("bad", [
+    send_raw(b"\0BAD" + bytes(8)), send_raw(b"\0RES" + bytes(8)), send_raw(b"\0X"),
+    send_raw(b"\0REQ" + struct.pack(">II", SUBMIT, 1 << 30)), send_raw(b"\0REQ" + struct.pack(">II", 99, 0)),
+    lambda peer: peer.send(SUBMIT, b"proof"), lambda peer: peer.send(PRE_SLEEP, b"what"),
+    lambda peer: peer.send(SUBMIT, b"proof", b"", b"x" * 65537), lambda peer: peer.send(SET_ID, b"two words"),
+    send_raw(b"x" * 2000),
+])
+def test_bad_input_gets_an_error_and_a_closed_connection(tmp_path: Path, bad: Callable[[Peer], None]) -> None:
+    with running(tmp_path) as (program, _):
+        peer = Peer(program)
+        bad(peer)
+        peer.expect(ERROR)
+        assert peer.closed()
+        assert not any(k.startswith("larchgw_taken_total") for k in program.counters())
+
+
+def test_echo_options_and_admin_text(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        peer, worker = Peer(program), Worker(program, b"s-1", b"proof")
+        boxes_joined(program, 1)
+        peer.send(ECHO, b"a\0b")
+        assert peer.expect(ECHO_RES) == [b"a", b"b"]
+        peer.send(OPTION, b"nosuch")
+        peer.expect(ERROR)
+        peer.send(SUBMIT, b"nosuch", b"", b"")
+        peer.expect(ERROR)
+        peer.submit(b"proof", b"", b"")
+        assert peer.ask(b"status") == [b"proof\t1\t0\t1", b"release\t0\t0\t0"]
+        assert any(line.endswith(b"127.0.0.1 s-1 : proof") for line in peer.ask(b"workers"))
+        peer.sock.sendall(b"version\nshutdown\n")
+        assert peer.file.readline().startswith(b"OK ") and peer.file.readline().startswith(b"ERR ")
+        worker.send(CANT_DO, b"proof")  # it takes its job back with it
+        peer.expect(FAIL)
+
+
+def test_sigterm_waits_for_a_gearman_job(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        worker, client = Worker(program, b"s-1"), Peer(program)
+        boxes_joined(program, 1)
+        client.submit(b"release", b"", b"art")
+        task = worker.grab()[0]
+        program.process.terminate()
+        until(lambda: program.logged("event=stop.begin"))
+        worker.send(COMPLETE, task, b"made")
+        assert client.expect(COMPLETE)[1] == b"made"
+        assert program.process.wait(PATIENCE) == 0
--- /dev/null
+++ b/tests/test_wsgi.py
@@ -0,0 +1,71 @@
+"""The dispatcher inside a Flask program."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from flask import Flask
+from stand_ins import Discovery, Runner, settings, until
+
+from larchgw.core import AnswerKind
+from larchgw.wsgi import DispatchMiddleware, EmbeddedDispatcher
+
+
+@pytest.fixture
+def parts() -> Iterator[tuple[Flask, EmbeddedDispatcher, Runner]]:
+    runner, discovery = Runner("s-1"), Discovery()
+    discovery.tell("s-1", addr=runner.address)
+    dispatcher = EmbeddedDispatcher({"discovery": discovery.address, "settings": settings()})
+    app = Flask("t")
+    app.add_url_rule("/hello", view_func=lambda: "hello")
+    app.wsgi_app = DispatchMiddleware(app.wsgi_app, dispatcher, {"/jobs/release": "release"})
+    dispatcher.start()
+    until(lambda: "larchgw_lists_total_full" in dispatcher.figures())
+    yield app, dispatcher, runner
+    runner.release.set()
+    dispatcher.stop()
+    runner.close()
+    discovery.close()
+
+
+def test_chosen_paths_go_to_the_boxes_and_the_rest_to_the_application(parts) -> None:
+    app, _, runner = parts
+    client = app.test_client()
+    assert client.get("/hello").data == b"hello"
+    answer = client.post("/jobs/release?plant=2", data=b"art", headers={"X-Request-Id": "abc", "X-Key": "7f"})
+    assert (answer.status_code, answer.data) == (200, b"s-1:art")
+    assert runner.seen == [("abc", "/jobs/release?plant=2", b"art")]
+    assert client.get("/jobs/release").status_code == 405
+    assert client.post("/jobs/release", headers={"X-Deadline-Ms": "soon"}).status_code == 400
+    assert client.post("/jobs/release", data=b"x" * 65537).status_code == 413
+    runner.how = "cut"
+    assert client.post("/jobs/release", data=b"cut").status_code == 500 and runner.runs[b"cut"] == 1
+
+
+def test_a_refusal_carries_retry_after(parts) -> None:
+    app, _, runner = parts
+    runner.how = "full"
+    answer = app.test_client().post("/jobs/release", data=b"art", headers={"X-Deadline-Ms": "25000"})
+    assert answer.status_code == 503 and float(answer.headers["Retry-After"]) > 0
+
+
+def test_futures_can_be_cancelled_and_stop_answers_what_is_open(parts) -> None:
+    _, dispatcher, runner = parts
+    runner.how = lambda name: "hang" if name == "left" else "hold"
+    left = dispatcher.submit("release", b"1", name="left")
+    until(lambda: runner.seen)
+    assert left.cancel() and until(lambda: runner.gave_up) == [True]
+    kept = dispatcher.submit("release", b"2")
+    until(lambda: runner.runs[b"2"])
+    runner.release.set()
+    dispatcher.stop()
+    assert kept.result(0).kind is AnswerKind.SERVED
+    with pytest.raises(RuntimeError):
+        dispatcher.submit("release", b"3")
+
+
+def test_an_unknown_class_is_said_at_once(parts) -> None:
+    app, dispatcher, _ = parts
+    with pytest.raises(KeyError):
+        DispatchMiddleware(app.wsgi_app, dispatcher, {"/x": "nosuch"})
