--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,186 @@
+"""The core alone: one end for each send, one answer for each request, and what the module is told."""
+
+from __future__ import annotations
+
+import pytest
+
+from larchgw.core import Answer, AnswerKind, Attempt, Core, End, Request
+from larchgw.core.deadlines import Clock, Deadlines
+from larchgw.core.requests import News, Reach
+from larchgw.interface import JobClass, ListKind, Member, Settings, Status
+from larchgw.net.discovery import ListReader
+from larchgw.net.ending import Ending, status_of
+
+
+class HandClock(Clock):
+    def __init__(self) -> None:
+        self.time = 1000.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class Desk:
+    """A front and a transport that do what they are told."""
+
+    name = "desk"
+
+    def __init__(self, classes: list[JobClass], **changes: int) -> None:
+        self.clock, self.deadlines = HandClock(), Deadlines()
+        settings = Settings(classes, tells_start=True, can_cancel=True, max_attempts=3)
+        self.core = Core(settings, 1, self.clock, self.deadlines, **changes)
+        self.core.add_transport(self)
+        self.core.listed(ListKind.FULL, [Member(b"w%d" % n) for n in range(4)])
+        self.sent: list[Attempt] = []
+        self.given_up: list[Attempt] = []
+        self.answers: list[tuple[bytes, Answer]] = []
+        self.at_once: Status | None = None
+
+    def take(self, name: bytes = b"r", wait: float = 5.0) -> Request:
+        request = Request(self, name, 0, b"/job", b"body", wait)
+        self.core.take(request)
+        return request
+
+    def pass_time(self, seconds: float) -> None:
+        end = self.clock.time + seconds
+        while (due := self.deadlines.next()) is not None and due <= end:
+            self.clock.time = max(self.clock.time, due)
+            self.deadlines.sweep(self.clock.time)
+        self.clock.time = end
+
+    def answer(self, request: Request, answer: Answer) -> None:
+        self.answers.append((request.name, answer))
+
+    def news(self, request: Request, kind: News, data: bytes) -> None:
+        pass
+
+    def reach(self, worker: bytes, job_class: int) -> Reach:
+        return Reach.NOW
+
+    def send(self, attempt: Attempt) -> None:
+        self.sent.append(attempt)
+        if self.at_once is not None:
+            self.core.ended(attempt, End(self.at_once))
+
+    def give_up(self, attempt: Attempt, late: bool) -> Status:
+        self.given_up.append(attempt)
+        return Status.TIMEOUT if late else Status.CANCELLED
+
+    def probe(self, worker: bytes) -> None:
+        pass
+
+
+SAFE = JobClass("p", 1.0, 5.0, effect="safe", stretch=2.0)
+RELEASE = JobClass("r", 1.0, 5.0, effect="unsafe", stretch=2.0)
+
+
+def test_the_first_end_counts_and_the_second_is_dropped_and_counted():
+    desk = Desk([SAFE])
+    desk.take()
+    attempt = desk.sent[0]
+    desk.core.ended(attempt, End(Status.OK, b"made"))
+    desk.core.ended(attempt, End(Status.RESET))
+    desk.core.started(attempt)
+    assert [a.result for _, a in desk.answers] == [b"made"]
+    assert desk.core.counters.figures()["larchgw_late_events_total_end"] == 1
+    assert desk.core.open_requests() == 0 and not desk.core.dispatcher.jobs
+    assert all(w.pending == 0 for w in desk.core.dispatcher.workers.values())
+
+
+def test_an_end_within_the_send_does_not_enter_the_module_twice():
+    desk = Desk([RELEASE])
+    desk.at_once = Status.CONNECT_FAILED
+    desk.take()
+    desk.pass_time(6.0)
+    assert 1 <= len(desk.sent) <= 3 and len({a.worker for a in desk.sent}) == len(desk.sent)
+    assert [a.kind for _, a in desk.answers] == [AnswerKind.REFUSED]
+
+
+@pytest.mark.parametrize("cls, kind", [(SAFE, AnswerKind.REFUSED), (RELEASE, AnswerKind.FAILED)])
+def test_what_is_silent_is_answered_before_its_client_gives_up(cls, kind):
+    desk = Desk([cls])
+    desk.core.settings.can_cancel = False
+    request = desk.take()
+    desk.pass_time(4.95)
+    assert [a.kind for _, a in desk.answers] == [kind]
+    assert desk.given_up == desk.sent and request.attempts[0].status == Status.TIMEOUT
+    assert desk.core.open_requests() == 0 and len(desk.deadlines) <= 1
+
+
+def test_a_client_that_left_is_owed_nothing_and_its_attempt_is_given_up():
+    desk = Desk([RELEASE])
+    request = desk.take()
+    desk.core.gone(request)
+    assert desk.given_up == desk.sent and desk.answers == []
+    desk.core.ended(desk.sent[0], End(Status.OK, b"late"))
+    assert desk.answers == [] and desk.core.open_requests() == 0
+
+
+def test_a_request_that_the_module_forgets_fails_in_time(monkeypatch):
+    desk = Desk([RELEASE])
+    monkeypatch.setattr(desk.core.dispatcher, "on_request", lambda *a: 1 / 0)
+    desk.take()
+    desk.pass_time(4.99)
+    assert [a.kind for _, a in desk.answers] == [AnswerKind.FAILED]
+    figures = desk.core.counters.figures()
+    assert figures["larchgw_faults_total_decision"] == figures["larchgw_faults_total_overdue"] == 1
+
+
+def test_over_the_cap_a_request_is_refused_before_the_module_sees_it():
+    desk = Desk([SAFE], max_open=2)
+    for n in range(4):
+        desk.take(b"%d" % n)
+    assert [name for name, _ in desk.answers] == [b"2", b"3"] and len(desk.core.dispatcher.jobs) == 2
+
+
+def test_a_sweep_ends_although_what_is_due_adds_what_is_due():
+    deadlines, seen = Deadlines(), []
+
+    def again() -> None:
+        seen.append(1)
+        deadlines.add(0.0, again)
+
+    deadlines.add(0.0, again)
+    dropped = deadlines.add(0.0, lambda: seen.append(2))
+    deadlines.drop(dropped)
+    assert deadlines.sweep(1.0) == 1 and seen == [1] and len(deadlines) == 1
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+def test_every_ending_has_its_outcome_and_unwritten_requests_never_ran(ending):
+    assert isinstance(status_of(ending), Status)
+    assert status_of(ending, written=False) not in (Status.RESET, Status.TIMEOUT)
+
+
+def test_a_box_known_only_by_its_connection_is_ready_until_discovery_says_otherwise():
+    desk = Desk([SAFE])
+    desk.core.joined(b"g", restarted=True)
+    assert desk.core.boxes.open_to_work(b"g") and b"g" in desk.core.dispatcher.workers
+    desk.core.listed(ListKind.DELTA, [Member(b"g", 2)])
+    assert not desk.core.boxes.open_to_work(b"g")
+    desk.core.left(b"g")
+    assert b"g" in desk.core.dispatcher.workers  # discovery still names it
+    desk.core.listed(ListKind.DELTA, [Member(b"g", 0)])
+    assert b"g" not in desk.core.dispatcher.workers
+
+
+@pytest.mark.parametrize("restarted, cold", [(True, True), (False, False)])
+def test_a_box_that_comes_back_is_cold_unless_we_had_hung_up_on_it(restarted, cold):
+    desk = Desk([SAFE])
+    desk.clock.time += desk.core.settings.warm_up + 100
+    desk.core.joined(b"g", restarted)
+    assert (desk.core.dispatcher.workers[b"g"].up_since > 0) is cold
+
+
+def test_a_bad_list_counts_for_nothing_and_start_times_are_on_our_clock():
+    reader = ListReader({"areas": ["a", "b"], "shapes": ["m1"]})
+    entry = {"id": "s", "addr": "127.0.0.1:9", "zone": "b", "kind": "m1", "cell": 3, "state": "SERVING",
+             "weight": 0.5, "started_ms": 1_700_000_000_500}
+    listing = reader.read({"version": 3, "full": True, "servers": [entry]})
+    member = listing.members[0]
+    assert (member.zone, member.kind, member.cell, member.up_since) == (1, 0, 3, 1_700_000_000.5)
+    assert abs(Clock().now() - __import__("time").time()) < 1.0
+    for bad in ([], {"version": 1}, {"version": 1, "full": True, "servers": [entry | {"state": "?"}]},
+                {"version": 1, "full": True, "servers": [entry | {"addr": "nowhere"}]}):
+        with pytest.raises(ValueError):
+            reader.read(bad)
