Bound what one connection can make us hold: one unread answer, 256 KiB of a packet

Counted from the code: 576 clients that never read could each hold up to 1 MiB of answers, and each Gearman connection a packet of 1 MiB, over the 192 MB of the platform. A client's next request now waits until its last answer is written (Link.advance), a runner's line holds a 64 KiB result in JSON's longest form, and a Gearman packet 256 KiB.

--- a/larchgw/fronts/gearman_packets.py
+++ b/larchgw/fronts/gearman_packets.py
@@ -9,7 +9,7 @@
 
 HEAD = struct.Struct(">4sII")
 REQ, RES = b"\0REQ", b"\0RES"
-MAX_PACKET = (1 << 20) + 4096
+MAX_PACKET = (256 << 10) + 4096  # what a connection may make us hold before it is understood
 MAX_LINE = 1024
 
 
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -46,6 +46,10 @@
     def unsent(self) -> int:
         return len(self._out)
 
+    def busy(self) -> bool:
+        """Whether it takes nothing new now: it still writes, or is closed."""
+        return self.closed or bool(self._out)
+
     def write(self, data: bytes) -> None:
         if self.closed or self._finishing:
             return
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -106,6 +106,7 @@
 
     def on_written(self) -> None:
         self._rearm()
+        self.advance()
 
     def on_end(self, ending: Ending) -> None:
         self.server.loop.deadlines.drop(self._timer)
@@ -194,7 +195,8 @@
         if self._advancing:  # an answer that came at once: the loop below goes on
             return
         self._advancing = True
-        while self.waiting and self.current is None and not self.connection.closed:
+        # The next one waits until the last answer is written: a client that never reads costs one answer.
+        while self.waiting and self.current is None and not self.connection.busy():
             exchange = self.current = self.waiting.popleft()
             if exchange.error is not None:
                 self.server.counters.bad.labels(self.server.handler.name, str(exchange.error[0])).inc()
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -18,8 +18,9 @@
 from .ending import Ending, status_of
 from .loop import Loop
 
-MAX_LINE = 1 << 20  # of a runner's answer
+MAX_LINE = 8 * 65536  # of a runner's answer: a result of 64 KiB, escaped as JSON may be
 PROBE_TIME = 0.5
+LAST_CHUNK_TIME = 0.5  # after the line that ends an attempt
 IDLE_SHARE, IDLE_MARGIN = 0.8, 1.0  # we close well before the runner's machine does
 # The settings name the report's fields by the simulator's words, the sockets by these.
 FIELD = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
@@ -113,29 +114,20 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._ending = self._ending or Ending.GARBLED
-            self._busy = True
-            self._over(self._ending)
+            self._over(self._ending or Ending.GARBLED)
             return
-        if self._ending is not None and (self.attempt is not None or self.probe_at):
-            ending = self._ending
-            if not self._busy and self._reusable(ending):
-                self.pool.keep(self)  # before the end is told: the next send may want it
-                self._settle(ending)
-                return
-            if self._busy and self._reusable(ending):
-                self._settle(ending)  # the last chunk is still to come
-                self.time(PROBE_TIME, Ending.SLOW)
-                return
+        ending = self._ending
+        if ending is None:
+            return  # the answer goes on
+        lost = ending in (Ending.GARBLED, Ending.STRANGER) or not self.written()
+        if lost or not (self._busy or self._keep):
             self._over(ending)
-        elif not self._busy and self._reusable(Ending.DONE):
-            self.pool.keep(self)  # the last chunk of an answer whose end was told before
         elif not self._busy:
-            self.close()
-
-    def _reusable(self, ending: Ending) -> bool:
-        return ending not in (Ending.GARBLED, Ending.STRANGER) and self.written() and (
-            self._busy or self._keep)
+            self.pool.keep(self)  # before the end is told: the next send may want it
+            self._settle(ending)
+        elif self.attempt is not None:
+            self._settle(ending)  # nobody need wait for the last chunk
+            self.time(LAST_CHUNK_TIME, Ending.SLOW)
 
     def on_written(self) -> None:
         pass
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -114,6 +114,10 @@
         super().setup()
         self.server.owner.opened += 1  # type: ignore[attr-defined]
 
+    def finish(self) -> None:
+        super().finish()
+        self.server.owner.closed += 1  # type: ignore[attr-defined]
+
     def do_POST(self) -> None:
         owner: Runner = self.server.owner  # type: ignore[attr-defined]
         body = self.rfile.read(int(self.headers["Content-Length"]))
@@ -163,7 +167,7 @@
         self.runs: Counter[bytes] = Counter()
         self.hung: list[socket.socket] = []
         self.gave_up: list[bool] = []
-        self.opened = 0
+        self.opened = self.closed = 0
         self.release = threading.Event()
         super().__init__(RunnerHandler)
 
--- a/tests/test_gearman.py
+++ b/tests/test_gearman.py
@@ -372,7 +372,8 @@
 
 @pytest.mark.parametrize("bad", [
     send_raw(b"\0BAD" + bytes(8)), send_raw(b"\0RES" + bytes(8)), send_raw(b"\0X"),
-    send_raw(b"\0REQ" + struct.pack(">II", SUBMIT, 1 << 30)), send_raw(b"\0REQ" + struct.pack(">II", 99, 0)),
+    send_raw(b"\0REQ" + struct.pack(">II", COMPLETE, 300 << 10)),
+    send_raw(b"\0REQ" + struct.pack(">II", 99, 0)),
     lambda peer: peer.send(SUBMIT, b"proof"), lambda peer: peer.send(PRE_SLEEP, b"what"),
     lambda peer: peer.send(SUBMIT, b"proof", b"", b"x" * 65537), lambda peer: peer.send(SET_ID, b"two words"),
     send_raw(b"x" * 2000),
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -189,6 +189,14 @@
         assert program.counters()['larchgw_taken_total{front="platform",job_class="proof"}'] == 1
 
 
+def test_a_kept_connection_is_closed_before_the_runners_machine_would(tmp_path: Path) -> None:
+    runner, allowed = Runner("s-1"), settings()["allowed"] | {"idleClose": 1.0}
+    with running(tmp_path, runner, settings={"allowed": allowed}) as (program, _):
+        assert program.job("a")[0] == 200
+        until(lambda: runner.closed == 1)
+        assert program.job("b")[0] == 200 and runner.opened == 2
+
+
 def test_many_clients_get_one_answer_each(tmp_path: Path) -> None:
     runners = [Runner(f"s-{n}") for n in range(4)]
     with running(tmp_path, *runners) as (program, _), ThreadPoolExecutor(16) as pool:
