Name the field of every wrong type in the configuration, and the listener that cannot listen

Seen by reading: allowed.idleClose = "x" ended the start with a trace and status 1 (float() in net/runners.py), and a class without aim with a message that named no field.

--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -16,6 +16,10 @@
 from .wire import WireError, decode_settings
 
 DEFAULT_SOCKETS = 1024
+FIGURES = {
+    "allowed": ("idleClose", "dialTimeout", "maxAttempts", "maxRetryAfter"),
+    "obligations": ("drainGrace", "coldFrom", "warmUp", "tipMultiple", "fall"),
+}
 
 
 class ConfigError(ValueError):
@@ -58,6 +62,7 @@
     sockets = limits.get("sockets", DEFAULT_SOCKETS)
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
         raise ConfigError("limits.sockets: must be a whole number, 64 or more")
+    _check_types(raw)
     try:
         settings = decode_settings(json.dumps(raw).encode())
         check_settings(settings)
@@ -122,10 +127,31 @@
     return fronts
 
 
-def _part(top: dict[str, Any], name: str, kind: type, default: Any = None) -> Any:
+def _check_types(raw: dict[str, Any]) -> None:
+    """What is of the wrong type would otherwise be met in the middle of a start, or of a job."""
+    for part in ("allowed", "familyInfo", "obligations", "charges", "report"):
+        table = _part(raw, part, dict, {}, "settings.")
+        for name in FIGURES.get(part, ()):
+            _figure(table.get(name, 0), f"settings.{part}.{name}")
+    for part in ("areas", "shapes", "requestClasses"):
+        _part(raw, part, list, [], "settings.")
+    for index, one in enumerate(raw.get("requestClasses", [])):
+        where = f"settings.requestClasses[{index}]"
+        if not isinstance(one, dict) or not isinstance(one.get("name"), str):
+            raise ConfigError(f"{where}.name: is missing")
+        for name in ("aim", "deadline"):
+            _figure(one.get(name), f"{where}.{name}")
+
+
+def _figure(value: Any, where: str) -> None:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise ConfigError(f"{where}: must be a figure")
+
+
+def _part(top: dict[str, Any], name: str, kind: type, default: Any = None, where: str = "") -> Any:
     value = top.get(name, default)
     if not isinstance(value, kind):
-        raise ConfigError(f"{name}: is missing or no JSON object")
+        raise ConfigError(f"{where}{name}: is missing or no JSON {'object' if kind is dict else 'list'}")
     return value
 
 
--- a/larchgw/net/listener.py
+++ b/larchgw/net/listener.py
@@ -27,7 +27,10 @@
         self.last_accept = 0.0
         self._capped = False
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.sock = socket.create_server(address, family=family, backlog=BACKLOG, reuse_port=False)
+        try:
+            self.sock = socket.create_server(address, family=family, backlog=BACKLOG)
+        except OSError as error:
+            raise OSError(error.errno, f"{name} at {address[0]}:{address[1]}: {error.strerror}") from error
         self.sock.setblocking(False)
         self.address: tuple[str, int] = self.sock.getsockname()[:2]
         self.open = True
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -16,6 +16,8 @@
 import pytest
 from stand_ins import PATIENCE, ROOT, Program, Runner, running, settings, until
 
+from larchgw.config import ConfigError, load_fronts
+
 
 def raw(program: Program, *parts: bytes) -> bytes:
     """Everything that comes back until the program closes the connection."""
@@ -256,7 +258,9 @@
 @pytest.mark.parametrize("field, change", [
     ("discovery", {"discovery": "nowhere"}), ("limits.sockets", {"limits": {"sockets": 3}}),
     ("settings.classes", {"settings": settings(classes=[])}), ("settings", {"settings": 3}),
-    ("known", {"known": {"servers": [{}]}}), ("seed", {"seed": "xyz"}),
+    ("known", {"known": {"servers": [{}]}}), ("seed", {"seed": "xyz"}), ("listen", {"listen": "no.such:1"}),
+    ("settings.allowed.idleClose", {"settings": settings() | {"allowed": {"idleClose": "x"}}}),
+    ("settings.requestClasses[0].aim", {"settings": settings(classes=[{"name": "p", "deadline": 1}])}),
 ])
 def test_bad_configuration_is_one_line_with_the_field_and_exit_2(
         tmp_path: Path, field: str, change: dict[str, Any]) -> None:
@@ -268,6 +272,18 @@
     assert done.stderr.startswith(f"larchgw: {field}")
 
 
+@pytest.mark.parametrize("field, text", [
+    ("gearman.listen", "[gearman]"), ("ops.listen", '[ops]\nlisten = "x"'), ("nosuch", "[nosuch]"),
+    ("gearman.remember_s", '[gearman]\nlisten = "127.0.0.1:1"\nremember_s = 0'), ("--fronts", "[["),
+])
+def test_a_bad_fronts_file_is_one_line_that_names_the_field(tmp_path: Path, field: str, text: str) -> None:
+    path = tmp_path / "fronts.toml"
+    path.write_text(text)
+    with pytest.raises(ConfigError, match=f"^{field}: "):
+        load_fronts(path)
+    assert load_fronts(ROOT / "deploy" / "fronts.toml").remember == 900.0
+
+
 def test_a_silent_port_is_given_up_after_the_dial_time(tmp_path: Path) -> None:
     good = Runner("s-2")
     full = socket.create_server(("127.0.0.1", 0), backlog=0)
