Wake every sleeping slot of a box, and free a descriptor at once at the cap

Seen by reading, then tested: only the first sleeping slot of a box got NOOP; were it dead without our being told, the job would have waited grab_wait_s beside slots that were awake (test with a slot that sleeps on).

--- a/larchgw/fronts/gearman_workers.py
+++ b/larchgw/fronts/gearman_workers.py
@@ -100,11 +100,10 @@
         box.waiting.add(task)
         task.timer = self.loop.deadlines.add(
             self.loop.clock.now() + self.grab_wait, lambda: self._not_grabbed(task))
-        for slot in box.able(function):
+        for slot in box.able(function):  # all that sleep: the first of them may be dead, and nobody told us
             if slot.asleep and slot.task is None:
                 slot.asleep = False
                 slot.wire.write(encode(Type.NOOP))
-                return
 
     def give_up(self, attempt: Attempt, late: bool) -> Status:
         task: Task = attempt.carrier
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -282,6 +282,7 @@
         for link in self.links:
             if link.idle():
                 link.close()
+                link.connection.close()  # lingering, it would hold the descriptor that the new one needs
                 self.counters.caps.labels(self.handler.name + "_idle").inc()
                 return True
         return False
--- a/tests/test_gearman.py
+++ b/tests/test_gearman.py
@@ -272,6 +272,19 @@
         assert runs == {b"art": 1} and counted['larchgw_sent_total{transport="gearman"}'] == 2
 
 
+def test_a_slot_that_sleeps_on_does_not_keep_a_job_from_the_others(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _):
+        dead, client, runs = Worker(program, b"s-1"), Peer(program), Counter[bytes]()
+        alive = Worker(program, b"s-1")
+        boxes_joined(program, 1)
+        until(lambda: sum(b" s-1 : proof release" in line for line in client.ask(b"workers")) == 2)
+        client.submit(b"release", b"u", b"art")
+        served(alive, runs)
+        assert client.expect(COMPLETE)[1] == b"made:art"
+        assert dead.expect(NOOP) == [b""]
+        assert settled(program)['larchgw_sent_total{transport="gearman"}'] == 1
+
+
 def test_a_refused_job_fails_with_the_time_to_come_back(tmp_path: Path) -> None:
     with running(tmp_path) as (program, _):
         polite, plain = Peer(program), Peer(program)
