Take a new configuration on SIGHUP and follow discovery to its new address

Checked: 129 is 128 + SIGHUP, and the log stops without a line, so it was the signal's default action and no fault of the loop. At fault: node.py, wake_on_signals, which set SIGTERM, SIGINT and SIGUSR1 only; there was no way, either, to give Discovery another address: `version` in net/discovery.py would have gone along to an address that counts anew.

--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -31,11 +31,12 @@
     def __init__(self, settings: config.Config, fronts: config.Fronts) -> None:
         self.node = node = Node(settings)
         loop, core = node.loop, node.core
+        wake_on_signals(loop)  # before anybody can learn that we are here: unhandled, SIGHUP would end us
+        loop.on_signal = self.on_signal
         assert settings.listen is not None
-        cap, gearman_cap = node.client_cap, 0
-        if fronts.gearman:
-            gearman_cap = int(GEARMAN_SHARE * cap)
-        self.platform = PlatformFront(loop, core, settings.listen, cap - gearman_cap, node.ready)
+        self._gearman_share = GEARMAN_SHARE if fronts.gearman else 0.0
+        cap, gearman_cap = self._caps()
+        self.platform = PlatformFront(loop, core, settings.listen, cap, node.ready)
         self._listening(self.platform.name, self.platform.server.listener)
         self.gearman: GearmanFront | None = None
         if fronts.gearman:
@@ -51,15 +52,31 @@
             ops = Ops(loop, core.counters, fronts.ops, node.ready)
             self._listening(ops.name, ops.server.listener)
         node.start()
-        loop.on_signal = self.on_signal
         self._stop_at = 0.0
 
+    def _caps(self) -> tuple[int, int]:
+        """The connections that the platform's clients may have, and Gearman's."""
+        gearman = int(self._gearman_share * self.node.client_cap)
+        return self.node.client_cap - gearman, gearman
+
+    def _reload(self) -> None:
+        """Takes the configuration file as it is now. One that is wrong changes nothing."""
+        try:
+            self.node.reload(config.load(os.environ))
+        except config.ConfigError as error:
+            log.error("reload.refused", error=str(error))
+            return
+        self.platform.server.listener.cap, gearman_cap = self._caps()
+        if self.gearman:
+            self.gearman.listener.cap = gearman_cap
+        host, port = self.node.config.discovery
+        log.info("reload.done", discovery=f"{host}:{port}", open=self.node.core.open_requests())
+
     def _listening(self, front: str, listener: Listener) -> None:
         host, port = listener.address
         log.info("listening", front=front, listen=f"{host}:{port}")
 
     def run(self) -> None:
-        wake_on_signals(self.node.loop)
         log.info("start", name=self.node.config.name, version=__version__, pid=os.getpid())
         self.node.loop.run()
         log.info("exit", **self.node.core.counters.figures())
@@ -68,6 +85,8 @@
     def on_signal(self, number: int) -> None:
         if number == signal.SIGUSR1:
             log.info("counters", **self.node.core.counters.figures())
+        elif number == signal.SIGHUP:
+            self._reload()
         elif not self.node.stopping:
             self.node.stopping = True
             self._stop_at = self.node.loop.clock.now()
--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -71,6 +71,13 @@
         self.ask_at = 0.0 if settings.must_subscribe else float("inf")
         self.asks = 0
 
+    def on_settings(self, settings: Settings) -> None:
+        """Other settings for the same classes. Jobs that are open keep the class that they came with."""
+        check_settings(settings)
+        self.s = settings
+        self.fair = max(GUESS / settings.instances, 1.0)
+        self.quota = [[0.0, 0.0] for _ in settings.tenants]
+
     # The worker list
 
     def on_members(self, now: float, kind: int, members: Iterable[Member]) -> None:
--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -86,6 +86,19 @@
     )
 
 
+def check_reload(old: Config, new: Config) -> None:
+    """Raises ConfigError for what only a start can change.
+
+    Open jobs know their class by its number, and what may be sent again hangs on its effect: a list of other
+    classes would read them as something else in mid-flight.
+    """
+    if new.listen != old.listen:
+        raise ConfigError("listen: a reload cannot change it, only a restart")
+    was, now = ([(c.name, c.effect) for c in x.settings.classes] for x in (old, new))
+    if now != was:
+        raise ConfigError("settings.requestClasses: a reload cannot change names or effects, only a restart")
+
+
 @dataclass(slots=True)
 class Fronts:
     """The fronts beside the platform's; None for one that is off."""
--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -46,6 +46,12 @@
         self.relay = Relay(self.counters, deadlines)
         self.book = Book(self.counters, deadlines, self.dispatcher, self.take_in)
 
+    def reload(self, settings: Settings, max_open: int) -> None:
+        """Takes other settings; they count from the next decision on."""
+        self.settings = settings
+        self.admit.max_open = max_open
+        self._feed(lambda: self.dispatcher.on_settings(settings))
+
     def add_transport(self, transport: Transport) -> None:
         """Transports are asked in the order of their adding."""
         self.sender.transports.append(transport)
--- a/larchgw/core/stages/admit.py
+++ b/larchgw/core/stages/admit.py
@@ -16,12 +16,12 @@
 class Admit:
     def __init__(self, counters: Counters, take_in: TakeIn, max_open: int, max_body_bytes: int) -> None:
         self._counters, self._take_in = counters, take_in
-        self._max_open, self._max_body_bytes = max_open, max_body_bytes
+        self.max_open, self._max_body_bytes = max_open, max_body_bytes
         self._full = False
 
     def run(self, request: Request) -> Answer | None:
         """The answer that keeps a request out, or None to let it pass. Nothing has run: a refusal is true."""
-        full = (len(self._take_in.open) > self._max_open
+        full = (len(self._take_in.open) > self.max_open
                 or self._take_in.body_bytes > self._max_body_bytes)
         if full != self._full:
             self._full = full
--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -98,6 +98,19 @@
         self._stopped = True
         self._drop()
 
+    def move(self, address: tuple[str, int], reader: ListReader) -> None:
+        """Asks another address from now on.
+
+        Versions are an address's own: a watch after the old one's could wait at the new one for ever, so the
+        whole list is asked for. Until it comes the old list holds.
+        """
+        self.reader = reader
+        if address == self.address:
+            return
+        self.address, self.version, self._backoff = address, None, FIRST_BACKOFF
+        if not self._stopped:
+            self._connect()
+
     def ask(self) -> None:
         """The module wants to be told of changes; the watch does so at any rate."""
         if self._connection is None and not self._stopped:
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -222,17 +222,22 @@
     name = "http"
 
     def __init__(self, loop: Loop, core: Core, raw_settings: dict[str, Any], cap: int) -> None:
-        self.loop, self.core, self.cap = loop, core, cap
+        self.loop, self.core = loop, core
+        self.addresses: dict[WorkerId, tuple[str, int]] = {}
+        self.idle: dict[WorkerId, deque[RunnerLink]] = {}
+        self.links: set[RunnerLink] = set()
+        self._capped = False
+        self.configure(raw_settings, cap)
+
+    def configure(self, raw_settings: dict[str, Any], cap: int) -> None:
+        """What the settings say of connections and reports."""
+        self.cap = cap
         allowed = raw_settings.get("allowed", {})
         idle = float(allowed.get("idleClose", 15.0))
         self.idle_time = max(min(IDLE_SHARE * idle, idle - IDLE_MARGIN), 0.1 * idle)
         self.dial_time = float(allowed.get("dialTimeout", 0.25)) or 0.25
         report = raw_settings.get("report", {})
         self._fields: list[str] = report.get("fields", []) if report.get("via", "silent") != "silent" else []
-        self.addresses: dict[WorkerId, tuple[str, int]] = {}
-        self.idle: dict[WorkerId, deque[RunnerLink]] = {}
-        self.links: set[RunnerLink] = set()
-        self._capped = False
 
     def report_of(self, named: dict[str, Any]) -> Sequence[float]:
         """The report's figures in the order of the settings; empty if there is none."""
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from .config import Config, ConfigError
+from .config import Config, ConfigError, check_reload
 from .core import Core
 from .core.deadlines import Clock, Deadlines
 from .interface import ListKind
@@ -26,11 +26,10 @@
         self.config = config
         clock, deadlines = Clock(), Deadlines()
         self.loop = Loop(clock, deadlines)
-        free = config.sockets - min(RESERVED, config.sockets // 4)
-        self.client_cap = int((1 - RUNNER_SHARE) * free)
+        self.client_cap, runner_cap = _caps(config)
         self.core = Core(config.settings, config.seed, clock, deadlines, max_open=2 * self.client_cap)
         self.loop.counters = self.core.counters
-        self.runners = Runners(self.loop, self.core, config.raw, int(RUNNER_SHARE * free))
+        self.runners = Runners(self.loop, self.core, config.raw, runner_cap)
         self.stopping = False
         reader = ListReader(config.raw)
         self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate)
@@ -47,6 +46,15 @@
         self.core.add_transport(self.runners)  # last: it also tells of boxes that nothing speaks to
         self.discovery.start()
 
+    def reload(self, config: Config) -> None:
+        """Takes another configuration, or changes nothing: ConfigError for what only a start can change."""
+        check_reload(self.config, config)
+        self.config = config
+        self.client_cap, runner_cap = _caps(config)
+        self.core.reload(config.settings, max_open=2 * self.client_cap)
+        self.runners.configure(config.raw, runner_cap)
+        self.discovery.move(config.discovery, ListReader(config.raw))
+
     def ready(self) -> bool:
         """Whether new requests are welcome."""
         return not self.stopping and bool(self.core.boxes.listed or self.core.boxes.joined)
@@ -57,11 +65,17 @@
         self.loop.close()
 
 
+def _caps(config: Config) -> tuple[int, int]:
+    """How many connections clients and runners may have."""
+    free = config.sockets - min(RESERVED, config.sockets // 4)
+    return int((1 - RUNNER_SHARE) * free), int(RUNNER_SHARE * free)
+
+
 def wake_on_signals(loop: Loop) -> None:
     """Lets signals end the loop's wait; `Loop.on_signal` gets their numbers."""
     def nothing(number: int, frame: object) -> None:
         """The number comes through the pipe."""
 
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
         signal.signal(number, nothing)
     signal.set_wakeup_fd(loop.wake_out.fileno(), warn_on_full_buffer=False)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import struct
 import subprocess
@@ -74,6 +75,7 @@
 class DiscoveryHandler(Quiet):
     def do_GET(self) -> None:
         owner: Discovery = self.server.owner  # type: ignore[attr-defined]
+        owner.paths.append(self.path)
         if owner.bad:
             owner.asked += 1
             self.send_response(200)
@@ -97,6 +99,7 @@
 class Discovery(Server):
     def __init__(self) -> None:
         self.version, self.asked, self.bad = 1, 0, False
+        self.paths: list[str] = []
         self.boxes: dict[str, dict[str, Any]] = {}
         self.changed = threading.Condition()
         super().__init__(DiscoveryHandler)
@@ -178,7 +181,8 @@
     def __init__(self, folder: Path, discovery: str, fronts: bool = False, **changes: Any) -> None:
         config = {"name": "t", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
                   "limits": {"sockets": 1024}, "settings": settings(**changes.pop("settings", {}))} | changes
-        (folder / "config.json").write_text(json.dumps(config))
+        self.path, self.config = folder / "config.json", config
+        self.path.write_text(json.dumps(config))
         command = [sys.executable, "-m", "larchgw"]
         if fronts:
             (folder / "fronts.toml").write_text("".join(
@@ -192,6 +196,13 @@
         self._reader.start()
         until(lambda: self.logged("event=start "), "the start")
 
+    def reload(self, text: str = "", **changes: Any) -> str:
+        """Replaces the configuration and sends SIGHUP; the line that the program logs of it."""
+        before = len(self.logged("event=reload."))
+        self.path.write_text(text or json.dumps(self.config | changes))
+        self.process.send_signal(signal.SIGHUP)
+        return until(lambda: self.logged("event=reload.")[before:], "the reload")[0]
+
     def _read(self) -> None:
         assert self.process.stderr is not None
         for line in self.process.stderr:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import pytest
-from stand_ins import PATIENCE, ROOT, Program, Runner, running, settings, until
+from stand_ins import PATIENCE, ROOT, Discovery, Program, Runner, running, settings, until
 
 from larchgw.config import ConfigError, load_fronts
 
@@ -139,6 +139,45 @@
     runner.close()
 
 
+def test_a_reload_asks_the_new_discovery_for_the_whole_list_and_open_jobs_go_on(tmp_path: Path) -> None:
+    old, new, other = Runner("s-1", "hold"), Runner("s-2"), Discovery()
+    other.tell("s-2", addr=new.address)
+    with running(tmp_path, old) as (program, discovery), ThreadPoolExecutor(1) as pool:
+        assert discovery.version == other.version  # a watch after it would hear nothing new
+        slow = pool.submit(program.job, "slow", b"1", "/release")
+        until(lambda: old.seen)
+        assert "event=reload.done" in program.reload(discovery=other.address)
+        until(lambda: other.asked > 1, "the next watch")
+        assert other.paths[0] == "/api/targets"
+        assert program.job("next", b"2") == (200, b"s-2:2")
+        old.release.set()
+        assert slow.result(PATIENCE) == (200, b"s-1:1")
+    for server in (new, other):
+        server.close()
+
+
+def test_a_reload_takes_new_settings(tmp_path: Path) -> None:
+    runner, changed = Runner("s-1", "full"), settings()
+    changed["allowed"] |= {"maxAttempts": 1, "maxRetryAfter": 0.125}
+    with running(tmp_path, runner) as (program, _):
+        assert "event=reload.done" in program.reload(settings=changed)
+        response, _body = program.exchange("POST", "/release", b"x", X_Request_Id="r", X_Deadline_Ms="25000")
+        assert (response.status, response.headers["Retry-After"]) == (503, "0.125")
+
+
+@pytest.mark.parametrize("field, text, changes", [
+    ("PROXY_CONFIG", "{", {}), ("discovery", "", {"discovery": "nowhere"}),
+    ("listen", "", {"listen": "127.0.0.1:1"}),
+    ("settings.requestClasses", "", {"settings": settings(classes=settings()["requestClasses"][::-1])}),
+])
+def test_a_bad_reload_is_logged_and_changes_nothing(
+        tmp_path: Path, field: str, text: str, changes: dict[str, Any]) -> None:
+    with running(tmp_path, Runner("s-1")) as (program, discovery):
+        line = program.reload(text, **changes)
+        assert f'event=reload.refused error="{field}: ' in line
+        assert program.job("a", b"x") == (200, b"s-1:x") and not program.logged("discovery.down")
+
+
 def test_pipelined_and_dribbled_requests_are_answered_in_order(tmp_path: Path) -> None:
     runner = Runner("s-1")
     with running(tmp_path, runner) as (program, _):
