End silent and half-sent connections within 2 s, and free them first at the cap

At fault in net/httpserver.py: IDLE_TIME 300 s also for a connection that never asked, MESSAGE_TIME 10 s, and _make_room, which closed the oldest idle one: often a good client's, never one with half a request. Also at fault: nothing looked for the id of an open request, so its copy was sent (core/stages/take_in.py); body limits did not know the memory (core/dispatch.py, MAX_BODY_BYTES 32 MB of 32); a head without an end was read up to 540 KB.

--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -36,7 +36,7 @@
         assert settings.listen is not None
         self._gearman_share = GEARMAN_SHARE if fronts.gearman else 0.0
         cap, gearman_cap = self._caps()
-        self.platform = PlatformFront(loop, core, settings.listen, cap, node.ready)
+        self.platform = PlatformFront(loop, core, settings.listen, cap, node.body_cap, node.ready)
         self._listening(self.platform.name, self.platform.server.listener)
         self.gearman: GearmanFront | None = None
         if fronts.gearman:
@@ -67,6 +67,7 @@
             log.error("reload.refused", error=str(error))
             return
         self.platform.server.listener.cap, gearman_cap = self._caps()
+        self.platform.server.max_held = self.node.body_cap
         if self.gearman:
             self.gearman.listener.cap = gearman_cap
         host, port = self.node.config.discovery
--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -15,7 +15,7 @@
 from .net.connection import parse_address
 from .wire import WireError, decode_settings
 
-DEFAULT_SOCKETS = 1024
+DEFAULT_SOCKETS, DEFAULT_MEMORY_MB = 1024, 128
 FIGURES = {
     "allowed": ("idleClose", "dialTimeout", "maxAttempts", "maxRetryAfter"),
     "obligations": ("drainGrace", "coldFrom", "warmUp", "tipMultiple", "fall"),
@@ -33,6 +33,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: float
     known: dict[str, Any] | None
     raw: dict[str, Any]
     settings: Settings = field(repr=False)
@@ -62,6 +63,9 @@
     sockets = limits.get("sockets", DEFAULT_SOCKETS)
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
         raise ConfigError("limits.sockets: must be a whole number, 64 or more")
+    memory_mb = limits.get("memory_mb", DEFAULT_MEMORY_MB)
+    if not isinstance(memory_mb, int | float) or isinstance(memory_mb, bool) or not memory_mb > 0:
+        raise ConfigError("limits.memory_mb: must be a figure above 0")
     _check_types(raw)
     try:
         settings = decode_settings(json.dumps(raw).encode())
@@ -82,7 +86,7 @@
         name=str(top.get("name") or environ.get("PROXY_NAME", "larchgw")),
         listen=_address(top, environ, "listen", "PROXY_LISTEN") if need_listen else None,
         discovery=_address(top, environ, "discovery", "PROXY_DISCOVERY"),
-        seed=number, sockets=sockets, known=known, raw=raw, settings=settings,
+        seed=number, sockets=sockets, memory_mb=memory_mb, known=known, raw=raw, settings=settings,
     )
 
 
--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -17,7 +17,6 @@
 from .stages import Admit, Book, Relay, Route, Send, TakeIn
 
 BACKSTOP = 0.02  # after a request's time, for the module to have answered it
-MAX_BODY_BYTES = 32 << 20  # of open requests
 log = structlog.get_logger()
 
 
@@ -29,7 +28,7 @@
     """
 
     def __init__(self, settings: Settings, seed: int, clock: Clock, deadlines: Deadlines,
-                 max_open: int = 1000) -> None:
+                 max_open: int = 1000, max_body_bytes: int = 32 << 20) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.counters = Counters()
         self.boxes = Boxes(clock.now(), settings.warm_up)
@@ -40,16 +39,16 @@
         self._unsettled: list[Request] = []
         self.dispatcher = Dispatcher(settings, seed, self)
         self.take_in = TakeIn(self.counters, [c.name for c in settings.classes])
-        self.admit = Admit(self.counters, self.take_in, max_open, MAX_BODY_BYTES)
+        self.admit = Admit(self.counters, self.take_in, max_open, max_body_bytes)
         self.route = Route(self.dispatcher)
         self.sender = Send(self.counters, deadlines, self.expire)
         self.relay = Relay(self.counters, deadlines)
         self.book = Book(self.counters, deadlines, self.dispatcher, self.take_in)
 
-    def reload(self, settings: Settings, max_open: int) -> None:
+    def reload(self, settings: Settings, max_open: int, max_body_bytes: int) -> None:
         """Takes other settings; they count from the next decision on."""
         self.settings = settings
-        self.admit.max_open = max_open
+        self.admit.max_open, self.admit.max_body_bytes = max_open, max_body_bytes
         self._feed(lambda: self.dispatcher.on_settings(settings))
 
     def add_transport(self, transport: Transport) -> None:
--- a/larchgw/core/stages/admit.py
+++ b/larchgw/core/stages/admit.py
@@ -1,4 +1,4 @@
-"""Admit: what the machine's memory cannot hold is turned away before the module sees it."""
+"""Admit: what memory cannot hold, or bears an open request's id, is turned away before the module sees it."""
 
 from __future__ import annotations
 
@@ -16,13 +16,16 @@
 class Admit:
     def __init__(self, counters: Counters, take_in: TakeIn, max_open: int, max_body_bytes: int) -> None:
         self._counters, self._take_in = counters, take_in
-        self.max_open, self._max_body_bytes = max_open, max_body_bytes
+        self.max_open, self.max_body_bytes = max_open, max_body_bytes
         self._full = False
 
     def run(self, request: Request) -> Answer | None:
-        """The answer that keeps a request out, or None to let it pass. Nothing has run: a refusal is true."""
+        """The answer that keeps a request out, or None to let it pass. Past a limit a refusal is true."""
+        if self._take_in.names.get(request.name) is not request:
+            # Sent on, it would be a second copy of a request that is out. A refusal would say it never ran.
+            return Answer(AnswerKind.FAILED, reason="a request with this id is open")
         full = (len(self._take_in.open) > self.max_open
-                or self._take_in.body_bytes > self._max_body_bytes)
+                or self._take_in.body_bytes > self.max_body_bytes)
         if full != self._full:
             self._full = full
             log.warning("cap.open" if full else "cap.open.over", open=len(self._take_in.open),
--- a/larchgw/core/stages/take_in.py
+++ b/larchgw/core/stages/take_in.py
@@ -14,6 +14,7 @@
 class TakeIn:
     def __init__(self, counters: Counters, classes: list[str]) -> None:
         self.open: dict[int, Request] = {}
+        self.names: dict[bytes, Request] = {}  # by its client's id, the first of the open ones
         self.body_bytes = 0
         self._ids = count(1)
         self._counters, self._classes = counters, classes
@@ -23,6 +24,7 @@
         request.taken_at = now
         request.give_up_at = now + request.wait - min(MARGIN, MARGIN_SHARE * request.wait)
         self.open[request.id] = request
+        self.names.setdefault(request.name, request)
         self.body_bytes += len(request.body)
         self._counters.taken.labels(request.front.name, self._classes[request.job_class]).inc()
         self._counters.open.set(len(self.open))
@@ -31,4 +33,6 @@
         """The request has its answer and no attempt is out."""
         if self.open.pop(request.id, None) is not None:
             self.body_bytes -= len(request.body)
+            if self.names.get(request.name) is request:
+                del self.names[request.name]
             self._counters.open.set(len(self.open))
--- a/larchgw/fronts/agentcheck.py
+++ b/larchgw/fronts/agentcheck.py
@@ -8,7 +8,7 @@
 from ..core.counters import Counters
 from ..net.connection import Connection
 from ..net.ending import Ending
-from ..net.httpserver import Exchange, HttpServer
+from ..net.httpserver import MAX_BODY, Exchange, HttpServer
 from ..net.listener import Listener
 from ..net.loop import Loop
 
@@ -66,7 +66,7 @@
     def __init__(self, loop: Loop, counters: Counters, address: tuple[str, int],
                  ready: Callable[[], bool]) -> None:
         self._counters, self._ready = counters, ready
-        self.server = HttpServer(loop, counters, address, self, CAP)
+        self.server = HttpServer(loop, counters, address, self, CAP, MAX_BODY)
 
     def on_exchange(self, exchange: Exchange) -> None:
         if exchange.method not in (b"GET", b"HEAD"):
--- a/larchgw/fronts/platform.py
+++ b/larchgw/fronts/platform.py
@@ -17,10 +17,10 @@
     name = "platform"
 
     def __init__(self, loop: Loop, core: Core, address: tuple[str, int], cap: int,
-                 ready: Callable[[], bool]) -> None:
+                 max_held: int, ready: Callable[[], bool]) -> None:
         self._core, self._ready = core, ready
         self._classes = {c.name.encode(): index for index, c in enumerate(core.settings.classes)}
-        self.server = HttpServer(loop, core.counters, address, self, cap)
+        self.server = HttpServer(loop, core.counters, address, self, cap, max_held)
 
     # From clients
 
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -12,7 +12,7 @@
 
 from ..core.counters import Counters
 from ..core.deadlines import Deadline
-from .connection import Connection
+from .connection import CHUNK, Connection
 from .ending import Ending
 from .listener import Listener
 from .loop import Loop
@@ -21,9 +21,14 @@
 MAX_HEAD = 16384
 MAX_HEADERS = 100
 MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # as it comes, in chunks however small
-MAX_WAITING = 8  # requests read ahead on one connection
-MESSAGE_TIME = 10.0  # for one request to come in whole, from its first byte
+MAX_WAITING = 8  # requests read ahead on one connection ...
+MAX_WAITING_BYTES = MAX_BODY  # ... and their bodies; past either, reading waits
+# A client that sends nothing, or half a request, costs a descriptor that others need.
+FIRST_TIME = 2.0  # for a connection's first request to come in whole, from the connection's start
+MESSAGE_TIME = 2.0  # for a later one, from its first byte
+NEWCOMER = 0.25  # seconds in which the first request of a good client comes in
 IDLE_TIME = 300.0
+RETRY_AFTER = "0.5"  # seconds, where there is no memory for a request now
 WRITE_TIME = 30.0  # for a client to read an answer
 log = structlog.get_logger()
 
@@ -73,12 +78,13 @@
         self._advancing = False
         self._timer: Deadline | None = None
         self._head = self._raw = 0
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
         self._url = b""
         self._parser = httptools.HttpRequestParser(self)
+        self.opened = server.loop.clock.now()
+        self.proven = False  # whether a request has come in whole
         self.connection = Connection(server.loop, sock, self)
-        self._time(IDLE_TIME, Ending.IDLE)
+        self._time(FIRST_TIME, Ending.SLOW)
 
     def idle(self) -> bool:
         return self.current is None and not self.waiting and self._coming is None and not self._broken
@@ -99,9 +105,10 @@
             self._break(400, f"not HTTP: {error}")
         if self._coming is not None and not self._broken:
             self._raw += len(data)
-            if self._raw > MAX_RAW:
+            # A head that never ends is seen by its bytes alone: the parser tells of no header before its end.
+            if self._raw > (MAX_RAW if self._coming.method else MAX_HEAD + CHUNK):
                 self._break(400, "the request is too long")
-        self.connection.pause(len(self.waiting) >= MAX_WAITING)
+        self._pace()
         self.advance()
 
     def on_written(self) -> None:
@@ -110,9 +117,9 @@
 
     def on_end(self, ending: Ending) -> None:
         self.server.loop.deadlines.drop(self._timer)
-        self.server.links.pop(self, None)
+        self.server.drop(self)
         exchange, self.current = self.current, None
-        self.waiting.clear()
+        self._clear()
         if exchange is not None and not exchange.done:
             exchange.done = True
             self.server.handler.on_client_gone(exchange)
@@ -120,18 +127,18 @@
     # From the parser
 
     def on_message_begin(self) -> None:
-        self._url, self._parts, self._size, self._head = b"", [], 0, 0
-        self._raw = 0
+        self._url, self._head, self._raw = b"", 0, 0
         self._coming = Exchange(self)
-        self._time(MESSAGE_TIME, Ending.SLOW)
+        self.server.standing.pop(self, None)
+        if self.proven:
+            self._time(MESSAGE_TIME, Ending.SLOW)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
         self._head += len(url)
         if self._head > MAX_HEAD:
             self._url = b""
-            if self._coming is not None:
-                self._coming.error = (414, "the path is too long")
+            self._break(414, "the path is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._coming is None:
@@ -139,7 +146,7 @@
         headers, name = self._coming.headers, name.lower()
         self._head += len(name) + len(value)
         if len(headers) >= MAX_HEADERS or self._head > MAX_HEAD:
-            self._coming.error = (431, "too many headers")
+            self._break(431, "too many headers")
         elif name in headers and name != b"cookie":
             headers[name] += b"," + value
         else:
@@ -153,8 +160,9 @@
         coming.target, coming.path = self._url, self._url.partition(b"?")[0]
         coming.keep = self._parser.should_keep_alive()
         length = coming.headers.get(b"content-length", b"0")
-        if coming.error is not None:
-            self._break(*coming.error)
+        if b"transfer-encoding" in coming.headers and b"content-length" in coming.headers:
+            # Two lengths: whoever goes by the other one reads a second request out of the body.
+            self._break(400, "both Content-Length and Transfer-Encoding")
         elif length.isdigit() and int(length) > MAX_BODY:
             self._break(413, "the body is over 64 KiB")
         elif coming.headers.get(b"expect", b"").lower() == b"100-continue" and (
@@ -164,20 +172,25 @@
     def on_body(self, body: bytes) -> None:
         if self._broken:
             return
-        self._size += len(body)
-        if self._size > MAX_BODY:
+        if len(self._body) + len(body) > MAX_BODY:
             self._break(413, "the body is over 64 KiB")
+        elif self.server.held + len(body) > self.server.max_held:
+            self.server.no_memory()
+            self._break(503, "no memory for the body")
         else:
-            self._parts.append(body)
+            self._body += body
+            self.server.held += len(body)
 
     def on_message_complete(self) -> None:
         coming, self._coming = self._coming, None
         if coming is None or self._broken:
             return
-        coming.body = b"".join(self._parts)
+        coming.body, self._body = bytes(self._body), bytearray()
         coming.arrived = self.server.loop.clock.now()
-        self._parts = []
         self.waiting.append(coming)
+        if not self.proven:
+            self.proven = True
+            self.server.unproven.pop(self, None)
         self._time(None)
 
     def _break(self, status: int, reason: str) -> None:
@@ -185,6 +198,9 @@
         if self._broken:
             return
         self._broken, self._coming = True, None
+        self.server.unproven.pop(self, None)  # it is owed an answer
+        self.server.standing.pop(self, None)
+        self._drop_body()
         error = Exchange(self)
         error.error, error.keep = (status, reason), False
         self.waiting.append(error)
@@ -198,14 +214,31 @@
         # The next one waits until the last answer is written: a client that never reads costs one answer.
         while self.waiting and self.current is None and not self.connection.busy():
             exchange = self.current = self.waiting.popleft()
+            self.server.held -= len(exchange.body)  # from here on it is the handler's to count
             if exchange.error is not None:
                 self.server.counters.bad.labels(self.server.handler.name, str(exchange.error[0])).inc()
-                exchange.reply(exchange.error[0], exchange.error[1].encode() + b"\n")
+                status, reason = exchange.error
+                later = (("Retry-After", RETRY_AFTER),) if status == 503 else ()
+                exchange.reply(status, reason.encode() + b"\n", later)
             else:
                 self.server.handler.on_exchange(exchange)
         self._advancing = False
-        if not self.connection.closed:
-            self.connection.pause(len(self.waiting) >= MAX_WAITING)
+        self._pace()
+
+    def _pace(self) -> None:
+        """Reads ahead only so far: what is read is held in memory until its turn comes."""
+        ahead = len(self.waiting) >= MAX_WAITING or sum(len(x.body) for x in self.waiting) > MAX_WAITING_BYTES
+        self.connection.pause(ahead)
+
+    def _drop_body(self) -> None:
+        self.server.held -= len(self._body)
+        self._body = bytearray()
+
+    def _clear(self) -> None:
+        """Lets go of what is still to be handled."""
+        self._drop_body()
+        self.server.held -= sum(len(x.body) for x in self.waiting)
+        self.waiting.clear()
 
     def reply(self, exchange: Exchange, status: int, body: bytes,
               headers: tuple[tuple[str, str], ...]) -> None:
@@ -229,8 +262,8 @@
     def close(self) -> None:
         """Closes in good order, after what is written."""
         self.server.loop.deadlines.drop(self._timer)
-        self.server.links.pop(self, None)
-        self.waiting.clear()
+        self.server.drop(self)
+        self._clear()
         self._broken = True
         self.connection.finish()
 
@@ -241,6 +274,8 @@
         elif self._coming is not None:
             self._time(MESSAGE_TIME, Ending.SLOW)
         elif self.idle():
+            if self.proven:
+                self.server.standing[self] = None
             self._time(IDLE_TIME, Ending.IDLE)
         else:
             self._time(None)
@@ -256,7 +291,7 @@
         if ending is Ending.SLOW and self._coming is not None:
             self._break(408, "the request came too slowly")
             self.advance()
-        elif ending is Ending.IDLE and self.idle():
+        elif ending in (Ending.SLOW, Ending.IDLE) and self.idle():
             self.close()
         elif ending is Ending.CLOGGED:
             self.connection.close()
@@ -267,26 +302,52 @@
     """Listens, and keeps its clients' connections in the order of their coming."""
 
     def __init__(self, loop: Loop, counters: Counters, address: tuple[str, int], handler: Handler,
-                 cap: int) -> None:
+                 cap: int, max_held: int) -> None:
         self.loop, self.counters, self.handler = loop, counters, handler
+        self.held, self.max_held = 0, max_held  # bytes of bodies that the handler does not have yet
         self.links: dict[Link, None] = {}
+        # Both in order of age, so that at the cap each newcomer costs no search.
+        self.unproven: dict[Link, None] = {}  # no whole request has come
+        self.standing: dict[Link, None] = {}  # between requests
+        self._capped = False
         self.stopping = False
         self.listener = Listener(loop, counters, handler.name, address, cap, self._take,
                                  lambda: len(self.links), self._make_room)
 
     def _take(self, sock: socket.socket) -> None:
-        self.links[Link(self, sock)] = None
+        link = Link(self, sock)
+        self.links[link] = self.unproven[link] = None
+
+    def drop(self, link: Link) -> None:
+        """The connection is over, or about to be."""
+        for kept in (self.links, self.unproven, self.standing):
+            kept.pop(link, None)
 
     def _make_room(self) -> bool:
-        """Closes one connection that stands between requests."""
-        for link in self.links:
-            if link.idle():
-                link.close()
-                link.connection.close()  # lingering, it would hold the descriptor that the new one needs
-                self.counters.caps.labels(self.handler.name + "_idle").inc()
-                return True
-        return False
+        """Closes one connection that is owed nothing.
+
+        First the oldest of those that never sent a whole request, unless it has only just come: a good
+        client's first request is on its way, and would be lost. Then the one that stood idle longest.
+        """
+        silent, idle = next(iter(self.unproven), None), next(iter(self.standing), None)
+        if silent is not None and (idle is None or silent.opened < self.loop.clock.now() - NEWCOMER):
+            link = silent
+        elif idle is not None:
+            link = idle
+        else:
+            return False
+        link.close()
+        link.connection.close()  # lingering, it would hold the descriptor that the new one needs
+        self.counters.caps.labels(self.handler.name + "_idle").inc()
+        return True
+
+    def no_memory(self) -> None:
+        self.counters.caps.labels(self.handler.name + "_bodies").inc()
+        if not self._capped:
+            self._capped = True
+            log.warning("cap.bodies", listener=self.handler.name, bytes=self.held, cap=self.max_held)
 
     def close_idle(self) -> None:
-        for link in [x for x in self.links if x.idle()]:
+        newest = self.loop.clock.now() - NEWCOMER  # the first request of whoever came later is on its way
+        for link in [x for x in self.links if x.idle() and (x.proven or x.opened < newest)]:
             link.close()
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -16,6 +16,8 @@
 
 RESERVED = 64  # descriptors for the loop, listeners, discovery, logs and what closes slowly
 RUNNER_SHARE = 0.4  # of the descriptors left; the clients' connections have the rest
+OWN_MB = 24  # memory of the program with no request in it, and a little
+BODY_SHARE = 0.2  # of the memory left
 log = structlog.get_logger()
 
 
@@ -27,7 +29,8 @@
         clock, deadlines = Clock(), Deadlines()
         self.loop = Loop(clock, deadlines)
         self.client_cap, runner_cap = _caps(config)
-        self.core = Core(config.settings, config.seed, clock, deadlines, max_open=2 * self.client_cap)
+        self.body_cap = _body_cap(config)
+        self.core = Core(config.settings, config.seed, clock, deadlines, 2 * self.client_cap, self.body_cap)
         self.loop.counters = self.core.counters
         self.runners = Runners(self.loop, self.core, config.raw, runner_cap)
         self.stopping = False
@@ -51,7 +54,8 @@
         check_reload(self.config, config)
         self.config = config
         self.client_cap, runner_cap = _caps(config)
-        self.core.reload(config.settings, max_open=2 * self.client_cap)
+        self.body_cap = _body_cap(config)
+        self.core.reload(config.settings, 2 * self.client_cap, self.body_cap)
         self.runners.configure(config.raw, runner_cap)
         self.discovery.move(config.discovery, ListReader(config.raw))
 
@@ -71,6 +75,14 @@
     return int((1 - RUNNER_SHARE) * free), int(RUNNER_SHARE * free)
 
 
+def _body_cap(config: Config) -> int:
+    """Bytes of bodies that may be held: one such share for what is still coming in, one for open requests.
+
+    Those of an open one are held a second time while they are written to a box; answers need as much again.
+    """
+    return int(max(config.memory_mb - OWN_MB, 4) * BODY_SHARE * (1 << 20))
+
+
 def wake_on_signals(loop: Loop) -> None:
     """Lets signals end the loop's wait; `Loop.on_signal` gets their numbers."""
     def nothing(number: int, frame: object) -> None:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -206,6 +206,42 @@
         assert raw(program, post("slow", b"body")[:-2]).startswith(b"HTTP/1.1 408 ")
 
 
+def test_who_says_nothing_or_half_a_request_holds_no_descriptor_for_long(tmp_path: Path) -> None:
+    with running(tmp_path, Runner("s-1"), limits={"sockets": 128}) as (program, _):
+        assert raw(program) == b""  # closed, though it never asked for anything
+        socks = [socket.create_connection(program.address(), timeout=PATIENCE) for _ in range(150)]
+        for n, s in enumerate(socks):
+            s.sendall(post(f"half{n}", b"body")[:-2])
+        assert program.job("a", b"x")[0] == 200
+        assert program.counters()['larchgw_caps_total{cap="platform_idle"}'] > 0
+        for s in socks:
+            s.close()
+
+
+def test_the_id_of_an_open_request_is_not_sent_a_second_time(tmp_path: Path) -> None:
+    runner = Runner("s-1", "hold")
+    with running(tmp_path, runner) as (program, _), ThreadPoolExecutor(1) as pool:
+        first = pool.submit(program.job, "same", b"1", "/release")
+        until(lambda: runner.seen)
+        assert program.job("same", b"2")[0] == 500
+        runner.release.set()
+        assert first.result(PATIENCE) == (200, b"s-1:1") and len(runner.seen) == 1
+        assert program.job("same", b"3") == (200, b"s-1:3")
+
+
+def test_bodies_that_come_in_are_held_to_the_memory_that_is_left(tmp_path: Path) -> None:
+    with running(tmp_path, Runner("s-1"), limits={"sockets": 256, "memory_mb": 24}) as (program, _):
+        socks = [socket.create_connection(program.address(), timeout=PATIENCE) for _ in range(20)]
+        for n, s in enumerate(socks):
+            s.sendall(post(f"big{n}", b"x" * 65536)[:-2])
+        until(lambda: program.logged("event=cap.bodies"))
+        got = [s.recv(65536) for s in socks]  # the others are timed out
+        assert any(g.startswith(b"HTTP/1.1 503 ") and b"Retry-After: " in g for g in got)
+        for s in socks:
+            s.close()
+        assert program.job("a", b"x")[0] == 200
+
+
 BAD = [
     (b"nonsense\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nHost x\r\n\r\n", 400),
     (post("a", b"", "Content-Length: 5\r\n"), 400),
@@ -218,6 +254,8 @@
     (post("a", b"", "Connection: close\r\n").replace(b"POST", b"PUT"), 405),
     (post("a", b"x" * 65537), 413),
     (post("a", b"", "X-Long: " + "y" * 20000 + "\r\n"), 431),
+    (b"POST /proof HTTP/1.1\r\nX: " + b"y" * 100_000, 400),
+    (post("a").replace(b"Host: x", b"Transfer-Encoding: identity"), 400),
 ]
 
 
