Give releases new connections, and trust kept ones only as long as they prove to live

Now: a release gets a new connection (milliseconds against its seconds of work) in place of the oldest kept one; a kept one that dies without a byte of answer cuts the time that others are trusted, which doubles again in 30 s. The cut is now to a quarter, not measured by itself. Tests: two, which fail without the change.

--- a/larchgw/core/counters.py
+++ b/larchgw/core/counters.py
@@ -20,6 +20,7 @@
         self.late = Counter("larchgw_late_events", "Events of attempts that had ended, dropped", ["event"],
                             registry=r)
         self.caps = Counter("larchgw_caps", "Times that a limit of ours was met", ["cap"], registry=r)
+        self.dead = Counter("larchgw_dead_connections", "Kept connections that proved dead", registry=r)
         self.lists = Counter("larchgw_lists", "Answers of discovery", ["kind"], registry=r)
         self.faults = Counter("larchgw_faults", "Errors of our own that were caught", ["where"], registry=r)
         self.open = Gauge("larchgw_open_requests", "Requests without a final answer", registry=r)
--- a/larchgw/core/requests.py
+++ b/larchgw/core/requests.py
@@ -106,6 +106,7 @@
     sent_at: float
     ended: bool = False
     status: Status | None = None  # once it has ended
+    why: str = ""
     started: bool = False
     deadline: Deadline | None = None
     carrier: Any = None  # the transport's own
--- a/larchgw/core/stages/book.py
+++ b/larchgw/core/stages/book.py
@@ -22,7 +22,7 @@
         if attempt.ended:
             self._counters.late.labels("end").inc()
             return False
-        attempt.ended, attempt.status = True, end.status
+        attempt.ended, attempt.status, attempt.why = True, end.status, end.why
         self._deadlines.drop(attempt.deadline)
         self._counters.ended.labels(attempt.transport.name, end.status.name.lower()).inc()
         return True
--- a/larchgw/core/stages/relay.py
+++ b/larchgw/core/stages/relay.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+import structlog
+
 from ..counters import Counters
 from ..deadlines import Deadlines
-from ..outcomes import Answer
-from ..requests import News, Request
+from ..outcomes import Answer, AnswerKind
+from ..requests import Attempt, News, Request
+
+log = structlog.get_logger()
+
+
+def _told(attempt: Attempt) -> str:
+    """What became of an attempt, for the log."""
+    end = attempt.status.name if attempt.status is not None else "out"
+    where = "started" if attempt.started else "not started"
+    return f"{attempt.worker.decode('latin-1')} {end} ({where}) {attempt.why}".strip()
 
 
 class Relay:
@@ -20,6 +31,9 @@
         request.answer = answer
         self._deadlines.drop(request.deadline)
         self._counters.answered.labels(request.front.name, answer.kind.value).inc()
+        if answer.kind is AnswerKind.FAILED:
+            log.warning("answer.failed", request=request.name.decode("latin-1"), reason=answer.reason,
+                        attempts="; ".join(_told(a) for a in request.attempts))
         request.front.answer(request, answer)
         return True
 
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -22,6 +22,9 @@
 PROBE_TIME = 0.5
 LAST_CHUNK_TIME = 0.5  # after the line that ends an attempt
 IDLE_SHARE, IDLE_MARGIN = 0.8, 1.0  # we close well before the runner's machine does
+SETTLE = 0.005  # seconds that a connection must have stood, for a close right after an answer to be seen
+DISTRUST = 0.25  # share of its standing time that is still trusted when a kept connection proves dead
+REGAIN = 30.0  # seconds in which the trusted time doubles again
 # The settings name the report's fields by the simulator's words, the sockets by these.
 FIELD = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
          "fail_rate": "eps"}
@@ -37,6 +40,8 @@
         self.probe_at = 0.0  # when a probe was sent; 0: none
         self.timer: Deadline | None = None
         self.idle_since = 0.0
+        self.stood = 0.0  # how long it had stood idle before its present request; 0: it is new
+        self._heard = False  # whether a byte of the present answer has come
         self._keep = False
         self._busy = False  # an answer is still coming in, whether or not its attempt has ended
         self._parser = httptools.HttpResponseParser(self)
@@ -80,12 +85,15 @@
 
     def _write(self, data: bytes) -> None:
         self._busy, self._ending, self._result, self._report = True, None, b"", ()
+        self._heard = False
         assert isinstance(self.connection, Connection)
         self.connection.write(data)
 
     def _over(self, ending: Ending) -> None:
         """The connection is of no more use, for this reason."""
         written = self.written()
+        if self.stood and self._busy and not self._heard and ending in DEAD:
+            self.pool.distrust(self.stood)
         self.close()
         self._settle(ending, written)
 
@@ -111,6 +119,7 @@
         if not self._busy:
             self._over(Ending.GARBLED)  # an answer that nobody asked for
             return
+        self._heard = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -213,6 +222,7 @@
                             "lost": Ending.KILLED}.get(state, Ending.GARBLED)
 
 
+DEAD = (Ending.BROKE, Ending.CUT_SHORT)  # without a byte of an answer: it had been closed before the request
 UNUSUAL = (Ending.GARBLED, Ending.STRANGER, Ending.NO_SOCKET)
 
 
@@ -227,6 +237,7 @@
         self.idle: dict[WorkerId, deque[RunnerLink]] = {}
         self.links: set[RunnerLink] = set()
         self._capped = False
+        self.trusted, self.trusted_at = float("inf"), 0.0  # the standing time that kept connections survive
         self.configure(raw_settings, cap)
 
     def configure(self, raw_settings: dict[str, Any], cap: int) -> None:
@@ -260,7 +271,8 @@
         return Reach.NOW if worker in self.addresses else Reach.NO
 
     def send(self, attempt: Attempt) -> None:
-        link = self._link(attempt.worker)
+        effect = self.core.settings.classes[attempt.request.job_class].effect
+        link = self._link(attempt.worker, new=effect == "unsafe")
         if isinstance(link, Ending):
             self.core.ended(attempt, End(status_of(link), why=link.value))
         else:
@@ -285,7 +297,7 @@
         if self.addresses.get(link.worker) != link.address:
             link.close()
             return
-        link.time(self.idle_time, Ending.IDLE)
+        link.time(self._trust(), Ending.IDLE)
         self.idle.setdefault(link.worker, deque()).append(link)
 
     def forget(self, link: RunnerLink) -> None:
@@ -300,16 +312,38 @@
         for link in list(self.links):
             link.close()
 
-    def _link(self, worker: WorkerId) -> RunnerLink | Ending:
-        """A kept connection, or a new one."""
+    def distrust(self, stood: float) -> None:
+        """A connection that had stood so long was dead, and nobody had told us."""
+        self.trusted, self.trusted_at = DISTRUST * min(stood, self._trust()), self.loop.clock.now()
+        self.core.counters.dead.inc()
+
+    def _trust(self) -> float:
+        """How long a connection may have stood and still be used."""
+        if self.trusted == float("inf"):
+            return self.idle_time
+        regained: float = 2.0 ** ((self.loop.clock.now() - self.trusted_at) / REGAIN)
+        return min(self.idle_time, max(self.trusted, SETTLE) * regained)
+
+    def _link(self, worker: WorkerId, new: bool = False) -> RunnerLink | Ending:
+        """A kept connection, or a new one.
+
+        What is written to a kept one that the runner's machine has closed ends as a reset, after which a job
+        that may not be repeated is lost. A new connection costs milliseconds: such a job always gets one.
+        """
         idle = self.idle.get(worker)
-        while idle:
-            link = idle.pop()
-            if self.loop.clock.now() - link.idle_since < self.idle_time:
+        now, trust = self.loop.clock.now(), self._trust()
+        while idle and now - idle[0].idle_since >= trust:
+            idle[0].close()  # the longest idle first; closing takes it out
+            idle = self.idle.get(worker)
+        if idle and new:
+            idle[0].close()  # the new one takes its place
+        elif idle:
+            link = next((x for x in reversed(idle) if now - x.idle_since >= SETTLE), None)
+            if link is not None:
+                idle.remove(link)
                 self.loop.deadlines.drop(link.timer)
-                link.timer = None
+                link.timer, link.stood = None, now - link.idle_since
                 return link
-            link.close()  # we were held up: the runner's machine may be closing it by now
         address = self.addresses.get(worker)
         if address is None:
             return Ending.NO_WAY
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -124,6 +124,7 @@
     def do_POST(self) -> None:
         owner: Runner = self.server.owner  # type: ignore[attr-defined]
         body = self.rfile.read(int(self.headers["Content-Length"]))
+        self.asked = getattr(self, "asked", 0) + 1  # on this connection
         name = self.headers["X-Request-Id"]
         owner.seen.append((name, self.path, body))
         owner.runs[body] += 1
@@ -139,6 +140,9 @@
             owner.hung.append(self.connection)
             owner.gave_up.append(self.connection.recv(1) == b"")
             return
+        if how == "done-then-reset" and self.asked > 1:
+            how = "reset"
+            self.close_connection = True
         if how == "reset":
             self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             return
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
@@ -37,6 +38,7 @@
     with running(tmp_path, runner) as (program, _):
         for n in range(5):
             assert program.job(f"id{n}", b"art%d" % n, "/proof/x?y=1") == (200, b"s-1:art%d" % n)
+            time.sleep(0.05)  # a connection is used again once a close after its answer would have been seen
         assert runner.seen[0] == ("id0", "/proof/x?y=1", b"art0")
         assert runner.opened <= 2  # a connection costs the runner work: the parser once hid keep-alive
         counted = program.counters()
@@ -276,6 +278,23 @@
         assert program.job("b")[0] == 200 and runner.opened == 2
 
 
+def test_a_release_never_rides_on_a_kept_connection_that_may_be_dead(tmp_path: Path) -> None:
+    runner = Runner("s-1", "done-then-reset")
+    with running(tmp_path, runner) as (program, _):
+        for n in range(4):  # each kept connection is reset at its next request
+            assert program.job(f"r{n}", b"press%d" % n, "/release") == (200, b"s-1:press%d" % n)
+            time.sleep(0.05)
+
+
+def test_a_kept_connection_that_proved_dead_lowers_the_time_that_others_are_trusted(tmp_path: Path) -> None:
+    runner = Runner("s-1", "done-then-reset")
+    with running(tmp_path, runner, Runner("s-2", "done-then-reset")) as (program, _):
+        for n in range(12):
+            assert program.job(f"p{n}", b"proof%d" % n, key="7")[0] == 200
+            time.sleep(0.05)
+        assert 0 < program.counters()["larchgw_dead_connections_total"] <= 4
+
+
 def test_many_clients_get_one_answer_each(tmp_path: Path) -> None:
     runners = [Runner(f"s-{n}") for n in range(4)]
     with running(tmp_path, *runners) as (program, _), ThreadPoolExecutor(16) as pool:
