Let nothing in after SIGTERM that may meet SIGKILL unanswered

At fault: __main__.py let clients in for up to 1.5 s and their kept connections for as long, each job with its whole time (25 s for a release). Ruled out: the restart itself (0.5 s). First tried: close all at 0.6 s. Now clients may come for as long as they do, 2 s at most, but their jobs have until 0.3 s before the kill (core/stages/take_in.py), and choice.py refuses at once what usually takes longer; before, it heeded a client's time only to 0.05 s of its end. Later than that, what still comes on a busy connection gets 503 with Retry-After. Tests: two, which fail without the change.

--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -18,8 +18,12 @@
 from .net.listener import Listener
 from .node import Node, wake_on_signals
 
-# After SIGTERM clients still come for a while; whoever is let in must be answered.
-ACCEPT_AT_LEAST, ACCEPT_QUIET, ACCEPT_AT_MOST = 0.5, 0.2, 1.5
+# After SIGTERM clients still come for a while, and use the connections that they have: the other dispatchers
+# may be down just then. Whoever is let in must be answered before SIGKILL. That comes no sooner than the longest
+# deadline (LONGEST_GRACE at most) and 0.7 s more, so jobs taken from then on have until END_MARGIN before it; the
+# decision module refuses at once what cannot be done by then.
+ACCEPT_AT_LEAST, ACCEPT_QUIET, ACCEPT_AT_MOST = 0.5, 0.3, 2.0
+LONGEST_GRACE, GRACE_MORE, END_MARGIN = 3.0, 0.7, 0.3
 STEP = 0.05
 GEARMAN_SHARE = 0.4  # of the connections from clients, where that front is on
 log = structlog.get_logger()
@@ -91,17 +95,20 @@
         elif not self.node.stopping:
             self.node.stopping = True
             self._stop_at = self.node.loop.clock.now()
+            longest = max(c.deadline for c in self.node.config.settings.classes)
+            grace = min(longest, LONGEST_GRACE) + GRACE_MORE
+            self.node.core.take_in.until = self._stop_at + grace - END_MARGIN
             log.info("stop.begin", open=self.node.core.open_requests())
             self._stopping()
 
     def _stopping(self) -> None:
         """Lets the last clients in, then answers what is open, then ends."""
         now, server, gearman = self.node.loop.clock.now(), self.platform.server, self.gearman
-        quiet = now - max(server.listener.last_accept, self._stop_at)
+        quiet = now - max(server.listener.last_accept, self.node.core.take_in.last, self._stop_at)
         if server.listener.open and now - self._stop_at >= ACCEPT_AT_LEAST and (
                 quiet >= ACCEPT_QUIET or now - self._stop_at >= ACCEPT_AT_MOST):
             server.listener.close()
-            server.stopping = True
+            server.stopping = self.node.core.admit.stopping = True
             if gearman:
                 gearman.listener.close()
                 gearman.stopping = True
--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -158,7 +158,9 @@
         last = request.give_up_at - 0.05
         aim = first + cls.aim + cls.stretch * job.work
         job.aim_at = aim - run
-        job.late_at = min(last, aim - run if cls.late_worth <= 0 else max(aim, last - run))
+        # A job that cannot be done before its client, or the dispatcher, is gone is refused at once.
+        known = run if request.hint or self.runs[request.job_class].count else 0.0
+        job.late_at = min(last - known, aim - run if cls.late_worth <= 0 else max(aim, last - run))
         slack = max(job.late_at - now, 0.0)
         job.spill_at = now + max(min(self.fetch.value, 0.5 * slack), self.crowd * slack)
         job.value = cls.worth / (1.0 if self.s.worth_by_work else mean * request.slots)
--- a/larchgw/core/stages/admit.py
+++ b/larchgw/core/stages/admit.py
@@ -1,4 +1,5 @@
-"""Admit: what memory cannot hold, or bears an open request's id, is turned away before the module sees it."""
+"""Admit: what memory cannot hold, what bears an open request's id and what comes when we are about to end is
+turned away before the module sees it."""
 
 from __future__ import annotations
 
@@ -18,12 +19,16 @@
         self._counters, self._take_in = counters, take_in
         self.max_open, self.max_body_bytes = max_open, max_body_bytes
         self._full = False
+        self.stopping = False  # whether we are about to end
 
     def run(self, request: Request) -> Answer | None:
         """The answer that keeps a request out, or None to let it pass. Past a limit a refusal is true."""
         if self._take_in.names.get(request.name) is not request:
             # Sent on, it would be a second copy of a request that is out. A refusal would say it never ran.
             return Answer(AnswerKind.FAILED, reason="a request with this id is open")
+        if self.stopping:
+            # On connections that are still owed an earlier answer. We may be killed before this one's.
+            return Answer(AnswerKind.REFUSED, retry_after=RETRY_AFTER, reason="we are about to end")
         full = (len(self._take_in.open) > self.max_open
                 or self._take_in.body_bytes > self.max_body_bytes)
         if full != self._full:
--- a/larchgw/core/stages/take_in.py
+++ b/larchgw/core/stages/take_in.py
@@ -15,6 +15,8 @@
     def __init__(self, counters: Counters, classes: list[str]) -> None:
         self.open: dict[int, Request] = {}
         self.names: dict[bytes, Request] = {}  # by its client's id, the first of the open ones
+        self.until = float("inf")  # no request's time goes beyond this: we are about to end
+        self.last = 0.0  # when the last one came
         self.body_bytes = 0
         self._ids = count(1)
         self._counters, self._classes = counters, classes
@@ -22,7 +24,8 @@
     def run(self, now: float, request: Request) -> None:
         request.id = next(self._ids)
         request.taken_at = now
-        request.give_up_at = now + request.wait - min(MARGIN, MARGIN_SHARE * request.wait)
+        request.give_up_at = min(now + request.wait - min(MARGIN, MARGIN_SHARE * request.wait), self.until)
+        self.last = now
         self.open[request.id] = request
         self.names.setdefault(request.name, request)
         self.body_bytes += len(request.body)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -180,3 +180,13 @@
         assert rig.where(rig.next) == worker
     rig.wait(1.0)
     assert len(rig.actions.sends[lost]) == 2 and rig.where(lost) != worker
+
+
+def test_a_job_that_cannot_be_done_in_the_time_it_has_is_refused_at_once():
+    rig = Rig(4, effect="unsafe")
+    for _ in range(8):
+        end_after(rig, rig.request(), 2.0)
+    rig.next += 1
+    rig.d.on_request(rig.now, Request(rig.next, rig.now + 1.0))  # the dispatcher ends then, say
+    assert rig.next not in rig.actions.sends and rig.answers(rig.next) == ["refuse"]
+    assert rig.request() in rig.actions.sends
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -321,6 +321,28 @@
         until(lambda: program.logged("larchgw_answered_total_platform_served=2"))
 
 
+def test_what_comes_long_after_sigterm_on_a_busy_connection_is_refused(tmp_path: Path) -> None:
+    runner = Runner("s-1", "hold")
+    with running(tmp_path, runner) as (program, _):
+        address = program.address()
+        with socket.create_connection(address, timeout=PATIENCE) as s:
+            s.sendall(post("slow", b"1", path="/release"))
+            until(lambda: runner.seen)
+            program.process.terminate()
+
+            def refused() -> bool:
+                with socket.socket() as probe:
+                    return probe.connect_ex(address) != 0
+
+            until(refused, "the listener's end")
+            s.sendall(post("late", b"2"))
+            runner.release.set()
+            got = b"".join(iter(lambda: s.recv(65536), b""))
+        assert b"s-1:1" in got and b"HTTP/1.1 503 " in got and b"Retry-After: " in got
+        assert [body for _, _, body in runner.seen] == [b"1"]
+        assert program.process.wait(PATIENCE) == 0
+
+
 def test_counters_are_told_on_sigusr1_and_health_and_agent_check_answer(tmp_path: Path) -> None:
     one, two = Runner("s-1"), Runner("s-2")
     with running(tmp_path, one, two) as (program, discovery):
