--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -19,9 +19,9 @@
 from .node import Node, wake_on_signals
 
 # After SIGTERM clients still come for a while, and use the connections that they have: the other dispatchers
-# may be down just then. Whoever is let in must be answered before SIGKILL. That comes no sooner than the longest
-# deadline (LONGEST_GRACE at most) and 0.7 s more, so jobs taken from then on have until END_MARGIN before it; the
-# decision module refuses at once what cannot be done by then.
+# may be down just then. Whoever is let in must be answered before SIGKILL. That comes no sooner than the
+# longest deadline (LONGEST_GRACE at most) and 0.7 s more, so jobs taken from then on have until END_MARGIN
+# before it; the decision module refuses at once what cannot be done by then.
 ACCEPT_AT_LEAST, ACCEPT_QUIET, ACCEPT_AT_MOST = 0.5, 0.3, 2.0
 LONGEST_GRACE, GRACE_MORE, END_MARGIN = 3.0, 0.7, 0.3
 STEP = 0.05
