--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -93,7 +93,7 @@
         """The connection is of no more use, for this reason."""
         written = self.written()
         if self.stood and self._busy and not self._heard and ending in DEAD:
-            self.pool.distrust(self.stood)
+            self.pool.distrust(self.worker, self.stood)
         self.close()
         self._settle(ending, written)
 
@@ -312,10 +312,12 @@
         for link in list(self.links):
             link.close()
 
-    def distrust(self, stood: float) -> None:
+    def distrust(self, worker: WorkerId, stood: float) -> None:
         """A connection that had stood so long was dead, and nobody had told us."""
         self.trusted, self.trusted_at = DISTRUST * min(stood, self._trust()), self.loop.clock.now()
         self.core.counters.dead.inc()
+        log.info("runner.dead_connection", box=worker.decode("latin-1"), stood=round(stood, 3),
+                 trusted=round(self.trusted, 3))
 
     def _trust(self) -> float:
         """How long a connection may have stood and still be used."""
