Hold room for large jobs: a planner that choice asks through narrow calls, off unless set

Need: a job of two or more slots finds no room on a busy box, since each slot that comes free is taken by a job of one.

The planner (larchgw/room, free of I/O) reserves one box for a waiting large job, lets smaller jobs in for as long as the large one is still expected to start in time, and bounds what it holds and for how long a small job is passed over.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -10,12 +10,14 @@
 import random
 from bisect import bisect, insort
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import islice
 from math import ceil, sqrt
 
 from .checks import check_settings
 from .interface import Actions, ListKind, Member, Note, Outcome, Presence, Request, Settings, Status, WorkerId
 from .records import MAYBE_RAN, NEVER_RAN, OUT, Attempt, Job, Mean, Pair, Worker
+from .room.interface import NOTHING_HELD, Room
 
 MASK = (1 << 64) - 1
 Try = tuple[WorkerId, float, float, int | None]  # worker, when sent and begun, how it ended if it has
@@ -52,9 +54,9 @@
 class Dispatcher:
     """Decides for one dispatcher. Same events, same actions; nothing is shared between instances."""
 
-    def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
+    def __init__(self, settings: Settings, seed: int, actions: Actions, room: Room = NOTHING_HELD) -> None:
         check_settings(settings)
-        self.s, self.act = settings, actions
+        self.s, self.act, self.room = settings, actions, room
         self.random = random.Random(seed)
         self.fair = max(GUESS / settings.instances, 1.0)  # our part of a worker, one slot at the least
         self.workers: dict[WorkerId, Worker] = {}
@@ -76,10 +78,8 @@
         self.crowd = 0.0  # share of attempts that came back full or late
         self.beside: Mapping[WorkerId, float] = {}  # slots that our other processes have out ...
         self.others = 0  # ... and how many these processes are
-        self.ticking = False
-        self.serial = 0
+        self.ticking, self.serial, self.asks = False, 0, 0
         self.ask_at = 0.0 if settings.must_subscribe else float("inf")
-        self.asks = 0
 
     def on_settings(self, settings: Settings) -> None:
         """Other settings for the same classes. Jobs that are open keep the class that they came with."""
@@ -138,6 +138,7 @@
                 self.silent.pop(worker.id, None)
 
     def _forget(self, worker: Worker) -> None:
+        self.room.lost(worker)
         for pair in list(worker.keys.values()):
             self._drop_pair(pair)
 
@@ -176,7 +177,7 @@
             self._resume(now, job, *tried)
         if job.out():
             return
-        if now >= job.late_at:
+        if now >= job.late_at or self.room.hopeless(job):
             self._finish(now, job)
         elif not self._place(now, job):
             self._hold(now, job)
@@ -203,19 +204,17 @@
         if rate <= 0:
             return False
         level = self.quota[tenant]
-        burst = max(2.0 * rate, 3.0)
-        level[0] = max(0.0, level[0] - (now - level[1]) * rate)
-        level[1] = now
-        if level[0] >= burst:
-            return True
-        level[0] += 1.0
-        return False
+        level[:] = max(0.0, level[0] - (now - level[1]) * rate), now
+        over = level[0] >= max(2.0 * rate, 3.0)
+        level[0] += not over
+        return over
 
     def _place(self, now: float, job: Job) -> bool:
         """Sends a job if the window is open and a worker has room for it."""
-        if self.active + job.request.slots > self.window and self.active > 0:
-            return False
-        worker = self._choose(now, job)
+        open_ = self.active + job.request.slots + self.room.kept(now, job) <= self.window or self.active <= 0
+        worker = self._choose(now, job) if open_ else None
+        if worker is None:
+            self.room.wait(now, job, self._ring(-1, job.cls.kind)[1])
         return worker is not None and self._send(now, job, worker)
 
     def _choose(self, now: float, job: Job) -> Worker | None:
@@ -233,10 +232,12 @@
             return best
         kind = job.cls.kind
         holders = self.holders.get(key, ())
-        if now < job.spill_at and any(self._to_wait_for(now, job, p.worker) for p in holders):
+        if now < job.spill_at and any(p.worker.ready and not self._sick(now, p.worker) for p in holders):
             # A spill makes another worker fetch the key, in slots that jobs need, from a store that all
             # share: while that takes longer than waiting for a holder, wait. But not for one that is sick.
             return None
+        if (kept := self.room.place(now, job)) and self._has_room(now, job, kept):
+            return kept
         first, second = self.s.zone, -1
         run = self.runs[job.request.job_class].value
         if key and self.fetch.value * FETCHES_SAVED > self.s.price_cross * run:
@@ -246,10 +247,6 @@
             best = self._spill(now, job, self._ring(second, kind))
         return best
 
-    def _to_wait_for(self, now: float, job: Job, w: Worker) -> bool:
-        """Whether this holder may have room in time."""
-        return w.ready and not self._sick(now, w)
-
     def _ring(self, zone: int, kind: int) -> tuple[list[int], list[Worker]]:
         ring = self.rings.get((zone, kind))
         if ring is None:
@@ -305,7 +302,7 @@
             return False
         if now < w.warm_at and not self._cold_room(now, job, w):
             return False
-        return self._may_send(now, job, w)
+        return self._may_send(now, job, w) and self.room.may_take(now, job, w)
 
     def _bad_share(self, now: float, w: Worker) -> float:
         """The share of jobs that this worker fails, by what was seen and how long ago."""
@@ -411,6 +408,7 @@
             worker.off_until = now + self.runs[request.job_class].value / worker.limit
         if worker.doubts:
             worker.off_until = now + self._patience(job) * (1 + worker.doubts)
+        self.room.sent(now, attempt)
         self.act.send(request.id, worker.id, 0.0)
         self.watch[self._watch_of(job)].append((now + self._patience(job), attempt))
         self._tick_soon(now)
@@ -419,7 +417,7 @@
     def _hold_key(self, now: float, key: int, worker: Worker) -> Pair:
         pair = worker.keys.pop(key, None)
         if pair is None:
-            for old in list(_first(worker.keys, 2)):
+            for old in list(islice(worker.keys.values(), 2)):
                 if old.pending <= 0 and (len(worker.keys) >= MAX_KEYS
                                          or now - old.used > KEEP * min(old.uses, KEEP_USES)):
                     self._drop_pair(old)
@@ -453,8 +451,8 @@
         self._close(job)
 
     def _close(self, job: Job) -> None:
-        job.done = True
-        job.held = False
+        job.done, job.held = True, False
+        self.room.over(job)
         for a in job.attempts:
             if a.state == OUT and self.s.can_cancel:
                 self.act.cancel(job.request.id, a.index)
@@ -479,6 +477,8 @@
 
     def _pump(self, now: float, tries: int, freed: Worker | None = None) -> None:
         """Places held jobs, best worth for their work first; a freed worker looks for keys that it holds."""
+        if freed is not None and (due := self.room.due(now, freed)) and self._has_room(now, due, freed):
+            due.held = not self._send(now, due, freed)
         index = 0
         while index < min(len(self.held), 48) and tries > 0:
             job = self.held[index][1]
@@ -522,6 +522,7 @@
         self._alive(now, worker)
         if attempt.sign == 0.0:
             attempt.begun = now
+            self.room.started(now, attempt)
             wait = now - attempt.sent
             worker.reached = max(worker.reached, attempt.sent)
             self.wait.add(min(wait, 3.0 * self._patience(job)))
@@ -583,6 +584,8 @@
             if status != Status.OK and status != Status.CANCELLED and pair.pending <= 0 and (
                     status != Status.FULL or pair.uses <= 1):
                 self._drop_pair(pair)
+        free = o.report[self.s.slot_reports] if 0 <= self.s.slot_reports < len(o.report) else -1.0
+        self.room.ended(now, attempt, status, free)
         if o.report:
             self._hear(now, worker, o.report)
         if status in (Status.OK, Status.FULL):
@@ -749,10 +752,3 @@
             self.hedges -= 1.0
         elif not self.s.second_copies and self.s.can_cancel and job.cls.effect == "safe":
             self.act.cancel(job.request.id, attempt.index)
-
-
-def _first(keys: dict[int, Pair], count: int) -> Iterator[Pair]:
-    for index, pair in enumerate(keys.values()):
-        if index >= count:
-            return
-        yield pair
--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -9,6 +9,7 @@
 
 from ..choice import Dispatcher
 from ..interface import ListKind, Member, Note, Settings, Status, WorkerId
+from ..room.interface import NOTHING_HELD, Room
 from .boxes import Boxes
 from .counters import Counters
 from .deadlines import Clock, Deadlines
@@ -29,7 +30,7 @@
     """
 
     def __init__(self, settings: Settings, seed: int, clock: Clock, deadlines: Deadlines,
-                 max_open: int = 1000, max_body_bytes: int = 32 << 20) -> None:
+                 max_open: int = 1000, max_body_bytes: int = 32 << 20, room: Room = NOTHING_HELD) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.counters = Counters()
         self.boxes = Boxes(clock.now(), settings.warm_up)
@@ -38,7 +39,7 @@
         self._queue: deque[tuple[Callable[[], None], Request | None]] = deque()
         self._busy = False
         self._unsettled: list[Request] = []
-        self.dispatcher = Dispatcher(settings, seed, self)
+        self.dispatcher = Dispatcher(settings, seed, self, room)
         classes = [c.name for c in settings.classes]
         self.figures = Figures(self.counters, classes, {
             "current": self.current, "cluster_size": lambda: len(self.boxes.listed),
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -13,6 +13,7 @@
 from .net.discovery import Discovery, ListReader
 from .net.loop import Loop
 from .net.runners import Runners
+from .room import NOTHING_HELD, Planner, RoomSettings
 
 RESERVED = 64  # descriptors for the loop, listeners, discovery, logs and what closes slowly
 RUNNER_SHARE = 0.4  # of the descriptors left; the clients' connections have the rest
@@ -24,14 +25,16 @@
 class Node:
     """Loop, core, discovery and the transport to HTTP runners."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, room: RoomSettings | None = None) -> None:
         self.config = config
+        self.planner = Planner(config.settings, room) if room else None
         clock, deadlines = Clock(), Deadlines()
         self.loop = Loop(clock, deadlines)
         self.parts = 1  # processes that share the limits
         self.client_cap, runner_cap = _caps(config)
         self.body_cap = _body_cap(config)
-        self.core = Core(config.settings, config.seed, clock, deadlines, 2 * self.client_cap, self.body_cap)
+        self.core = Core(config.settings, config.seed, clock, deadlines, 2 * self.client_cap, self.body_cap,
+                         self.planner or NOTHING_HELD)
         self.loop.counters = self.core.counters
         self.runners = Runners(self.loop, self.core, config.raw, runner_cap)
         self.stopping = False
