--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -4,7 +4,6 @@
 
 import json
 import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -119,36 +118,6 @@
     remember: float = 900.0  # seconds that the end of a release is kept for those who submit it again
 
 
-def load_fronts(path: Path) -> Fronts:
-    """From a file like deploy/fronts.toml."""
-    try:
-        top = tomllib.loads(path.read_text())
-    except OSError as error:
-        raise ConfigError(f"--fronts: cannot read {path}: {error.strerror}") from error
-    except ValueError as error:
-        raise ConfigError(f"--fronts: {path} is not TOML: {error}") from error
-    fronts = Fronts()
-    figures = {"grab_wait_s": "grab_wait", "remember_s": "remember"}
-    for name, table in top.items():
-        if name not in ("gearman", "agent_check", "ops") or not isinstance(table, dict):
-            raise ConfigError(f"{name}: no such front; there are gearman, agent_check and ops")
-        for field_name, value in table.items():
-            if field_name == "listen":
-                try:
-                    setattr(fronts, name, parse_address(str(value)))
-                except ValueError as error:
-                    raise ConfigError(f"{name}.listen: {error}") from error
-            elif name == "gearman" and field_name in figures:
-                if not isinstance(value, int | float) or isinstance(value, bool) or not value > 0:
-                    raise ConfigError(f"{name}.{field_name}: must be a figure above 0")
-                setattr(fronts, figures[field_name], float(value))
-            else:
-                raise ConfigError(f"{name}.{field_name}: no such setting")
-        if "listen" not in table:
-            raise ConfigError(f"{name}.listen: is missing")
-    return fronts
-
-
 def _check_types(raw: dict[str, Any]) -> None:
     """What is of the wrong type would otherwise be met in the middle of a start, or of a job."""
     for part in ("allowed", "familyInfo", "obligations", "charges", "report"):
