Jobs of several slots at Gearman boxes take as many connections; show what room is held

Need: a two-slot job went to one worker connection and its box was given a second job beside it; and nobody could see what the planner holds.

A job of n slots now waits at its Gearman box until n connections are free, runs on the one that grabbed it, and keeps the others from work until it ends, however it ends; the first in turn keeps its room. The planner learns a box's slots from its connections, refuses what no box has slots for with that reason, and shows itself on /metrics, /room and in the log where a bound bites.

--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -199,7 +199,8 @@
             self.ended(attempt, End(Status.MOOT))
 
     def refuse(self, request: int, retry_after: float) -> None:
-        self._answer(request, Answer(AnswerKind.REFUSED, retry_after=retry_after, reason="no room in time"))
+        reason = self.dispatcher.room.why(request) or "no room in time"
+        self._answer(request, Answer(AnswerKind.REFUSED, retry_after=retry_after, reason=reason))
 
     def fail(self, request: int) -> None:
         self._answer(request, Answer(AnswerKind.FAILED, reason="it may have run, and gave no answer"))
--- a/larchgw/daemon.py
+++ b/larchgw/daemon.py
@@ -54,6 +54,8 @@
             self.gearman = GearmanFront(loop, core, fronts.gearman, gearman_cap, fronts.grab_wait,
                                         fronts.remember)
             core.add_transport(self.gearman.workers)
+            if node.planner:
+                self.gearman.workers.on_slots = node.planner.known
             self._listening(self.gearman.name, self.gearman.listener)
             self._beside.append(self.gearman.listener)
         if fronts.agent_check:
@@ -62,7 +64,7 @@
             self._listening(agent.name, agent.listener)
             self._beside.append(agent.listener)
         if fronts.ops:
-            ops = Ops(loop, core, fronts.ops, node.ready)
+            ops = Ops(loop, core, fronts.ops, node.ready, node.planner)
             self._listening(ops.name, ops.server.listener)
             self._beside.append(ops.server.listener)
         if settings.admin:
--- a/larchgw/fronts/agentcheck.py
+++ b/larchgw/fronts/agentcheck.py
@@ -12,6 +12,8 @@
 from ..net.httpserver import MAX_BODY, Exchange, HttpServer
 from ..net.listener import Listener
 from ..net.loop import Loop
+from ..room import Planner
+from ..room.report import as_json
 
 CAP = 16
 
@@ -60,12 +62,13 @@
 
 
 class Ops:
-    """`/ready`, `/alive` and `/metrics`."""
+    """`/ready`, `/alive`, `/metrics`, and `/room`: what room is held."""
 
     name = "ops"
 
-    def __init__(self, loop: Loop, core: Core, address: tuple[str, int], ready: Callable[[], bool]) -> None:
-        self._core, self._ready = core, ready
+    def __init__(self, loop: Loop, core: Core, address: tuple[str, int], ready: Callable[[], bool],
+                 planner: Planner | None = None) -> None:
+        self._core, self._ready, self._planner = core, ready, planner
         self.server = HttpServer(loop, core.counters, address, self, CAP, MAX_BODY)
 
     def on_exchange(self, exchange: Exchange) -> None:
@@ -79,8 +82,11 @@
         elif exchange.path == b"/metrics":
             exchange.reply(200, self._core.counters.text() + self._core.figures.text(),
                            (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),))
+        elif exchange.path == b"/room" and self._planner:
+            exchange.reply(200, as_json(self._planner, self._core.clock.now()),
+                           (("Content-Type", "application/json"),))
         else:
-            exchange.reply(404, b"/ready, /alive and /metrics are here\n")
+            exchange.reply(404, b"/ready, /alive and /metrics are here, and /room where room is held\n")
 
     def on_client_gone(self, exchange: Exchange) -> None:
         """Every answer here is given at once."""
--- a/larchgw/fronts/gearman_workers.py
+++ b/larchgw/fronts/gearman_workers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
+from math import ceil
 from typing import Protocol
 
 import structlog
@@ -42,6 +45,10 @@
         self.abilities: dict[bytes, float] = {}  # function to the worker's own time limit, 0 for none
         self.asleep = False
         self.task: Task | None = None
+        self.lent: Task | None = None  # a job of several slots that runs on another connection of the box
+
+    def free(self) -> bool:
+        return self.task is None and self.lent is None
 
 
 @dataclass(slots=True, eq=False)
@@ -52,6 +59,7 @@
     box: Box
     function: bytes
     handle: bytes
+    slots: int = 1  # connections that it takes: it runs on one, the others get nothing meanwhile
     slot: Slot | None = None
     excepted: bool = False
     timer: Deadline | None = None
@@ -79,6 +87,8 @@
         self.loop, self.core, self.grab_wait = loop, core, grab_wait
         self.boxes: dict[WorkerId, Box] = {}
         self._hung_up: set[WorkerId] = set()
+        # Told how many slots a box has, or None once it has left.
+        self.on_slots: Callable[[WorkerId, float | None], None] = lambda worker, slots: None
         self._names = [c.name.encode() for c in core.settings.classes]
         core.on_list.append(self._return_drained)
 
@@ -89,21 +99,24 @@
         able = box.able(self._names[job_class]) if box else []
         if not able or box is None:
             return Reach.NO
-        free = sum(s.task is None for s in able)
+        free = sum(s.free() for s in able)
         return Reach.NOW if free > len(box.waiting) else Reach.WAITS
 
     def send(self, attempt: Attempt) -> None:
         request = attempt.request
         box, function = self.boxes[attempt.worker], self._names[request.job_class]
-        task = Task(attempt, box, function, b"H:larchgw:%d-%d" % (request.id, attempt.index))
+        task = Task(attempt, box, function, b"H:larchgw:%d-%d" % (request.id, attempt.index),
+                    max(ceil(request.slots), 1))
         attempt.carrier = task
+        if task.slots > len(box.able(function)):
+            # It would wait for connections that the box does not have.
+            self.core.ended(attempt, End(status_of(Ending.NO_WAY), why=Ending.NO_WAY.value))
+            return
         box.waiting.add(task)
         task.timer = self.loop.deadlines.add(
             self.loop.clock.now() + self.grab_wait, lambda: self._not_grabbed(task))
         for slot in box.able(function):  # all that sleep: the first of them may be dead, and nobody told us
-            if slot.asleep and slot.task is None:
-                slot.asleep = False
-                slot.wire.write(encode(Type.NOOP))
+            self._wake(slot)
 
     def give_up(self, attempt: Attempt, late: bool) -> Status:
         task: Task = attempt.carrier
@@ -114,6 +127,7 @@
             return status_of(Ending.NEVER_GRABBED if late else Ending.GIVEN_UP)
         # A worker cannot be told to stop; that its connection closes tells it.
         written, slot.task = slot.wire.written(), None
+        self._give_back(task)
         self._hung_up.add(task.box.name)
         log.warning("gearman.hang_up", box=task.box.name.decode("latin-1"), late=late,
                     request=attempt.request.name.decode("latin-1"))
@@ -133,9 +147,8 @@
             self._grab(slot, kind)
         elif kind is Type.PRE_SLEEP:
             slot.asleep = True
-            if slot.task is None and self._next(slot) is not None:
-                slot.asleep = False  # work came between its NO_JOB and its sleep
-                slot.wire.write(encode(Type.NOOP))
+            if self._next(slot) is not None:
+                self._wake(slot)  # work came between its NO_JOB and its sleep
         elif kind in (Type.CAN_DO, Type.CAN_DO_TIMEOUT):
             slot.abilities[args[0]] = float(args[1]) if kind is Type.CAN_DO_TIMEOUT else 0.0
             self._settle(slot)
@@ -183,6 +196,7 @@
         name = slot.client_id
         slot.box = self.boxes.setdefault(name, Box(name))
         slot.box.slots.append(slot)
+        self.on_slots(name, float(len(slot.box.slots)))
         if len(slot.box.slots) == 1:
             log.info("gearman.box_joined", box=name.decode("latin-1"))
             self.core.joined(name, restarted=name not in self._hung_up)
@@ -193,19 +207,25 @@
         if box is None:
             return
         box.slots.remove(slot)
+        slot.lent = None
+        self.on_slots(box.name, float(len(box.slots)) if box.slots else None)
         if not box.slots:
             del self.boxes[box.name]
             log.info("gearman.box_left", box=box.name.decode("latin-1"))
             self.core.left(box.name)
-        for task in [t for t in box.waiting if not box.able(t.function)]:
-            self._over(task, Ending.NEVER_GRABBED)
+        for task in [t for t in box.waiting if len(box.able(t.function)) < t.slots]:
+            self._over(task, Ending.NO_WAY if box.able(task.function) else Ending.NEVER_GRABBED)
 
     def _next(self, slot: Slot) -> Task | None:
         """What this slot may be given now."""
         box = slot.box
-        if box is None or slot.task is not None or not self.core.boxes.open_to_work(box.name):
+        if box is None or not slot.free() or not self.core.boxes.open_to_work(box.name):
             return None  # a drained box gets nothing new, whatever waits for it
-        return next((t for t in box.waiting if t.function in slot.abilities), None)
+        found = next((t for t in box.waiting if t.function in slot.abilities), None)
+        if found is not None and sum(s.free() for s in box.able(found.function)) < found.slots:
+            # The first in turn keeps its room: let past it, jobs of one slot would take each that comes free.
+            return None
+        return found
 
     def _grab(self, slot: Slot, kind: Type) -> None:
         slot.asleep = False
@@ -218,6 +238,9 @@
             return
         found.box.waiting.discard(found)
         found.slot, slot.task = slot, found
+        others = (s for s in found.box.able(found.function) if s.free())
+        for lent in islice(others, found.slots - 1):
+            lent.lent = found
         self.loop.deadlines.drop(found.timer)
         limit = slot.abilities[found.function]
         found.timer = None
@@ -255,9 +278,22 @@
             task.excepted = task.excepted or kind is Type.WORK_EXCEPTION
             self.core.news(task.attempt, NEWS[kind], args[1])
 
+    def _wake(self, slot: Slot) -> None:
+        if slot.asleep and slot.free():
+            slot.asleep = False
+            slot.wire.write(encode(Type.NOOP))
+
+    def _give_back(self, task: Task) -> None:
+        """The connections that a job of several slots kept from others may have work again."""
+        for slot in task.box.slots:
+            if slot.lent is task:
+                slot.lent = None
+                if task.box.waiting:
+                    self._wake(slot)
+
     def _not_grabbed(self, task: Task) -> None:
         """Nobody came for it. A box with all slots at work is full; one with free slots is not there."""
-        free = any(s.task is None for s in task.box.able(task.function))
+        free = sum(s.free() for s in task.box.able(task.function)) >= task.slots
         self._over(task, Ending.NEVER_GRABBED if free else Ending.TURNED_AWAY)
 
     def _return_drained(self) -> None:
@@ -269,4 +305,5 @@
     def _over(self, task: Task, ending: Ending, written: bool = True, result: bytes = b"") -> None:
         task.box.waiting.discard(task)
         self.loop.deadlines.drop(task.timer)
+        self._give_back(task)
         self.core.ended(task.attempt, End(status_of(ending, written), result, why=ending.value))
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -14,6 +14,7 @@
 from .net.loop import Loop
 from .net.runners import Runners
 from .room import NOTHING_HELD, Planner, RoomSettings
+from .room.report import RoomFigures
 
 RESERVED = 64  # descriptors for the loop, listeners, discovery, logs and what closes slowly
 RUNNER_SHARE = 0.4  # of the descriptors left; the clients' connections have the rest
@@ -36,6 +37,10 @@
         self.core = Core(config.settings, config.seed, clock, deadlines, 2 * self.client_cap, self.body_cap,
                          self.planner or NOTHING_HELD)
         self.loop.counters = self.core.counters
+        self._bitten: set[str] = set()
+        if self.planner:
+            self.core.counters.registry.register(RoomFigures(self.planner))
+            self.planner.on_bound = self._room_bound
         self.runners = Runners(self.loop, self.core, config.raw, runner_cap)
         self.stopping = False
         reader = ListReader(config.raw)
@@ -53,6 +58,12 @@
         self.core.add_transport(self.runners)  # last: it also tells of boxes that nothing speaks to
         self.discovery.start()
 
+    def _room_bound(self, name: str) -> None:
+        """Once for each bound: the counter tells how often."""
+        if name not in self._bitten:
+            self._bitten.add(name)
+            log.warning("cap.room", setting=name)
+
     def reload(self, config: Config) -> None:
         """Takes another configuration, or changes nothing: ConfigError for what only a start can change."""
         check_reload(self.config, config)
--- a/larchgw/room/interface.py
+++ b/larchgw/room/interface.py
@@ -32,6 +32,9 @@
     def hopeless(self, job: Job) -> bool:
         """Whether no worker has as many slots as this job takes, so that waiting for room is in vain."""
 
+    def why(self, request: int) -> str:
+        """Why a request is hopeless; empty if it is not."""
+
     def sent(self, now: float, attempt: Attempt) -> None:
         """An attempt has been sent."""
 
@@ -68,6 +71,9 @@
     def hopeless(self, job: Job) -> bool:
         return False
 
+    def why(self, request: int) -> str:
+        return ""
+
     def sent(self, now: float, attempt: Attempt) -> None: ...
 
     def started(self, now: float, attempt: Attempt) -> None: ...
--- a/larchgw/room/planner.py
+++ b/larchgw/room/planner.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ..interface import Settings, Status
@@ -17,9 +17,11 @@
 from .settings import RoomSettings
 
 EPS = 1e-9
+HOPELESS = "no box has that many slots"
 PACE = (0.25, 8.0)  # a box's pace is believed within these
 LOOKS = 4  # waiting jobs that are looked at again whenever an attempt ends
 FORGET = 0.02  # weight of the newest small job in what is known of their losses
+SHUN = 1.0  # seconds
 SMALL = 0.05  # seconds: as good as now
 
 
@@ -58,6 +60,7 @@
 
     out: dict[int, Attempt] = field(default_factory=dict)  # by the attempt's identity
     most: float = 0.0  # free slots and ours that run, the most ever seen together
+    shun: float = 0.0  # until then no room is held there: it turned a job away
     too_small: float = float("inf")  # it turned a job of so many slots away when it was idle
 
 
@@ -78,6 +81,8 @@
         self.waiting: OrderedDict[int, tuple[Job, Sequence[Worker]]] = OrderedDict()  # large ones
         count = len(settings.classes)
         self._values, self._lost, self._losing = [0.0] * count, [0.0] * count, [0.0] * count  # of small jobs
+        self._why = 0  # the last hopeless request
+        self.on_bound: Callable[[str], None] = lambda name: None  # told of a setting that bit
         self._fetch = Mean(0.1)  # seconds that a box takes longer where it does not hold the key
         self._kept_since: dict[int, float] = {}  # small jobs, and since when they are kept out
 
@@ -137,7 +142,7 @@
         if len(self.waiting) < self.config.waiting:
             self.waiting[job.request.id] = job, workers
         else:
-            self.figures.refused_cap += 1
+            self._bit("waiting")
         held = self.by_job.get(job.request.id)
         if held is not None:
             if not self._sound(now, held.worker, job):
@@ -161,7 +166,7 @@
             else:
                 return
         if len(self.by_box) >= self._most(workers):
-            self.figures.refused_cap += 1
+            self._bit("most" if len(self.by_box) >= self.config.most else "boxes_share")
             return
         held = Reservation(job, best, now, latest, best_at, now)
         self.by_job[job.request.id] = self.by_box[best.id] = held
@@ -176,8 +181,13 @@
             if self.capacity.get(name, float("inf")) >= slots and box.too_small > slots:
                 return False
         self.figures.hopeless += 1
+        self._why = job.request.id
         return True
 
+    def why(self, request: int) -> str:
+        """Why a request is hopeless; its refusal follows at once, so one is remembered."""
+        return HOPELESS if request == self._why else ""
+
     # Told by the decision module
 
     def sent(self, now: float, attempt: Attempt) -> None:
@@ -216,8 +226,10 @@
         if free >= 0:
             box.most = max(box.most, free + running)
         held = self.by_box.get(worker.id)
-        if held is not None and status != Status.OK and held.job is not job:
-            self._drop(held)  # full by others' jobs, failing or gone: look elsewhere
+        if status != Status.OK:
+            box.shun = now + SHUN  # full by others' jobs, failing or gone: look elsewhere
+            if held is not None and held.job is not job:
+                self._drop(held)
         self._look_again(now)
 
     def lost(self, worker: Worker) -> None:
@@ -254,6 +266,11 @@
 
     # Within
 
+    def _bit(self, name: str) -> None:
+        """A bound of ours kept something from being done."""
+        self.figures.refused_cap += 1
+        self.on_bound(name)
+
     def _forget(self, job: Job) -> None:
         self._kept_since.pop(job.request.id, None)
         self.waiting.pop(job.request.id, None)
@@ -318,7 +335,7 @@
         if now < worker.off_until - 2.0:
             return False
         box = self.boxes.get(worker.id)
-        if box is not None and box.too_small <= job.request.slots:
+        if box is not None and (now < box.shun or box.too_small <= job.request.slots):
             return False
         return self.capacity.get(worker.id, float("inf")) >= job.request.slots
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -189,7 +189,7 @@
     """The real program as a process; its addresses are read from its log."""
 
     def __init__(self, folder: Path, discovery: str, fronts: bool = False,
-                 accept: socket.socket | None = None, **changes: Any) -> None:
+                 accept: socket.socket | None = None, room: str | None = None, **changes: Any) -> None:
         config = {"name": "t", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": discovery,
                   "seed": "1", "limits": {"sockets": 1024},
                   "settings": settings(**changes.pop("settings", {}))} | changes
@@ -200,6 +200,9 @@
             (folder / "fronts.toml").write_text("".join(
                 f'[{name}]\nlisten = "127.0.0.1:0"\n' for name in ("gearman", "agent_check", "ops")))
             command += ["--fronts", str(folder / "fronts.toml")]
+        if room is not None:
+            (folder / "room.toml").write_text(room)
+            command += ["--room", str(folder / "room.toml")]
         variables = {"PROXY_CONFIG": str(folder / "config.json"), "PYTHONDONTWRITEBYTECODE": "1",
                      "TMPDIR": str(folder)}
         inherited = [accept.fileno()] if accept else []  # the clients' listening socket, held by the platform
--- a/tests/test_gearman.py
+++ b/tests/test_gearman.py
@@ -6,7 +6,7 @@
 import struct
 from collections import Counter
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -431,3 +431,59 @@
         worker.send(COMPLETE, task, b"made")
         assert client.expect(COMPLETE)[1] == b"made"
         assert program.process.wait(PATIENCE) == 0
+
+
+def two_slots(program: Program, name: str, pool: ThreadPoolExecutor) -> Future[tuple[int, bytes]]:
+    return pool.submit(program.ask, "POST", "/release", name.encode(), X_Request_Id=name,
+                       X_Deadline_Ms="20000", X_Extras="slots=2")
+
+
+def test_a_job_of_two_slots_keeps_a_second_connection_of_its_box_free(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _), ThreadPoolExecutor() as pool:
+        one, other = Worker(program, b"s-1"), Worker(program, b"s-1")
+        boxes_joined(program, 1)
+        large = two_slots(program, "large", pool)
+        handle, _, _, work = one.grab()
+        small = pool.submit(program.job, "small", b"small")
+        until(lambda: program.counters().get('larchgw_taken_total{front="platform",job_class="proof"}'))
+        other.send(GRAB_UNIQ)
+        answers = [other.read()[0]]
+        while answers[-1] == NOOP:  # it was told of work, by the large job's coming
+            answers.append(other.read()[0])
+        assert answers[-1] == NO_JOB and work == b"large" and not small.done()
+        other.send(PRE_SLEEP)
+        one.send(COMPLETE, handle, b"made")
+        assert large.result() == (200, b"made")
+        served(other, Counter())
+        assert small.result() == (200, b"made:small")
+        settled(program)
+
+
+def test_the_second_connection_works_again_when_a_large_jobs_worker_dies(tmp_path: Path) -> None:
+    with running(tmp_path) as (program, _), ThreadPoolExecutor() as pool:
+        one, other = Worker(program, b"s-1"), Worker(program, b"s-1")
+        boxes_joined(program, 1)
+        large = two_slots(program, "large", pool)
+        one.grab()
+        one.close()
+        assert large.result()[0] == 500, "it may have run"
+        small = pool.submit(program.job, "small", b"small")
+        served(other, Counter())
+        assert small.result() == (200, b"made:small")
+        settled(program)
+
+
+def test_a_job_with_more_slots_than_any_box_has_connections_is_refused_at_once(tmp_path: Path) -> None:
+    with running(tmp_path, room="[room]\n") as (program, _), ThreadPoolExecutor() as pool:
+        worker = Worker(program, b"s-1")
+        boxes_joined(program, 1)
+        small = pool.submit(program.job, "small", b"small")
+        served(worker, Counter())
+        assert small.result()[0] == 200
+        status, reason = two_slots(program, "large", pool).result()
+        assert (status, reason) == (503, b"no box has that many slots\n")
+        counted = settled(program)
+        assert counted["larchgw_room_hopeless_total"] == 1.0
+        assert not [k for k in counted if k.startswith("larchgw_sent_total") and counted[k] > 1.0]
+        status, listed = program.ask("GET", "/room", front="ops")
+        assert (status, listed) == (200, b'{"reservations": []}\n')
