Keep what is known of a box's ends for 50 ms, and ask for the bound first

Cause: with many large jobs waiting, each one looked at worked out every box of its sample anew, even where no further reservation was allowed.

Change: the expected ends of a box's attempts are kept until something happens there, for 50 ms at most, and the bound on reservations is asked before boxes are.

--- a/larchgw/lab/room.py
+++ b/larchgw/lab/room.py
@@ -19,8 +19,10 @@
 
 LOADS = (0.7, 0.9, 1.0, 1.2)
 HARD = replace(RELEASE, slots=((1, 0.6), (2, 0.25), (4, 0.15)))
-MIXES: dict[str, tuple[ClassSpec, ...]] = {"two": CLASSES, "four": (*CLASSES[:2], HARD)}
-SHORT_WARNINGS = logging.CRITICAL
+ONE = tuple(replace(c, slots=((1, 1.0),)) for c in CLASSES)
+# "one" is the bound: the same work with no large job in it, so that nothing can be gained by holding.
+MIXES: dict[str, tuple[ClassSpec, ...]] = {"two": CLASSES, "four": (*CLASSES[:2], HARD), "one": ONE}
+KINDS = (("two", True), ("four", True), ("two", False))  # mix, and whether worth counts by work or by job
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +52,7 @@
 
 def play(run: Run) -> dict[str, Any]:
     """Figures of one run, the rules that it broke, and what the planners did."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(SHORT_WARNINGS))
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     config = run.room
 
     def make(settings: Settings) -> Room:
@@ -65,36 +67,47 @@
 
 
 def experiment(options: Options, room: RoomSettings | None = None) -> Result:
-    """All mixes and loads, each seed with holding off and on."""
+    """All mixes and loads, each seed with holding off and on; and the bound, off alone."""
     room = room or RoomSettings()
-    runs = [Run(mix, load, options.seed + n, options.seconds, how)
-            for mix in MIXES for load in LOADS for n in range(options.seeds) for how in (None, room)]
+    seeds = range(options.seed, options.seed + options.seeds)
+    runs = [Run(mix, load, seed, options.seconds, how, by_work=by_work)
+            for mix, by_work in KINDS for load in LOADS for seed in seeds for how in (None, room)]
+    runs += [Run("one", load, seed, options.seconds, None, by_work=by_work)
+             for by_work in (True, False) for load in LOADS for seed in seeds]
     played = dict(zip(runs, spread_out(play, runs, options.jobs), strict=True))
     result = Result("room")
-    ratios: dict[tuple[str, float], float] = {}
-    larges: dict[tuple[str, float], float] = {}
-    losses: dict[tuple[str, float], float] = {}
+    ratios: dict[tuple[str, bool, float], float] = {}
+    larges: dict[tuple[str, bool, float], float] = {}
+    losses: dict[tuple[str, bool, float], float] = {}
     starved = 0
-    for mix in MIXES:
+    for mix, by_work in (*KINDS, ("one", True), ("one", False)):
         for load in LOADS:
-            here = [run for run in runs if run.mix == mix and run.load == load]
+            here = [r for r in runs if (r.mix, r.by_work, r.load) == (mix, by_work, load)]
             off = [played[run]["figures"] for run in here if run.room is None]
             on = [played[run]["figures"] for run in here if run.room is not None]
             for how, figures in (("off", off), ("on", on)):
-                result.rows.append({"mix": mix, "load": load, "holding": how} | {
-                    title: str(spread(f.get(name, 0.0) for f in figures)) for title, name in COLUMNS.items()})
-            ratios[mix, load] = _ratio(on, off, "worth_all")
-            larges[mix, load] = _ratio(on, off, "in_time_release_large")
-            losses[mix, load] = median(b["in_time_proof"] - a["in_time_proof"]
-                                       for a, b in zip(on, off, strict=True))
+                if figures:
+                    row: dict[str, object] = {"mix": mix, "worth by": "work" if by_work else "job",
+                                              "load": load, "holding": how}
+                    for title, name in COLUMNS.items():
+                        row[title] = str(spread(f.get(name, 0.0) for f in figures))
+                    result.rows.append(row)
+            if not on:
+                continue
+            key = mix, by_work, load
+            ratios[key] = _ratio(on, off, "worth_all")
+            larges[key] = _ratio(on, off, "in_time_release_large")
+            losses[key] = median(b["in_time_proof"] - a["in_time_proof"]
+                                 for a, b in zip(on, off, strict=True))
             starved += sum(a["given_up"] > b["given_up"] for a, b in zip(on, off, strict=True))
             did = [played[run]["did"] for run in here if run.room is not None]
-            result.notes.append(f"{mix} {load:g}: worth x{ratios[mix, load]:.3f}, large releases "
-                                f"x{larges[mix, load]:.3f}, proofs {-losses[mix, load]:+.3f}; " + " ".join(
-                                    f"{name}={sum(d[name] for d in did)}" for name in did[0]))
+            result.notes.append(
+                f"{mix} by {'work' if by_work else 'job'} {load:g}: worth x{ratios[key]:.3f}, large releases "
+                f"x{larges[key]:.3f}, proofs {-losses[key]:+.3f}; " + " ".join(
+                    f"{name}={sum(d[name] for d in did)}" for name in did[0]))
     broken = [line for run in runs for line in played[run]["broken"]]
     result.notes += [f"RULE BROKEN: {line}" for line in broken[:10]]
-    busy = [key for key in ratios if key[1] in (0.9, 1.0)]
+    busy = [key for key in ratios if key[2] in (0.9, 1.0)]
     result.figures = {
         "ratio": median(ratios[k] for k in busy), "large": median(larges[k] for k in busy),
         "small_loss": max(losses[k] for k in busy), "starved": float(starved), "rules": float(len(broken))}
--- a/larchgw/room/planner.py
+++ b/larchgw/room/planner.py
@@ -22,6 +22,7 @@
 LOOKS = 4  # waiting jobs that are looked at again whenever an attempt ends
 FORGET = 0.02  # weight of the newest small job in what is known of their losses
 SHUN = 1.0  # seconds
+FRESH = 0.05  # seconds that expected ends at a box are taken for true
 SMALL = 0.05  # seconds: as good as now
 
 
@@ -59,6 +60,8 @@
     """What is known of one box beside the module's own record."""
 
     out: dict[int, Attempt] = field(default_factory=dict)  # by the attempt's identity
+    ends: list[tuple[float, float]] | None = None  # what `_ends` found last, and when
+    ends_at: float = 0.0
     most: float = 0.0  # free slots and ours that run, the most ever seen together
     shun: float = 0.0  # until then no room is held there: it turned a job away
     too_small: float = float("inf")  # it turned a job of so many slots away when it was idle
@@ -81,6 +84,8 @@
         self.waiting: OrderedDict[int, tuple[Job, Sequence[Worker]]] = OrderedDict()  # large ones
         count = len(settings.classes)
         self._values, self._lost, self._losing = [0.0] * count, [0.0] * count, [0.0] * count  # of small jobs
+        self._counted: Sequence[Worker] = ()
+        self._count = 0  # boxes among these
         self._why = 0  # the last hopeless request
         self.on_bound: Callable[[str], None] = lambda name: None  # told of a setting that bit
         self._fetch = Mean(0.1)  # seconds that a box takes longer where it does not hold the key
@@ -139,7 +144,7 @@
         """Makes, keeps or moves the reservation of a job that nothing has room for."""
         if job.request.slots < self.config.smallest or job.done or job.out():
             return
-        if len(self.waiting) < self.config.waiting:
+        if job.request.id in self.waiting or len(self.waiting) < self.config.waiting:
             self.waiting[job.request.id] = job, workers
         else:
             self._bit("waiting")
@@ -152,6 +157,10 @@
                 return
             else:
                 held.expected, held.looked = self._start(now, held.worker, job), now
+        if held is None and len(self.by_box) >= self._most(workers):
+            # Before anything is worked out: while many wait, this is where most of them end.
+            self._bit("most" if len(self.by_box) >= self.config.most else "boxes_share")
+            return
         latest = self._latest(job)
         best, best_at = self._best(now, job, workers)
         if best is None or best_at > latest or not self._worth_it(job):
@@ -165,9 +174,6 @@
                 self._clear(held)
             else:
                 return
-        if len(self.by_box) >= self._most(workers):
-            self._bit("most" if len(self.by_box) >= self.config.most else "boxes_share")
-            return
         held = Reservation(job, best, now, latest, best_at, now)
         self.by_job[job.request.id] = self.by_box[best.id] = held
         self.figures.made += 1
@@ -192,7 +198,8 @@
 
     def sent(self, now: float, attempt: Attempt) -> None:
         job, worker = attempt.job, attempt.worker
-        self._box(worker).out[id(attempt)] = attempt
+        box = self._box(worker)
+        box.out[id(attempt)], box.ends = attempt, None
         self._forget(job)
         if len(job.attempts) == 1:
             self._tally(job, now > job.aim_at)
@@ -206,6 +213,7 @@
 
     def started(self, now: float, attempt: Attempt) -> None:
         box = self._box(attempt.worker)
+        box.ends = None
         running = sum(a.job.request.slots for a in box.out.values() if a.begun)
         box.most = max(box.most, running)
 
@@ -213,8 +221,9 @@
         worker, job = attempt.worker, attempt.job
         box = self._box(worker)
         box.out.pop(id(attempt), None)
+        box.ends = None
         if status == Status.OK and attempt.begun:
-            run = max(now - attempt.begun, 1e-3) / min(max(worker.pace, PACE[0]), PACE[1])
+            run = max(now - attempt.begun, 1e-3) / _pace(worker)
             if attempt.fresh:
                 self._fetch.add(max(run - self.estimates.classes[job.request.job_class].mean(), 0.0))
             self.estimates.learn(job.request.job_class, job.request.key, run)
@@ -294,8 +303,9 @@
 
     def _most(self, workers: Sequence[Worker]) -> int:
         """How many boxes may hold room at the same time: one at the least."""
-        count = len({w.id for w in workers}) if len(workers) < 256 else len(workers) // 4
-        return min(max(int(self.config.boxes_share * count), 1), self.config.most)
+        if workers is not self._counted:  # the module hands in the same list until the fleet changes
+            self._counted, self._count = workers, len({w.id for w in workers})
+        return min(max(int(self.config.boxes_share * self._count), 1), self.config.most)
 
     def _passed_enough(self, now: float, job: Job, since: float) -> bool:
         """Whether a job has been kept out for its share of the time that it had left when that began."""
@@ -367,30 +377,38 @@
 
         The module's threshold is what there is: a job fits under it, or alone.
         """
-        box, share = self.boxes.get(worker.id), self.config.certainty
-        pace = min(max(worker.pace, PACE[0]), PACE[1])
-        ends: list[tuple[float, float]] = []
-        if box is not None:
-            for attempt in box.out.values():
-                request = attempt.job.request
-                if attempt.state == OUT:
-                    elapsed = (now - attempt.begun) / pace if attempt.begun else 0.0
-                    rest = self.estimates.rest(request.job_class, request.key, elapsed, share)
-                    ends.append((rest * pace, request.slots))
-        there = worker.pending
+        there, slots = worker.pending, job.request.slots
+        ends = self._ends(now, worker)
         if extra is not None:
             request = extra.request
-            rest = self.estimates.rest(request.job_class, request.key, 0.0, share)
-            ends.append((rest * pace, request.slots))
+            rest = self.estimates.rest(request.job_class, request.key, 0.0, self.config.certainty)
+            ends = sorted([*ends, (now + rest * _pace(worker), request.slots)])
             there += request.slots
-        at, slots = max(now, worker.off_until), job.request.slots
+        at = max(now, worker.off_until)
         if there <= EPS or there + slots <= worker.limit:
             return at
-        for rest, freed in sorted(ends):
+        for end, freed in ends:
             there -= freed
             if there <= EPS or there + slots <= worker.limit:
-                return max(at, now + rest)
-        return max(at, now + max((rest for rest, _ in ends), default=0.0))
+                return max(at, end)
+        return max(at, ends[-1][0]) if ends else at
+
+    def _ends(self, now: float, worker: Worker) -> list[tuple[float, float]]:
+        """When this worker's attempts are expected to end, and the slots that each frees, soonest first.
+
+        Kept for a moment, or until something happens there: while many jobs wait, each asks about each box.
+        """
+        box = self._box(worker)
+        if box.ends is None or now > box.ends_at + FRESH:
+            pace, found = _pace(worker), []
+            for attempt in box.out.values():
+                if attempt.state == OUT:
+                    request = attempt.job.request
+                    elapsed = (now - attempt.begun) / pace if attempt.begun else 0.0
+                    rest = self.estimates.rest(request.job_class, request.key, elapsed, self.config.certainty)
+                    found.append((now + rest * pace, request.slots))
+            box.ends, box.ends_at = sorted(found), now
+        return box.ends
 
     def _drop(self, held: Reservation) -> None:
         self.figures.dropped += 1
@@ -402,4 +420,8 @@
             del self.by_box[held.worker.id]
 
 
+def _pace(worker: Worker) -> float:
+    return min(max(worker.pace, PACE[0]), PACE[1])
+
+
 __all__ = ["Figures", "Planner", "Reservation"]
