Refuse a large job only where every box that may run it is known to be too small

Cause: the planner asked only boxes that it had a record of. A fleet with two known small boxes and one that nobody had sent to yet would have had its large jobs refused; and what was known of a box that left stayed.

Change: what counts are the boxes that the module names when nothing has room, asked about where a job is held. A box known to be too small gets no such job. The record of a box that is gone goes with its last attempt.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -177,7 +177,7 @@
             self._resume(now, job, *tried)
         if job.out():
             return
-        if now >= job.late_at or self.room.hopeless(job):
+        if now >= job.late_at:
             self._finish(now, job)
         elif not self._place(now, job):
             self._hold(now, job)
@@ -218,7 +218,7 @@
         return worker is not None and self._send(now, job, worker)
 
     def _choose(self, now: float, job: Job) -> Worker | None:
-        key = job.request.key
+        key, kind = job.request.key, job.cls.kind
         best, most, ties = None, -1.0, 1
         for pair in self.holders.get(key, ()) if key else ():
             if pair.pending >= most and self._has_room(now, job, pair.worker):
@@ -230,7 +230,6 @@
                         best = pair.worker
         if best is not None:
             return best
-        kind = job.cls.kind
         holders = self.holders.get(key, ())
         if now < job.spill_at and any(p.worker.ready and not self._sick(now, p.worker) for p in holders):
             # A spill makes another worker fetch the key, in slots that jobs need, from a store that all
@@ -432,7 +431,9 @@
 
     def _hold(self, now: float, job: Job) -> None:
         """Keeps a job that nothing has room for, rather than burn its attempts."""
-        if not job.held:
+        if self.room.hopeless(job):
+            self._finish(now, job)
+        elif not job.held:
             job.held = True
             self.serial += 1
             job.order = (-job.value, self.serial)
--- a/larchgw/emulator/sockets.py
+++ b/larchgw/emulator/sockets.py
@@ -23,7 +23,7 @@
 
 MAX_BODY = 1 << 16
 CLOSE_AFTER = 15.0  # seconds that a box lets a connection stand idle
-SKEW = 0.05  # seconds between two sockets of one loop
+SKEW = 0.25  # seconds that one turn of a busy loop may lie between two sockets
 MAX_IDLE = 256  # kept connections of the clients
 
 
--- a/larchgw/room/interface.py
+++ b/larchgw/room/interface.py
@@ -30,7 +30,7 @@
         """Nothing has room for this job; `workers` are those that may run it, some named more than once."""
 
     def hopeless(self, job: Job) -> bool:
-        """Whether no worker has as many slots as this job takes, so that waiting for room is in vain."""
+        """Whether no worker that `wait` was told of has as many slots as this job takes."""
 
     def why(self, request: int) -> str:
         """Why a request is hopeless; empty if it is not."""
--- a/larchgw/room/planner.py
+++ b/larchgw/room/planner.py
@@ -95,6 +95,8 @@
 
     def may_take(self, now: float, job: Job, worker: Worker) -> bool:
         """Whether this job may take room at this worker now."""
+        if job.request.slots > 1.0 and not self._large_enough(worker, job):
+            return False
         held = self.by_box.get(worker.id)
         if held is None or held.job is job:
             return True
@@ -179,17 +181,23 @@
         self.figures.made += 1
 
     def hopeless(self, job: Job) -> bool:
-        """Whether every box is known to have fewer slots than this job takes."""
-        slots = job.request.slots
-        if slots < self.config.smallest or not self.boxes:
+        """Whether every box that may run it is known to have fewer slots than this job takes.
+
+        Only what `wait` has just been told counts: a box that joined since may be large enough, and a refusal
+        that is wrong loses a job.
+        """
+        known = self.waiting.get(job.request.id)
+        if known is None or not known[1] or any(self._large_enough(w, job) for w in known[1]):
             return False
-        for name, box in self.boxes.items():
-            if self.capacity.get(name, float("inf")) >= slots and box.too_small > slots:
-                return False
         self.figures.hopeless += 1
         self._why = job.request.id
         return True
 
+    def _large_enough(self, worker: Worker, job: Job) -> bool:
+        """Whether a box may have as many slots, for all that is known."""
+        box, slots = self.boxes.get(worker.id), job.request.slots
+        return self.capacity.get(worker.id, slots) >= slots and (box is None or box.too_small > slots)
+
     def why(self, request: int) -> str:
         """Why a request is hopeless; its refusal follows at once, so one is remembered."""
         return HOPELESS if request == self._why else ""
@@ -239,6 +247,8 @@
             box.shun = now + SHUN  # full by others' jobs, failing or gone: look elsewhere
             if held is not None and held.job is not job:
                 self._drop(held)
+        if not box.out and not worker.ready:
+            self.boxes.pop(worker.id, None)  # it drains or is gone: its last attempt has ended
         self._look_again(now)
 
     def lost(self, worker: Worker) -> None:
@@ -345,9 +355,7 @@
         if now < worker.off_until - 2.0:
             return False
         box = self.boxes.get(worker.id)
-        if box is not None and (now < box.shun or box.too_small <= job.request.slots):
-            return False
-        return self.capacity.get(worker.id, float("inf")) >= job.request.slots
+        return (box is None or now >= box.shun) and self._large_enough(worker, job)
 
     def _best(self, now: float, job: Job, workers: Sequence[Worker]) -> tuple[Worker | None, float]:
         best, best_at = None, float("inf")
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -193,6 +193,27 @@
     assert desk.sent(fits) is not None
 
 
+def test_a_box_whose_slots_nobody_knows_keeps_a_large_job_from_being_refused() -> None:
+    desk = Desk(2)
+    desk.planner.known(desk.ids[0], 5.0)
+    job = desk.ask(RELEASE, 8.0)
+    assert desk.sent(job) == desk.ids[1], "the one that is known to be too small gets none"
+    for name in desk.ids:
+        desk.planner.known(name, 5.0)
+    desk.module.on_members(desk.now, ListKind.DELTA, [Member(b"new")])
+    assert desk.sent(desk.ask(RELEASE, 8.0)) == b"new"
+
+
+def test_nothing_is_remembered_of_boxes_that_have_gone() -> None:
+    desk = Desk(2)
+    jobs = desk.full(2)
+    for name in desk.ids:
+        desk.module.on_members(desk.now, ListKind.DELTA, [Member(name, Presence.GONE)])
+    for job in jobs:
+        desk.end(job, Status.RESET)
+    assert not desk.planner.boxes
+
+
 def test_an_idle_box_that_turns_a_large_job_away_is_not_waited_for() -> None:
     desk = Desk(1)
     for job in desk.full(1):
