--- a/larchgw/emulator/trial.py
+++ b/larchgw/emulator/trial.py
@@ -60,7 +60,7 @@
                 "class": cls.name, "jobs": len(jobs), "served": sum(j.ended == "served" for j in jobs),
                 "refused": sum(j.ended == "refused" for j in jobs),
                 "failed": sum(j.ended in ("failed", "gave up") for j in jobs),
-                "open": sum(not j.ended for j in jobs),  # its client waits for more, or was cut off at the end
+                "open": sum(not j.ended for j in jobs),
                 "in time": sum(j.in_time() for j in jobs), "worth in time": good / asked if asked else 0.0,
                 "median wait s": waits[len(waits) // 2] if waits else 0.0})
         return rows
