Check cold boxes that fall over in every run; one place for what stood twice

Boxes counted their falls and the rule checker had a list for them, but nothing carried one to the other, so a box that was pushed over broke no rule in the runs. The checker now reads the boxes' own record.

--- a/larchgw/cli/main.py
+++ b/larchgw/cli/main.py
@@ -35,10 +35,16 @@
             return 2
 
 
+WITH_FRONTS = click.option(
+    "--fronts", type=FILE, help="Where the fronts beside the platform's listen (TOML).")
+WITH_ROOM = click.option(
+    "--room", type=FILE, help="How room is held for large jobs (TOML); off without it.")
+
+
 @click.group(cls=OneLine, invoke_without_command=True)
 @click.version_option(__version__, prog_name="larchgw")
-@click.option("--fronts", type=FILE, help="Where the fronts beside the platform's listen (TOML).")
-@click.option("--room", type=FILE, help="How room is held for large jobs (TOML); off without it.")
+@WITH_FRONTS
+@WITH_ROOM
 @click.pass_context
 def group(context: click.Context, fronts: Path | None, room: Path | None) -> int:
     """The job dispatcher. Without a sub-command it serves."""
@@ -51,8 +57,8 @@
 
 
 @group.command()
-@click.option("--fronts", type=FILE, help="Where the fronts beside the platform's listen (TOML).")
-@click.option("--room", type=FILE, help="How room is held for large jobs (TOML); off without it.")
+@WITH_FRONTS
+@WITH_ROOM
 def serve(fronts: Path | None, room: Path | None) -> int:
     """Serves, as PROXY_CONFIG's file says, until SIGTERM."""
     return _serve(fronts, room)
--- a/larchgw/emulator/box.py
+++ b/larchgw/emulator/box.py
@@ -1,6 +1,6 @@
 """A render box: slots, cores, a queue, keys, load reports, cold starts, and all that can go wrong with it.
 
-The model meets time through a `Timeline` and its visitors through `Listener`: whoever brings it jobs, in
+The model meets time through a `Timeline` and its visitors through `Work.say`: whoever brings it jobs, in
 memory or over a socket. It decides nothing by the clock of the machine.
 """
 
@@ -46,13 +46,11 @@
     """One attempt of a job at a box; `seconds` is its running time at speed 1 with a core for each slot."""
 
     request: str
-    job_class: int
     seconds: float
     say: Callable[[Work, Said], None] = field(repr=False)
     key: int = 0
     slots: int = 1
     priority: int = 0
-    unsafe: bool = False
     serial: int = 0
     ends_at: float = 0.0  # on the box's own measure of work done; 0: it has not begun
     began: float = 0.0  # time
@@ -104,8 +102,7 @@
         self.hung = self.draining = False
         self.slow = 1.0  # running times are multiplied by this
         self.fail_share = 0.0
-        self.fell = 0  # times that it was pushed over
-        self.turned_away = 0
+        self.fell: list[float] = []  # when it was pushed over
         self.up_since = 0.0  # 0: long ago
         self.epoch = 0
         self.waiting: deque[Work] = deque()
@@ -133,7 +130,7 @@
             return
         self._arrived.append((self.time.now(), work.seconds * work.slots))
         if self._tips():
-            self.fell += 1
+            self.fell.append(self.time.now())
             self.crash()
             return
         if self.hung:
@@ -147,7 +144,6 @@
             return
         fits = self.used + work.slots <= spec.slots and not self.waiting
         if self.draining or work.slots > spec.slots or not fits and len(self.waiting) >= spec.queue:
-            self.turned_away += 1
             self._end(work, Said.FULL)
             return
         self.waiting.append(work)
@@ -203,8 +199,8 @@
         for work in lost:
             self._end(work, Said.LOST)
 
-    def cut(self) -> int:
-        """Every connection breaks, the process runs on: work without a visitor stops. Returns how much."""
+    def cut(self) -> None:
+        """Every connection breaks, the process runs on: work without a visitor stops."""
         self._advance()
         lost = [*self.waiting, *self.inside.values()]
         self.waiting.clear()
@@ -213,7 +209,6 @@
                 self._free(work)
             self._end(work, Said.LOST)
         self._reschedule()
-        return len(lost)
 
     def start(self) -> None:
         """A new process: cold, and with nothing kept."""
--- a/larchgw/emulator/fleet.py
+++ b/larchgw/emulator/fleet.py
@@ -15,6 +15,7 @@
     ("gen4", 0.44, 1.0, 1.4, 5, 5),
     ("gen3", 0.19, 0.68, 0.92, 5, 6),
 )
+FETCHED = 0.4  # share of jobs that fetch where a fleet holds about as many keys as there are
 TOPS = list(accumulate(kind[1] for kind in KINDS))
 
 
@@ -30,6 +31,10 @@
     cores: int = 5
     slots: int = 0  # 0: as the kinds have them
 
+    def lanes(self, rate: float) -> int:
+        """Fetches that the vault does at a time, for so many jobs a second."""
+        return max(round(self.headroom * self.fetch_s * rate * FETCHED), 2)
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
--- a/larchgw/emulator/rules.py
+++ b/larchgw/emulator/rules.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from .box import Begun
+from .box import Begun, Box
 
 DRAIN_GRACE = 1.05
 MAX_ATTEMPTS = 3
@@ -49,7 +49,7 @@
     sent_by: list[tuple[str, str, float]] = field(default_factory=list)  # dispatcher, box, when
     # A box on a socket may read the next attempt's connection before the end of the last one's.
     slack: float = 1e-6
-    fell: list[tuple[str, float]] = field(default_factory=list)  # cold boxes that were pushed over
+    boxes: list[Box] = field(default_factory=list)  # they know when they were pushed over
 
     def drain_told(self, dispatcher: str, box: str, at: float) -> None:
         spans = self.drained[dispatcher, box]
@@ -64,7 +64,7 @@
     def broken(self) -> list[str]:
         """Every rule that was broken, one line each; empty if all were kept."""
         return [*self._answers(), *self._attempts(), *self._drains(),
-                *(f"{box} was pushed over at {at:.3f}" for box, at in self.fell)]
+                *(f"{box.spec.name} was pushed over at {at:.3f}" for box in self.boxes for at in box.fell)]
 
     def _answers(self) -> list[str]:
         lines = []
--- a/larchgw/emulator/sockets.py
+++ b/larchgw/emulator/sockets.py
@@ -165,7 +165,7 @@
         name = exchange.headers.get("x-request-id", "")
         try:
             asked = json.loads(exchange.body)
-            work = Work(name, 0, float(asked["work"]), lambda w, said: self._said(exchange, w, said, sent),
+            work = Work(name, float(asked["work"]), lambda w, said: self._said(exchange, w, said, sent),
                         int(exchange.headers.get("x-key", "0") or "0", 16), int(asked.get("slots", 1)))
         except (ValueError, KeyError, TypeError):
             exchange.reply(400 if name else 404, b"no job\n")
@@ -188,19 +188,15 @@
         sent.until = box.time.now()
         sent.never_ran = said is Said.FULL
         exchange.on_lost = None
-        load = dict(zip(("eps", "queue", "x0"), box.report, strict=True))
         if said is Said.FULL:
             exchange.reply(503, b"", f"X-Not-Run: 1\r\nX-Load: {self._load()}\r\n")
         elif said is Said.LOST:
             exchange.abort()
-        elif said is Said.FAILED and not work.holds and not work.serial:
-            exchange.reply(500, b"")
+        elif said is Said.FAILED:
+            exchange.reply(500, b"", f"X-Load: {self._load()}\r\n")
         else:
-            if said is Said.FAILED:
-                exchange.reply(500, b"", f"X-Load: {self._load()}\r\n")
-                return
             exchange.chunk({"id": name, "from": box.spec.name, "state": "done", "result": box.spec.name,
-                            "load": load})
+                            "load": self._figures()})
             exchange.write(b"0\r\n\r\n")
             exchange.done()
 
@@ -210,7 +206,10 @@
         self.box.cancel(work)
 
     def _load(self) -> str:
-        return ",".join(f"{n}={v:g}" for n, v in zip(("eps", "queue", "x0"), self.box.report, strict=True))
+        return ",".join(f"{name}={value:g}" for name, value in self._figures().items())
+
+    def _figures(self) -> dict[str, float]:
+        return dict(zip(("eps", "queue", "x0"), self.box.report, strict=True))
 
 
 class Discovery(Handler):
@@ -273,6 +272,7 @@
 
         servers = {spec.name: BoxServer(Box(clock, spec, vault, seed + i, began), records)
                    for i, spec in enumerate(specs)}
+        records.boxes += (server.box for server in servers.values())
         await discovery.listen()
         for server in servers.values():
             await server.listen()
@@ -360,7 +360,6 @@
     targets: Sequence[tuple[str, int]]  # the dispatchers, by zone
     load: LoadSpec
     jobs: list[Job]
-    open: int = 0
     counts: dict[str, int] = field(default_factory=dict)
     _idle: dict[tuple[str, int], deque[ClientLink]] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -384,7 +383,6 @@
 
     async def _job(self, job: Job) -> None:
         cls = self.load.classes[job.job_class]
-        self.open += 1
         try:
             while True:
                 again = await self._try(job, cls)
@@ -392,7 +390,6 @@
                     break
                 await asyncio.sleep(max(again, self.load.backoff_s))
         finally:
-            self.open -= 1
             self.counts[job.ended] = self.counts.get(job.ended, 0) + 1
 
     async def _try(self, job: Job, cls: ClassSpec) -> float | None:
--- a/larchgw/emulator/trial.py
+++ b/larchgw/emulator/trial.py
@@ -71,7 +71,8 @@
 
     def __init__(self, spec: TrialSpec, show: Callable[[Trial], None] = lambda trial: None) -> None:
         self.spec, self._show = spec, show
-        self.boxes = draw(FleetSpec(spec.boxes), spec.seed)
+        self.fleet = FleetSpec(spec.boxes)
+        self.boxes = draw(self.fleet, spec.seed)
         classes = LoadSpec().classes
         rate = spec.load * capacity(self.boxes) / work_of(classes)
         self.load = LoadSpec(classes, rate, keys=6 * spec.boxes)
@@ -94,8 +95,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(number, self.interrupt)
-        lanes = max(round(1.4 * 0.3 * self.load.rate), 2)
-        self.installation = installation = await Installation.start(self.boxes, 0.3, lanes, spec.seed)
+        self.installation = installation = await Installation.start(
+            self.boxes, self.fleet.fetch_s, self.fleet.lanes(self.load.rate), spec.seed)
         with tempfile.TemporaryDirectory(prefix="larchgw-try-") as folder:
             process = await self._start(Path(folder), installation)
             reader = asyncio.create_task(self._read(process))
--- a/larchgw/emulator/virtual.py
+++ b/larchgw/emulator/virtual.py
@@ -19,7 +19,6 @@
 
 OUTCOME = {Said.FULL: Status.FULL, Said.DONE: Status.OK, Said.FAILED: Status.ERROR, Said.LOST: Status.RESET}
 ANSWER = {AnswerKind.SERVED: "served", AnswerKind.REFUSED: "refused", AnswerKind.FAILED: "failed"}
-FETCHED = 0.4  # share of jobs that fetch where a fleet holds about as many keys as there are
 CLIENT_WAY = 0.0009  # seconds one way between clients and dispatchers
 RoomMaker = Callable[[Settings], Room]
 
@@ -78,8 +77,8 @@
         world.records.sent[name].append(sent)
         world.records.sent_by.append((self._d.name, box.spec.name, now))
         way = self._d.way(box)
-        work = Work(name, request.job_class, job.work, lambda w, said: self._heard(attempt, said, way),
-                    request.key, job.slots, cls.priority, cls.effect == "unsafe")
+        work = Work(name, job.work, lambda w, said: self._heard(attempt, said, way),
+                    request.key, job.slots, cls.priority)
         self._out[id(attempt)] = (attempt, work, sent, box)
         dial = 2.0 * way + 0.002 if cls.effect == "unsafe" else 0.0  # such jobs go over new connections
         self._d.core.written(attempt)
@@ -186,11 +185,11 @@
         self.records = Records()
         self._random = random.Random(seed * 7 + 3)
         specs = draw(scenario.fleet, seed)
-        lanes = max(round(scenario.fleet.headroom * scenario.fleet.fetch_s * scenario.load.rate * FETCHED), 2)
-        self.vault = Vault(self.time, lanes, scenario.fleet.fetch_s)
+        self.vault = Vault(self.time, scenario.fleet.lanes(scenario.load.rate), scenario.fleet.fetch_s)
         self.boxes: dict[WorkerId, Box] = {}
         for index, spec in enumerate(specs):
             self.boxes[spec.name.encode()] = Box(self.time, spec, self.vault, seed * 100 + index, self._began)
+        self.records.boxes += self.boxes.values()
         self.jobs = arrivals(scenario.load, self.time.now() + 1.0, scenario.seconds, scenario.fleet.zones,
                              seed)
         self._by_try: dict[str, tuple[Job, Dispatcher, Request]] = {}
--- a/larchgw/fronts/gearman_workers.py
+++ b/larchgw/fronts/gearman_workers.py
@@ -77,6 +77,10 @@
     def able(self, function: bytes) -> list[Slot]:
         return [s for s in self.slots if function in s.abilities]
 
+    def free(self, function: bytes) -> int:
+        """Connections that may be given such a job now."""
+        return sum(s.free() for s in self.able(function))
+
 
 class GearmanWorkers:
     """Tells a box's sleeping slots of work, and gives it to those that ask."""
@@ -96,11 +100,10 @@
 
     def reach(self, worker: WorkerId, job_class: int) -> Reach:
         box = self.boxes.get(worker)
-        able = box.able(self._names[job_class]) if box else []
-        if not able or box is None:
+        function = self._names[job_class]
+        if box is None or not box.able(function):
             return Reach.NO
-        free = sum(s.free() for s in able)
-        return Reach.NOW if free > len(box.waiting) else Reach.WAITS
+        return Reach.NOW if box.free(function) > len(box.waiting) else Reach.WAITS
 
     def send(self, attempt: Attempt) -> None:
         request = attempt.request
@@ -222,7 +225,7 @@
         if box is None or not slot.free() or not self.core.boxes.open_to_work(box.name):
             return None  # a drained box gets nothing new, whatever waits for it
         found = next((t for t in box.waiting if t.function in slot.abilities), None)
-        if found is not None and sum(s.free() for s in box.able(found.function)) < found.slots:
+        if found is not None and box.free(found.function) < found.slots:
             # The first in turn keeps its room: let past it, jobs of one slot would take each that comes free.
             return None
         return found
@@ -293,7 +296,7 @@
 
     def _not_grabbed(self, task: Task) -> None:
         """Nobody came for it. A box with all slots at work is full; one with free slots is not there."""
-        free = sum(s.free() for s in task.box.able(task.function)) >= task.slots
+        free = task.box.free(task.function) >= task.slots
         self._over(task, Ending.NEVER_GRABBED if free else Ending.TURNED_AWAY)
 
     def _return_drained(self) -> None:
--- a/larchgw/room/planner.py
+++ b/larchgw/room/planner.py
@@ -111,7 +111,7 @@
         if self._passed_enough(now, job, since):
             self.figures.overdue += 1
             return True
-        if self._harm(now, held, with_it) < self._worth(job):
+        if self._harm(held, with_it) < self._worth(job):
             self.figures.filled += 1
             return True
         held.passed += 1
@@ -343,7 +343,7 @@
         run = self.estimates.classes[job.request.job_class].mean()
         return job.value * (run * job.request.slots if self._by_work else 1.0)
 
-    def _harm(self, now: float, held: Reservation, start: float) -> float:
+    def _harm(self, held: Reservation, start: float) -> float:
         """What is lost if the large job starts then: all, once it is past the latest start by the margin."""
         part = (start - held.latest) / max(self.config.margin, 0.1)
         return self._worth(held.job) * min(part, 1.0)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -36,7 +36,7 @@
             passed = round(self.time.now() - self.start, 3)
             self.said.setdefault(work.request, []).append((said.value, passed))
 
-        work = Work(name, 0, seconds, say, key, slots, priority)
+        work = Work(name, seconds, say, key, slots, priority)
         self.box.offer(work)
         return work
 
@@ -142,7 +142,7 @@
     assert stage.box.warm() == pytest.approx(SPEC.cold_from)
     for n in range(40):
         stage.offer(f"j{n}", 3.0)
-    assert stage.box.fell == 1 and not stage.box.up
+    assert len(stage.box.fell) == 1 and not stage.box.up
 
 
 def records(**changes: object) -> Records:
@@ -179,7 +179,8 @@
     drained.drain_told("n1", "b1", 10.0)
     drained.sent_by.append(("n1", "b1", 11.2))
     fallen = records()
-    fallen.fell.append(("b1", 3.0))
+    fallen.boxes.append(Stage().box)
+    fallen.boxes[0].fell.append(3.0)
     words = {"2 final answers": twice, "no answer": unanswered, "late": late, "ran 2 times": ran_again,
              "out twice": out_twice, "4 attempts": four, "refused and may have run": refused,
              "no box had it": invented, "after its drain": drained, "pushed over": fallen}
