--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -213,7 +213,7 @@
         """Sends a job if the window is open and a worker has room for it."""
         open_ = self.active + job.request.slots + self.room.kept(now, job) <= self.window or self.active <= 0
         worker = self._choose(now, job) if open_ else None
-        if worker is None and job.request.slots > 1.0:
+        if worker is None:
             self.room.wait(now, job, self._ring(-1, job.cls.kind)[1])
         return worker is not None and self._send(now, job, worker)
 
--- a/larchgw/room/interface.py
+++ b/larchgw/room/interface.py
@@ -27,10 +27,7 @@
         """The waiting job that room is held for at this worker, if it must go before others now."""
 
     def wait(self, now: float, job: Job, workers: Sequence[Worker]) -> None:
-        """Nothing has room for this job of several slots.
-
-        `workers` are those that may run it, some named more than once.
-        """
+        """Nothing has room for this job; `workers` are those that may run it, some named more than once."""
 
     def hopeless(self, job: Job) -> bool:
         """Whether no worker that `wait` was told of has as many slots as this job takes."""
