Serve where the system refuses Unix sockets, and say that no upgrade will find us

Seen: a test that refuses fork, other programs, Unix sockets and IPv6 inside the real program. Without an inherited socket no refused call is made from start over SIGHUP to SIGTERM. With one, the start ended: handover.py made its Unix sockets outside of any try, and serve() read the error as one of the listener's address (exit 2).

Change: one place makes such sockets, and what fails there is logged as upgrade.unfound.

--- a/larchgw/handover.py
+++ b/larchgw/handover.py
@@ -285,12 +285,17 @@
     def _find(self) -> socket.socket | None:
         if self._folder < 0:
             return None
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        if sock.connect_ex(self._path(self._name)) == 0:
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        except OSError:
+            return None  # a system that refuses such sockets has no process that we could find
+        try:
+            sock.setblocking(False)
+            sock.connect(self._path(self._name))
             return sock
-        sock.close()
-        return None
+        except OSError:
+            sock.close()
+            return None
 
     def _listen(self) -> None:
         """From now on a newcomer finds us. The name is taken over in one step: it is never missing."""
@@ -298,29 +303,33 @@
         if self._folder < 0:
             return
         fresh = f"{self._name}.{os.getpid()}"
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        try:
-            Path(self._path(fresh)).unlink(missing_ok=True)
-            sock.bind(self._path(fresh))
-            sock.listen(4)
-            os.rename(self._path(fresh), self._path(self._name))
-        except OSError as error:
-            log.error("upgrade.unfound", error=str(error))
-            sock.close()
+        sock = self._bound(socket.SOCK_STREAM, fresh)
+        if sock is None:
             return
+        sock.listen(4)
+        os.rename(self._path(fresh), self._path(self._name))
         sock.setblocking(False)
         self._listening = sock
         self.loop.watch(sock, READ, self._met)
 
-    def _open_moves(self) -> None:
-        self._moves_name = f"{self._name}.{os.getpid()}.moves"
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    def _bound(self, kind: int, name: str) -> socket.socket | None:
+        """A socket under this name in the folder. Where none can be had no upgrade finds us, and we serve."""
+        sock = None
         try:
-            Path(self._path(self._moves_name)).unlink(missing_ok=True)
-            sock.bind(self._path(self._moves_name))
+            sock = socket.socket(socket.AF_UNIX, kind)
+            Path(self._path(name)).unlink(missing_ok=True)
+            sock.bind(self._path(name))
         except OSError as error:
             log.error("upgrade.unfound", error=str(error))
-            sock.close()
+            if sock is not None:
+                sock.close()
+            return None
+        return sock
+
+    def _open_moves(self) -> None:
+        self._moves_name = f"{self._name}.{os.getpid()}.moves"
+        sock = self._bound(socket.SOCK_DGRAM, self._moves_name)
+        if sock is None:
             return
         sock.setblocking(False)
         self._moves = sock
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -189,13 +189,16 @@
     """The real program as a process; its addresses are read from its log."""
 
     def __init__(self, folder: Path, discovery: str, fronts: bool = False,
-                 accept: socket.socket | None = None, room: str | None = None, **changes: Any) -> None:
+                 accept: socket.socket | None = None, room: str | None = None, before: str = "",
+                 **changes: Any) -> None:
         config = {"name": "t", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": discovery,
                   "seed": "1", "limits": {"sockets": 1024},
                   "settings": settings(**changes.pop("settings", {}))} | changes
         self.path, self.config = folder / "config.json", config
         self.path.write_text(json.dumps(config))
         command = [sys.executable, "-m", "larchgw"]
+        if before:  # Python to run in the process first
+            command = [sys.executable, "-c", f"{before}\nfrom larchgw.__main__ import main\nsys.exit(main())"]
         if fronts:
             (folder / "fronts.toml").write_text("".join(
                 f'[{name}]\nlisten = "127.0.0.1:0"\n' for name in ("gearman", "agent_check", "ops")))
