Read what all dispatchers hold at each box off the list's live weights

Change: larchgw/estimates, asked by choice.py in narrow calls: loads levelled by the list's age, homes of keys by hash, lots for cold boxes, patience by the list, no release to a box that stands empty among busy ones.

--- a/larchgw/__init__.py
+++ b/larchgw/__init__.py
@@ -3,5 +3,5 @@
 from .choice import Dispatcher
 from .interface import Settings
 
-__version__ = "0.5.0"
+__version__ = "0.6.0"
 __all__ = ["Dispatcher", "Settings", "__version__"]
--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -12,17 +12,17 @@
 from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import islice
-from math import ceil, sqrt
 
 from .checks import check_settings
+from .estimates import Fleet
+from .estimates.mixing import MASK, mix
 from .interface import Actions, ListKind, Member, Note, Outcome, Presence, Request, Settings, Status, WorkerId
 from .records import MAYBE_RAN, NEVER_RAN, OUT, Attempt, Job, Mean, Pair, Worker
 from .room.interface import NOTHING_HELD, Room
 
-MASK = (1 << 64) - 1
 Try = tuple[WorkerId, float, float, int | None]  # worker, when sent and begun, how it ended if it has
 PROOFS = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)  # outcomes that prove an attempt never ran
-POINTS = 4  # places of a worker on the ring that samples are drawn from; evens out the gaps
+POINTS = 8  # places of a usual worker on the ring that samples are drawn from; evens out the gaps
 SAMPLE = 8  # places looked at by key for one spill, and as many by chance where those have no room
 WIDTH = 2  # workers with room that are compared
 KEEP = 5.0  # seconds that an idle key counts as held, for each use it has seen ...
@@ -39,18 +39,10 @@
 SICK = 0.1  # share of failures from which a worker is sick; in health it is under 0.001
 TRIAL = 4.0  # seconds between trials of a worker that fails everything
 EPS = 0.2  # errors a second in a worker's report that count as a failure seen
-FIRST = 0.4  # of a mean job: what a sender may have saved up for a worker that has just started
 ORDER = 0.5  # seconds between two sends to a worker from which they come there in that order
 TICK = 0.02
 
 
-def mix(value: int) -> int:
-    """Spreads an integer over 64 bits, alike in every process."""
-    value = (value ^ value >> 30) * 0xBF58476D1CE4E5B9 & MASK
-    value = (value ^ value >> 27) * 0x94D049BB133111EB & MASK
-    return value ^ value >> 31
-
-
 class Dispatcher:
     """Decides for one dispatcher. Same events, same actions; nothing is shared between instances."""
 
@@ -72,12 +64,11 @@
         self.fetch = Mean(0.4 * settings.classes[0].aim)
         self.wait = Mean(settings.classes[0].aim / 4)
         self.quota = [[0.0, 0.0] for _ in settings.tenants]
-        self.served, self.served_at, self.warm_load = 0.0, 0.0, 0.0
+        self.fleet = Fleet(settings, seed ^ MASK)  # estimates of what all dispatchers do
         self.hedges = 2.0
         self.active, self.window = 0.0, float("inf")  # slots out on workers that answer, and how many may be
         self.crowd = 0.0  # share of attempts that came back full or late
         self.beside: Mapping[WorkerId, float] = {}  # slots that our other processes have out ...
-        self.others = 0  # ... and how many these processes are
         self.ticking, self.serial, self.asks = False, 0, 0
         self.ask_at = 0.0 if settings.must_subscribe else float("inf")
 
@@ -85,6 +76,7 @@
         """Other settings for the same classes. Jobs that are open keep the class that they came with."""
         check_settings(settings)
         self.s = settings
+        self.fleet.configure(settings)
         self.fair = max(GUESS / settings.instances, 1.0)
         self.quota = [[0.0, 0.0] for _ in settings.tenants]
 
@@ -100,7 +92,7 @@
             return
         if kind != ListKind.CACHED:
             self.asks = 0
-        named = set()
+        named, weights = set(), []
         for m in members:
             named.add(m.worker)
             worker = self.workers.get(m.worker)
@@ -111,19 +103,23 @@
                 self._forget(worker)
                 worker.reset(self.fair)
                 self.silent.pop(worker.id, None)
-                worker.up_since, worker.tokens_at = m.up_since, now
-                worker.warm_at = m.up_since + self.s.warm_up
-                # Each sender starts with its own part of a first small job: it shows that the worker works.
-                worker.tokens = FIRST * self.random.random()
-            worker.zone, worker.kind, worker.cell = m.zone, m.kind, m.cell
+                worker.up_since, worker.warm_at = m.up_since, m.up_since + self.s.warm_up
+                self.fleet.started(now, worker)
+            if (worker.zone, worker.kind, worker.cell) != (m.zone, m.kind, m.cell):
+                worker.zone, worker.kind, worker.cell = m.zone, m.kind, m.cell
+                self.rings.clear()
             self._set_ready(worker, m.presence == Presence.READY)
             if m.presence == Presence.GONE:
+                self.fleet.gone(worker)
                 del self.workers[m.worker]
+            else:
+                weights.append((worker, m.size))
         if kind != ListKind.DELTA:
             for worker in [w for w in self.workers.values() if w.id not in named]:
                 self._set_ready(worker, False)
+                self.fleet.gone(worker)
                 del self.workers[worker.id]
-        self.rings.clear()
+        self.fleet.listed(now, weights, self.workers.values())
         if self.ask_at == 0.0:
             self.ask_at = float("inf")
             self.act.subscribe()
@@ -132,6 +128,7 @@
     def _set_ready(self, worker: Worker, ready: bool) -> None:
         if ready != worker.ready:
             worker.ready = ready
+            self.rings.clear()
             self.ready += 1 if ready else -1
             if not ready:
                 self._forget(worker)
@@ -173,6 +170,7 @@
         if self._over_share(now, request.tenant):
             job.value *= self.s.over_share_worth
         self.hedges = min(self.hedges + 0.1, 20.0)
+        self.fleet.came(request.job_class, request.key)
         for tried in tries:
             self._resume(now, job, *tried)
         if job.out():
@@ -237,6 +235,9 @@
             return None
         if (kept := self.room.place(now, job)) and self._has_room(now, job, kept):
             return kept
+        new = self.fleet.turn(now, job, lambda w: self._well(now, w))
+        if new is not None and self._has_room(now, job, new):
+            return new
         first, second = self.s.zone, -1
         run = self.runs[job.request.job_class].value
         if key and self.fetch.value * FETCHES_SAVED > self.s.price_cross * run:
@@ -246,12 +247,15 @@
             best = self._spill(now, job, self._ring(second, kind))
         return best
 
+    def _well(self, now: float, w: Worker) -> bool:
+        return w.ready and now >= w.off_until and not w.doubts and not w.bad
+
     def _ring(self, zone: int, kind: int) -> tuple[list[int], list[Worker]]:
         ring = self.rings.get((zone, kind))
         if ring is None:
             places = sorted((mix(w.point + i & MASK), w.id) for w in self.workers.values()
                             if w.ready and zone in (-1, w.zone) and kind in (-1, w.kind)
-                            for i in range(POINTS))
+                            for i in range(round(POINTS * self.fleet.speed(w)) or 1))
             ring = self.rings[zone, kind] = ([p for p, _ in places], [self.workers[w] for _, w in places])
         return ring
 
@@ -264,12 +268,19 @@
         places, workers = ring
         if not places:
             return None
-        best, rank, ties, seen = None, (0.0, 0.0), 1, 0
         key, bits = job.request.key, self.random.getrandbits
+        homes = self.fleet.homes(key, SAMPLE) if key else ()
+        for i in homes:
+            # Dispatchers that see little of a key send it where all others do: it is held there, as far as
+            # anybody can tell who has sent it nowhere himself.
+            worker = workers[bisect(places, mix(key + i * 0x9E3779B97F4A7C15 & MASK)) % len(places)]
+            if self._has_room(now, job, worker) and self.fleet.draw(now, job, worker):
+                return worker
+        best, rank, ties, seen = None, (0.0, 0.0), 1, 0
         for i in range(2 * SAMPLE):
-            at = mix(key + i * 0x9E3779B97F4A7C15 & MASK) if key and i < SAMPLE else bits(64)
+            at = mix(key + i * 0x9E3779B97F4A7C15 & MASK) if key and not homes and i < SAMPLE else bits(64)
             worker = workers[bisect(places, at) % len(places)]
-            if worker is not best and self._has_room(now, job, worker):
+            if worker is not best and self._has_room(now, job, worker) and self.fleet.draw(now, job, worker):
                 own = (len(worker.keys), worker.pending)
                 seen += 1
                 if best is None or own < rank:
@@ -293,13 +304,15 @@
             slow = (w.pace - 1.0) * TRUST / (TRUST + now - w.pace_at)
             if now + slow * self.runs[job.request.job_class].value > job.aim_at:
                 return False
-        if w.doubts and job.cls.effect == "unsafe":
+        if job.cls.effect == "unsafe" and (w.doubts or self.fleet.strange(now, w)):
             return False  # a doubtful worker is tried with jobs that may be repeated
         if w.bad and self._sick(now, w) and (w.pending > 0 or job.cls.effect == "unsafe"):
             # A worker that fails fast has room at all times and draws job after job: one at a time, and none
             # that a failure would end.
             return False
-        if now < w.warm_at and not self._cold_room(now, job, w):
+        if now < w.warm_at and not self.fleet.may_warm(now, job, w):
+            return False
+        if self.fleet.crowded(now, job, w):
             return False
         return self._may_send(now, job, w) and self.room.may_take(now, job, w)
 
@@ -359,34 +372,6 @@
             return True
         return all(a.state == NEVER_RAN for a in job.attempts)
 
-    def _mean_run(self) -> float:
-        """The running time that counts as one job of a cold worker's budget."""
-        return sum(r.value for r in self.runs) / len(self.runs)
-
-    def _cold_share(self, now: float, worker: Worker) -> float:
-        """The part of its capacity that a worker has warmed up to at the least."""
-        part = (now - worker.up_since) / max(self.s.warm_up, 1e-3)
-        return self.s.cold_from + (1.0 - self.s.cold_from) * min(max(part, 0.0), 1.0)
-
-    def _cold_room(self, now: float, job: Job, w: Worker) -> bool:
-        """Rule 4: whether our part of a cold worker's budget allows this job.
-
-        The budget binds all dispatchers together, none of which sees the others. All send at random, so what
-        arrives in a window scatters around its mean by its root: that is kept three roots below the budget.
-        """
-        if self.warm_load <= 0:
-            return False
-        mean = self._mean_run()
-        present = self._cold_share(now, w) * self.warm_load * self.s.tip_span / mean
-        budget = 0.9 * self.s.tip_multiple * present
-        rate = (sqrt(2.25 + budget) - 1.5) ** 2 / self.s.tip_span / self.s.instances / (1 + self.others)
-        w.tokens += (now - w.tokens_at) * rate
-        w.tokens_at = now
-        # A turn not used within the span is lost: turns that all have saved up would be used in one burst.
-        w.tokens -= max(ceil(w.tokens - 1.0 - rate * self.s.tip_span), 0)
-        # Until it has shown that it works, a job smaller than the mean may go sooner.
-        return w.tokens >= (min(job.work * job.request.slots / mean, 1.0) if w.sign_at < w.up_since else 1.0)
-
     # Sending and answering
 
     def _send(self, now: float, job: Job, worker: Worker) -> bool:
@@ -395,13 +380,13 @@
             return False
         pair = self._hold_key(now, request.key, worker) if request.key else None
         attempt = Attempt(job, len(job.attempts), worker, pair, now)
+        attempt.queued = self.fleet.queued(now, job, worker)
         job.attempts.append(attempt)
         worker.pending += request.slots
         self.active += request.slots
         if pair:
             pair.pending += request.slots
-        if now < worker.warm_at:
-            worker.tokens -= job.work * request.slots / self._mean_run()
+        self.fleet.sent(now, job, worker)
         if worker.limit < 1.0:
             # On a big fleet our fair part of a worker is under one slot: leave it alone in between.
             worker.off_until = now + self.runs[request.job_class].value / worker.limit
@@ -578,6 +563,7 @@
         worker, pair, status = attempt.worker, attempt.pair, o.status
         attempt.state = NEVER_RAN if status in PROOFS else MAYBE_RAN
         worker.pending -= job.request.slots
+        self.fleet.ended(now, job, worker)
         if not attempt.lost:
             self.active -= job.request.slots
         if pair:
@@ -634,6 +620,7 @@
         job, worker = attempt.job, attempt.worker
         mean = self.runs[job.request.job_class]
         run = max(run, 1e-3)
+        self.fleet.ran(now, job, worker, run, self.workers)
         usual = job.work * self.pace.value if job.request.hint else mean.value
         ratio = max(run - self.fetch.value, 0.0) / usual if attempt.fresh else run / usual
         worker.pace += 0.3 * (min(ratio, 5.0) - worker.pace)
@@ -646,14 +633,6 @@
         ratio = min(run / max(job.work, 1e-6), 10.0)
         if job.request.hint:
             self.pace.add(ratio)
-        if now >= worker.warm_at:
-            self.served += run * job.request.slots
-        if now - self.served_at > 1.0:
-            warm = sum(w.ready and now >= w.warm_at for w in self.workers.values())
-            if self.served_at and warm:
-                load = self.served / (now - self.served_at) * self.s.instances / warm
-                self.warm_load += (0.1 if self.warm_load else 1.0) * (load - self.warm_load)
-            self.served, self.served_at = 0.0, now
 
     def on_gone(self, now: float, request: int) -> None:
         """The client has left; nothing is owed any more."""
@@ -670,7 +649,7 @@
 
     def on_beside(self, pending: Mapping[WorkerId, float], others: int) -> None:
         """In an upgrade two processes serve as one dispatcher: together they keep to its part."""
-        self.beside, self.others = pending, others
+        self.beside, self.fleet.cold.parts = pending, 1 + others
 
     def avoided(self, now: float) -> list[WorkerId]:
         """The workers that something is held against: they are silent, or fail their jobs."""
@@ -716,18 +695,22 @@
 
     def _open(self, now: float) -> None:
         """Tries who has just started with the smallest job that waits: larger ones are over its budget."""
-        for w in self.workers.values():
-            if w.ready and w.sign_at < w.up_since and not w.pending:
-                waiting = [j for _, j in self.held if j.held and not j.done and now >= j.next_at]
-                job = min(waiting, key=lambda j: j.work * j.request.slots, default=None)
-                if job and self._has_room(now, job, w) and self._send(now, job, w):
-                    job.held = False
+        waiting = [j for _, j in self.held if j.held and not j.done and now >= j.next_at]
+        job = min(waiting, key=lambda j: j.work * j.request.slots, default=None)
+        w = self.fleet.turn(now, job, lambda w: self._well(now, w)) if job else None
+        if job and w and w.sign_at < w.up_since and not w.pending:
+            if self._has_room(now, job, w) and self._send(now, job, w):
+                job.held = False
 
     def _check(self, now: float, attempt: Attempt, watch: deque[tuple[float, Attempt]]) -> None:
         """An attempt should have shown life by now."""
         job, worker = attempt.job, attempt.worker
         if attempt.state != OUT:
             return
+        if not attempt.sign and now < attempt.sent + attempt.queued:
+            # Others' jobs stood before it, as the list told when it was sent: that it waits is no silence.
+            watch.append((now + self._patience(job), attempt))
+            return
         seen = attempt.sign if watch is self.watch[1] else attempt.sent
         if watch is self.watch[0] and attempt.sign:
             return
@@ -751,5 +734,6 @@
         # Its worker has gone silent: a second copy where class, group and memory allow.
         if self.s.second_copies and self._place(now, job):
             self.hedges -= 1.0
-        elif not self.s.second_copies and self.s.can_cancel and job.cls.effect == "safe":
+        elif not self.s.second_copies and self.s.can_cancel and job.cls.effect == "safe" and (
+                len(job.attempts) < self.s.max_attempts):  # the last one is let run: nothing can follow it
             self.act.cancel(job.request.id, attempt.index)
--- /dev/null
+++ b/larchgw/estimates/cold.py
@@ -0,0 +1,139 @@
+"""Turns at boxes that have just started, so that all dispatchers together do not push one over.
+
+The rule counts work: what is sent to a cold box within `tip_span` seconds must stay under `tip_multiple`
+times what the box can do at present. No dispatcher sees what the others send. One that kept a budget for
+each box would, as one of 200, wait minutes for its turn at any of them while all stand idle. So what falls
+to it at all cold boxes together is one budget, and each turn goes to a box drawn by its part of it: what
+comes to a box from all of them then scatters around its mean by its root, whatever their number.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect
+from collections.abc import Callable
+from itertools import accumulate
+from math import sqrt
+
+from ..interface import Settings
+from ..records import Worker
+from .mixing import MASK
+
+# Share of the rule's budget that is planned with, and roots of what arrives that are kept below that. Turns
+# that are saved up come one by one; lots fall at random, and at few jobs a span four roots are what leaves
+# one span in ten thousand over the rule.
+SAFE, ROOTS = 0.8, 3.0
+LOT_SAFE, LOT_ROOTS = 0.85, 4.0
+LARGE = 0.5  # of a box's budget: a job of more than that is not for it yet
+FIRST = 0.4  # of a mean job: what each of a few senders may have saved up for a box that has just started
+FEW = 3.0  # senders that may
+MANY = 10  # dispatchers from which lots are drawn
+TRIES = 4  # boxes drawn until one may have the turn
+RECKON = 0.1  # seconds for which the sum over all cold boxes is kept
+
+
+class ColdTurns:
+    """One dispatcher's budget at cold boxes, in mean jobs."""
+
+    def __init__(self, settings: Settings, seed: int, able: Callable[[], float],
+                 mean_job: Callable[[], float], flow: Callable[[], float]) -> None:
+        """`able`: slot seconds a second of a warm box; `mean_job`: of a job; `flow`: all jobs a second."""
+        self.s, self._able, self._mean_job, self._flow = settings, able, mean_job, flow
+        self._random = random.Random(seed)
+        self.boxes: dict[bytes, Worker] = {}
+        self.tokens, self._at = 0.0, 0.0
+        self.parts = 1  # processes that act as this one dispatcher
+        self._turn: Worker | None = None
+        self._drawn: list[Worker] = []
+        self._sums: list[float] = []  # of their rates, each with those before it
+        self._total, self._reckoned = 0.0, -1.0
+
+    def joined(self, now: float, worker: Worker) -> None:
+        """A box has started. Few senders give it a first small job at once: it shows that it works."""
+        self._accrue(now)
+        self.boxes[worker.id] = worker
+        self.tokens += FIRST * self._random.random() * min(1.0, FEW / self.s.instances)
+        self._reckoned = -1.0
+
+    def left(self, worker: Worker) -> None:
+        """It is gone, or warm."""
+        if self.boxes.pop(worker.id, None) is not None:
+            self._reckoned = -1.0
+        if self._turn is worker:
+            self._turn = None
+
+    def share(self, now: float, worker: Worker) -> float:
+        """The part of its capacity that a box has warmed up to at the least."""
+        part = (now - worker.up_since) / max(self.s.warm_up, 1e-3)
+        return self.s.cold_from + (1.0 - self.s.cold_from) * min(max(part, 0.0), 1.0)
+
+    def budget(self, now: float, worker: Worker) -> float:
+        """Mean jobs that may be sent there within a span, by all."""
+        present = self._able() * self.share(now, worker)
+        safe = LOT_SAFE if self.lots() else SAFE
+        return safe * self.s.tip_multiple * present * self.s.tip_span / max(self._mean_job(), 1e-3)
+
+    def rate(self, now: float, worker: Worker) -> float:
+        """Mean jobs a second, of all dispatchers, that keep so many roots below the budget."""
+        half = (LOT_ROOTS if self.lots() else ROOTS) / 2.0
+        return float((sqrt(half * half + self.budget(now, worker)) - half) ** 2) / self.s.tip_span
+
+    def lots(self) -> bool:
+        """Whether dispatchers are so many that lots are drawn."""
+        return self.s.instances > MANY and self._flow() > 0.0
+
+    def _reckon(self, now: float) -> None:
+        if 0.0 <= now - self._reckoned < RECKON:
+            return
+        self._reckoned = now
+        for worker in [w for w in self.boxes.values() if now >= w.warm_at]:
+            self.left(worker)
+        self._reckoned = now
+        self._drawn = [w for w in self.boxes.values() if w.ready]
+        self._sums = list(accumulate(self.rate(now, w) for w in self._drawn))
+        self._total = (self._sums[-1] if self._sums else 0.0) / self.s.instances / self.parts
+
+    def _accrue(self, now: float) -> None:
+        self._reckon(now)
+        self.tokens += max(now - self._at, 0.0) * self._total
+        self._at = now
+        # A turn not used within the span is lost: turns that all have saved up would be used in one burst.
+        self.tokens = min(self.tokens, 1.0 + self._total * self.s.tip_span)
+
+    def turn(self, now: float, draw: int, fit: Callable[[Worker], bool]) -> Worker | None:
+        """The cold box whose turn it is, drawn by what falls to it; `fit` says which may have one at all.
+
+        `draw` is a hash of the job. Where dispatchers are many, it decides by lot whether the job goes to a
+        cold box: each of them has a job or two while its budget grows by a hundredth of one, and those that
+        have most jobs would have no more turns than the rest.
+        """
+        if not self.boxes:
+            return None
+        self._accrue(now)
+        if self.lots():
+            lot = draw / (MASK + 1) * self._flow() * self.parts
+            self._turn = self._pick(lot) if self._sums and lot < self._sums[-1] else None
+            self.tokens = 1.0  # what the lot gave, and nothing is saved up
+            return self._turn if self._turn is not None and fit(self._turn) else None
+        for _ in range(TRIES):
+            if self._turn is not None and fit(self._turn):
+                return self._turn
+            self._turn = self._pick(self._random.random() * self._sums[-1]) if self._sums else None
+        self._turn = None
+        return None
+
+    def _pick(self, at: float) -> Worker:
+        return self._drawn[bisect(self._sums, at) % len(self._drawn)]
+
+    def may(self, now: float, worker: Worker, cost: float) -> bool:
+        """Whether it is this box's turn, and a job of so many mean jobs may take it."""
+        self._accrue(now)
+        if worker is not self._turn or cost > LARGE * self.budget(now, worker):
+            return False
+        return self.tokens >= min(cost, 1.0)
+
+    def spent(self, now: float, cost: float) -> None:
+        """A job has gone to a cold box."""
+        self._accrue(now)
+        self.tokens -= cost
+        self._turn = None
--- /dev/null
+++ b/larchgw/estimates/fleet.py
@@ -0,0 +1,168 @@
+"""What the decision module asks of the estimates, in narrow calls."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from ..interface import Settings
+from ..records import Job, Worker
+from .cold import MANY, ColdTurns
+from .keys import Keys
+from .loads import Loads
+from .mixing import MASK, mix
+from .runs import Runs, Taken
+
+SPREAD = 1.5  # homes of a key over the boxes that its jobs would fill if all were alike
+LONGER = 1.5  # times the expected wait that may well pass, and ...
+UNSEEN = 0.6  # ... of a mean job, for what came there that no list has shown yet
+HASTE = 0.5  # share of the time a job has left that its wait at a box is expected to take at the most
+
+
+def _reads_weights(settings: Settings) -> bool:
+    """Of few dispatchers each knows at once of a good part of what is at a box; the list is a second old."""
+    return settings.live_weights and settings.instances > MANY
+
+
+class Fleet:
+    """Loads, running times and turns at cold boxes, as one dispatcher sees them.
+
+    Times are seconds on the module's clock. Same sights, same estimates: randomness comes from `seed`.
+    """
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.s = settings
+        self.live = _reads_weights(settings)
+        self._random = random.Random(~seed)
+        self._salt = self._random.getrandbits(64)
+        self.keys = Keys()
+        self.boxes = 0  # that take work
+        self.runs = Runs(settings.classes)
+        self.taken = Taken()
+        self.loads = Loads()
+        self.cold = ColdTurns(settings, seed, self.able, self.runs.mean,
+                              lambda: self.loads.flow if self.live else 0.0)
+
+    def configure(self, settings: Settings) -> None:
+        """Other settings for the same classes."""
+        self.s = self.cold.s = settings
+        self.live = _reads_weights(settings)
+
+    # Told by the module
+
+    def listed(self, now: float, listed: Sequence[tuple[Worker, float]], workers: Iterable[Worker]) -> None:
+        """The list gives these boxes these weights; `workers` are all that it has named."""
+        workers = [w for w in workers if w.ready]
+        self.boxes = len(workers)
+        if self.live:
+            self.loads.told(now, listed)
+            warm = [w for w in workers if now >= w.warm_at]
+            self.loads.sum_up(now, warm, self.runs.mean())
+
+    def started(self, now: float, worker: Worker) -> None:
+        """A box has started: it is cold, and holds nothing."""
+        self.loads.forget(worker.id)
+        if now < worker.warm_at:
+            self.cold.joined(now, worker)
+
+    def gone(self, worker: Worker) -> None:
+        """A box is no longer listed."""
+        self.cold.left(worker)
+        self.loads.forget(worker.id)
+
+    def came(self, job_class: int, key: int) -> None:
+        """A job has come in."""
+        self.runs.came(job_class)
+        self.keys.came(key)
+
+    def sent(self, now: float, job: Job, worker: Worker) -> None:
+        self.loads.changed(now, worker.id, job.request.slots)
+        if now < worker.warm_at:
+            self.cold.spent(now, self._cost(job))
+
+    def ended(self, now: float, job: Job, worker: Worker) -> None:
+        """An attempt has ended, however it did."""
+        self.loads.changed(now, worker.id, -job.request.slots)
+
+    def ran(self, now: float, job: Job, worker: Worker, run: float, workers: Mapping[bytes, Worker]) -> None:
+        """A job ran for so long from its start to its end."""
+        self.runs.ended(job.request.job_class, run, job.request.slots)
+        if now >= worker.warm_at:
+            self.taken.ran(run * job.request.slots)
+        if self.taken.due(now):
+            warm = sum(w.ready and now >= w.warm_at for w in workers.values())
+            self.taken.sum_up(now, self.s.instances, warm)
+
+    # Asked by the module
+
+    def able(self) -> float:
+        """Slot seconds a second that a warm box can do: its cores, or the least that it was seen to do."""
+        return self.loads.cores if self.live and self.loads.sure else self.taken.value
+
+    def wait(self, now: float, job: Job, worker: Worker) -> float:
+        """Seconds that a job sent there now is expected to lose, by its wait and by the box being cold."""
+        if not self.live:
+            return 0.0
+        cores = able = self.loads.cores
+        there = self.loads.others(now, worker) + worker.pending + job.request.slots
+        wait = 0.0
+        if now < worker.warm_at:
+            # It has all its slots and starts what comes, but what runs shares the little that it can do.
+            able *= self.cold.share(now, worker)
+            wait = max(min(there, cores) / able - 1.0, 0.0) * self.runs.by_class[job.request.job_class].value
+        return wait + max(there - cores, 0.0) / able * self.runs.mean()
+
+    def crowded(self, now: float, job: Job, worker: Worker) -> bool:
+        """Whether a job is expected to wait there for so long that it would hardly be in time."""
+        wait = self.wait(now, job, worker)
+        return wait > 0.0 and wait > HASTE * (job.aim_at - now)
+
+    def queued(self, now: float, job: Job, worker: Worker) -> float:
+        """Seconds that a job sent there now may well stand in the queue behind others."""
+        if not self.live:
+            return 0.0
+        return LONGER * self.wait(now, job, worker) + UNSEEN * self.runs.mean()
+
+    def strange(self, now: float, worker: Worker) -> bool:
+        """Whether a box has held far less than others for a while: it may fail what it gets at once."""
+        return self.live and now >= worker.warm_at and self.loads.strange(worker)
+
+    def draw(self, now: float, job: Job, worker: Worker) -> bool:
+        """Whether a box that a job meets takes it: with the part of what comes that it should get.
+
+        The verdict on a job and a box holds until the next list, or a job that waits would ask until it had a
+        yes, and everybody's waiting jobs would meet at the box that looks emptiest.
+        """
+        if not self.live:
+            return True
+        part = self.loads.part(now, worker)
+        if part >= 1.0:
+            return True
+        return mix((job.request.id ^ worker.point ^ self._salt) + self.loads.lists & MASK) < part * MASK
+
+    def homes(self, key: int, most: int) -> Iterable[int]:
+        """Numbers of the places for a key, the ones to try first first.
+
+        A key that comes often has as many homes as its part of all jobs needs, and one of them is drawn.
+        """
+        if not self.live:
+            return ()  # what we have sent ourselves tells who holds it
+        first = min(int(self.keys.share(key) * self.boxes * SPREAD), most - 1)
+        start = self._random.randrange(first + 1) if first else 0
+        return (*range(start, first + 1), *range(start), *range(first + 1, most))
+
+    def speed(self, worker: Worker) -> float:
+        return self.loads.speed(worker) if self.live else 1.0
+
+    def turn(self, now: float, job: Job, fit: Callable[[Worker], bool]) -> Worker | None:
+        """The cold box whose turn it is with this job, if it is any one's and `fit` says yes to it."""
+        draw = mix(mix(job.request.id ^ self._salt) + len(job.attempts) & MASK)
+        return self.cold.turn(now, draw, lambda w: fit(w) and not self.crowded(now, job, w))
+
+    def may_warm(self, now: float, job: Job, worker: Worker) -> bool:
+        return self.cold.may(now, worker, self._cost(job))
+
+    def _cost(self, job: Job) -> float:
+        """In mean jobs."""
+        run = job.request.hint * job.request.slots or self.runs.by_class[job.request.job_class].value
+        return run / max(self.runs.mean(), 1e-3)
--- a/larchgw/interface.py
+++ b/larchgw/interface.py
@@ -106,6 +106,7 @@
     price_probe: float = 0.0
     price_waste: float = 0.0
     price_late: float = 0.0
+    live_weights: bool = False  # whether a member's size is lowered by the requests that it holds per core
 
 
 @dataclass(slots=True)
--- a/larchgw/learned.py
+++ b/larchgw/learned.py
@@ -8,8 +8,8 @@
 from .records import Mean, Pair, Worker
 
 MEANS = ("pace", "fetch", "wait")
-FIGURES = ("warm_load", "window", "crowd")
-WORKER = ("limit", "off_until", "pace", "pace_at", "sign_at", "tokens", "tokens_at", "bad", "bad_at")
+FIGURES = ("window", "crowd")
+WORKER = ("limit", "off_until", "pace", "pace_at", "sign_at", "bad", "bad_at")
 
 
 def tell(module: Dispatcher) -> dict[str, Any]:
@@ -18,6 +18,7 @@
         "runs": {c.name: _mean(m) for c, m in zip(module.s.classes, module.runs, strict=True)},
         "means": {name: _mean(getattr(module, name)) for name in MEANS},
         "figures": {name: getattr(module, name) for name in FIGURES},
+        "taken": module.fleet.taken.value,
         "workers": {w.id.decode("latin-1"): {
             "up_since": w.up_since,
             "figures": {name: getattr(w, name) for name in WORKER},
@@ -44,6 +45,7 @@
         _set(getattr(module, name), told["means"][name])
     for name in FIGURES:
         setattr(module, name, float(told["figures"][name]))
+    module.fleet.taken.value = float(told["taken"])
     for worker in module.workers.values():
         known = told["workers"].get(worker.id.decode("latin-1"))
         if known is not None and float(known["up_since"]) == worker.up_since:
--- a/larchgw/records.py
+++ b/larchgw/records.py
@@ -38,8 +38,8 @@
 
     __slots__ = (
         "id", "point", "ready", "up_since", "zone", "kind", "cell", "pending", "keys", "limit",
-        "off_until", "fulls", "doubts", "pace", "pace_at", "sign_at", "warm_at", "tokens",
-        "tokens_at", "bad", "bad_at", "report", "breaks", "reached",
+        "off_until", "fulls", "doubts", "pace", "pace_at", "sign_at", "warm_at",
+        "bad", "bad_at", "report", "breaks", "reached",
     )
 
     def __init__(self, member: Member, limit: float) -> None:
@@ -50,7 +50,7 @@
         self.zone, self.kind, self.cell = member.zone, member.kind, member.cell
         self.pending = 0.0
         self.keys: dict[int, Pair] = {}
-        self.warm_at = self.sign_at = self.tokens = self.tokens_at = 0.0
+        self.warm_at = self.sign_at = 0.0
         self.reset(limit)
 
     def reset(self, limit: float) -> None:
@@ -66,12 +66,14 @@
 class Attempt:
     """One send of a job."""
 
-    __slots__ = ("job", "index", "worker", "pair", "sent", "state", "sign", "fresh", "begun", "lost")
+    __slots__ = ("job", "index", "worker", "pair", "sent", "state", "sign", "fresh", "begun", "lost",
+                 "queued")
 
     def __init__(self, job: Job, index: int, worker: Worker, pair: Pair | None, now: float) -> None:
         self.job, self.index, self.worker, self.pair, self.sent = job, index, worker, pair, now
         self.state = OUT
         self.lost = False  # its worker has gone silent
+        self.queued = 0.0  # seconds that it was expected to wait behind others
         self.fresh = pair is not None and pair.uses <= 1
         self.sign = self.begun = 0.0  # when it last showed that it runs, and when it first did
 
--- a/larchgw/wire.py
+++ b/larchgw/wire.py
@@ -203,6 +203,7 @@
             prices.get("probe", 0.0),
             prices.get("waste", 0.0),
             prices.get("lateFail", 0.0),
+            top.get("weightSource") == "live",
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise WireError(f"settings: {type(error).__name__}: {error}") from error
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -195,15 +195,21 @@
             reader.read(bad)
 
 
+def _learned(module, taken: float, *runs: float) -> None:
+    """As if the module had seen warm boxes do so much, and these running times."""
+    module.fleet.taken.value = taken
+    for index, run in enumerate(runs):
+        module.runs[index].value = module.fleet.runs.by_class[index].value = run
+
+
 def test_a_small_job_may_open_a_box_that_has_just_started() -> None:
     desk = Desk([SAFE, RELEASE])
     module, now = desk.core.dispatcher, desk.clock.now()
     module.s.warm_up, module.s.cold_from, module.s.tip_multiple, module.s.tip_span = 20.0, 0.15, 2.5, 3.0
-    module.warm_load, module.runs[0].value, module.runs[1].value = 3.0, 0.4, 5.0
+    _learned(module, 3.0, 0.4, 5.0)
     desk.core.listed(ListKind.FULL, [Member(b"new", up_since=now)])
-    worker = module.workers[b"new"]
-    assert 0.0 <= worker.tokens <= 0.4
-    worker.tokens, desk.clock.time = 0.2, now + 0.1
+    assert 0.0 <= module.fleet.cold.tokens <= 0.4
+    module.fleet.cold.tokens, desk.clock.time = 0.2, now + 0.1
     desk.core.take(Request(desk, b"large", 1, b"/r", b"", 5.0))
     assert not desk.sent
     desk.core.take(Request(desk, b"small", 0, b"/p", b"", 5.0))
@@ -214,13 +220,13 @@
     desk = Desk([SAFE, RELEASE])
     module, now = desk.core.dispatcher, desk.clock.now()
     module.s.warm_up, module.s.cold_from, module.s.tip_multiple, module.s.tip_span = 20.0, 0.15, 2.5, 3.0
-    module.warm_load, module.runs[0].value, module.runs[1].value = 3.0, 0.4, 5.0
+    _learned(module, 3.0, 0.4, 5.0)
     module.window = module.active = 4.0
     desk.core.listed(ListKind.FULL, [Member(b"old"), Member(b"new", up_since=now)])
     for n in range(20):
         desk.core.take(Request(desk, b"large%d" % n, 1, b"/r", b"", 30.0))
     desk.core.take(Request(desk, b"small", 0, b"/p", b"", 30.0))
     assert not desk.sent
-    module.workers[b"new"].tokens = 0.2
+    module.fleet.cold.tokens = 0.2
     desk.pass_time(0.1)
     assert [(a.worker, a.request.name) for a in desk.sent] == [(b"new", b"small")]
--- /dev/null
+++ b/tests/test_estimates.py
@@ -0,0 +1,217 @@
+"""Estimates from few sights: what they may never say, and what dispatchers that see little do with them."""
+
+import random
+
+import pytest
+from bench import Recorder, Rig
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larchgw import Dispatcher, Settings
+from larchgw.estimates import ColdTurns, Loads, Shrunk
+from larchgw.estimates.keys import Keys
+from larchgw.estimates.mixing import mix
+from larchgw.interface import JobClass, ListKind, Member, Request, Status
+from larchgw.records import OUT, Worker
+
+SAFE = JobClass("proof", 1.0, 10.0, stretch=2.0, effect="safe")
+RELEASE = JobClass("release", 4.0, 25.0, worth=8.0, stretch=2.0, effect="unsafe")
+
+
+def boxes(count, kind=0):
+    workers = [Worker(Member(b"box%d" % n, kind=kind), 1.0) for n in range(count)]
+    for w in workers:
+        w.ready, w.kind = True, kind
+    return workers
+
+
+def weight(held, size=9.0, cores=5):
+    return size / (1.0 + held / cores)
+
+
+def listed(loads, now, workers, held):
+    loads.told(now, [(w, weight(h)) for w, h in zip(workers, held, strict=True)])
+    loads.sum_up(now, workers, 1.0)
+
+
+def test_a_weight_tells_what_all_have_at_a_box():
+    loads, workers = Loads(), boxes(4)
+    listed(loads, 10.0, workers, [0, 1, 7, 20])
+    assert loads.cores == 5.0
+    assert [round(loads.others(10.0, w), 6) for w in workers] == [0.0, 1.0, 7.0, 20.0]
+
+
+def test_our_own_slots_there_are_not_taken_for_others():
+    loads, workers = Loads(), boxes(3)
+    workers[0].pending = 2.0
+    listed(loads, 10.0, workers, [3, 1, 0])
+    assert loads.others(10.0, workers[0]) == pytest.approx(1.0)
+    # What we sent just before the list came is not in it yet.
+    workers[0].pending = 3.0
+    loads.changed(10.9, workers[0].id, 1.0)
+    listed(loads, 11.0, workers, [3, 1, 0])
+    assert loads.others(11.0, workers[0]) == pytest.approx(1.0)
+
+
+def test_what_a_list_said_of_one_box_fades_into_what_is_usual():
+    loads, workers = Loads(), boxes(8)
+    listed(loads, 10.0, workers, [0, 1, 1, 1, 9, 9, 9, 10])
+    seen = [loads.others(10.0 + age, workers[7]) for age in (0, 1, 3, 9, 60)]
+    assert seen == sorted(seen, reverse=True)
+    assert seen[-1] == pytest.approx(5.0, abs=0.1)
+
+
+@given(st.lists(st.integers(0, 40), min_size=1, max_size=30), st.floats(0, 30), st.integers(0, 8))
+def test_parts_lie_between_none_and_all_and_what_is_poured_is_what_comes(held, age, own):
+    loads, workers = Loads(), boxes(len(held))
+    listed(loads, 5.0, workers, held)
+    sights = [loads.sights[w.id] for w in workers]
+    assert sum(s.room for s in sights) == pytest.approx(sum(s.even for s in sights))
+    for w in workers:
+        w.pending = float(own)
+        assert 0.0 <= loads.part(5.0 + age, w) <= 1.0
+        assert loads.others(5.0 + age, w) >= 0.0
+    # Whoever holds less for the same speed never gets less.
+    ranked = sorted(zip(held, (s.room for s in sights), strict=True))
+    assert all(a[1] >= b[1] - 1e-9 for a, b in zip(ranked, ranked[1:], strict=False))
+
+
+@given(st.lists(st.floats(0.01, 50.0), min_size=2, max_size=60))
+def test_sights_outweigh_a_prior_and_the_same_sights_give_the_same(samples):
+    first, second = Shrunk(1.0), Shrunk(1.0)
+    for sample in samples:
+        before = first.weight
+        first.add(sample)
+        second.add(sample)
+        assert first.weight > before
+    assert first.value == second.value
+    assert min(samples + [1.0]) - 1e-9 <= first.value <= max(samples + [1.0]) + 1e-9
+
+
+def test_a_key_that_was_seen_once_is_taken_for_a_rare_one():
+    keys = Keys()
+    keys.came(7)
+    assert keys.share(7) == 0.0
+    for n in range(100):
+        keys.came(9 if n % 4 == 0 else 1000 + n)
+    assert 0.1 < keys.share(9) < 0.25
+    for n in range(100_000):
+        keys.came(n + 1)
+    assert len(keys._counts) <= 1025
+
+
+def settings(instances, **more):
+    return Settings([SAFE, RELEASE], instances=instances, max_attempts=3, can_cancel=True, tells_start=True,
+                    cold_from=0.15, warm_up=22.0, tip_multiple=2.5, tip_span=3.0, max_retry_after=2.0,
+                    live_weights=True, **more)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_hundred_dispatchers_use_cold_boxes_and_together_push_none_over(seed):
+    """Each of them has one job a second; what each saves up for a box alone would never come to a turn."""
+    dice, s, cores, mean_job, jobs = random.Random(seed), settings(200), 5.0, 1.6, 200.0
+    cold = boxes(30)
+    for w in cold:
+        w.up_since, w.warm_at = 100.0, 122.0
+    turns = [ColdTurns(s, n, lambda: cores, lambda: mean_job, lambda: jobs) for n in range(200)]
+    for t in turns:
+        for w in cold:
+            t.joined(100.0, w)
+    sent = {w.id: [] for w in cold}
+    now, number = 100.0, 0
+    while now < 121.0:
+        now += dice.expovariate(jobs)
+        number += 1
+        one = turns[min(int(dice.paretovariate(1.5) * 20) - 20, 199)]  # some have several times the mean
+        worker = one.turn(now, mix(number + seed), lambda w: True)
+        if worker is not None and one.may(now, worker, 1.0):
+            one.spent(now, 1.0)
+            sent[worker.id].append(now)
+    early = sum(at < 110.0 for times in sent.values() for at in times)
+    assert early > 40  # of 2,000 that came: 30 boxes that can do 0.5 to 1.5 jobs a second each
+    for w in cold:
+        for at in sent[w.id]:
+            within = sum(at <= x < at + s.tip_span for x in sent[w.id])
+            rule = s.tip_multiple * cores * turns[0].share(at, w) * s.tip_span / mean_job
+            assert within <= rule + 1.0  # one job is the slack for chance
+
+
+class Thin(Rig):
+    """One of 200 dispatchers, whose list bears live weights."""
+
+    def __init__(self, seed=0, held=(0, *[2] * 29)):
+        self.actions, self.now, self.next = Recorder(), 1000.0, 0
+        self.d = Dispatcher(settings(200), seed, self.actions)
+        self.list(held)
+
+    def list(self, held):
+        members = [Member(bytes([n]) * 6, size=weight(h)) for n, h in enumerate(held)]
+        self.ids = [m.worker for m in members]
+        self.members(*members, kind=ListKind.FULL)
+
+    def ask(self, deadline=10.0, **more):
+        self.next += 1
+        self.d.on_request(self.now, Request(self.next, self.now + deadline, **more))
+        return self.next
+
+
+def test_dispatchers_that_never_saw_a_key_send_it_to_the_same_box():
+    """Each sees a key once or twice; were they to pick for themselves, every one would have it fetched."""
+    places = set()
+    for seed in range(12):
+        rig = Thin(seed)
+        places.add(rig.where(rig.ask(key=77)))
+    assert len(places) == 1
+
+
+def test_a_crowded_home_is_passed_by_and_not_by_all_for_the_same_box():
+    rig = Thin()
+    home = rig.ids.index(rig.where(rig.ask(key=77)))
+    places = set()
+    for seed in range(40):
+        rig = Thin(seed, [30 if n == home else 2 + n % 5 for n in range(30)])
+        places.add(rig.ids.index(rig.where(rig.ask(key=77))))
+    assert home not in places
+    assert len(places) > 1
+
+
+def test_a_job_that_stands_behind_others_is_not_taken_for_silence():
+    rig = Thin(held=[8] * 30)
+    job = rig.ask()
+    assert rig.where(job) in rig.ids
+    rig.wait(1.4)
+    assert ("cancel", job, 0) not in rig.actions.log
+
+
+def test_the_last_attempt_of_a_job_is_let_run_however_silent_its_box():
+    rig = Thin()
+    job = rig.ask()
+    for _ in range(80):
+        rig.wait(0.1)
+        cancelled = [x[2] for x in rig.actions.log if x[0] == "cancel" and x[1] == job]
+        for attempt in cancelled:
+            if job in rig.d.jobs and rig.d.jobs[job].attempts[attempt].state == OUT:
+                rig.end(job, Status.CANCELLED, attempt)
+    assert len(rig.actions.sends[job]) == 3
+    assert ("cancel", job, 1) in rig.actions.log
+    assert ("cancel", job, 2) not in rig.actions.log
+    assert rig.answers(job) == []
+
+
+def test_no_release_goes_to_a_box_that_is_empty_among_busy_ones_list_after_list():
+    for seed in range(20):
+        rig = Thin(seed, [0, 5, 5])
+        for _ in range(6):
+            rig.wait(0.8)
+            rig.list([0, 5, 5])
+        release = rig.ask(25.0, job_class=1)
+        assert rig.actions.sends.get(release, [rig.ids[1]])[0] != rig.ids[0]
+
+
+def test_without_live_weights_nothing_is_read_out_of_them():
+    rig = Rig(3, instances=200)
+    job = rig.request(key=5)
+    worker = rig.d.workers[rig.where(job)]
+    assert rig.d.fleet.wait(rig.now, rig.d.jobs[job], worker) == 0.0
+    assert rig.d.fleet.speed(worker) == 1.0
+    assert not rig.d.fleet.strange(rig.now, worker)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from larchgw import Dispatcher, Settings
+from larchgw.estimates import Fleet
 from larchgw.interface import JobClass, ListKind, Member, Note, Outcome, Presence, Request, Status
 
 NEVER = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
@@ -249,5 +250,5 @@
 
 
 def test_the_cold_check_catches_a_planted_violation(monkeypatch):
-    monkeypatch.setattr(Dispatcher, "_cold_room", lambda self, now, job, w: True)
+    monkeypatch.setattr(Fleet, "may_warm", lambda self, now, job, w: True)
     assert cold_sends(1) > 1.0
