--- a/larchgw/estimates/cold.py
+++ b/larchgw/estimates/cold.py
@@ -36,12 +36,14 @@
     """One dispatcher's budget at cold boxes, in mean jobs."""
 
     def __init__(self, settings: Settings, seed: int, able: Callable[[Worker], float],
-                 mean_job: Callable[[], float], flow: Callable[[], float]) -> None:
+                 mean_job: Callable[[], float], flow: Callable[[], float],
+                 uneven: Callable[[], float] = lambda: 1.0) -> None:
         """`able`: slot seconds a second that this box can do when warm, as on a usual box.
 
         `mean_job`: slot seconds of a job; `flow`: jobs a second that come to all dispatchers, 0 if not known.
         """
         self.s, self._able, self._mean_job, self._flow = settings, able, mean_job, flow
+        self._uneven = uneven  # mean square of jobs' sizes over the square of their mean
         self._random = random.Random(seed)
         self.boxes: dict[bytes, Worker] = {}
         self.tokens, self._at = 0.0, 0.0
@@ -79,8 +81,11 @@
 
     def rate(self, now: float, worker: Worker) -> float:
         """Mean jobs a second, of all dispatchers, that keep so many roots below the budget."""
+        # Jobs are of very unlike sizes, and a few large ones scatter more than as many mean ones.
+        unit = max(self._uneven(), 1.0) if self.lots() else 1.0
         half = (LOT_ROOTS if self.lots() else ROOTS) / 2.0
-        return float((sqrt(half * half + self.budget(now, worker)) - half) ** 2) / self.s.tip_span
+        units = (sqrt(half * half + self.budget(now, worker) / unit) - half) ** 2
+        return float(units * unit) / self.s.tip_span
 
     def lots(self) -> bool:
         """Whether dispatchers are so many that lots are drawn."""
--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -42,7 +42,7 @@
         self.taken = Taken()
         self.loads = Loads()
         self.cold = ColdTurns(settings, seed, self.able, self.runs.mean,
-                              lambda: self.loads.flow if self.live else 0.0)
+                              lambda: self.loads.flow if self.live else 0.0, self.runs.uneven)
 
     def configure(self, settings: Settings) -> None:
         """Other settings for the same classes."""
--- a/larchgw/estimates/runs.py
+++ b/larchgw/estimates/runs.py
@@ -42,6 +42,11 @@
         """Slot seconds of a job of the mix."""
         return sum(n * r.value for n, r in zip(self._came, self.by_class, strict=True)) / sum(self._came)
 
+    def uneven(self) -> float:
+        """Mean square of the classes' sizes over the square of the mean: 1 where all are alike."""
+        squares = sum(n * r.value**2 for n, r in zip(self._came, self.by_class, strict=True))
+        return squares / sum(self._came) / max(self.mean(), 1e-6) ** 2
+
 
 class Taken:
     """Slot seconds a second that warm boxes are seen to do, which is the least that they can."""
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from larchgw import Dispatcher, Settings
-from larchgw.estimates import ColdTurns, Loads, Shrunk
+from larchgw.estimates import ColdTurns, Loads, Runs, Shrunk
 from larchgw.estimates.keys import Keys
 from larchgw.estimates.mixing import mix
 from larchgw.interface import JobClass, ListKind, Member, Request, Status
@@ -170,6 +170,21 @@
         return self.next
 
 
+def test_cold_boxes_get_less_where_jobs_are_of_unlike_sizes():
+    worker = boxes(1)[0]
+    worker.up_since, worker.warm_at = 100.0, 122.0
+    rates = [ColdTurns(settings(200), 1, lambda w: 5.0, lambda: 1.6, lambda: 200.0, lambda u=u: u)
+             .rate(105.0, worker) for u in (1.0, 1.5, 2.0, 4.0)]
+    assert rates == sorted(rates, reverse=True) and rates[-1] < 0.7 * rates[0]
+    runs = Runs([SAFE, RELEASE])
+    for _ in range(50):
+        runs.came(0)
+        runs.came(1)
+        runs.ended(0, 1.0, 1.0)
+        runs.ended(1, 5.0, 1.0)
+    assert 1.3 < runs.uneven() < 1.6
+
+
 def test_dispatchers_that_never_saw_a_key_send_it_to_the_same_box():
     """Each sees a key once or twice; were they to pick for themselves, every one would have it fetched."""
     places = set()
