--- a/larchgw/handover.py
+++ b/larchgw/handover.py
@@ -303,22 +303,26 @@
         if self._folder < 0:
             return
         fresh = f"{self._name}.{os.getpid()}"
-        sock = self._bound(socket.SOCK_STREAM, fresh)
+        sock = self._bound(socket.SOCK_STREAM, fresh, self._name)
         if sock is None:
             return
-        sock.listen(4)
-        os.rename(self._path(fresh), self._path(self._name))
         sock.setblocking(False)
         self._listening = sock
         self.loop.watch(sock, READ, self._met)
 
-    def _bound(self, kind: int, name: str) -> socket.socket | None:
-        """A socket under this name in the folder. Where none can be had no upgrade finds us, and we serve."""
+    def _bound(self, kind: int, name: str, takes: str = "") -> socket.socket | None:
+        """A socket under this name in the folder, listening if it then takes another one.
+
+        Where none can be had no upgrade finds us, and we serve.
+        """
         sock = None
         try:
             sock = socket.socket(socket.AF_UNIX, kind)
             Path(self._path(name)).unlink(missing_ok=True)
             sock.bind(self._path(name))
+            if takes:
+                sock.listen(4)
+                os.rename(self._path(name), self._path(takes))
         except OSError as error:
             log.error("upgrade.unfound", error=str(error))
             if sock is not None:
--- a/larchgw/learned.py
+++ b/larchgw/learned.py
@@ -17,8 +17,8 @@
     return {
         "runs": {c.name: _mean(m) for c, m in zip(module.s.classes, module.runs, strict=True)},
         "means": {name: _mean(getattr(module, name)) for name in MEANS},
-        "figures": {name: getattr(module, name) for name in FIGURES},
-        "taken": module.fleet.taken.value,
+        "figures": {"warm_load": module.fleet.taken.value}
+        | {name: getattr(module, name) for name in FIGURES},
         "workers": {w.id.decode("latin-1"): {
             "up_since": w.up_since,
             "figures": {name: getattr(w, name) for name in WORKER},
@@ -45,7 +45,7 @@
         _set(getattr(module, name), told["means"][name])
     for name in FIGURES:
         setattr(module, name, float(told["figures"][name]))
-    module.fleet.taken.value = float(told["taken"])
+    module.fleet.taken.value = float(told["figures"]["warm_load"])  # the name that 0.5 gave it
     for worker in module.workers.values():
         known = told["workers"].get(worker.id.decode("latin-1"))
         if known is not None and float(known["up_since"]) == worker.up_since:
