--- a/larchgw/emulator/virtual.py
+++ b/larchgw/emulator/virtual.py
@@ -246,16 +246,16 @@
                 self._weights[name] = weight
                 changed.append(box)
         now = self.time.now()
-        listed = [(box, self.member(box)) for box in changed]
+        listed = [self.member(box) for box in changed]
         self.time.at(now + self.scenario.weights_late_s, lambda: self._tell_weights(listed))
         self.time.at(now + self.scenario.weights_s, self._weigh)
 
-    def _tell_weights(self, listed: Sequence[tuple[Box, Member]]) -> None:
+    def _tell_weights(self, listed: Sequence[Member]) -> None:
         for dispatcher in self.dispatchers:
             if dispatcher.alive:
                 told = dispatcher.told
                 dispatcher.core.listed(ListKind.DELTA, [
-                    replace(m, presence=told[m.worker][0], up_since=told[m.worker][1]) for _, m in listed
+                    replace(m, presence=told[m.worker][0], up_since=told[m.worker][1]) for m in listed
                     if told.get(m.worker, GONE)[0] != Presence.GONE])
 
     # Clients
--- a/larchgw/estimates/cold.py
+++ b/larchgw/estimates/cold.py
@@ -94,7 +94,6 @@
     def _reckon(self, now: float) -> None:
         if 0.0 <= now - self._reckoned < RECKON:
             return
-        self._reckoned = now
         for worker in [w for w in self.boxes.values() if now >= w.warm_at]:
             self.left(worker)
         self._reckoned = now
--- a/larchgw/estimates/loads.py
+++ b/larchgw/estimates/loads.py
@@ -39,6 +39,11 @@
         self.long = -1.0  # held for its speed over what is usual, over some lists; below 0: not known
         self.changes: deque[tuple[float, float]] = deque()
 
+    def trust(self, now: float) -> float:
+        """How much of what the list said still counts: 1 when it comes, less with age."""
+        trust: float = 0.5 ** (max(now - self.at, 0.0) / FADE)
+        return trust
+
 
 class Loads:
     """Requests held by boxes, ours and everybody's."""
@@ -104,16 +109,15 @@
             self.every += 0.2 * (min(now - self._last_list, SELDOM) - self.every)
         self._last_list = now
         sizes = [self.nominal.get(w.kind, 1.0) for w in workers]
-        mean_size = self.mean_size = sum(sizes) / len(sizes) if sizes else 1.0
+        self.mean_size = sum(sizes) / len(sizes) if sizes else 1.0
         self.lists += 1
-        period = self.every + LAG
-        ahead = period / max(mean_job, 1e-3)  # mean jobs that a core ends until this shows
+        ahead = self.period() / max(mean_job, 1e-3)  # mean jobs that a core ends until this shows
         coming, held, levels = 0.0, 0.0, []
         for w, size in zip(workers, sizes, strict=True):
             sight = self.sights.get(w.id)
             if sight is None:
                 continue
-            speed = size / mean_size
+            speed = size / self.mean_size
             there = sight.held * self.cores
             done = min(there, self.cores) * speed * ahead
             coming += done + SPARE
@@ -122,13 +126,17 @@
             sight.left = max(there - done, 0.0)
             levels.append((sight.left / sight.power, sight))
         self.usual = held / sum(sizes) if sizes else 0.0
-        busy = self.usual * mean_size
+        busy = self.usual * self.mean_size
         if busy >= BUSY:
             for _, sight in levels:
                 ratio = sight.held * self.cores * self.cores / sight.power / busy
                 sight.long = ratio if sight.long < 0 else sight.long + SLOWLY * (ratio - sight.long)
         self._pour(coming, levels)
 
+    def period(self) -> float:
+        """Seconds until what is sent now shows in a list."""
+        return self.every + LAG
+
     def _pour(self, coming: float, levels: list[tuple[float, Sight]]) -> None:
         levels.sort(key=lambda item: item[0])
         power = filled = level = 0.0
@@ -139,7 +147,7 @@
             if index + 1 == len(levels) or level <= levels[index + 1][0]:
                 break
         # While boxes are lost or cold the rest end less than comes: the flow is what it was before.
-        self.flow = max(coming / (self.every + LAG), self.flow * STEADY)
+        self.flow = max(coming / self.period(), self.flow * STEADY)
         even = coming / sum(sight.power for _, sight in levels) if levels else 0.0
         for start, sight in levels:
             sight.room, sight.even = max(level - start, 0.0) * sight.power, even * sight.power
@@ -150,7 +158,7 @@
         if sight is None or sight.even <= 0.0:
             return 1.0
         room = sight.room - max(worker.pending - sight.own, 0.0)
-        trust: float = 0.5 ** (max(now - sight.at, 0.0) / FADE)
+        trust = sight.trust(now)
         return min(max(room / sight.even, 0.0), 1.0) * trust + 1.0 - trust
 
     def strange(self, worker: Worker) -> bool:
@@ -184,5 +192,5 @@
         if sight is None:
             return max(usual - worker.pending, 0.0) if self.nominal else 0.0
         known = max(sight.held * self.cores - sight.own, 0.0)
-        trust: float = 0.5 ** (max(now - sight.at, 0.0) / FADE)
+        trust = sight.trust(now)
         return max(known * trust + (usual - sight.own) * (1.0 - trust), 0.0)
--- a/tests/test_refused_calls.py
+++ b/tests/test_refused_calls.py
@@ -18,7 +18,7 @@
 """
 
 
-def serves(program, runner, discovery):
+def serves(program, discovery):
     program.ready()
     assert program.job("a1", b"x")[0] == 200
     assert "reload.done" in program.reload(discovery=discovery.address)
@@ -33,7 +33,7 @@
     discovery.tell(runner.name, addr=runner.address)
     program = Program(tmp_path, discovery.address, before=REFUSE)
     try:
-        serves(program, runner, discovery)
+        serves(program, discovery)
         assert not program.logged("event=refused")
     finally:
         program.process.kill()
@@ -47,7 +47,7 @@
     with socket.create_server(("127.0.0.1", 0)) as accept:
         program = Program(tmp_path, discovery.address, accept=accept, before=REFUSE)
         try:
-            serves(program, runner, discovery)
+            serves(program, discovery)
             assert program.logged("event=refused what=socket.bind")
             assert program.logged("event=upgrade.unfound")
         finally:
