One call at a time at a crowded discovery, in step with nobody and with the fleet's size

Restarted ones went on with a list from before the release, 20 to 60 % of their attempts were refused connections.

Causes: (1) Discovery.start() and the module's subscribe() at the known list each opened a call: two for every start, one of them given up; (2) after each failure the module's own timer called ask() beside the timed retry (net/discovery.py, ask() looked only at the connection); (3) retries at 0.1 to 2 s whatever the number of dispatchers; (4) a list call was given up after 1 s where a turn takes up to 2 s, and its turn was used up all the same; (5) a restart asked for the whole list and then for the watch: two turns in place of one.

Ruled out: first retries of 1, 2 and 4 s with the double calls left in: nobody got through in any of them (counted new calls and successes in 3 s bins). With single calls: 2 s still fails, 8 s (0.2 s for each dispatcher) gets all 40 through in 9 s.

--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -21,6 +21,11 @@
 WAIT_MS = 10_000  # how long a watch may wait
 ANSWER_TIME = 1.0  # beyond that wait, until discovery counts as silent
 FIRST_BACKOFF, LAST_BACKOFF = 0.1, 2.0
+# Where lists must be asked for, one service of fixed capacity answers all dispatchers, each call in its turn. A
+# call that we give up still has its turn, and calls that come faster than they are answered all wait in vain.
+TURN_TIME = 3.0  # in place of ANSWER_TIME
+GAP = 0.2  # seconds between two calls of the whole fleet, on the first retry; twice that on the next, ...
+LATEST = 3.2  # times `list_patience`: after four times of it we count as told of what a call would have brought
 MAX_ANSWER = 8 << 20
 STATES = {"SERVING": Presence.READY, "DRAINING": Presence.DRAINING, "DELETED": Presence.GONE}
 log = structlog.get_logger()
@@ -78,7 +83,7 @@
     """One connection; whatever goes wrong on it, the old list stays and the watch is tried again."""
 
     def __init__(self, loop: Loop, core: Core, address: tuple[str, int], reader: ListReader,
-                 locate: Callable[[WorkerId, tuple[str, int] | None], None]) -> None:
+                 locate: Callable[[WorkerId, tuple[str, int] | None], None], seed: int = 0) -> None:
         self.loop, self.core, self.address, self.reader, self.locate = loop, core, address, reader, locate
         self.version: int | None = None
         self._known: set[WorkerId] = set()
@@ -87,11 +92,12 @@
         self._body = bytearray()
         self._complete = self._keep = False
         self._timer: Deadline | None = None
-        self._backoff = FIRST_BACKOFF
-        self._random = random.Random()
-        self._down = self._stopped = False
+        self._failures = 0  # in a row
+        self._random = random.Random(seed)
+        self._down = self._stopped = self._started = False
 
     def start(self) -> None:
+        self._started = True
         self._connect()
 
     def stop(self) -> None:
@@ -107,13 +113,16 @@
         self.reader = reader
         if address == self.address:
             return
-        self.address, self.version, self._backoff = address, None, FIRST_BACKOFF
+        self.address, self.version, self._failures = address, None, 0
         if not self._stopped:
             self._connect()
 
     def ask(self) -> None:
-        """The module wants to be told of changes; the watch does so at any rate."""
-        if self._connection is None and not self._stopped:
+        """The module wants to be told of changes; the watch does so at any rate.
+
+        Not before the start, and not while a retry is timed: that would be a second call beside it.
+        """
+        if self._started and self._connection is None and self._timer is None and not self._stopped:
             self._connect()
 
     def apply(self, listing: Listing, kind: ListKind) -> None:
@@ -125,6 +134,8 @@
         self._known.update(listing.addresses)
         for worker, address in listing.addresses.items():
             self.locate(worker, address)
+        if kind == ListKind.CACHED and self.core.settings.must_subscribe:
+            self.version = listing.version  # one call then brings what has changed since, and all that follows
         self.core.counters.lists.labels(kind.name.lower()).inc()
         self.core.listed(kind, listing.members)
 
@@ -140,15 +151,15 @@
     def _ask(self) -> None:
         if self._connection is None:
             return
-        path, wait = "/api/targets", 0.0
+        path, wait = "/api/targets", TURN_TIME if self.core.settings.must_subscribe else ANSWER_TIME
         if self.version is not None:
             path += f"?after={self.version}&wait_ms={WAIT_MS}"
-            wait = WAIT_MS / 1000.0
+            wait += WAIT_MS / 1000.0
         self._parser, self._complete = httptools.HttpResponseParser(self), False
         self._body.clear()
         self.loop.deadlines.drop(self._timer)
         self._timer = self.loop.deadlines.add(
-            self.loop.clock.now() + wait + ANSWER_TIME, lambda: self._failed("silent"))
+            self.loop.clock.now() + wait, lambda: self._failed("silent"))
         host = f"{self.address[0]}:{self.address[1]}"
         self._connection.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
@@ -170,9 +181,18 @@
         self.core.counters.lists.labels("failed").inc()
         if self.core.settings.must_subscribe:
             self.core.listed(ListKind.FAILED, ())
-        wait = self._backoff * self._random.uniform(0.5, 1.0)
-        self._backoff = min(2 * self._backoff, LAST_BACKOFF)
-        self._timer = self.loop.deadlines.add(self.loop.clock.now() + wait, self._connect)
+        self._timer = self.loop.deadlines.add(self.loop.clock.now() + self._backoff(), self._connect)
+
+    def _backoff(self) -> float:
+        """Seconds until the next try, longer each time."""
+        settings = self.core.settings
+        first, last = FIRST_BACKOFF, LAST_BACKOFF
+        if settings.must_subscribe:
+            last = LATEST * settings.list_patience
+            first = max(first, GAP * settings.instances)
+        wait: float = min(first * 2 ** min(self._failures, 16), last) * self._random.uniform(0.5, 1.0)
+        self._failures += 1
+        return wait
 
     def _answered(self) -> None:
         parser, self._complete = self._parser, False
@@ -187,10 +207,14 @@
         if not listing.full and self.version is None:
             self._failed("changes came where the whole list was asked for")
             return
+        if not listing.full and self.version is not None and listing.version < self.version:
+            self.version = None  # it counts anew: what we hold is of another count
+            self._failed("its version has gone back")
+            return
         if self._down:
             self._down = False
             log.info("discovery.up", version=listing.version)
-        self._backoff = FIRST_BACKOFF
+        self._failures = 0
         self.version = listing.version
         # The next watch goes out first: a gap of 200 ms would make it a new one.
         if self._keep:
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -44,7 +44,8 @@
         self.runners = Runners(self.loop, self.core, config.raw, runner_cap)
         self.stopping = False
         reader = ListReader(config.raw)
-        self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate)
+        self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate,
+                                   config.seed)
         self.core.on_subscribe = self.discovery.ask
         if config.known is not None:
             try:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -76,6 +76,12 @@
     def do_GET(self) -> None:
         owner: Discovery = self.server.owner  # type: ignore[attr-defined]
         owner.paths.append(self.path)
+        if owner.overbooked:
+            owner.overbooked -= 1
+            self.send_response(503)
+            self.send_header("Content-Length", "0")
+            self.end_headers()
+            return
         if owner.bad:
             owner.asked += 1
             self.send_response(200)
@@ -99,6 +105,7 @@
 class Discovery(Server):
     def __init__(self) -> None:
         self.version, self.asked, self.bad = 1, 0, False
+        self.overbooked = 0  # calls that it has no turn for
         self.paths: list[str] = []
         self.boxes: dict[str, dict[str, Any]] = {}
         self.changed = threading.Condition()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -12,12 +12,17 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from stand_ins import PATIENCE, ROOT, Discovery, Program, Runner, running, settings, until
 
 from larchgw.config import ConfigError
+from larchgw.core import Core
+from larchgw.core.deadlines import Clock, Deadlines
+from larchgw.interface import JobClass, Settings
+from larchgw.net import discovery as net_discovery
 from larchgw.settings_file import load_fronts
 
 
@@ -130,6 +135,69 @@
         until(lambda: program.logged("event=discovery.up"))
 
 
+def test_where_lists_are_asked_for_one_call_at_a_time_goes_out_and_brings_what_has_changed(
+        tmp_path: Path) -> None:
+    """Each start used to make two calls, and each failure another at once beside the one that was timed."""
+    runner, discovery = Runner("s-1"), Discovery()
+    discovery.overbooked = 3
+    known = {"version": 1, "full": True, "servers": [
+        {"id": "s-1", "addr": runner.address, "zone": "a", "kind": "m", "state": "SERVING"}]}
+    program = Program(tmp_path, discovery.address, known=known, settings={"registryMode": "subscribe"})
+    try:
+        assert program.job("a", b"x") == (200, b"s-1:x")  # the known list serves meanwhile
+        until(lambda: len(discovery.paths) == 4, "the fourth call")
+        assert all(path.startswith("/api/targets?after=1&") for path in discovery.paths)
+        discovery.tell("s-1", addr=runner.address)
+        until(lambda: program.logged("event=discovery.up"))
+        program.stop()
+    finally:
+        program.process.kill()
+        discovery.close()
+        runner.close()
+
+
+class Later:
+    """Deadlines that only note when they are due."""
+
+    def __init__(self) -> None:
+        self.at: list[float] = []
+
+    def add(self, at: float, action: object) -> None:
+        self.at.append(at)
+
+    def drop(self, entry: object) -> None:
+        pass
+
+
+def retries(seed: int, instances: int, most: int) -> list[float]:
+    """When one dispatcher asks again while every call fails at once."""
+    told = Settings([JobClass("proof", 1.0, 5.0)], instances=instances, must_subscribe=True)
+    core = Core(told, seed, Clock(), Deadlines())
+    later, clock = Later(), SimpleNamespace(now=lambda: 0.0)
+    loop: Any = SimpleNamespace(deadlines=later, clock=clock)
+    discovery = net_discovery.Discovery(loop, core, ("127.0.0.1", 1), net_discovery.ListReader({}),
+                                        lambda worker, address: None, seed)
+    at = [0.0]
+    for _ in range(most):
+        clock.now = lambda: at[-1]
+        discovery._failed("status 503")
+        at.append(later.at[-1])
+    return at[1:]
+
+
+@pytest.mark.parametrize("instances", [40, 200])
+def test_the_whole_fleet_together_does_not_call_a_crowded_discovery_without_end(instances: int) -> None:
+    """Calls that come faster than they are answered all wait in vain: each tried again every 1.5 seconds."""
+    calls = sorted(at for seed in range(instances) for at in retries(seed, instances, 8) if at < 40.0)
+    assert len(calls) <= 4 * instances
+    assert all(sum(start <= at < start + 1 for at in calls) <= 20 for start in range(1, 40))
+    assert len(set(calls)) == len(calls)  # nor in step
+
+
+def test_one_that_is_alone_asks_again_soon() -> None:
+    assert retries(1, 1, 1)[0] <= 0.2
+
+
 def test_it_starts_from_the_known_list_while_discovery_is_away(tmp_path: Path) -> None:
     runner = Runner("s-1")
     known = {"version": 1, "full": True, "servers": [
