--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -21,11 +21,11 @@
 WAIT_MS = 10_000  # how long a watch may wait
 ANSWER_TIME = 1.0  # beyond that wait, until discovery counts as silent
 FIRST_BACKOFF, LAST_BACKOFF = 0.1, 2.0
-# Where lists must be asked for, one service of fixed capacity answers all dispatchers, each call in its turn. A
-# call that we give up still has its turn, and calls that come faster than they are answered all wait in vain.
+# Where lists must be asked for, one service of fixed capacity answers all dispatchers, each call in its turn.
+# A call that we give up still has its turn, and calls that come faster than they are answered wait in vain.
 TURN_TIME = 3.0  # in place of ANSWER_TIME
 GAP = 0.2  # seconds between two calls of the whole fleet, on the first retry; twice that on the next, ...
-LATEST = 3.2  # times `list_patience`: after four times of it we count as told of what a call would have brought
+LATEST = 3.2  # times `list_patience`: after four times of it we count as told of what is in the list
 MAX_ANSWER = 8 << 20
 STATES = {"SERVING": Presence.READY, "DRAINING": Presence.DRAINING, "DELETED": Presence.GONE}
 log = structlog.get_logger()
@@ -135,7 +135,7 @@
         for worker, address in listing.addresses.items():
             self.locate(worker, address)
         if kind == ListKind.CACHED and self.core.settings.must_subscribe:
-            self.version = listing.version  # one call then brings what has changed since, and all that follows
+            self.version = listing.version  # one call then brings what has changed, and all that follows
         self.core.counters.lists.labels(kind.name.lower()).inc()
         self.core.listed(kind, listing.members)
 
