Turns at cold boxes go by rota of ranks and clock where dispatchers are many

Lines at fault: estimates/cold.py, rate(): lots keep four roots of Poisson scatter below the rule, on jobs of unlike sizes, which leaves a box that has just started about a sixth of what it can do.

Now turns go round by rank, and a turn lasts as long as the box takes for a mean job; all reckon with the start in the list and the one clock, so nothing scatters but the jobs' sizes; one turn of four is open to large jobs.

--- a/larchgw/estimates/cold.py
+++ b/larchgw/estimates/cold.py
@@ -5,6 +5,9 @@
 each box would, as one of 200, wait minutes for its turn at any of them while all stand idle. So what falls
 to it at all cold boxes together is one budget, and each turn goes to a box drawn by its part of it: what
 comes to a box from all of them then scatters around its mean by its root, whatever their number.
+
+That scatter is dear: four roots below the rule leave a box that has just started a sixth of what it can do.
+Where each dispatcher is told its rank, turns go by rota in place of lots: none scatter, but for jobs' sizes.
 """
 
 from __future__ import annotations
@@ -13,7 +16,7 @@
 from bisect import bisect
 from collections.abc import Callable
 from itertools import accumulate
-from math import sqrt
+from math import log2, sqrt
 
 from ..interface import Settings
 from ..records import Worker
@@ -28,6 +31,8 @@
 FIRST = 0.4  # of a mean job: what each of a few senders may have saved up for a box that has just started
 FEW = 3.0  # senders that may
 MANY = 10  # dispatchers from which lots are drawn
+PLANNED = 1.3  # of a box's present capacity: what turns by rota give it in mean jobs
+LARGE_TURNS = 4  # one of so many turns by rota may go to a job larger than the mean
 TRIES = 4  # boxes drawn until one may have the turn
 RECKON = 0.1  # seconds for which the sum over all cold boxes is kept
 
@@ -53,6 +58,7 @@
         self._drawn: list[Worker] = []
         self._sums: list[float] = []  # of their rates, each with those before it
         self._total, self._reckoned = 0.0, -1.0
+        self._used: dict[bytes, int] = {}  # the last turn of ours there that we have used
 
     def joined(self, now: float, worker: Worker) -> None:
         """A box has started. Few senders give it a first small job at once: it shows that it works."""
@@ -87,9 +93,34 @@
         units = (sqrt(half * half + self.budget(now, worker) / unit) - half) ** 2
         return float(units * unit) / self.s.tip_span
 
+    def mine(self, now: float, worker: Worker) -> int:
+        """The number of the turn there that is ours and not used; 0 if there is none.
+
+        A turn lasts for as long as the box takes for a mean job. All read its start off the list, and reckon
+        with the same clock, so they agree on where turns begin; whose it is goes round by rank.
+        """
+        age, warm_up = max(now - worker.up_since, 0.0), max(self.s.warm_up, 1e-3)
+        done = self.s.cold_from * age + (1.0 - self.s.cold_from) * age * age / (2.0 * warm_up)  # box seconds
+        unit = max(self._mean_job(), 1e-3) / (PLANNED * max(self._able(worker), 1.0))
+        unit = 2.0 ** round(log2(unit))  # estimates differ a little; most agree on the power of two
+        number = int(done / unit) + 1
+        length = unit / self.share(now, worker)
+        # So many that one of them has a job within the turn; mostly just one.
+        many = 1
+        if self._flow() > 0.0:
+            many = max(round(self.s.instances / max(self._flow() * length, 1e-3)), 1)
+        n = self.s.instances
+        if (self.s.rank + worker.point + number * many) % n >= many or self._used.get(worker.id) == number:
+            return 0
+        return number
+
     def lots(self) -> bool:
         """Whether dispatchers are so many that lots are drawn."""
-        return self.s.instances > MANY and self._flow() > 0.0
+        return self.s.instances > MANY and self._flow() > 0.0 and not self.rota()
+
+    def rota(self) -> bool:
+        """Whether turns go round by rank and clock."""
+        return self.s.rank >= 0 and self.s.instances > MANY
 
     def _reckon(self, now: float) -> None:
         if 0.0 <= now - self._reckoned < RECKON:
@@ -118,6 +149,10 @@
         if not self.boxes:
             return None
         self._accrue(now)
+        if self.rota():
+            ours = [w for w in self._drawn if self.mine(now, w) and fit(w)]
+            self._turn = self._random.choice(ours) if ours else None
+            return self._turn
         if self.lots():
             lot = draw / (MASK + 1) * self._flow() * self.parts
             self._turn = self._pick(lot) if self._sums and lot < self._sums[-1] else None
@@ -141,14 +176,20 @@
         A lot is the drawn job's alone: others, whose keys have their home there, would come on top.
         """
         self._accrue(now)
+        if self.rota():
+            number = self.mine(now, worker)
+            # Were any turn open to large jobs, many of those in a row would push it over now and then.
+            most = LARGE * self.budget(now, worker) if number % LARGE_TURNS == 0 else 1.0
+            return number > 0 and cost <= max(most, 1.0)
         if worker is not self._turn or (self.lots() and draw != self._lot):
             return False
         if cost > LARGE * self.budget(now, worker):
             return False
         return self.tokens >= min(cost, 1.0)
 
-    def spent(self, now: float, cost: float) -> None:
+    def spent(self, now: float, worker: Worker, cost: float) -> None:
         """A job has gone to a cold box."""
+        self._used[worker.id] = self.mine(now, worker)
         self._accrue(now)
         self.tokens -= cost
         self._turn = None
--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -79,7 +79,7 @@
     def sent(self, now: float, job: Job, worker: Worker) -> None:
         self.loads.changed(now, worker.id, job.request.slots)
         if now < worker.warm_at:
-            self.cold.spent(now, self._cost(job))
+            self.cold.spent(now, worker, self._cost(job))
 
     def ended(self, now: float, job: Job, worker: Worker) -> None:
         """An attempt has ended, however it did."""
--- a/larchgw/wire.py
+++ b/larchgw/wire.py
@@ -204,6 +204,7 @@
             prices.get("waste", 0.0),
             prices.get("lateFail", 0.0),
             top.get("weightSource") == "live",
+            top.get("rank", -1),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise WireError(f"settings: {type(error).__name__}: {error}") from error
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -140,7 +140,7 @@
         # Whoever has another lot does not get in on this one's turn, as by a key that has its home there.
         assert worker is None or not one.may(now, worker, lot + 1, 1.0)
         if worker is not None and one.may(now, worker, lot, 1.0):
-            one.spent(now, 1.0)
+            one.spent(now, worker, 1.0)
             sent[worker.id].append(now)
     early = sum(at < 110.0 for times in sent.values() for at in times)
     assert early > 40  # of 2,000 that came: 30 boxes that can do 0.5 to 1.5 jobs a second each
@@ -170,6 +170,40 @@
         return self.next
 
 
+@pytest.mark.parametrize("number", [40, 200])
+def test_by_rota_cold_boxes_are_used_from_the_start_and_none_is_pushed_over(number):
+    """Lots left a box that had just started a sixth of what it can do; the rota gives it more than half."""
+    dice, cores, mean_job, jobs = random.Random(number), 5.0, 1.6, 150.0
+    cold = boxes(30)
+    for w in cold:
+        w.up_since, w.warm_at = 100.0, 122.0
+    # No two estimate alike.
+    guesses = [(dice.uniform(1.4, 1.8), dice.uniform(120.0, 180.0)) for _ in range(number)]
+    turns = [ColdTurns(settings(number, rank=n), n, lambda w: cores, lambda m=m: m, lambda f=f: f)
+             for n, (m, f) in enumerate(guesses)]
+    for t in turns:
+        for w in cold:
+            t.joined(100.0, w)
+    sent = {w.id: [] for w in cold}
+    now = 100.0
+    while now < 121.0:
+        now += dice.expovariate(jobs)
+        one = turns[dice.randrange(number)]
+        size = dice.choice([0.3, 0.3, 0.5, 0.6, 3.0])  # in mean jobs, about
+        worker = one.turn(now, 0, lambda w: True)
+        if worker is not None and one.may(now, worker, 0, size):
+            one.spent(now, worker, size)
+            assert not one.may(now, worker, 0, size)  # a turn is one job
+            sent[worker.id].append((now, size))
+    early = sum(size for times in sent.values() for at, size in times if at < 106.0)
+    can = sum(0.25 * 6.0 * cores / mean_job for _ in cold)  # mean jobs that they can do by then
+    assert early > 0.3 * can
+    for w in cold:
+        for at, _ in sent[w.id]:
+            within = sum(size for x, size in sent[w.id] if at <= x < at + 3.0)
+            assert within <= 2.5 * cores * turns[0].share(at, w) * 3.0 / mean_job
+
+
 def test_cold_boxes_get_less_where_jobs_are_of_unlike_sizes():
     worker = boxes(1)[0]
     worker.up_since, worker.warm_at = 100.0, 122.0
