Take out Discovery.ask: the watch and its timed retry are the one caller

Second read: since the retry is timed and the start is the first call, ask() found a connection or a timer each time and did nothing; it, its flag and Core.on_subscribe go. The seed of the retries' jitter is no longer left to a default that all would share. Behaviour is as it was.

--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -34,7 +34,6 @@
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
         self.counters = Counters()
         self.boxes = Boxes(clock.now(), settings.warm_up)
-        self.on_subscribe: Callable[[], None] = lambda: None
         self.on_list: list[Callable[[], None]] = []
         self._queue: deque[tuple[Callable[[], None], Request | None]] = deque()
         self._busy = False
@@ -222,7 +221,7 @@
         self.probed(worker, Status.CONNECT_FAILED, 0.0, ())
 
     def subscribe(self) -> None:
-        self.on_subscribe()
+        """Whoever follows the list asks for it by himself: a call here would be a second one beside his."""
 
     # Within
 
--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -83,7 +83,7 @@
     """One connection; whatever goes wrong on it, the old list stays and the watch is tried again."""
 
     def __init__(self, loop: Loop, core: Core, address: tuple[str, int], reader: ListReader,
-                 locate: Callable[[WorkerId, tuple[str, int] | None], None], seed: int = 0) -> None:
+                 locate: Callable[[WorkerId, tuple[str, int] | None], None], seed: int) -> None:
         self.loop, self.core, self.address, self.reader, self.locate = loop, core, address, reader, locate
         self.version: int | None = None
         self._known: set[WorkerId] = set()
@@ -94,10 +94,9 @@
         self._timer: Deadline | None = None
         self._failures = 0  # in a row
         self._random = random.Random(seed)
-        self._down = self._stopped = self._started = False
+        self._down = self._stopped = False
 
     def start(self) -> None:
-        self._started = True
         self._connect()
 
     def stop(self) -> None:
@@ -117,14 +116,6 @@
         if not self._stopped:
             self._connect()
 
-    def ask(self) -> None:
-        """The module wants to be told of changes; the watch does so at any rate.
-
-        Not before the start, and not while a retry is timed: that would be a second call beside it.
-        """
-        if self._started and self._connection is None and self._timer is None and not self._stopped:
-            self._connect()
-
     def apply(self, listing: Listing, kind: ListKind) -> None:
         """Takes a list over, or a change to it."""
         if kind != ListKind.DELTA:
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -46,7 +46,6 @@
         reader = ListReader(config.raw)
         self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate,
                                    config.seed)
-        self.core.on_subscribe = self.discovery.ask
         if config.known is not None:
             try:
                 known = reader.read(config.known)
