--- a/larchgw/emulator/virtual.py
+++ b/larchgw/emulator/virtual.py
@@ -56,7 +56,7 @@
     uneven: float = 0.0  # 0: dispatchers of a zone get alike; 1: some get several times the mean
 
 
-def settings_for(scenario: Scenario, zone: int) -> Settings:
+def settings_for(scenario: Scenario, zone: int, rank: int = -1) -> Settings:
     """What a dispatcher is told at its start."""
     classes = [JobClass(c.name, c.aim, c.deadline, c.worth, 0.0, c.stretch, c.effect, priority=c.priority)
                for c in scenario.load.classes]
@@ -66,7 +66,7 @@
         tip_multiple=2.5, tip_span=3.0, worth_by_work=scenario.by_work, tells_start=True, slot_reports=2,
         queue_reports=1, fail_reports=0, fifo=scenario.fleet.order.value == "fifo", price_cross=0.027,
         price_waste=0.3, price_late=0.041, price_probe=0.004,
-        live_weights=scenario.weights_s > 0 and scenario.read_weights)
+        live_weights=scenario.weights_s > 0 and scenario.read_weights, rank=rank)
 
 
 class Carrier:
@@ -165,7 +165,7 @@
         self.world, self.index, self.name = world, index, f"n{index + 1}"
         self.zone = index % world.scenario.fleet.zones
         self.alive = True
-        settings = settings_for(world.scenario, self.zone)
+        settings = settings_for(world.scenario, self.zone, index)
         self.room = room(settings)
         self.core = Core(settings, world.seed * 1000 + index, world.time, world.time.deadlines,
                          1 << 20, 1 << 30, self.room)
