No rota while two processes share a rank; used turns go with their box

Second read of the rota: parts, the number of processes that act as one dispatcher in an upgrade, was not asked, so that both took each turn of their rank; lots, which halve, serve while it is above 1. The record of used turns was never cleared: it grew with every box name, and a box that started anew could lose a turn to the old count. By rota the sums that only lots and budgets read are no longer reckoned, nor a turn looked up where there is none. A rank that is no whole number is refused at the start with its name; it would have failed in every decision.

--- a/larchgw/checks.py
+++ b/larchgw/checks.py
@@ -17,6 +17,8 @@
     for name in ("instances", "tick", "max_attempts", "tip_multiple", "tip_span"):
         if not getattr(s, name) > 0:
             raise ValueError(f"{name}: must be above 0")
+    if not isinstance(s.rank, int):
+        raise ValueError("rank: must be a whole number")
     for name in ("warm_up", "cold_from", "drain_grace", "max_retry_after", "progress"):
         if getattr(s, name) < 0:
             raise ValueError(f"{name}: must not be negative")
--- a/larchgw/estimates/cold.py
+++ b/larchgw/estimates/cold.py
@@ -58,17 +58,19 @@
         self._drawn: list[Worker] = []
         self._sums: list[float] = []  # of their rates, each with those before it
         self._total, self._reckoned = 0.0, -1.0
-        self._used: dict[bytes, int] = {}  # the last turn of ours there that we have used
+        self._used: dict[bytes, int] = {}  # by rota: the last turn of ours there that we have used
 
     def joined(self, now: float, worker: Worker) -> None:
         """A box has started. Few senders give it a first small job at once: it shows that it works."""
         self._accrue(now)
         self.boxes[worker.id] = worker
+        self._used.pop(worker.id, None)  # its turns are counted from its start
         self.tokens += FIRST * self._random.random() * min(1.0, FEW / self.s.instances)
         self._reckoned = -1.0
 
     def left(self, worker: Worker) -> None:
         """It is gone, or warm."""
+        self._used.pop(worker.id, None)
         if self.boxes.pop(worker.id, None) is not None:
             self._reckoned = -1.0
         if self._turn is worker:
@@ -119,8 +121,8 @@
         return self.s.instances > MANY and self._flow() > 0.0 and not self.rota()
 
     def rota(self) -> bool:
-        """Whether turns go round by rank and clock."""
-        return self.s.rank >= 0 and self.s.instances > MANY
+        """Whether turns go round by rank and clock; not while two processes would take those of one rank."""
+        return self.s.rank >= 0 and self.s.instances > MANY and self.parts == 1
 
     def _reckon(self, now: float) -> None:
         if 0.0 <= now - self._reckoned < RECKON:
@@ -129,7 +131,7 @@
             self.left(worker)
         self._reckoned = now
         self._drawn = [w for w in self.boxes.values() if w.ready]
-        self._sums = list(accumulate(self.rate(now, w) for w in self._drawn))
+        self._sums = [] if self.rota() else list(accumulate(self.rate(now, w) for w in self._drawn))
         self._total = (self._sums[-1] if self._sums else 0.0) / self.s.instances / self.parts
 
     def _accrue(self, now: float) -> None:
@@ -151,8 +153,7 @@
         self._accrue(now)
         if self.rota():
             ours = [w for w in self._drawn if self.mine(now, w) and fit(w)]
-            self._turn = self._random.choice(ours) if ours else None
-            return self._turn
+            return self._random.choice(ours) if ours else None
         if self.lots():
             lot = draw / (MASK + 1) * self._flow() * self.parts
             self._turn = self._pick(lot) if self._sums and lot < self._sums[-1] else None
@@ -189,7 +190,9 @@
 
     def spent(self, now: float, worker: Worker, cost: float) -> None:
         """A job has gone to a cold box."""
-        self._used[worker.id] = self.mine(now, worker)
         self._accrue(now)
+        if self.rota():
+            self._used[worker.id] = self.mine(now, worker)
+            return
         self.tokens -= cost
         self._turn = None
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -469,6 +469,7 @@
     ("discovery", {"discovery": "nowhere"}), ("admin", {"admin": "nowhere"}),
     ("limits.sockets", {"limits": {"sockets": 3}}),
     ("settings.classes", {"settings": settings(classes=[])}), ("settings", {"settings": 3}),
+    ("settings.rank", {"settings": settings(rank="x")}),
     ("known", {"known": {"servers": [{}]}}), ("seed", {"seed": "xyz"}), ("listen", {"listen": "no.such:1"}),
     ("settings.allowed.idleClose", {"settings": settings() | {"allowed": {"idleClose": "x"}}}),
     ("settings.requestClasses[0].aim", {"settings": settings(classes=[{"name": "p", "deadline": 1}])}),
