Pass Idempotency-Key on, read X-Cost-Hint in microseconds, and tell the module each job's tenant

PROTOCOL.md against the code: X-Cost-Hint is in microseconds and jobheaders.py read seconds, so that nearly every job was hopeless at once, and one over 1e6 was answered 400 (those are the failures where a refusal would have been true); Idempotency-Key was not passed on by net/runners.py, and boxes void a run that is not as its client sent it; X-Tenant never reached the module. Ruled out: the 400s are not of X-Extras (slots=,memory= parse) nor of X-Deadline-Ms.

A keyed job without the key, or with two, is now bad input. Headers that can only come once are refused if they come twice (two X-Request-Id were joined into an id that no client had sent). An upgrade carries tenant and key along; packets of an older process, which have neither, are still read.

--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -22,6 +22,10 @@
 log = structlog.get_logger()
 
 
+def _numbers(settings: Settings) -> dict[bytes, int]:
+    return {t.name.encode(): index for index, t in enumerate(settings.tenants)}
+
+
 class Core:
     """Whatever comes in is queued and told to the module one by one.
 
@@ -32,6 +36,7 @@
     def __init__(self, settings: Settings, seed: int, clock: Clock, deadlines: Deadlines,
                  max_open: int = 1000, max_body_bytes: int = 32 << 20, room: Room = NOTHING_HELD) -> None:
         self.settings, self.clock, self.deadlines = settings, clock, deadlines
+        self._tenants = _numbers(settings)
         self.counters = Counters()
         self.boxes = Boxes(clock.now(), settings.warm_up)
         self.on_list: list[Callable[[], None]] = []
@@ -52,9 +57,13 @@
 
     def reload(self, settings: Settings) -> None:
         """Takes other settings; they count from the next decision on."""
-        self.settings = settings
+        self.settings, self._tenants = settings, _numbers(settings)
         self._feed(lambda: self.dispatcher.on_settings(settings))
 
+    def tenant(self, name: bytes) -> int:
+        """The number of the tenant that a client named; one past the last for who is not in the settings."""
+        return self._tenants.get(name, len(self._tenants))
+
     def add_transport(self, transport: Transport) -> None:
         """Transports are asked in the order of their adding."""
         self.sender.transports.append(transport)
--- a/larchgw/core/requests.py
+++ b/larchgw/core/requests.py
@@ -75,6 +75,8 @@
     memory: float = 0.0
     hint: float = 0.0
     repeat: bool = False
+    tenant: int = 0  # index in the settings' list; its length for one that is not in it
+    once: bytes = b""  # the key by which boxes know a repeat of it; empty where its client gave none
     unique: bytes = b""  # what its client calls the job on each of its tries; empty for none
     priority: int = 0  # among jobs that wait at one box; higher goes first
     extra: Any = None  # the front's own
--- a/larchgw/core/stages/route.py
+++ b/larchgw/core/stages/route.py
@@ -16,5 +16,6 @@
         tries = [(a.worker, a.sent_at, a.started_at, a.status) for a in request.attempts]
         self._dispatcher.on_request(now, interface.Request(
             id=request.id, give_up_at=request.give_up_at, job_class=request.job_class, key=request.key,
-            slots=request.slots, memory=request.memory, hint=request.hint, repeat=request.repeat,
+            tenant=request.tenant, slots=request.slots, memory=request.memory, hint=request.hint,
+            repeat=request.repeat,
         ), request.taken_at, tries)
--- a/larchgw/fronts/platform.py
+++ b/larchgw/fronts/platform.py
@@ -45,14 +45,14 @@
 
     def _take(self, exchange: Exchange, job_class: int) -> None:
         try:
-            job = read_job(exchange.headers)
+            job = read_job(exchange.headers, self._core.settings.classes[job_class].effect == "keyed")
         except ValueError as error:
             self._bad(exchange, 400, str(error))
             return
         waited = self._core.clock.now() - exchange.arrived  # behind others on its connection
         request = exchange.extra = Request(
             self, job.name, job_class, exchange.target, exchange.body, job.wait - waited, job.key, job.slots,
-            job.memory, job.hint, job.repeat, extra=exchange)
+            job.memory, job.hint, job.repeat, self._core.tenant(job.tenant), job.once, extra=exchange)
         self._core.take(request)
 
     def _bad(self, exchange: Exchange, status: int, reason: str,
--- a/larchgw/moving.py
+++ b/larchgw/moving.py
@@ -33,6 +33,7 @@
     told: dict[str, Any] = {
         "name": _text(request.name), "class": job_class, "target": _text(request.target),
         "body": _text(request.body), "taken": request.taken_at - offset, "until": request.give_up_at - offset,
+        "once": _text(request.once), "tenant": request.tenant,
         "figures": [request.wait, request.key, request.slots, request.memory, request.hint, request.repeat],
         "method": _text(exchange.method), "keep": exchange.keep,
         "attempts": [[_text(a.worker), a.sent_at - offset, a.started and a.started_at - offset, a.status]
@@ -63,7 +64,8 @@
              for worker, sent, begun, status in told["attempts"]]
     answer, until, taken = _bytes(told.get("answer", "")), told["until"] + offset, told["taken"] + offset
     request = Request(platform, _bytes(told["name"]), job_class, _bytes(told["target"]),
-                      _bytes(told["body"]), wait, key, slots, memory, hint, repeat)
+                      _bytes(told["body"]), wait, key, slots, memory, hint, repeat,
+                      told.get("tenant", core.tenant(b"")), _bytes(told.get("once", "")))
     out = socks[1] if tries and tries[-1][3] is None else None
     host, port = told["address"] if out else ("", 0)
     method, keep = _bytes(told["method"]), bool(told["keep"])
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -30,6 +30,10 @@
 MESSAGE_MOST = 10.0  # ... up to this
 NEWCOMER = 0.25  # seconds in which the first request of a good client comes in
 IDLE_TIME = 300.0
+# Given twice, one of these is two requests in one: joined by what no value may hold, so that no reader takes
+# it for a value. Others are lists.
+SINGLE = frozenset((b"x-request-id", b"x-deadline-ms", b"x-tenant", b"x-key", b"x-cost-hint", b"x-retry",
+                    b"idempotency-key"))
 RETRY_AFTER = "0.5"  # seconds, where there is no memory for a request now
 WRITE_TIME = 30.0  # for a client to read an answer
 log = structlog.get_logger()
@@ -155,7 +159,7 @@
         if len(headers) >= MAX_HEADERS or self._head > MAX_HEAD:
             self._break(431, "too many headers")
         elif name in headers and name != b"cookie":
-            headers[name] += b"," + value
+            headers[name] += (b"\n" if name in SINGLE else b",") + value
         else:
             headers[name] = value
 
--- a/larchgw/wsgi.py
+++ b/larchgw/wsgi.py
@@ -20,7 +20,7 @@
 from .config import read
 from .core import Answer, AnswerKind, Request
 from .core.requests import News
-from .fronts.jobheaders import http_answer, key_number, read_job
+from .fronts.jobheaders import ONCE, http_answer, key_number, read_job
 from .net.httpserver import MAX_BODY
 from .node import Node
 
@@ -63,18 +63,28 @@
         """How long a client of this class waits, in seconds; KeyError for an unknown class."""
         return self._node.config.settings.classes[self._classes[job_class]].deadline
 
+    def keyed(self, job_class: str) -> bool:
+        """Whether boxes drop repeats of this class by key; KeyError for an unknown class."""
+        return self._node.config.settings.classes[self._classes[job_class]].effect == "keyed"
+
     def submit(self, job_class: str, body: bytes, *, target: str = "", name: str = "", wait: float = 0.0,
                key: str = "", slots: float = 1.0, memory: float = 0.0, hint: float = 0.0,
-               repeat: bool = False) -> Future[Answer]:
-        """Hands a job in; the future gets its one final answer. Cancelling it gives the job up."""
+               repeat: bool = False, tenant: str = "", once: str = "") -> Future[Answer]:
+        """Hands a job in; the future gets its one final answer. Cancelling it gives the job up.
+
+        `once`: the key by which boxes know a repeat of a keyed job; its name where left out. ValueError for
+        one that no header can carry.
+        """
         number = self._classes[job_class]
         if len(body) > MAX_BODY:
             raise ValueError("a body holds 64 KiB at most")
+        if once and not ONCE.fullmatch(once.encode()):
+            raise ValueError("once: must be 1 to 256 printable characters of ASCII")
         future: Future[Answer] = Future()
         name, target = name or secrets.token_hex(8), target or "/" + job_class
         request = Request(self, name.encode("latin-1"), number, target.encode("latin-1"), body,
                           wait or self.deadline(job_class), key_number(key.encode()), slots, memory, hint,
-                          repeat, extra=future)
+                          repeat, self._node.core.tenant(tenant.encode()), once.encode(), extra=future)
         future.add_done_callback(lambda f: self._left(request) if f.cancelled() else None)
         with self._lock:
             if not self._running:
@@ -134,7 +144,7 @@
         headers.setdefault(b"x-request-id", secrets.token_hex(8).encode())
         headers.setdefault(b"x-deadline-ms", b"%d" % (1000 * self._dispatcher.deadline(job_class)))
         try:
-            job = read_job(headers)
+            job = read_job(headers, self._dispatcher.keyed(job_class))
             length = int(environ.get("CONTENT_LENGTH") or 0)
         except ValueError as error:
             return 400, f"{error}\n".encode(), ()
@@ -146,7 +156,8 @@
             future = self._dispatcher.submit(
                 job_class, body, target=target, name=job.name.decode("latin-1"), wait=job.wait,
                 key=headers.get(b"x-key", b"").decode("latin-1"), slots=job.slots, memory=job.memory,
-                hint=job.hint, repeat=job.repeat)
+                hint=job.hint, repeat=job.repeat, tenant=job.tenant.decode("latin-1"),
+                once=job.once.decode("latin-1"))
             answer = future.result(job.wait + GRACE)
         except TimeoutError:
             future.cancel()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -134,6 +134,7 @@
         self.asked = getattr(self, "asked", 0) + 1  # on this connection
         name = self.headers["X-Request-Id"]
         owner.seen.append((name, self.path, body))
+        owner.headers.append({k.lower(): v for k, v in self.headers.items()})
         owner.runs[body] += 1
         how = owner.how(name) if callable(owner.how) else owner.how
         self.close_connection = how in ("cut", "reset", "hang")
@@ -178,6 +179,7 @@
     def __init__(self, name: str, how: Any = "done") -> None:
         self.name, self.how = name, how
         self.seen: list[tuple[str, str, bytes]] = []
+        self.headers: list[dict[str, str]] = []  # of each, by names in small letters
         self.runs: Counter[bytes] = Counter()
         self.hung: list[socket.socket] = []
         self.gave_up: list[bool] = []
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -16,13 +16,15 @@
 from typing import Any
 
 import pytest
-from stand_ins import PATIENCE, ROOT, Discovery, Program, Runner, running, settings, until
+from stand_ins import PATIENCE, ROOT, Discovery, Program, Runner, job_class, running, settings, until
 
 from larchgw.config import ConfigError
 from larchgw.core import Core
 from larchgw.core.deadlines import Clock, Deadlines
-from larchgw.interface import JobClass, Settings
+from larchgw.fronts.platform import PlatformFront
+from larchgw.interface import JobClass, Settings, Tenant
 from larchgw.net import discovery as net_discovery
+from larchgw.net.loop import Loop
 from larchgw.settings_file import load_fronts
 
 
@@ -52,6 +54,50 @@
     assert counted['larchgw_answered_total{front="platform",job_class="proof",outcome="served"}'] == 5
 
 
+KEYED = {"classes": [job_class("proof", "idempotent", 10.0), job_class("booking", "deduplicated", 6.0)
+                     | {"group": "cell", "memorySpan": 10.0}]}
+
+
+def test_a_keyed_job_keeps_its_key_and_one_without_or_with_two_is_bad_input(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner, settings=KEYED) as (program, _):
+        once = "Connection: close\r\nIdempotency-Key: 5c0f, 6e1a\r\n"
+        assert raw(program, post("k1", b"x", once, "/booking")).startswith(b"HTTP/1.1 200")
+        assert runner.headers[-1]["idempotency-key"] == "5c0f, 6e1a"
+        for more in ("", "Idempotency-Key: \r\n", "Idempotency-Key: 1\r\nIdempotency-Key: 1\r\n"):
+            bad = post("k2", b"x", "Connection: close\r\n" + more, "/booking")
+            assert raw(program, bad).startswith(b"HTTP/1.1 400"), more
+        assert raw(program, post("k3", b"x", once)).startswith(b"HTTP/1.1 200")
+        assert program.job("k4", b"x")[0] == 200
+    assert [h.get("idempotency-key") for h in runner.headers] == ["5c0f, 6e1a", "5c0f, 6e1a", None]
+
+
+def test_a_cost_hint_counts_in_microseconds(tmp_path: Path) -> None:
+    with running(tmp_path, Runner("s-1")) as (program, _):
+        for hint in ("200000", "2e6", "9000000"):  # read as seconds, any of them is hopeless or out of range
+            more = f"Connection: close\r\nX-Cost-Hint: {hint}\r\n"
+            assert raw(program, post("h" + hint, b"x", more)).startswith(b"HTTP/1.1 200"), hint
+
+
+def test_the_module_hears_which_tenant_a_job_is_of(tmp_path: Path) -> None:
+    clock, deadlines = Clock(), Deadlines()
+    loop, tenants = Loop(clock, deadlines), [Tenant("a", 0.5, 10.0), Tenant("b", 0.5, 10.0)]
+    core = Core(Settings([JobClass("proof", 4.0, 10.0)]), 1, clock, deadlines)
+    front = PlatformFront(loop, core, ("127.0.0.1", 0), 8, 1 << 20, lambda: True)
+    heard: dict[bytes, int] = {}
+    core.dispatcher.on_request = (  # type: ignore[method-assign]
+        lambda now, request, *rest: heard.update({core.take_in.open[request.id].name: request.tenant}))
+    core.reload(Settings(core.settings.classes, tenants))
+    for name, more in ((b"1", {b"x-tenant": b"b"}), (b"2", {b"x-tenant": b"a"}),
+                       (b"3", {b"x-tenant": b"nobody"}), (b"4", {})):
+        exchange = SimpleNamespace(
+            path=b"/proof", target=b"/proof", method=b"POST", body=b"", arrived=clock.now(), extra=None,
+            headers={b"x-request-id": name, b"x-deadline-ms": b"9000"} | more)
+        front.on_exchange(exchange)  # type: ignore[arg-type]
+    loop.close()
+    assert heard == {b"1": 1, b"2": 0, b"3": 2, b"4": 2}  # 2: nobody's share is billed for it
+
+
 @pytest.mark.parametrize("how", ["fail", "lost", "cut", "reset", "stranger"])
 def test_a_release_that_may_have_run_fails_and_is_not_sent_again(tmp_path: Path, how: str) -> None:
     runners = Runner("s-1", how), Runner("s-2", how)
@@ -346,6 +392,9 @@
     (post("a", b"", "Connection: close\r\nX-Extras: slots=nan\r\n"), 400),
     (post("a", b"", "Connection: close\r\n", "/nosuch"), 404),
     (post("a", b"", "Connection: close\r\n").replace(b"POST", b"PUT"), 405),
+    (post("a", b"", "Connection: close\r\nX-Request-Id: b\r\n"), 400),
+    (post("a", b"", "Connection: close\r\nX-Cost-Hint: much\r\n"), 400),
+    (post("a", b"", "Connection: close\r\nIdempotency-Key: 1\r\nIdempotency-Key: 2\r\n"), 400),
     (post("a", b"x" * 65537), 413),
     (post("a", b"", "X-Long: " + "y" * 20000 + "\r\n"), 431),
     (b"POST /proof HTTP/1.1\r\nX: " + b"y" * 100_000, 400),
