Tests wait for a process that they kill before they ask whether it runs

test_a_release_by_gearman_runs_once_and_has_one_end_at_both_processes failed now and then (twice so far, on busy machines): its old process, killed a moment before, was not reaped yet, poll() said that it still ran, and stop() took its -9 for a bad end. Seen in the failing run's lines: nothing is logged after the upgrade, so no SIGTERM was handled. The other places that kill waited already; Program.kill() does both now.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -282,6 +282,11 @@
         """As the ops listener shows them."""
         return figures(self.ask("GET", "/metrics", front="ops")[1])
 
+    def kill(self) -> None:
+        """SIGKILL. It is over only once it has been waited for: asked before, it still seems to run."""
+        self.process.kill()
+        self.process.wait(PATIENCE)
+
     def stop(self) -> str:
         """SIGTERM, and the log once it has ended in good order."""
         self.process.terminate()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -116,8 +116,7 @@
         old = held.start()
         for _ in range(2):  # it is found a second time, too
             new = held.upgrade(old)
-            new.process.kill()
-            new.process.wait(PATIENCE)
+            new.kill()
             until(lambda: old.call("readiness") == 200, "the old one's yes")
             assert old.job("a", b"x") == (200, b"s-1:x")
 
@@ -136,8 +135,7 @@
 def test_what_a_process_that_was_killed_left_behind_is_no_peer(tmp_path: Path) -> None:
     with platform(tmp_path, Runner("s-1")) as held:
         first = held.start()
-        first.process.kill()
-        first.process.wait(PATIENCE)
+        first.kill()
         second = held.start()
         assert not second.logged("event=upgrade") and second.job("a", b"x") == (200, b"s-1:x")
 
@@ -195,7 +193,7 @@
         first.submit(b"release", b"lost", b"3")
         worker.grab()
         second.submit(b"release", b"lost", b"3")
-        old.process.kill()
+        old.kill()
         second.expect(FAIL)  # it may have run, and nobody knows its end
         second.send(SUBMIT, b"release", b"lost", b"3")
         assert second.expect(CREATED) and second.expect(FAIL)
