Probe boxes that report only when asked, fit hints, and keep each key at few homes

Now estimates/works.py fits a line: a hint may be off by any factor, and only what cannot be done at best is hopeless. - the window of jobs out closed (1 of 30 tries got past it) though reports showed 3 of 10 slots taken: lateness came from fetches. It is for boxes that do not tell of their room. - nobody called probe(). estimates/reports.py asks each box within a price (0.0008 of the result) and 12 probes a second a box from all; slots come from the most that was seen free, others' load is the reported one less ours, a box that misses two probes is silent and its jobs are looked at at once. - keys spread: holders stood at the 9th place of their key's order as often as at the first, since a crowded home sent jobs on to any box; half of the jobs that we took for held fetched (line's offset 0.25 s). Homes are now few: as many as the key's part of all jobs needs and one, by highest random weight over what a kind of box can do, the same at all dispatchers; who does not hold the key gets a job only where none waits.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -27,18 +27,12 @@
 WIDTH = 2  # workers with room that are compared
 KEEP = 5.0  # seconds that an idle key counts as held, for each use it has seen ...
 KEEP_USES = 12  # ... up to so many: a key asked for once soon stops crowding the table
-MAX_KEYS = 64  # keys remembered for one worker
 PATIENT = 0.3  # share of the aim that a start may take before a worker counts as crowded
 GUESS = 4.0  # slots a worker may have, until it is learned
 LEAST, CUT, RAISE = 0.25, 0.7, 0.25  # the threshold's floor, its cut, and its step, in fair parts
 OPEN, CLOSE = 0.1, 0.2  # steps of the window: it settles where one in three ends late (if that is worth 0)
 FETCHES_SAVED = 0.15  # fetches that one home in the fleet saves for each job that crosses zones to it
 TRUST = 2.0  # seconds after which half of what was seen of a worker's pace is still trusted
-BLAME, CLEAR = 0.5, 0.7  # what one failure adds to a worker's share of failures, and what one success leaves
-MEND = 8.0  # seconds in which what was seen of failures comes to count half
-SICK = 0.1  # share of failures from which a worker is sick; in health it is under 0.001
-TRIAL = 4.0  # seconds between trials of a worker that fails everything
-EPS = 0.2  # errors a second in a worker's report that count as a failure seen
 ORDER = 0.5  # seconds between two sends to a worker from which they come there in that order
 TICK = 0.02
 
@@ -60,7 +54,6 @@
         self.watch: list[deque[tuple[float, Attempt]]] = [deque() for _ in range(len(settings.classes) + 2)]
         self.silent: dict[WorkerId, Worker] = {}
         self.runs = [Mean(c.aim) for c in settings.classes]
-        self.pace = Mean(1.0)
         self.fetch = Mean(0.4 * settings.classes[0].aim)
         self.wait = Mean(settings.classes[0].aim / 4)
         self.quota = [[0.0, 0.0] for _ in settings.tenants]
@@ -108,6 +101,7 @@
             if (worker.zone, worker.kind, worker.cell) != (m.zone, m.kind, m.cell):
                 worker.zone, worker.kind, worker.cell = m.zone, m.kind, m.cell
                 self.rings.clear()
+                self.fleet.unsettled()
             self._set_ready(worker, m.presence == Presence.READY)
             if m.presence == Presence.GONE:
                 self.fleet.gone(worker)
@@ -123,12 +117,14 @@
         if self.ask_at == 0.0:
             self.ask_at = float("inf")
             self.act.subscribe()
+        self._tick_soon(now)
         self._pump(now, 8)
 
     def _set_ready(self, worker: Worker, ready: bool) -> None:
         if ready != worker.ready:
             worker.ready = ready
             self.rings.clear()
+            self.fleet.unsettled()
             self.ready += 1 if ready else -1
             if not ready:
                 self._forget(worker)
@@ -153,24 +149,23 @@
         """A job has arrived, perhaps tried by another process so far: send it, hold it or refuse it."""
         cls = self.s.classes[request.job_class]
         job = self.jobs[request.id] = Job(request, cls)
-        mean = self.runs[request.job_class].value
-        job.work = request.hint or mean
-        run = job.work * (self.pace.value if request.hint else 1.0)
+        mean = self.runs[request.job_class]
+        run, least = self.fleet.works.of(request.job_class, request.hint, mean)
+        job.work = run
         came = came or now
         first = min(came, request.give_up_at - cls.deadline) if request.repeat else came
         last = request.give_up_at - 0.05
-        aim = first + cls.aim + cls.stretch * job.work
+        aim = first + cls.aim + cls.stretch * run
         job.aim_at = aim - run
         # A job that cannot be done before its client, or the dispatcher, is gone is refused at once.
-        known = run if request.hint or self.runs[request.job_class].count else 0.0
-        job.late_at = min(last - known, aim - run if cls.late_worth <= 0 else max(aim, last - run))
+        job.late_at = min(last - least, aim - least if cls.late_worth <= 0 else max(aim, last - least))
         slack = max(job.late_at - now, 0.0)
         job.spill_at = now + max(min(self.fetch.value, 0.5 * slack), self.crowd * slack)
-        job.value = cls.worth / (1.0 if self.s.worth_by_work else mean * request.slots)
+        job.value = cls.worth / (1.0 if self.s.worth_by_work else mean.value * request.slots)
         if self._over_share(now, request.tenant):
             job.value *= self.s.over_share_worth
         self.hedges = min(self.hedges + 0.1, 20.0)
-        self.fleet.came(request.job_class, request.key)
+        self.fleet.came(now, request.job_class, request.key)
         for tried in tries:
             self._resume(now, job, *tried)
         if job.out():
@@ -209,7 +204,8 @@
 
     def _place(self, now: float, job: Job) -> bool:
         """Sends a job if the window is open and a worker has room for it."""
-        open_ = self.active + job.request.slots + self.room.kept(now, job) <= self.window or self.active <= 0
+        open_ = self.fleet.reports.on or self.active <= 0 or (  # boxes tell of their room, or are to show it
+            self.active + job.request.slots + self.room.kept(now, job) <= self.window)
         worker = self._choose(now, job) if open_ else None
         if worker is None:
             self.room.wait(now, job, self._ring(-1, job.cls.kind)[1])
@@ -229,7 +225,8 @@
         if best is not None:
             return best
         holders = self.holders.get(key, ())
-        if now < job.spill_at and any(p.worker.ready and not self._sick(now, p.worker) for p in holders):
+        sick = self.fleet.health.sick
+        if now < job.spill_at and any(p.worker.ready and not sick(now, p.worker) for p in holders):
             # A spill makes another worker fetch the key, in slots that jobs need, from a store that all
             # share: while that takes longer than waiting for a holder, wait. But not for one that is sick.
             return None
@@ -269,6 +266,9 @@
         if not places:
             return None
         key, bits = job.request.key, self.random.getrandbits
+        if key and self.fleet.reports.on:  # a home that would have to fetch it gets it where none waits
+            return next((w for w in self.fleet.order(key, workers)
+                         if self._has_room(now, job, w) and not self.fleet.wait(now, job, w)), None)
         homes = self.fleet.homes(key, SAMPLE) if key else ()
         for i in homes:
             # Dispatchers that see little of a key send it where all others do: it is held there, as far as
@@ -296,17 +296,18 @@
     def _has_room(self, now: float, job: Job, w: Worker) -> bool:
         """Whether this worker is under its threshold, in health, and open to this job."""
         there = w.pending + self.beside.get(w.id, 0.0)
-        if not w.ready or now < w.off_until or (there > 0 and there + job.request.slots > w.limit):
+        full = there > 0 and there + job.request.slots > w.limit and not self.fleet.reports.on
+        if not w.ready or now < w.off_until or full:
             return False
         if w.pace > 1.0 and now < job.aim_at:
             # A machine shared with another program still starts jobs and ends them late. What was seen of it
             # counts for less the longer ago it was, or it would never be tried again.
             slow = (w.pace - 1.0) * TRUST / (TRUST + now - w.pace_at)
-            if now + slow * self.runs[job.request.job_class].value > job.aim_at:
+            if now + slow * job.work > job.aim_at:
                 return False
         if job.cls.effect == "unsafe" and (w.doubts or self.fleet.strange(now, w)):
             return False  # a doubtful worker is tried with jobs that may be repeated
-        if w.bad and self._sick(now, w) and (w.pending > 0 or job.cls.effect == "unsafe"):
+        if w.bad and self.fleet.health.sick(now, w) and (w.pending > 0 or job.cls.effect == "unsafe"):
             # A worker that fails fast has room at all times and draws job after job: one at a time, and none
             # that a failure would end.
             return False
@@ -316,31 +317,6 @@
             return False
         return self._may_send(now, job, w) and self.room.may_take(now, job, w)
 
-    def _bad_share(self, now: float, w: Worker) -> float:
-        """The share of jobs that this worker fails, by what was seen and how long ago."""
-        return w.bad * 0.5 ** ((now - w.bad_at) / MEND) if w.bad else 0.0
-
-    def _sick(self, now: float, w: Worker) -> bool:
-        return self._bad_share(now, w) > SICK
-
-    def _blame(self, now: float, w: Worker) -> None:
-        """It has failed a job. If half are sick, it is the jobs and not they."""
-        sick = sum(self._sick(now, x) for x in self.workers.values() if x.ready and x is not w)
-        if 2 * (sick + 1) > self.ready + 1:
-            return
-        share = self._bad_share(now, w)
-        w.bad, w.bad_at = share + BLAME * (1.0 - share), now
-        w.off_until = max(w.off_until, now + TRIAL * w.bad)
-
-    def _hear(self, now: float, w: Worker, report: Sequence[float]) -> None:
-        """A load report. It comes with every answer and is renewed seldom: the same one again is no news."""
-        if tuple(report) == w.report:
-            return
-        w.report = tuple(report)
-        index = self.s.fail_reports
-        if 0 <= index < len(report) and report[index] > EPS and not self._sick(now, w):
-            self._blame(now, w)
-
     # The four rules
 
     def _may_send(self, now: float, job: Job, worker: Worker) -> bool:
@@ -381,6 +357,7 @@
         pair = self._hold_key(now, request.key, worker) if request.key else None
         attempt = Attempt(job, len(job.attempts), worker, pair, now)
         attempt.queued = self.fleet.queued(now, job, worker)
+        attempt.waits = self.fleet.wait(now, job, worker)
         job.attempts.append(attempt)
         worker.pending += request.slots
         self.active += request.slots
@@ -402,7 +379,7 @@
         pair = worker.keys.pop(key, None)
         if pair is None:
             for old in list(islice(worker.keys.values(), 2)):
-                if old.pending <= 0 and (len(worker.keys) >= MAX_KEYS
+                if old.pending <= 0 and (len(worker.keys) >= self.fleet.kept(worker)
                                          or now - old.used > KEEP * min(old.uses, KEEP_USES)):
                     self._drop_pair(old)
                 else:
@@ -506,7 +483,7 @@
         attempt = job.attempts[note.attempt]
         worker = attempt.worker
         self._alive(now, worker)
-        if attempt.sign == 0.0:
+        if attempt.sign == 0.0 and self.s.tells_start:
             attempt.begun = now
             self.room.started(now, attempt)
             wait = now - attempt.sent
@@ -519,8 +496,8 @@
             for other in job.attempts:
                 if other is not attempt and other.state == OUT and other.sign == 0.0 and self.s.can_cancel:
                     self.act.cancel(job.request.id, other.index)
-            if self.s.progress > 0:
-                self.watch[1].append((now + 1.3 * self.s.progress, attempt))
+        if attempt.sign == 0.0 and self.s.progress > 0:
+            self.watch[1].append((now + 1.3 * self.s.progress, attempt))
         attempt.sign = now
 
     def _less(self, now: float, worker: Worker, off: float, least: float) -> None:
@@ -574,7 +551,7 @@
         free = o.report[self.s.slot_reports] if 0 <= self.s.slot_reports < len(o.report) else -1.0
         self.room.ended(now, attempt, status, free)
         if o.report:
-            self._hear(now, worker, o.report)
+            self.fleet.health.heard(now, worker, o.report, self.workers.values())
         if status in (Status.OK, Status.FULL):
             run = now - attempt.begun if attempt.begun else 0.0
             late = now - attempt.sent > job.cls.aim + job.cls.stretch * max(job.work, 0.6 * run)
@@ -585,8 +562,7 @@
         if status == Status.OK:
             self._alive(now, worker)
             worker.fulls = 0
-            if worker.bad:
-                worker.bad, worker.bad_at = CLEAR * self._bad_share(now, worker), now
+            self.fleet.health.served(now, worker)
             if not self.s.tells_start and worker.pending >= worker.limit - 1.0:
                 worker.limit += RAISE * self.fair
             begun = attempt.begun or attempt.sent
@@ -605,7 +581,7 @@
                 self._suspect(now, worker, 0.5)
         elif status == Status.ERROR:
             worker.sign_at = now
-            self._blame(now, worker)
+            self.fleet.health.failed(now, worker, self.workers.values())
         if o.closed or job.done:
             if not job.done:
                 self._close(job)
@@ -621,8 +597,8 @@
         mean = self.runs[job.request.job_class]
         run = max(run, 1e-3)
         self.fleet.ran(now, job, worker, run, self.workers)
-        usual = job.work * self.pace.value if job.request.hint else mean.value
-        ratio = max(run - self.fetch.value, 0.0) / usual if attempt.fresh else run / usual
+        usual = job.work if job.request.hint else mean.value
+        ratio = max(run - self.fetch.value * attempt.fresh, 0.0) / usual
         worker.pace += 0.3 * (min(ratio, 5.0) - worker.pace)
         worker.pace_at = now
         if attempt.fresh:
@@ -630,9 +606,8 @@
             if mean.count > 20:
                 return
         mean.add(min(run, 5.0 * mean.value))
-        ratio = min(run / max(job.work, 1e-6), 10.0)
-        if job.request.hint:
-            self.pace.add(ratio)
+        if job.request.hint and not attempt.fresh and not attempt.waits:
+            self.fleet.works.ended(job.request.job_class, job.request.hint, run)
 
     def on_gone(self, now: float, request: int) -> None:
         """The client has left; nothing is owed any more."""
@@ -653,13 +628,20 @@
 
     def avoided(self, now: float) -> list[WorkerId]:
         """The workers that something is held against: they are silent, or fail their jobs."""
-        return [w.id for w in self.workers.values() if w.ready and (w.doubts or self._sick(now, w))]
+        sick = self.fleet.health.sick
+        return [w.id for w in self.workers.values() if w.ready and (w.doubts or sick(now, w))]
 
     def on_probed(self, now: float, worker: WorkerId, status: int, latency: float,
                   report: Sequence[float]) -> None:
         """A worker answered a probe, or did not."""
-        if status == Status.OK and worker in self.workers:
-            self._alive(now, self.workers[worker])
+        box = self.workers.get(worker)
+        if box and status == Status.OK:
+            self.fleet.reports.heard(now, box, report)
+            self._alive(now, box)
+        elif box and self.fleet.reports.failed(now, worker) > 1 and box.ready:
+            self._suspect(now, box, 1.0)
+            for attempt in [a for job in self.jobs.values() for a in job.attempts if a.worker is box]:
+                self._check(now, attempt, self.watch[self._watch_of(attempt.job)])
 
     # Time
 
@@ -674,6 +656,8 @@
         if now >= self.ask_at > 0.0:
             self.ask_at = float("inf")
             self.act.subscribe()
+        for asked in self.fleet.reports.due(now, self.workers.values()):
+            self.act.probe(asked)
         for watch in self.watch:
             while watch and watch[0][0] <= now:
                 self._check(now, watch.popleft()[1], watch)
@@ -690,7 +674,7 @@
             left = [(j.order, j) for _, j in self.held if j.held and not j.done]
             self.held = sorted(left, key=lambda item: item[0])
             self._pump(now, 8)
-        if self.held or self.ask_at < float("inf") or any(self.watch):
+        if self.held or self.ask_at < float("inf") or self.fleet.reports.on or any(self.watch):
             self._tick_soon(now)
 
     def _open(self, now: float) -> None:
--- a/larchgw/estimates/__init__.py
+++ b/larchgw/estimates/__init__.py
@@ -2,7 +2,10 @@
 
 from .cold import ColdTurns
 from .fleet import Fleet
+from .health import Health
 from .loads import Loads
+from .reports import Reports
 from .runs import Runs, Shrunk, Taken
+from .works import Works
 
-__all__ = ["ColdTurns", "Fleet", "Loads", "Runs", "Shrunk", "Taken"]
+__all__ = ["ColdTurns", "Fleet", "Health", "Loads", "Reports", "Runs", "Shrunk", "Taken", "Works"]
--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -4,19 +4,28 @@
 
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import log
 
 from ..interface import Settings
 from ..records import Job, Worker
 from .cold import MANY, ColdTurns
+from .health import Health
 from .keys import Keys
 from .loads import Loads
 from .mixing import MASK, mix
+from .reports import Reports
 from .runs import Runs, Taken
+from .works import Works
 
 FAST = 1.2  # times the usual speed that is believed of a box which has just started
 SPREAD = 1.5  # homes of a key over the boxes that its jobs would fill if all were alike
 LONGER = 1.5  # times the expected wait that may well pass, and ...
 UNSEEN = 0.6  # ... of a mean job, for what came there that no list has shown yet
+MAX_KEYS = 64  # keys remembered for one box, where nothing tells of its size
+SPARE = 1  # homes of a key beyond those that its part of all jobs needs
+MOST_ORDERS = 4096  # keys for which the order of boxes is kept
+PLACES = 8  # boxes in it
+NEAR = 0.1  # share of that time where the wait is reckoned from reports, which are as old as a job is long
 HASTE = 0.5  # share of the time a job has left that its wait at a box is expected to take at the most
 
 
@@ -37,16 +46,21 @@
         self._random = random.Random(~seed)
         self._salt = self._random.getrandbits(64)
         self.keys = Keys()
+        self.health = Health(settings)
         self.boxes = 0  # that take work
+        self._orders: dict[int, list[Worker]] = {}
         self.runs = Runs(settings.classes)
         self.taken = Taken()
         self.loads = Loads()
+        self.reports = Reports(settings, seed)
+        self.works = Works(len(settings.classes))
         self.cold = ColdTurns(settings, seed, self.able, self.runs.mean,
                               lambda: self.loads.flow if self.live else 0.0, self.runs.uneven)
 
     def configure(self, settings: Settings) -> None:
         """Other settings for the same classes."""
-        self.s = self.cold.s = settings
+        self.s = self.cold.s = self.health.s = settings
+        self.reports.configure(settings)
         self.live = _reads_weights(settings)
 
     # Told by the module
@@ -63,6 +77,7 @@
     def started(self, now: float, worker: Worker) -> None:
         """A box has started: it is cold, and holds nothing."""
         self.loads.forget(worker.id)
+        self.reports.forget(worker.id)
         if now < worker.warm_at:
             self.cold.joined(now, worker)
 
@@ -70,24 +85,30 @@
         """A box is no longer listed."""
         self.cold.left(worker)
         self.loads.forget(worker.id)
+        self.reports.forget(worker.id)
 
-    def came(self, job_class: int, key: int) -> None:
+    def came(self, now: float, job_class: int, key: int) -> None:
         """A job has come in."""
+        self.reports.came(now)
         self.runs.came(job_class)
         self.keys.came(key)
 
     def sent(self, now: float, job: Job, worker: Worker) -> None:
         self.loads.changed(now, worker.id, job.request.slots)
+        self.reports.changed(now, worker.id, job.request.slots)
         if now < worker.warm_at:
             self.cold.spent(now, worker, self._cost(job))
 
     def ended(self, now: float, job: Job, worker: Worker) -> None:
         """An attempt has ended, however it did."""
         self.loads.changed(now, worker.id, -job.request.slots)
+        self.reports.changed(now, worker.id, -job.request.slots)
 
     def ran(self, now: float, job: Job, worker: Worker, run: float, workers: Mapping[bytes, Worker]) -> None:
         """A job ran for so long from its start to its end."""
         self.runs.ended(job.request.job_class, run, job.request.slots)
+        if self.reports.on and self.reports.paced(worker, run / max(job.work, 1e-3)):
+            self.unsettled()
         if now >= worker.warm_at:
             self.taken.ran(run * job.request.slots)
         if self.taken.due(now):
@@ -101,12 +122,16 @@
 
         Its cores by its speed, of which no more than `FAST` is believed; or the least that boxes did.
         """
+        if self.reports.on:
+            return self.reports.slots(worker)
         if self.live and self.loads.sure:
             return self.loads.cores * min(self.loads.speed(worker), FAST)
         return self.taken.value
 
     def wait(self, now: float, job: Job, worker: Worker) -> float:
         """Seconds that a job sent there now is expected to lose, by its wait and by the box being cold."""
+        if self.reports.on:
+            return self.reports.wait(now, worker, job.request.slots, worker.pending, self.runs.mean())
         if not self.live:
             return 0.0
         cores = able = self.loads.cores
@@ -121,7 +146,7 @@
     def crowded(self, now: float, job: Job, worker: Worker) -> bool:
         """Whether a job is expected to wait there for so long that it would hardly be in time."""
         wait = self.wait(now, job, worker)
-        return wait > 0.0 and wait > HASTE * (job.aim_at - now)
+        return wait > 0.0 and wait > (NEAR if self.reports.on else HASTE) * (job.aim_at - now)
 
     def queued(self, now: float, job: Job, worker: Worker) -> float:
         """Seconds that a job sent there now may well stand in the queue behind others."""
@@ -146,6 +171,31 @@
             return True
         return mix((job.request.id ^ worker.point ^ self._salt) + self.loads.lists & MASK) < part * MASK
 
+    def order(self, key: int, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """The boxes for a key, the ones to try first first: the same at every dispatcher.
+
+        Highest random weight (Thaler and Ravishankar), each box by what it can do. A key that comes often has
+        as many homes as its part of all jobs needs, and one of them is drawn.
+        """
+        found = self._orders.get(key)
+        if found is None:
+            if len(self._orders) >= MOST_ORDERS:
+                self._orders.clear()
+            found = self._orders[key] = sorted(
+                set(workers), reverse=True,
+                key=lambda w: log((mix(key ^ w.point) + 1) / (MASK + 2)) / self.reports.weight(w))[:PLACES]
+        first = min(int(self.keys.share(key) * self.boxes * SPREAD), len(found) - 1)
+        start = self._random.randrange(first + 1) if first > 0 else 0
+        return found[start:first + 1] + found[:start] + found[first + 1:first + 1 + SPARE]
+
+    def kept(self, worker: Worker) -> float:
+        """Keys that a box is taken to hold, at the most."""
+        return self.reports.slots(worker) if self.reports.on else MAX_KEYS
+
+    def unsettled(self) -> None:
+        """Boxes have come or gone, or can do more or less than was believed."""
+        self._orders.clear()
+
     def homes(self, key: int, most: int) -> Iterable[int]:
         """Numbers of the places for a key, the ones to try first first.
 
--- a/larchgw/interface.py
+++ b/larchgw/interface.py
@@ -107,6 +107,7 @@
     price_waste: float = 0.0
     price_late: float = 0.0
     live_weights: bool = False  # whether a member's size is lowered by the requests that it holds per core
+    pull: bool = False  # whether load reports come only with answers to probes
     rank: int = -1  # our number among the dispatchers; -1: not told
 
 
--- a/larchgw/learned.py
+++ b/larchgw/learned.py
@@ -7,7 +7,7 @@
 from .choice import Dispatcher
 from .records import Mean, Pair, Worker
 
-MEANS = ("pace", "fetch", "wait")
+MEANS = ("fetch", "wait")
 FIGURES = ("window", "crowd")
 WORKER = ("limit", "off_until", "pace", "pace_at", "sign_at", "bad", "bad_at")
 
--- a/larchgw/records.py
+++ b/larchgw/records.py
@@ -67,13 +67,14 @@
     """One send of a job."""
 
     __slots__ = ("job", "index", "worker", "pair", "sent", "state", "sign", "fresh", "begun", "lost",
-                 "queued")
+                 "queued", "waits")
 
     def __init__(self, job: Job, index: int, worker: Worker, pair: Pair | None, now: float) -> None:
         self.job, self.index, self.worker, self.pair, self.sent = job, index, worker, pair, now
         self.state = OUT
         self.lost = False  # its worker has gone silent
-        self.queued = 0.0  # seconds that it was expected to wait behind others
+        self.queued = 0.0  # seconds that it may well wait behind others ...
+        self.waits = 0.0  # ... and that it was expected to
         self.fresh = pair is not None and pair.uses <= 1
         self.sign = self.begun = 0.0  # when it last showed that it runs, and when it first did
 
--- a/larchgw/wire.py
+++ b/larchgw/wire.py
@@ -204,6 +204,7 @@
             prices.get("waste", 0.0),
             prices.get("lateFail", 0.0),
             top.get("weightSource") == "live",
+            report.get("via") == "pull",
             top.get("rank", -1),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -46,7 +46,8 @@
         group = changes.pop("group", "all")
         job = JobClass("job", 0.4, 5.0, effect=effect, group=group, window=5.0, stretch=2.0)
         self.actions = Recorder()
-        self.settings = Settings([job], tells_start=True, second_copies=True, can_cancel=True, **changes)
+        starts = changes.pop("tells_start", True)
+        self.settings = Settings([job], tells_start=starts, second_copies=True, can_cancel=True, **changes)
         self.d = Dispatcher(self.settings, seed, self.actions)
         self.now = 100.0
         self.next = 0
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -8,9 +8,11 @@
 from hypothesis import strategies as st
 
 from larchgw import Dispatcher, Settings
-from larchgw.estimates import ColdTurns, Loads, Runs, Shrunk
+from larchgw.estimates import ColdTurns, Fleet, Loads, Reports, Runs, Shrunk
 from larchgw.estimates.keys import Keys
 from larchgw.estimates.mixing import mix
+from larchgw.estimates.reports import AGAIN, MOST, SELDOM, SPENT
+from larchgw.estimates.works import Line
 from larchgw.interface import JobClass, ListKind, Member, Request, Status
 from larchgw.records import OUT, Worker
 
@@ -298,3 +300,94 @@
     assert rig.d.fleet.wait(rig.now, rig.d.jobs[job], worker) == 0.0
     assert rig.d.fleet.speed(worker) == 1.0
     assert not rig.d.fleet.strange(rig.now, worker)
+
+
+@pytest.mark.parametrize("factor", [0.01, 1.0, 250.0])
+def test_a_hint_that_is_off_by_any_factor_is_learned_and_makes_no_job_hopeless(factor):
+    draw, line = random.Random(3), Line()
+    for _ in range(200):
+        work = draw.uniform(0.1, 0.5)
+        line.add(work * factor, work * 1.3 * draw.uniform(0.8, 1.25))
+    for work in (0.1, 0.5):
+        assert line.run(work * factor) == pytest.approx(1.3 * work, rel=0.25)
+        assert line.least(work * factor) < 1.4 * work
+    assert line.run(0.0) > 0.0
+
+
+def test_a_hint_that_says_nothing_leaves_the_mean_and_what_adds_to_every_run_is_no_part_of_the_least():
+    draw, noise, late = random.Random(4), Line(), Line()
+    for _ in range(300):
+        noise.add(draw.expovariate(1.0), draw.uniform(0.2, 0.4))
+        work = draw.uniform(0.02, 0.4)
+        late.add(work, work + 0.5)
+    assert noise.run(0.05) == pytest.approx(noise.run(3.0), rel=0.35)
+    assert late.run(0.1) == pytest.approx(0.6, rel=0.1) and late.least(0.1) < 0.13
+
+
+def told_by_probes(**changes):
+    return Settings([JobClass("p", 1.0, 5.0, effect="safe")], instances=4, can_probe=True, pull=True,
+                    slot_reports=0, price_probe=0.002, **changes)
+
+
+def test_probes_keep_to_their_price_and_to_what_a_box_takes_from_all_dispatchers():
+    for jobs in (0, 40, 4000):
+        reports, workers, sent = Reports(told_by_probes(), 5), boxes(10), 0
+        for step in range(2000):
+            now = step * 0.02
+            for _ in range(round(jobs * 0.02)):
+                reports.came(now)
+            for name in reports.due(now, workers):
+                sent += 1
+                reports.heard(now, next(b for b in workers if b.id == name), (float(step % 7),))
+        rate = sent / 40.0
+        assert 0 < rate <= 10 * MOST / 4 * 1.1, jobs
+        assert jobs < 40 or rate * 0.002 / jobs <= 1.3 * SPENT
+
+
+def test_a_box_that_does_not_answer_is_asked_again_at_once_and_then_no_oftener_than_others():
+    reports, box = Reports(told_by_probes(), 5), boxes(1)[0]
+    assert reports.due(0.0, [box]) == [box.id] and reports.due(0.1, [box]) == []  # one probe at a time
+    assert reports.failed(0.2, box.id) == 1
+    assert reports.due(0.2 + AGAIN, [box]) == [box.id]
+    assert reports.failed(0.5, box.id) == 2 and reports.due(0.5 + AGAIN, [box]) == []
+    assert reports.due(0.5 + 2 * SELDOM, [box]) == [box.id]
+    reports.heard(3.0, box, (3.0,))
+    assert reports.due(3.0 + 2 * SELDOM, [box]) == [box.id]
+    assert reports.failed(9.0, box.id) == 1
+
+
+def test_what_others_have_is_what_reports_show_less_ours_and_fades_when_none_comes():
+    reports, box = Reports(told_by_probes(), 5), boxes(1)[0]
+    reports.due(0.0, [box])
+    reports.heard(0.0, box, (8.0,))
+    box.pending = 2.0
+    reports.changed(0.1, box.id, 2.0)
+    for n in range(1, 30):
+        reports.heard(1.0 + n * 0.5, box, (3.0 + 0.01 * n,))
+    assert reports.slots(box) == 8.0 and reports.others(15.5, box) == pytest.approx(3.0, abs=0.5)
+    assert reports.wait(15.5, box, 1.0, 2.0, 0.5) == 0.0
+    assert reports.wait(15.5, box, 1.0, 9.0, 0.5) > 0.0
+    assert reports.others(60.0, box) < 0.01  # a report that is old shuts nobody out
+    reports.heard(61.0, box, ())  # nor does an answer that tells nothing
+    reports.heard(61.0, box, (-5.0,))
+    assert reports.others(61.0, box) <= 8.0
+
+
+def test_all_dispatchers_look_for_a_key_at_the_same_boxes_and_a_frequent_one_has_more_of_them():
+    workers = boxes(16)
+    fleets = [Fleet(told_by_probes(), seed) for seed in range(4)]
+    for fleet in fleets:
+        fleet.listed(0.0, [], workers)
+    rare = {tuple(w.id for w in fleet.order(77, workers)) for fleet in fleets}
+    assert len(rare) == 1 and len(next(iter(rare))) == 2
+    for n in range(400):
+        fleets[0].came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
+    firsts = {fleets[0].order(5, workers)[0].id for _ in range(100)}
+    assert 4 <= len(firsts) <= 8
+    homes = [fleets[1].order(key, workers)[0].id for key in range(1, 3000)]
+    assert max(map(homes.count, set(homes))) < 1.4 * 3000 / 16
+    gone = workers[0]
+    before = {key: fleets[2].order(key, workers)[0].id for key in range(1, 500)}
+    fleets[2].unsettled()
+    after = {key: fleets[2].order(key, workers[1:])[0].id for key in range(1, 500)}
+    assert all(after[key] == home for key, home in before.items() if home != gone.id)  # the rest stay
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -132,7 +132,7 @@
         rig.end(job, Status.ERROR)
         rig.d.on_gone(rig.now, job)
     assert rig.request() in rig.actions.sends
-    assert sum(rig.d._sick(rig.now, w) for w in rig.d.workers.values()) <= 2
+    assert sum(rig.d.fleet.health.sick(rig.now, w) for w in rig.d.workers.values()) <= 2
 
 
 def test_a_report_of_errors_counts_as_a_failure_seen_and_the_same_report_once():
@@ -190,3 +190,40 @@
     rig.d.on_request(rig.now, Request(rig.next, rig.now + 1.0))  # the dispatcher ends then, say
     assert rig.next not in rig.actions.sends and rig.answers(rig.next) == ["refuse"]
     assert rig.request() in rig.actions.sends
+
+
+def probing(**changes):
+    """Boxes that tell of their slots only when asked, and of no start."""
+    return Rig(can_probe=True, pull=True, slot_reports=0, tells_start=False, **changes)
+
+
+def test_a_box_that_does_not_answer_probes_loses_its_safe_jobs_to_others_before_they_are_late():
+    rig = probing(workers=4)
+    job = rig.request(key=3)
+    rig.wait(0.1)
+    asked = [a[1] for a in rig.actions.log if a[0] == "probe"]
+    assert set(asked) == set(rig.ids)
+    for worker in rig.ids:
+        rig.d.on_probed(rig.now, worker, Status.OK, 0.01, (6.0,))
+    silent = rig.where(job)
+    for _ in range(40):
+        rig.wait(0.02)
+        for a in [a for a in rig.actions.log if a[0] == "probe"]:
+            rig.actions.log.remove(a)
+            status = Status.TIMEOUT if a[1] == silent else Status.OK
+            rig.d.on_probed(rig.now, a[1], status, 0.01, () if a[1] == silent else (6.0,))
+    assert rig.d.workers[silent].doubts and rig.where(job) != silent
+    later = rig.request(key=3)
+    assert rig.where(later) != silent
+    rig.d.on_probed(rig.now, silent, Status.OK, 0.01, (6.0,))
+    assert not rig.d.workers[silent].doubts  # one answer brings it back
+
+
+def test_the_first_progress_of_a_job_is_no_late_start_where_starts_are_not_told():
+    rig = probing(workers=2, progress=2.0)
+    job = rig.request()
+    worker = rig.d.workers[rig.where(job)]
+    limit = worker.limit
+    rig.now += 2.0
+    rig.d.on_note(rig.now, Note(job, 0, worker.id, started=False, share=0.3))
+    assert worker.limit == limit and not worker.off_until
