--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -185,7 +185,7 @@
                 set(workers), reverse=True,
                 key=lambda w: log((mix(key ^ w.point) + 1) / (MASK + 2)) / self.reports.weight(w))[:PLACES]
         first = min(int(self.keys.share(key) * self.boxes * SPREAD), len(found) - 1)
-        start = self._random.randrange(first + 1) if first > 0 else 0
+        start = (max(self.s.rank, 0) + key) % (first + 1) if first > 0 else 0
         return found[start:first + 1] + found[:start] + found[first + 1:first + 1 + SPARE]
 
     def kept(self, worker: Worker) -> float:
