Read load reports from the body of a probe's answer; cold boxes get by their kind's pace

Seen in the answers on sockets: /-/load answers with the report as its body (busy=0.087,rate=2.191,x0=9.236,x1=8.890), and runners.py read the X-Load header alone, so that the daemon probed and heard nothing: every box was guessed to have four slots. A box's first report is all naught, which read as a box of one slot.

Frequent keys start at a home in the own zone where there is one, then at one by the dispatcher's rank.

--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -123,7 +123,7 @@
         Its cores by its speed, of which no more than `FAST` is believed; or the least that boxes did.
         """
         if self.reports.on:
-            return self.reports.slots(worker)
+            return self.reports.able(worker)
         if self.live and self.loads.sure:
             return self.loads.cores * min(self.loads.speed(worker), FAST)
         return self.taken.value
@@ -186,7 +186,9 @@
                 key=lambda w: log((mix(key ^ w.point) + 1) / (MASK + 2)) / self.reports.weight(w))[:PLACES]
         first = min(int(self.keys.share(key) * self.boxes * SPREAD), len(found) - 1)
         start = (max(self.s.rank, 0) + key) % (first + 1) if first > 0 else 0
-        return found[start:first + 1] + found[:start] + found[first + 1:first + 1 + SPARE]
+        homes = found[start:first + 1] + found[:start]
+        homes.sort(key=lambda w: w.zone != self.s.zone)
+        return homes + found[first + 1:first + 1 + SPARE]
 
     def kept(self, worker: Worker) -> float:
         """Keys that a box is taken to hold, at the most."""
--- a/larchgw/estimates/reports.py
+++ b/larchgw/estimates/reports.py
@@ -114,8 +114,8 @@
             return
         sight.asked, sight.fails = NOT, 0
         sight.due = now + self.period * self._random.uniform(0.7, 1.3)
-        if len(report) <= self.s.slot_reports:
-            return
+        if len(report) <= self.s.slot_reports or not any(report):
+            return  # a box that does nothing has free slots: all naught is what one says that knows nothing yet
         free = max(report[self.s.slot_reports], 0.0)
         self.kinds[worker.kind] = max(self.kinds.get(worker.kind, 0.0), free)
         new, sight.last = tuple(report) != sight.last, tuple(report)
@@ -151,6 +151,11 @@
         """Slots of a box; never under one."""
         return max(self.kinds.get(worker.kind, GUESS), 1.0)
 
+    def able(self, worker: Worker) -> float:
+        """Slot seconds a second that it can do when warm, as on a usual box; never more than it has slots."""
+        pace = self.paces.get(worker.kind)
+        return self.slots(worker) / max(pace[0] if pace else 1.0, 1.0)
+
     def paced(self, worker: Worker, ratio: float) -> bool:
         """A job ran there for so many times the usual; whether boxes of its kind weigh otherwise now."""
         pace = self.paces.setdefault(worker.kind, [1.0, 0.0])
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -21,7 +21,8 @@
 
 MAX_RAW = 8192  # of an answer that has not ended
 MAX_LINE = 8 * 65536  # of a runner's answer: a result of 64 KiB, escaped as JSON may be
-PROBE_TIME = 0.5
+PROBE_TIME = 0.3
+MAX_REPORT = 4096  # of the body that answers a probe
 LAST_CHUNK_TIME = 0.5  # after the line that ends an attempt
 IDLE_SHARE, IDLE_MARGIN = 0.8, 1.0  # we close well before the runner's machine does
 SETTLE = 0.005  # seconds that a connection must have stood, for a close right after an answer to be seen
@@ -195,9 +196,13 @@
                 dict(p.partition("=")[::2] for p in load.decode("latin-1").split(",")))
 
     def on_body(self, body: bytes) -> None:
-        if self._parser.get_status_code() != 200 or self.probe_at:
+        if self._parser.get_status_code() != 200:
             return
         self._body += body
+        if self.probe_at:
+            if len(self._body) > MAX_REPORT:
+                self._ending = Ending.GARBLED
+            return
         *lines, rest = self._body.split(b"\n")
         self._body = bytearray(rest)
         for line in lines:
@@ -217,6 +222,7 @@
         if self._ending is None:
             never = status in (503, 504) and self._headers.get(b"x-not-run") == b"1"
             if self.probe_at and status == 200:
+                self._report = self._report or self.pool.report_in(bytes(self._body))
                 self._ending = Ending.DONE
             elif status == 200:
                 self._ending = Ending.CUT_SHORT  # EOF, or a last chunk, without a last line is no answer
@@ -290,6 +296,15 @@
         except (TypeError, ValueError):
             return ()
 
+    def report_in(self, body: bytes) -> Sequence[float]:
+        """The report that is the body of a probe's answer: an object, or written as in the header."""
+        try:
+            named = json.loads(body)
+        except ValueError:
+            named = dict(p.strip().partition("=")[::2] for p in body.decode("latin-1").split(","))
+        named = named.get("load", named) if isinstance(named, dict) else None
+        return self.report_of(named) if isinstance(named, dict) and named else ()
+
     def locate(self, worker: WorkerId, address: tuple[str, int] | None) -> None:
         """Where a box is now, or that it wants nothing more."""
         if address is None or self.addresses.get(worker) != address:
