--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -12,19 +12,58 @@
 from .checks import check_settings
 from .interface import Settings
 from .net.connection import parse_address
-from .wire import WireError, decode_settings
+from .wire import EFFECTS, WireError, read_settings
 
 DEFAULT_SOCKETS, DEFAULT_MEMORY_MB = 1024, 128
 FIGURES = {
     "allowed": ("idleClose", "dialTimeout", "maxAttempts", "maxRetryAfter"),
-    "obligations": ("drainGrace", "coldFrom", "warmUp", "tipMultiple", "fall"),
+    "obligations": ("askWithin", "drainGrace", "coldFrom", "warmUp", "tipMultiple", "fall"),
+    "familyInfo": ("progress",),
+    "charges": ("crossZone", "origin", "probe", "waste", "lateFail"),
 }
+ONE_OF = {  # words that settings may hold; another would be taken for the first of them
+    "registryMode": ("automatic", "subscribe"),
+    "weightSource": ("silent", "nominal", "rough", "live"),
+    "worthBy": ("request", "work"),
+    "report.via": ("silent", "piggyback", "pull"),
+    "familyInfo.queueOrder": ("fifo", "backfill", "priority"),
+}
+OF_CLASS = ("points", "lateWorth", "memorySpan", "aimStretch")
 
 
 class ConfigError(ValueError):
     """`field: what is wrong with it`."""
 
 
+class Noted(dict[str, Any]):
+    """An object of the settings that notes which of its fields were read."""
+
+    def __init__(self, *fields: Any) -> None:
+        super().__init__(*fields)
+        self.read: set[str] = set()
+
+    def __getitem__(self, name: str) -> Any:
+        self.read.add(name)
+        return super().__getitem__(name)
+
+    def get(self, name: str, default: Any = None) -> Any:
+        self.read.add(name)
+        return super().get(name, default)
+
+
+def unread(value: Any, path: str = "") -> list[str]:
+    """The fields that nobody has read, by their paths; of alike objects in a list, each but once."""
+    if isinstance(value, list):
+        return list(dict.fromkeys(name for one in value for name in unread(one, path + "[]")))
+    if not isinstance(value, Noted):
+        return []
+    found: list[str] = []
+    for name, field_ in value.items():
+        where = f"{path}.{name}" if path else name
+        found += unread(field_, where) if name in value.read else [where]
+    return found
+
+
 @dataclass(slots=True)
 class Config:
     name: str
@@ -59,7 +98,7 @@
     environ = environ or {}
     if not isinstance(top, dict):
         raise ConfigError("PROXY_CONFIG: must hold a JSON object")
-    raw = _part(top, "settings", dict)
+    raw = json.loads(json.dumps(_part(top, "settings", dict)), object_hook=Noted)
     limits = _part(top, "limits", dict, {})
     sockets = limits.get("sockets", DEFAULT_SOCKETS)
     if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < 64:
@@ -69,7 +108,7 @@
         raise ConfigError("limits.memory_mb: must be a figure above 0")
     _check_types(raw)
     try:
-        settings = decode_settings(json.dumps(raw).encode())
+        settings = read_settings(raw)
         check_settings(settings)
     except WireError as error:
         raise ConfigError(str(error).replace("settings:", "settings: cannot be read:", 1)) from error
@@ -124,14 +163,33 @@
         table = _part(raw, part, dict, {}, "settings.")
         for name in FIGURES.get(part, ()):
             _figure(table.get(name, 0), f"settings.{part}.{name}")
+    for name in ("nInstances", "overShareWorth", "rank"):
+        _figure(raw.get(name, 1), f"settings.{name}")
+    for path, words in ONE_OF.items():
+        table, _, name = path.rpartition(".")
+        found = (raw.get(table, {}) if table else raw).get(name, words[0])
+        if found not in words:
+            raise ConfigError(f"settings.{path}: is none of {', '.join(words)}")
+    fields = raw.get("report", {}).get("fields", [])
+    if not isinstance(fields, list) or not all(isinstance(f, str) for f in fields):
+        raise ConfigError("settings.report.fields: must be a list of names")
     for part in ("areas", "shapes", "requestClasses"):
         _part(raw, part, list, [], "settings.")
+    for index, one in enumerate(_part(raw, "tenants", list, [], "settings.") if raw.get("tenants") else []):
+        where = f"settings.tenants[{index}]"
+        if not isinstance(one, dict) or not isinstance(one.get("name"), str):
+            raise ConfigError(f"{where}.name: is missing")
+        _figure(one.get("quotaPerS", 0.0), f"{where}.quotaPerS")
     for index, one in enumerate(raw.get("requestClasses", [])):
         where = f"settings.requestClasses[{index}]"
         if not isinstance(one, dict) or not isinstance(one.get("name"), str):
             raise ConfigError(f"{where}.name: is missing")
         for name in ("aim", "deadline"):
             _figure(one.get(name), f"{where}.{name}")
+        for name in OF_CLASS:
+            _figure(one.get(name, 0.0), f"{where}.{name}")
+        if one.get("effect") not in EFFECTS:
+            raise ConfigError(f"{where}.effect: is none of {', '.join(EFFECTS)}")
 
 
 def _figure(value: Any, where: str) -> None:
--- a/larchgw/daemon.py
+++ b/larchgw/daemon.py
@@ -146,6 +146,8 @@
 
     def run(self) -> None:
         log.info("start", name=self.node.config.name, version=__version__, pid=os.getpid())
+        if unread := config.unread(self.node.config.raw):
+            log.info("settings.unread", fields=",".join(unread))
         self.node.loop.run()
         self.handover.close()
         log.info("exit", **self.node.core.counters.figures())
--- a/larchgw/estimates/reports.py
+++ b/larchgw/estimates/reports.py
@@ -115,7 +115,7 @@
         sight.asked, sight.fails = NOT, 0
         sight.due = now + self.period * self._random.uniform(0.7, 1.3)
         if len(report) <= self.s.slot_reports or not any(report):
-            return  # a box that does nothing has free slots: all naught is what one says that knows nothing yet
+            return  # an idle box has free slots: all naught is said by one that knows nothing yet
         free = max(report[self.s.slot_reports], 0.0)
         self.kinds[worker.kind] = max(self.kinds.get(worker.kind, 0.0), free)
         new, sight.last = tuple(report) != sight.last, tuple(report)
--- a/larchgw/wire.py
+++ b/larchgw/wire.py
@@ -44,7 +44,7 @@
     306: Status.CANCELLED,
     307: Status.MOOT,
 }
-_EFFECT = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
+EFFECTS = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
 
 Event = tuple[int, int, Any]  # code, instance (or list number), content
 
@@ -137,6 +137,14 @@
     """Settings from the JSON of a SPAWN; unknown keys are skipped."""
     try:
         top = json.loads(text)
+    except ValueError as error:
+        raise WireError(f"settings: {type(error).__name__}: {error}") from error
+    return read_settings(top)
+
+
+def read_settings(top: Any) -> Settings:
+    """Settings from their object. WireError if it cannot be read."""
+    try:
         family, allowed, rules = top.get("familyInfo", {}), top.get("allowed", {}), top.get("obligations", {})
         prices, report = top.get("charges", {}), top.get("report", {})
         fields = report.get("fields", []) if report.get("via", "silent") != "silent" else []
@@ -158,7 +166,7 @@
                     c.get("points", 1.0),
                     c.get("lateWorth", 0.0),
                     stretch,
-                    _EFFECT[c["effect"]],
+                    EFFECTS[c["effect"]],
                     c.get("group", "all"),
                     c.get("memorySpan", 0.0),
                     per_class("classKind", -1),
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -128,6 +128,14 @@
         super().finish()
         self.server.owner.closed += 1  # type: ignore[attr-defined]
 
+    def do_GET(self) -> None:
+        owner: Runner = self.server.owner  # type: ignore[attr-defined]
+        owner.probes.append(self.path)
+        self.send_response(200 if owner.report else 503)
+        self.send_header("Content-Length", str(len(owner.report)))
+        self.end_headers()
+        self.wfile.write(owner.report)
+
     def do_POST(self) -> None:
         owner: Runner = self.server.owner  # type: ignore[attr-defined]
         body = self.rfile.read(int(self.headers["Content-Length"]))
@@ -180,6 +188,8 @@
         self.name, self.how = name, how
         self.seen: list[tuple[str, str, bytes]] = []
         self.headers: list[dict[str, str]] = []  # of each, by names in small letters
+        self.probes: list[str] = []  # paths asked for
+        self.report = b""  # what it says when probed
         self.runs: Counter[bytes] = Counter()
         self.hung: list[socket.socket] = []
         self.gave_up: list[bool] = []
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -25,6 +25,7 @@
 from larchgw.interface import JobClass, Settings, Tenant
 from larchgw.net import discovery as net_discovery
 from larchgw.net.loop import Loop
+from larchgw.net.runners import Runners
 from larchgw.settings_file import load_fronts
 
 
@@ -72,6 +73,42 @@
     assert [h.get("idempotency-key") for h in runner.headers] == ["5c0f, 6e1a", "5c0f, 6e1a", None]
 
 
+@pytest.mark.parametrize("text", [b"util=0.25,qps=3.1,x0=5.5", b"busy=0.25, rate=3.1, x0=5.5\n",
+                                  b'{"util": 0.25, "qps": 3.1, "x0": 5.5}'])
+def test_a_report_is_read_from_the_body_that_answers_a_probe(tmp_path: Path, text: bytes) -> None:
+    heard: list[tuple[float, ...]] = []
+    runners = Runners(None, SimpleNamespace(on_list=[]), {"report": PULLED}, 8)  # type: ignore[arg-type]
+    heard.append(tuple(runners.report_in(text)))
+    assert heard == [(0.25, 3.1, 5.5)]
+    for bad in (b"", b"x", b"[1]", b"util=much", b'{"util": {}}', b"\xff\x00", b"7"):
+        assert not any(runners.report_in(bad)), bad
+
+
+PULLED = {"via": "pull", "fields": ["busy", "rate", "x0"]}
+
+
+def test_boxes_that_report_when_asked_are_probed_and_one_that_falls_silent_is_left(tmp_path: Path) -> None:
+    one, two = Runner("s-1"), Runner("s-2")
+    one.report = two.report = b"util=0.1,qps=0,x0=6"
+    probes = settings()["allowed"] | {"probes": True}
+    told = {"report": PULLED, "allowed": probes, "familyInfo": {"reportX0": "free slots"}}
+    with running(tmp_path, one, two, settings=told) as (program, _):
+        until(lambda: one.probes and two.probes, "a probe of each")
+        assert set(one.probes + two.probes) == {"/-/load"}
+        assert all(program.job(f"p{n}", b"x")[0] == 200 for n in range(4))
+        two.report = b""  # from now on it answers 503
+        until(lambda: program.stats()["cluster_unhealthy"] == 1, "the silent one to be avoided")
+        assert all(program.job(f"q{n}", b"x")[1] == b"s-1:x" for n in range(6))
+
+
+def test_settings_that_no_code_reads_are_named_in_one_line(tmp_path: Path) -> None:
+    more = {"novel": {"x": 1}, "report": {"via": "silent", "fields": [], "odd": 1}}
+    with running(tmp_path, Runner("s-1"), settings=more) as (program, _):
+        lines = until(lambda: program.logged("event=settings.unread"), "the line")
+    assert len(lines) == 1 and "novel" in lines[0] and "report.odd" in lines[0]
+    assert "requestClasses" not in lines[0] and "report.via" not in lines[0]
+
+
 def test_a_cost_hint_counts_in_microseconds(tmp_path: Path) -> None:
     with running(tmp_path, Runner("s-1")) as (program, _):
         for hint in ("200000", "2e6", "9000000"):  # read as seconds, any of them is hopeless or out of range
@@ -521,6 +558,11 @@
     ("settings.rank", {"settings": settings(rank="x")}),
     ("known", {"known": {"servers": [{}]}}), ("seed", {"seed": "xyz"}), ("listen", {"listen": "no.such:1"}),
     ("settings.allowed.idleClose", {"settings": settings() | {"allowed": {"idleClose": "x"}}}),
+    ("settings.report.via", {"settings": settings(report={"via": "shout"})}),
+    ("settings.report.fields", {"settings": settings(report={"via": "pull", "fields": "x0"})}),
+    ("settings.nInstances", {"settings": settings(nInstances="many")}),
+    ("settings.tenants[0].quotaPerS", {"settings": settings(tenants=[{"name": "a", "quotaPerS": "x"}])}),
+    ("settings.requestClasses[0].effect", {"settings": settings(classes=[job_class("p", "maybe", 1.0)])}),
     ("settings.requestClasses[0].aim", {"settings": settings(classes=[{"name": "p", "deadline": 1}])}),
 ])
 def test_bad_configuration_is_one_line_with_the_field_and_exit_2(
