--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -131,7 +131,9 @@
     def wait(self, now: float, job: Job, worker: Worker) -> float:
         """Seconds that a job sent there now is expected to lose, by its wait and by the box being cold."""
         if self.reports.on:
-            return self.reports.wait(now, worker, job.request.slots, worker.pending, self.runs.mean())
+            # One that is cold starts what comes in all its slots, but can do no more than its share of them.
+            share = self.cold.share(now, worker) if now < worker.warm_at else 1.0
+            return self.reports.wait(now, worker, job.request.slots, self.runs.mean(), share)
         if not self.live:
             return 0.0
         cores = able = self.loads.cores
--- a/larchgw/estimates/reports.py
+++ b/larchgw/estimates/reports.py
@@ -178,8 +178,11 @@
             return 0.0
         return float(sight.others * 0.5 ** (max(now - sight.at, 0.0) / STALE))
 
-    def wait(self, now: float, worker: Worker, slots: float, there: float, mean_run: float) -> float:
-        """Seconds that a job of so many slots is expected to wait where `there` slots are ours."""
-        have = self.slots(worker)
-        over = self.others(now, worker) + there + slots - have
+    def wait(self, now: float, worker: Worker, slots: float, mean_run: float, share: float = 1.0) -> float:
+        """Seconds that a job of so many slots is expected to wait, or to run longer, at a box.
+
+        `share`: the part of its slots that it can do justice to.
+        """
+        have = max(share * self.slots(worker), 1.0)
+        over = self.others(now, worker) + worker.pending + slots - have
         return max(over, 0.0) / have * mean_run * max(worker.pace, 0.3)
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -365,8 +365,11 @@
     for n in range(1, 30):
         reports.heard(1.0 + n * 0.5, box, (3.0 + 0.01 * n,))
     assert reports.slots(box) == 8.0 and reports.others(15.5, box) == pytest.approx(3.0, abs=0.5)
-    assert reports.wait(15.5, box, 1.0, 2.0, 0.5) == 0.0
-    assert reports.wait(15.5, box, 1.0, 9.0, 0.5) > 0.0
+    assert reports.wait(15.5, box, 1.0, 0.5) == 0.0
+    assert reports.wait(15.5, box, 1.0, 0.5, share=0.2) > 0.0  # it is cold
+    box.pending = 9.0
+    assert reports.wait(15.5, box, 1.0, 0.5) > 0.0
+    box.pending = 2.0
     assert reports.others(60.0, box) < 0.01  # a report that is old shuts nobody out
     reports.heard(61.0, box, ())  # nor does an answer that tells nothing
     reports.heard(61.0, box, (-5.0,))
