--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -378,15 +378,24 @@
 
 def test_all_dispatchers_look_for_a_key_at_the_same_boxes_and_a_frequent_one_has_more_of_them():
     workers = boxes(16)
-    fleets = [Fleet(told_by_probes(), seed) for seed in range(4)]
+    fleets = [Fleet(told_by_probes(rank=seed), seed) for seed in range(4)]
     for fleet in fleets:
         fleet.listed(0.0, [], workers)
     rare = {tuple(w.id for w in fleet.order(77, workers)) for fleet in fleets}
     assert len(rare) == 1 and len(next(iter(rare))) == 2
+    for fleet in fleets:
+        for n in range(400):
+            fleet.came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
+    firsts = {fleet.order(5, workers)[0].id for fleet in fleets}
+    assert len(firsts) == 4  # each dispatcher keeps to one of its homes ...
+    assert len({tuple(sorted(w.id for w in fleet.order(5, workers))) for fleet in fleets}) == 1  # ... of the same
+    elsewhere = Fleet(told_by_probes(rank=2, zone=1, zones=2), 9)
+    for w in workers:
+        w.zone = int(w.id != next(iter(firsts)))
+    elsewhere.listed(0.0, [], workers)
     for n in range(400):
-        fleets[0].came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
-    firsts = {fleets[0].order(5, workers)[0].id for _ in range(100)}
-    assert 4 <= len(firsts) <= 8
+        elsewhere.came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
+    assert elsewhere.order(5, workers)[0].zone == 1  # and to one of its own zone first
     homes = [fleets[1].order(key, workers)[0].id for key in range(1, 3000)]
     assert max(map(homes.count, set(homes))) < 1.4 * 3000 / 16
     gone = workers[0]
