--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -388,7 +388,8 @@
             fleet.came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
     firsts = {fleet.order(5, workers)[0].id for fleet in fleets}
     assert len(firsts) == 4  # each dispatcher keeps to one of its homes ...
-    assert len({tuple(sorted(w.id for w in fleet.order(5, workers))) for fleet in fleets}) == 1  # ... of the same
+    homes = {tuple(sorted(w.id for w in fleet.order(5, workers))) for fleet in fleets}
+    assert len(homes) == 1  # ... of the same
     elsewhere = Fleet(told_by_probes(rank=2, zone=1, zones=2), 9)
     for w in workers:
         w.zone = int(w.id != next(iter(firsts)))
@@ -396,8 +397,8 @@
     for n in range(400):
         elsewhere.came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
     assert elsewhere.order(5, workers)[0].zone == 1  # and to one of its own zone first
-    homes = [fleets[1].order(key, workers)[0].id for key in range(1, 3000)]
-    assert max(map(homes.count, set(homes))) < 1.4 * 3000 / 16
+    spread = [fleets[1].order(key, workers)[0].id for key in range(1, 3000)]
+    assert max(map(spread.count, set(spread))) < 1.4 * 3000 / 16
     gone = workers[0]
     before = {key: fleets[2].order(key, workers)[0].id for key in range(1, 500)}
     fleets[2].unsettled()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -219,6 +219,13 @@
     assert not rig.d.workers[silent].doubts  # one answer brings it back
 
 
+def test_a_class_that_nobody_has_seen_end_is_tried_however_long_its_wanted_time_says_it_runs():
+    """Without a stretch the first guess at a run is the wanted time: by it every job is hopeless, for ever."""
+    rig = Rig(2)
+    rig.settings.classes[0].stretch = 0.0
+    assert rig.request() in rig.actions.sends
+
+
 def test_the_first_progress_of_a_job_is_no_late_start_where_starts_are_not_told():
     rig = probing(workers=2, progress=2.0)
     job = rig.request()
