--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -220,7 +220,7 @@
 
 
 def test_a_class_that_nobody_has_seen_end_is_tried_however_long_its_wanted_time_says_it_runs():
-    """Without a stretch the first guess at a run is the wanted time: by it every job is hopeless, for ever."""
+    """Without a stretch the first guess at a run is the wanted time: every job would be hopeless for ever."""
     rig = Rig(2)
     rig.settings.classes[0].stretch = 0.0
     assert rig.request() in rig.actions.sends
