Boxes of the class's kind only, also among a key's holders and homes

Second read: Fleet.order, new in this change, kept the order of a key's homes by the key alone, though it is asked with the boxes of one zone or of one kind: the first class to ask for a key decided for all, and a class of another kind found no home of its own (or, with zones, only those of our zone). It is kept by zone and kind now. The test for it showed an older gap beside it: holders of a key and cold boxes were taken whatever their kind, since only the ring looks at kinds; _has_room, which all ways pass, looks now. The test fails without either part. order's docstring said that a home is drawn; it is taken by zone and rank.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -212,7 +212,7 @@
         return worker is not None and self._send(now, job, worker)
 
     def _choose(self, now: float, job: Job) -> Worker | None:
-        key, kind = job.request.key, job.cls.kind
+        key = job.request.key
         best, most, ties = None, -1.0, 1
         for pair in self.holders.get(key, ()) if key else ():
             if pair.pending >= most and self._has_room(now, job, pair.worker):
@@ -239,9 +239,9 @@
         run = self.runs[job.request.job_class].value
         if key and self.fetch.value * FETCHES_SAVED > self.s.price_cross * run:
             first, second = second, first  # one home in the fleet rather than one in each zone
-        best = self._spill(now, job, self._ring(first, kind))
+        best = self._spill(now, job, first)
         if best is None and self.s.zones > 1:
-            best = self._spill(now, job, self._ring(second, kind))
+            best = self._spill(now, job, second)
         return best
 
     def _well(self, now: float, w: Worker) -> bool:
@@ -256,18 +256,18 @@
             ring = self.rings[zone, kind] = ([p for p, _ in places], [self.workers[w] for _, w in places])
         return ring
 
-    def _spill(self, now: float, job: Job, ring: tuple[list[int], list[Worker]]) -> Worker | None:
+    def _spill(self, now: float, job: Job, zone: int) -> Worker | None:
         """Fewest active keys, then least pending, among a sample.
 
         On a large fleet a scan for each job costs too much, and every dispatcher would find the same fresh
         worker. The sample is drawn by the key: dispatchers that share nothing look in the same few places.
         """
-        places, workers = ring
+        places, workers = self._ring(zone, job.cls.kind)
         if not places:
             return None
         key, bits = job.request.key, self.random.getrandbits
         if key and self.fleet.reports.on:  # a home that would have to fetch it gets it where none waits
-            return next((w for w in self.fleet.order(key, workers)
+            return next((w for w in self.fleet.order(key, (zone, job.cls.kind), workers)
                          if self._has_room(now, job, w) and not self.fleet.wait(now, job, w)), None)
         homes = self.fleet.homes(key, SAMPLE) if key else ()
         for i in homes:
@@ -297,7 +297,7 @@
         """Whether this worker is under its threshold, in health, and open to this job."""
         there = w.pending + self.beside.get(w.id, 0.0)
         full = there > 0 and there + job.request.slots > w.limit and not self.fleet.reports.on
-        if not w.ready or now < w.off_until or full:
+        if not w.ready or now < w.off_until or full or job.cls.kind not in (-1, w.kind):
             return False
         if w.pace > 1.0 and now < job.aim_at:
             # A machine shared with another program still starts jobs and ends them late. What was seen of it
--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -48,7 +48,7 @@
         self.keys = Keys()
         self.health = Health(settings)
         self.boxes = 0  # that take work
-        self._orders: dict[int, list[Worker]] = {}
+        self._orders: dict[tuple[int, int, int], list[Worker]] = {}  # by key, zone and kind
         self.runs = Runs(settings.classes)
         self.taken = Taken()
         self.loads = Loads()
@@ -173,17 +173,18 @@
             return True
         return mix((job.request.id ^ worker.point ^ self._salt) + self.loads.lists & MASK) < part * MASK
 
-    def order(self, key: int, workers: Sequence[Worker]) -> Sequence[Worker]:
+    def order(self, key: int, group: tuple[int, int], workers: Sequence[Worker]) -> Sequence[Worker]:
         """The boxes for a key, the ones to try first first: the same at every dispatcher.
 
         Highest random weight (Thaler and Ravishankar), each box by what it can do. A key that comes often has
-        as many homes as its part of all jobs needs, and one of them is drawn.
+        as many homes as its part of all jobs needs: of those in our zone first, then by our rank. `workers`
+        are the boxes of this zone and kind.
         """
-        found = self._orders.get(key)
+        found = self._orders.get((key, *group))
         if found is None:
             if len(self._orders) >= MOST_ORDERS:
                 self._orders.clear()
-            found = self._orders[key] = sorted(
+            found = self._orders[key, *group] = sorted(
                 set(workers), reverse=True,
                 key=lambda w: log((mix(key ^ w.point) + 1) / (MASK + 2)) / self.reports.weight(w))[:PLACES]
         first = min(int(self.keys.share(key) * self.boxes * SPREAD), len(found) - 1)
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -324,6 +324,9 @@
     assert late.run(0.1) == pytest.approx(0.6, rel=0.1) and late.least(0.1) < 0.13
 
 
+ALL = (-1, -1)  # zones and kinds
+
+
 def told_by_probes(**changes):
     return Settings([JobClass("p", 1.0, 5.0, effect="safe")], instances=4, can_probe=True, pull=True,
                     slot_reports=0, price_probe=0.002, **changes)
@@ -381,14 +384,14 @@
     fleets = [Fleet(told_by_probes(rank=seed), seed) for seed in range(4)]
     for fleet in fleets:
         fleet.listed(0.0, [], workers)
-    rare = {tuple(w.id for w in fleet.order(77, workers)) for fleet in fleets}
+    rare = {tuple(w.id for w in fleet.order(77, ALL, workers)) for fleet in fleets}
     assert len(rare) == 1 and len(next(iter(rare))) == 2
     for fleet in fleets:
         for n in range(400):
             fleet.came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
-    firsts = {fleet.order(5, workers)[0].id for fleet in fleets}
+    firsts = {fleet.order(5, ALL, workers)[0].id for fleet in fleets}
     assert len(firsts) == 4  # each dispatcher keeps to one of its homes ...
-    homes = {tuple(sorted(w.id for w in fleet.order(5, workers))) for fleet in fleets}
+    homes = {tuple(sorted(w.id for w in fleet.order(5, ALL, workers))) for fleet in fleets}
     assert len(homes) == 1  # ... of the same
     elsewhere = Fleet(told_by_probes(rank=2, zone=1, zones=2), 9)
     for w in workers:
@@ -396,11 +399,22 @@
     elsewhere.listed(0.0, [], workers)
     for n in range(400):
         elsewhere.came(0.0, 0, 5 if n % 4 == 0 else 1000 + n)
-    assert elsewhere.order(5, workers)[0].zone == 1  # and to one of its own zone first
-    spread = [fleets[1].order(key, workers)[0].id for key in range(1, 3000)]
+    assert elsewhere.order(5, ALL, workers)[0].zone == 1  # and to one of its own zone first
+    spread = [fleets[1].order(key, ALL, workers)[0].id for key in range(1, 3000)]
     assert max(map(spread.count, set(spread))) < 1.4 * 3000 / 16
     gone = workers[0]
-    before = {key: fleets[2].order(key, workers)[0].id for key in range(1, 500)}
+    before = {key: fleets[2].order(key, ALL, workers)[0].id for key in range(1, 500)}
     fleets[2].unsettled()
-    after = {key: fleets[2].order(key, workers[1:])[0].id for key in range(1, 500)}
+    after = {key: fleets[2].order(key, ALL, workers[1:])[0].id for key in range(1, 500)}
     assert all(after[key] == home for key, home in before.items() if home != gone.id)  # the rest stay
+
+
+def test_the_homes_of_a_key_among_boxes_of_one_kind_are_none_for_a_class_that_runs_on_another():
+    classes = [JobClass(f"on{kind}", 1.0, 5.0, effect="safe", kind=kind) for kind in (0, 1)]
+    actions = Recorder()
+    dispatcher = Dispatcher(Settings(classes, kinds=2, can_probe=True, pull=True, slot_reports=0), 1, actions)
+    dispatcher.on_members(1.0, ListKind.FULL, [Member(b"k%d%d" % (n % 2, n), kind=n % 2) for n in range(8)])
+    for n in range(40):  # the same keys, first by one class and then by the other
+        dispatcher.on_request(1.0, Request(n, 9.0, job_class=n % 2, key=1 + n // 2))
+    assert len(actions.sends) > 20
+    assert all(worker.startswith(b"k%d" % (request % 2)) for request, (worker,) in actions.sends.items())
