--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -213,8 +213,9 @@
 
     def _choose(self, now: float, job: Job) -> Worker | None:
         key = job.request.key
+        holders = [p for p in self.holders.get(key, ()) if job.cls.kind in (-1, p.worker.kind)]
         best, most, ties = None, -1.0, 1
-        for pair in self.holders.get(key, ()) if key else ():
+        for pair in holders:
             if pair.pending >= most and self._has_room(now, job, pair.worker):
                 if pair.pending > most:
                     best, most, ties = pair.worker, pair.pending, 1
@@ -224,7 +225,6 @@
                         best = pair.worker
         if best is not None:
             return best
-        holders = self.holders.get(key, ())
         sick = self.fleet.health.sick
         if now < job.spill_at and any(p.worker.ready and not sick(now, p.worker) for p in holders):
             # A spill makes another worker fetch the key, in slots that jobs need, from a store that all
