Tests known to be red are read from KNOWN-RED.txt, strictly

Need: a test for a real fault that cannot be mended at once may land, and must not hide anything else.

A pytest plugin reads up to three lines (test, cause, issue) and marks just these as expected to fail, strictly: one that passes fails the run. So do a line that cannot be read, one given twice, a fourth one, and, in a run of all tests, a name that no test has (parameters included; under xdist, too). They are printed at the end. The file does not exist now. tests/test_known_red.py plays each of these in a folder of its own (12 tests).

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,71 @@
+"""KNOWN-RED.txt lets through just what it names, and nothing that it should not name."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from known_red import FILE
+
+TESTS = """
+import pytest
+def test_red(): assert False
+def test_green(): pass
+@pytest.mark.parametrize("n", [1, 2])
+def test_half(n): assert n == 1
+"""
+RED = "test_x.py::test_red | the reason | issue 7"
+HALF = "test_x.py::test_half[2] | another | issue 8"
+
+
+def run(folder: Path, *lines: str, args: tuple[str, ...] = ("-n", "2")) -> tuple[int, str]:
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    (folder / "test_x.py").write_text(TESTS)
+    (folder / FILE).write_text("".join(line + "\n" for line in lines))
+    plugins = ("-p", "no:cacheprovider", "-p", "known_red")
+    done = subprocess.run([sys.executable, "-m", "pytest", "-q", *plugins, *args], cwd=folder,
+                          capture_output=True, text=True, timeout=60,
+                          env=os.environ | {"PYTHONPATH": str(Path(__file__).parent)})
+    return done.returncode, done.stdout + done.stderr
+
+
+def test_what_is_listed_is_passed_over_and_printed_and_the_rest_counts(tmp_path: Path) -> None:
+    status, told = run(tmp_path, RED, HALF)
+    assert status == 0 and "2 passed" in told and "2 xfailed" in told, told
+    assert "known red: test_x.py::test_red: the reason (issue 7)" in told
+    status, told = run(tmp_path, RED)
+    assert status == 1 and "1 failed" in told and "test_half[2]" in told
+
+
+@pytest.mark.parametrize("line, says", [
+    ("test_x.py::test_green | it does not fail | issue 7", "XPASS(strict)"),
+    ("test_x.py::test_half[1] | it does not fail | issue 7", "XPASS(strict)"),
+    ("test_x.py::test_half[3] | no such case | issue 7", "no test is named test_x.py::test_half[3]"),
+    ("test_y.py::test_red | no such file | issue 7", "no test is named test_y.py::test_red"),
+    ("test_x.py::test_red | no issue", f"{FILE}:3: "),
+    ("test_x.py::test_red || issue 7", f"{FILE}:3: "),
+    ("", f"{FILE}:3: "),
+    (RED, f"{FILE}:3: names a test again"),
+])
+def test_a_line_that_should_not_be_there_fails_the_run(tmp_path: Path, line: str, says: str) -> None:
+    status, told = run(tmp_path, RED, HALF, line)
+    assert status != 0 and says in told, told
+
+
+def test_a_fourth_line_fails_the_run(tmp_path: Path) -> None:
+    more = [f"test_x.py::test_more{n} | of many | issue 7" for n in range(2)]
+    status, told = run(tmp_path, RED, HALF, *more)
+    assert status != 0 and f"{FILE}:4: 3 lines at most" in told, told
+
+
+def test_a_run_of_some_tests_does_not_miss_the_others(tmp_path: Path) -> None:
+    status, told = run(tmp_path, RED, HALF, args=("-k", "green"))
+    assert status == 0 and "1 passed" in told, told
+
+
+def test_without_the_file_nothing_is_passed_over(tmp_path: Path) -> None:
+    status, told = run(tmp_path)
+    assert status == 1 and "2 failed" in told, told
