What waits for a client that has left is not sent, whatever comes in one turn

Seen (the program before this change, tests on real sockets with the crossing forced by SIGSTOP and SIGCONT): a request whose client's end lay behind it in one socket went out on a kept connection (HTTP, Gearman, a cancelled future of the middleware); of a connection on which reading was paused (8 requests read ahead) the end was never heard, so what waited there went out one after another as the first ended; a connection to a worker that came up in the turn in which the client left carried its request where that event came first.

Ruled out by a test that passes without the change, too: a job held for a slot whose client leaves as the slot comes free (its new connection is still coming up when the end is read).

Lines: Connection._read took one chunk a turn and told of the end in the next; Link.advance sent what came before it; Link._pace watched nothing while it read nothing; Loop.turn took events as the selector gave them; EmbeddedDispatcher.submit took a future that was cancelled already.

Change: a turn reads to the end of what is there (four chunks at most), and Connection.over says that nobody waits behind the bytes; a paused connection is looked at for its end (POLLRDHUP) every 0.1 s; a turn hears lists first, then clients, workers, newcomers.

Tests, seen failing before the change: not_read, came_with_it, comes_up_as_the_client_leaves[False], flood (test_crossings), whose_clients_end_came_with_it (test_gearman), cancelled_before_its_job_is_taken (test_wsgi), the turn's order (test_turns).

--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 from typing import Protocol
 
 from ..core.deadlines import Deadline
 from .ending import Ending
-from .loop import READ, WRITE, Loop
+from .loop import CLIENTS, READ, WRITE, Loop
 
 CHUNK = 65536
+READS = 4  # chunks read in one turn: what came last may be the end
 MAX_UNSENT = 1 << 20
 LINGER = 1.0  # seconds for the other side to read our last answer before the connection is closed
 
@@ -30,10 +32,12 @@
 
 
 class Connection:
-    """`unsent` is what the kernel has not taken yet."""
+    """`unsent` is what the kernel has not taken yet; `over`: the other side's end has been read already."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False) -> None:
-        self.loop, self.sock, self.owner = loop, sock, owner
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False,
+                 rank: int = CLIENTS) -> None:
+        self.loop, self.sock, self.owner, self.rank = loop, sock, owner, rank
+        self.over = False
         self.connecting, self.closed, self._paused = connecting, False, False
         self._finishing = False
         self._lingering: dict[Connection, float] = {}  # where it stands while it finishes
@@ -92,6 +96,8 @@
         if self.closed:
             return
         self.closed = True
+        if self._finishing:
+            self._receive()  # unread bytes would turn this close into a reset
         self.loop.finishing -= self._finishing
         self._lingering.pop(self, None)
         self.loop.deadlines.drop(self._linger)
@@ -114,7 +120,7 @@
         events = 0 if self._paused or self.connecting else READ
         if self._out or self.connecting:
             events |= WRITE
-        self.loop.watch(self.sock, events, self._ready)
+        self.loop.watch(self.sock, events, self._ready, self.rank)
 
     def _ready(self, mask: int) -> None:
         if self.closed:  # closed earlier in this turn
@@ -155,21 +161,54 @@
         if not self.closed:
             self._watch()
 
+    def _receive(self) -> tuple[list[bytes], Ending | None]:
+        """What lies in the socket, so much of it as one turn takes, and the end behind it if it is there."""
+        chunks: list[bytes] = []
+        for _ in range(READS):
+            try:
+                data = self.sock.recv(CHUNK)
+            except BlockingIOError:
+                break
+            except OSError:
+                return chunks, Ending.BROKE
+            if not data:
+                return chunks, Ending.CLOSED
+            chunks.append(data)
+        return chunks, None
+
     def _read(self) -> None:
+        """Hands over what came. Whoever is told of bytes can see in `over` that nobody waits behind them."""
+        chunks, ending = self._receive()
+        self.over = ending is not None
+        for data in chunks:
+            if not self._finishing and not self.closed:
+                self.owner.on_data(data)
+        if ending is not None and not self.closed:
+            self._end(ending)
+
+    def read_now(self) -> None:
+        """Reads what has come since the loop last looked: before a close, or it would be lost unread."""
+        if not self.closed and not self.connecting:
+            self._read()
+
+    def quiet(self) -> bool:
+        """Whether nothing has come, no byte and no end. Else a connection that rests is of no more use."""
         try:
-            data = self.sock.recv(CHUNK)
+            self.sock.recv(1)
         except BlockingIOError:
-            return
+            return not self.closed
         except OSError:
-            self._end(Ending.BROKE)
-            return
-        if not data:
-            self._end(Ending.CLOSED)
-        elif not self._finishing:
-            self.owner.on_data(data)
+            pass
+        return False
+
+    def left(self) -> bool:
+        """Whether the other side has closed it or is gone, though bytes of it lie unread: while paused."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
 
 
-def connect(loop: Loop, address: tuple[str, int], owner: Owner) -> Connection | Ending:
+def connect(loop: Loop, address: tuple[str, int], owner: Owner, rank: int) -> Connection | Ending:
     """Opens a connection, or says at once why not."""
     try:
         sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -180,7 +219,7 @@
     if error not in (0, errno.EINPROGRESS):
         sock.close()
         return Ending.REFUSED if error == errno.ECONNREFUSED else Ending.NEVER_UP
-    return Connection(loop, sock, owner, connecting=True)
+    return Connection(loop, sock, owner, connecting=True, rank=rank)
 
 
 def parse_address(text: str) -> tuple[str, int]:
--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -16,7 +16,7 @@
 from ..interface import ListKind, Member, Presence, WorkerId
 from .connection import Connection, connect, parse_address
 from .ending import Ending
-from .loop import Loop
+from .loop import FIRST, Loop
 
 WAIT_MS = 10_000  # how long a watch may wait
 ANSWER_TIME = 1.0  # beyond that wait, until discovery counts as silent
@@ -132,7 +132,7 @@
 
     def _connect(self) -> None:
         self._drop()
-        opened = connect(self.loop, self.address, self)
+        opened = connect(self.loop, self.address, self, FIRST)
         if isinstance(opened, Ending):
             self.on_end(opened)
             return
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -30,6 +30,7 @@
 MESSAGE_MOST = 10.0  # ... up to this
 NEWCOMER = 0.25  # seconds in which the first request of a good client comes in
 IDLE_TIME = 300.0
+LOOK = 0.1  # seconds between two looks for the end of a connection of which nothing is read for now
 # Given twice, one of these is two requests in one: joined by what no value may hold, so that no reader takes
 # it for a value. Others are lists.
 SINGLE = frozenset((b"x-request-id", b"x-deadline-ms", b"x-tenant", b"x-key", b"x-cost-hint", b"x-retry",
@@ -83,6 +84,7 @@
         self._broken = False  # nothing after this point can be told apart
         self._advancing = False
         self._timer: Deadline | None = None
+        self._look: Deadline | None = None
         self._head = self._raw = 0
         self._body = bytearray()
         self._url = b""
@@ -126,6 +128,7 @@
 
     def on_end(self, ending: Ending) -> None:
         self.server.loop.deadlines.drop(self._timer)
+        self.server.loop.deadlines.drop(self._look)
         self.server.drop(self)
         exchange, self.current = self.current, None
         self._clear()
@@ -226,6 +229,7 @@
     def detach(self) -> None:
         """Lets go of the connection, which goes on elsewhere."""
         self.server.loop.deadlines.drop(self._timer)
+        self.server.loop.deadlines.drop(self._look)
         self.server.drop(self)
         self.current, self._broken = None, True
         self.connection.close()
@@ -237,7 +241,8 @@
             return
         self._advancing = True
         # The next one waits until the last answer is written: a client that never reads costs one answer.
-        while self.waiting and self.current is None and not self.connection.busy():
+        # Nor does one go on whose client has left: its end lies behind the request.
+        while self.waiting and self.current is None and not (self.connection.busy() or self.connection.over):
             exchange = self.current = self.waiting.popleft()
             self.server.held -= len(exchange.body)  # from here on it is the handler's to count
             if exchange.error is not None:
@@ -254,6 +259,20 @@
         """Reads ahead only so far: what is read is held in memory until its turn comes."""
         ahead = len(self.waiting) >= MAX_WAITING or sum(len(x.body) for x in self.waiting) > MAX_WAITING_BYTES
         self.connection.pause(ahead)
+        if ahead and self._look is None and not self.connection.closed:
+            deadlines, now = self.server.loop.deadlines, self.server.loop.clock.now()
+            self._look = deadlines.add(now + LOOK, self._look_for_end)
+
+    def _look_for_end(self) -> None:
+        """While nothing is read its client's end is not heard of, and what waits would be sent for nobody."""
+        self._look = None
+        if self.connection.closed or self._broken:
+            return
+        if self.connection.left():
+            self.connection.close()
+            self.on_end(Ending.CLOSED)
+        else:
+            self._pace()
 
     def _drop_body(self) -> None:
         self.server.held -= len(self._body)
@@ -294,6 +313,7 @@
 
     def _rearm(self) -> None:
         """What the other side has to do next, and how long it may take. A job's own time is the core's."""
+        self.server.loop.deadlines.drop(self._look)
         if self.connection.unsent:
             self._time(WRITE_TIME, Ending.CLOGGED)
         elif self._coming is not None:
--- a/larchgw/net/listener.py
+++ b/larchgw/net/listener.py
@@ -8,7 +8,7 @@
 import structlog
 
 from ..core.counters import Counters
-from .loop import READ, Loop
+from .loop import NEWCOMERS, READ, Loop
 
 BACKLOG = 1024
 AT_ONCE = 64  # connections accepted in one turn
@@ -32,7 +32,7 @@
         self.sock = self._listen(address)
         self.address: tuple[str, int] = self.sock.getsockname()[:2]
         self.open = True
-        loop.watch(self.sock, READ, self._ready)
+        loop.watch(self.sock, READ, self._ready, NEWCOMERS)
 
     def _listen(self, address: tuple[str, int]) -> socket.socket:
         try:
@@ -65,7 +65,7 @@
         elif self._inherited is None:
             self.sock = self._listen(self.address)
         if not paused:
-            self.loop.watch(self.sock, READ, self._ready)
+            self.loop.watch(self.sock, READ, self._ready, NEWCOMERS)
 
     def _ready(self, mask: int = READ) -> None:
         for _ in range(AT_ONCE):
@@ -96,7 +96,7 @@
 
     def _again(self) -> None:
         if self.open and not self._paused:
-            self.loop.watch(self.sock, READ, self._ready)
+            self.loop.watch(self.sock, READ, self._ready, NEWCOMERS)
 
     def close(self) -> None:
         if self.open and not self._paused:
--- a/larchgw/net/loop.py
+++ b/larchgw/net/loop.py
@@ -13,6 +13,9 @@
 from ..core.deadlines import Clock, Deadlines
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+# Whose news a turn hears first. A list, or a client that has left, must be known before a worker's answer
+# frees a slot and a job that waits is sent there.
+FIRST, CLIENTS, WORKERS, NEWCOMERS = range(4)
 LONGEST_WAIT = 1.0
 log = structlog.get_logger()
 
@@ -33,16 +36,17 @@
         self.wake_out.setblocking(False)
         self.watch(self._wake_in, READ, self._woken)
 
-    def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None]) -> None:
-        """Calls `ready` with the events at hand; 0 events pause the watching."""
+    def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None],
+              rank: int = FIRST) -> None:
+        """Calls `ready` with the events at hand, those of a lower `rank` first; 0 events pause it."""
         known = sock.fileno() in self._selector.get_map()
         if not events:
             if known:
                 self._selector.unregister(sock)
         elif known:
-            self._selector.modify(sock, events, ready)
+            self._selector.modify(sock, events, (rank, ready))
         else:
-            self._selector.register(sock, events, ready)
+            self._selector.register(sock, events, (rank, ready))
 
     def forget(self, sock: socket.socket) -> None:
         self.watch(sock, 0, lambda mask: None)
@@ -71,8 +75,8 @@
     def turn(self) -> None:
         due = self.deadlines.next()
         wait = LONGEST_WAIT if due is None else min(max(due - self.clock.now(), 0.0), LONGEST_WAIT)
-        for key, mask in self._selector.select(wait):
-            self._guard(lambda ready=key.data, mask=mask: ready(mask))  # type: ignore[misc]
+        for key, mask in sorted(self._selector.select(wait), key=lambda event: event[0].data[0]):
+            self._guard(lambda ready=key.data[1], mask=mask: ready(mask))  # type: ignore[misc]
         while self._calls:
             self._guard(self._calls.popleft())
         self._guard(lambda: self.deadlines.sweep(self.clock.now()))
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -17,7 +17,7 @@
 from ..interface import Status, WorkerId
 from .connection import Connection, connect
 from .ending import Ending, status_of
-from .loop import Loop
+from .loop import WORKERS, Loop
 
 MAX_RAW = 8192  # of an answer that has not ended
 MAX_LINE = 8 * 65536  # of a runner's answer: a result of 64 KiB, escaped as JSON may be
@@ -56,7 +56,8 @@
         self.raw = bytearray()  # the present answer as it came, while that is no more than MAX_RAW
         self._came = 0  # bytes of it
         self.connection: Connection | Ending = (
-            connect(pool.loop, address, self) if sock is None else Connection(pool.loop, sock, self))
+            connect(pool.loop, address, self, WORKERS) if sock is None
+            else Connection(pool.loop, sock, self, rank=WORKERS))
 
     def begin(self, attempt: Attempt) -> None:
         self.attempt = attempt
--- a/larchgw/wsgi.py
+++ b/larchgw/wsgi.py
@@ -89,7 +89,8 @@
         with self._lock:
             if not self._running:
                 raise RuntimeError("the dispatcher is not running")
-            self._node.loop.call(lambda: self._node.core.take(request))
+            # One that is cancelled before the loop comes to it is never sent.
+            self._node.loop.call(lambda: None if future.cancelled() else self._node.core.take(request))
         return future
 
     # As a front of the core, on the dispatcher's thread
@@ -103,7 +104,7 @@
         """A future hears of the end only."""
 
     def _left(self, request: Request) -> None:
-        self._node.loop.call(lambda: self._node.core.gone(request))
+        self._node.loop.call(lambda: self._node.core.gone(request) if request.id else None)  # 0: never taken
 
     def _run(self) -> None:
         self._node.start()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import signal
@@ -93,18 +94,26 @@
             owner.asked += 1
             watch = "after=" in self.path
             after = int(self.path.split("after=")[1].split("&")[0]) if watch else 0
-            owner.changed.wait_for(lambda: not watch or owner.version != after, 5.0)
+            wait = float(self.path.split("wait_ms=")[1]) / 1000.0 if watch else 0.0
+            owner.changed.wait_for(lambda: owner.version != after or owner.mute, wait)
+            mute, owner.mute = watch and wait > 0 and owner.mute, owner.mute and not (watch and wait > 0)
             news = {"version": owner.version, "full": True, "servers": list(owner.boxes.values())}
+        if mute:  # this call never hears of anything; those that come later do
+            owner.muted.wait(PATIENCE)
+            return
         body = json.dumps(news).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
+        owner.told += 1
 
 
 class Discovery(Server):
     def __init__(self) -> None:
         self.version, self.asked, self.bad = 1, 0, False
+        self.told = 0  # lists that it has sent
+        self.mute, self.muted = False, threading.Event()
         self.overbooked = 0  # calls that it has no turn for
         self.paths: list[str] = []
         self.boxes: dict[str, dict[str, Any]] = {}
@@ -209,7 +218,7 @@
 
     def __init__(self, folder: Path, discovery: str, fronts: bool = False,
                  accept: socket.socket | None = None, room: str | None = None, before: str = "",
-                 **changes: Any) -> None:
+                 shell: str = "", environ: dict[str, str] | None = None, **changes: Any) -> None:
         config = {"name": "t", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": discovery,
                   "seed": "1", "limits": {"sockets": 1024},
                   "settings": settings(**changes.pop("settings", {}))} | changes
@@ -218,6 +227,8 @@
         command = [sys.executable, "-m", "larchgw"]
         if before:  # Python to run in the process first
             command = [sys.executable, "-c", f"{before}\nfrom larchgw.__main__ import main\nsys.exit(main())"]
+        if shell:  # in place of the above, as the platform does it
+            command = ["/bin/sh", "-c", shell]
         if fronts:
             (folder / "fronts.toml").write_text("".join(
                 f'[{name}]\nlisten = "127.0.0.1:0"\n' for name in ("gearman", "agent_check", "ops")))
@@ -231,7 +242,7 @@
         if accept:
             variables["PROXY_ACCEPT_FD"] = str(accept.fileno())
         self.process = subprocess.Popen(command, cwd=ROOT, text=True, stderr=subprocess.PIPE,
-                                        pass_fds=inherited, env=os.environ | variables)
+                                        pass_fds=inherited, env=os.environ | variables | (environ or {}))
         self.lines: list[str] = []
         self._reader = threading.Thread(target=self._read, daemon=True)
         self._reader.start()
@@ -323,3 +334,119 @@
         program.process.kill()
         for server in (discovery, *runners):
             server.close()
+
+
+class Desk:
+    """A worker whose connections the test serves by hand; `shut`: none comes up before `open`."""
+
+    def __init__(self, name: str, shut: bool = False) -> None:
+        self.name = name
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=0 if shut else 64)
+        self.sock.settimeout(PATIENCE)
+        host, port = self.sock.getsockname()
+        self.address = f"{host}:{port}"
+        self.fillers = [socket.socket() for _ in range(4 if shut else 0)]
+        for filler in self.fillers:  # its queue is full of these
+            filler.setblocking(False)
+            filler.connect_ex((host, port))
+        self.calls: list[Call] = []
+
+    def open(self) -> None:
+        """From now on those who knock come up: takes the fillers out of the queue."""
+        up = [filler for filler in self.fillers if state(filler) == ESTABLISHED]
+        for filler in self.fillers:
+            if filler not in up:
+                filler.close()
+        mine = {filler.getsockname() for filler in up}
+        while mine:
+            sock, peer = self.sock.accept()
+            if peer in mine:
+                mine.discard(peer)
+                sock.close()
+            else:
+                self.calls.append(Call(sock))
+
+    def call(self) -> Call:
+        """The next connection of the program."""
+        if self.calls:
+            return self.calls.pop(0)
+        return Call(self.sock.accept()[0])
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.fillers):
+            sock.close()
+
+
+class Call:
+    """One connection that the program made to a desk."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.settimeout(PATIENCE)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
+        self.file = sock.makefile("rb")
+
+    def read(self) -> str:
+        """The id of the next request, read whole; empty once the program has closed the connection."""
+        headers: dict[str, str] = {}
+        while (line := self.file.readline()) not in (b"\r\n", b""):
+            name, _, value = line.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        self.file.read(int(headers.get("content-length", 0)))
+        return headers.get("x-request-id", "")
+
+    def closed(self) -> bool:
+        """Waits for the program to close or reset it; False if it sends anything first."""
+        try:
+            return self.file.read(1) == b""
+        except ConnectionResetError:
+            return True
+
+    def begin(self, name: str) -> None:
+        self.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.say(id=name, state="started")
+
+    def say(self, **line: Any) -> None:
+        text = json.dumps(line).encode() + b"\n"
+        self.sock.sendall(b"%x\r\n%b\r\n" % (len(text), text))
+
+    def end(self, name: str, result: str = "made") -> None:
+        self.say(id=name, state="done", result=result)
+        self.sock.sendall(b"0\r\n\r\n")
+
+    def serve(self, name: str, result: str = "made") -> None:
+        self.begin(name)
+        self.end(name, result)
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.file.close()
+        self.sock.close()
+
+
+ESTABLISHED = 1
+SIOCOUTQ = 0x5411  # bytes that the other side has not acknowledged
+ON_ITS_WAY = (4, 9)  # FIN_WAIT1, LAST_ACK: the end is
+
+
+def state(sock: socket.socket) -> int:
+    """Of a TCP connection, as the system numbers them."""
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+
+
+def delivered(sock: socket.socket) -> bool:
+    """Whether all that was sent, and the end behind it if it was shut, lies in the other side's socket."""
+    unread = struct.unpack("i", fcntl.ioctl(sock, SIOCOUTQ, b"\0" * 4))[0]
+    return unread == 0 and state(sock) not in ON_ITS_WAY
+
+
+@contextmanager
+def frozen(program: Program) -> Iterator[None]:
+    """Stops the program, so that all that comes meanwhile is there in one turn of its loop."""
+    stat = Path(f"/proc/{program.process.pid}/stat")
+    program.process.send_signal(signal.SIGSTOP)
+    try:
+        until(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T", "the program to stand still")
+        yield
+    finally:
+        program.process.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,176 @@
+"""Two things in one moment: the real program is stopped until both lie in its sockets, then goes on.
+
+Each verdict is what the other sides received. docs/acceptance.md has the pairs and which test forces which.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import sys
+import time
+import tomllib
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from stand_ins import (
+    PATIENCE,
+    ROOT,
+    Call,
+    Desk,
+    Discovery,
+    Program,
+    Runner,
+    delivered,
+    frozen,
+    job_class,
+    running,
+    settings,
+    until,
+)
+
+ALLOWED = settings()["allowed"]
+SINGLE = {"nInstances": 8}  # our fair part of a worker is then one slot: a second job waits
+
+
+def post(name: str, path: str = "/proof", body: bytes = b"", wait: int = 9000, more: str = "") -> bytes:
+    return (f"POST {path} HTTP/1.1\r\nHost: x\r\nX-Request-Id: {name}\r\nX-Deadline-Ms: {wait}\r\n"
+            f"{more}Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+def client(program: Program, *parts: bytes) -> socket.socket:
+    """A connection of a client that has sent so much."""
+    sock = socket.create_connection(program.address(), timeout=PATIENCE)
+    for part in parts:
+        sock.sendall(part)
+    return sock
+
+
+def leave(sock: socket.socket) -> None:
+    """Ends it from the client's side; once this returns the program's socket knows."""
+    sock.shutdown(socket.SHUT_WR)
+    until(lambda: delivered(sock), "the end to arrive")
+
+
+def answer(sock: socket.socket) -> bytes:
+    """All that comes up to the program's end of the connection."""
+    return b"".join(iter(lambda: sock.recv(65536), b""))
+
+
+def warm_up(program: Program) -> None:
+    """Leaves a kept connection to a worker, on which a job goes out at once."""
+    assert program.job("warm")[0] == 200
+    time.sleep(0.1)  # a younger one is not used
+
+
+def gone(program: Program) -> float:
+    return program.counters().get('larchgw_gone_total{front="platform"}', 0.0)
+
+
+# A client that leaves while its request waits
+
+
+def test_what_waits_on_a_connection_that_is_not_read_is_not_sent_once_its_client_has_left(
+        tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        more = (post(f"p{n}", "/release", wait=25_000) for n in range(20))  # than are read ahead
+        left = client(program, *more)
+        call = desk.call()
+        assert call.read() == "p0"
+        until(lambda: delivered(left))
+        leave(left)
+        assert call.closed()  # its client is gone: nobody waits for the first either
+        good = client(program, post("good", more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "good"
+        call.serve("good")
+        assert answer(good).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_whose_clients_end_came_with_it_is_not_sent(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        warm_up(program)
+        with frozen(program):
+            left = [client(program, post(f"gone{n}")) for n in range(10)]
+            for sock in left:
+                leave(sock)
+        assert program.job("good", b"x") == (200, b"s-1:x")
+        assert [name for name, _, _ in runner.seen] == ["warm", "good"]
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_connection_to_a_worker_that_comes_up_as_the_client_leaves_carries_nothing(
+        tmp_path: Path, cancel: bool) -> None:
+    desk = Desk("s-1", shut=True)
+    allowed = ALLOWED | {"dialTimeout": 15.0, "cancel": cancel}
+    with running(tmp_path, desk, settings={"allowed": allowed}) as (program, _):
+        left = client(program, post("left"))
+        until(lambda: program.counters().get('larchgw_sent_total{transport="http"}') == 1, "the attempt")
+        with frozen(program):
+            desk.open()
+            late = desk.call()  # the system has let it in, and the program does not know yet
+            leave(left)
+        assert late.closed()
+        good = client(program, post("good", more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "good"
+        call.serve("good")
+        assert answer(good).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_job_that_waits_for_a_slot_is_not_sent_when_its_client_leaves_as_the_slot_comes_free(
+        tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk, settings=SINGLE) as (program, _):
+        first = client(program, post("first", more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "first"
+        held = client(program, post("held"))
+        until(lambda: program.counters().get(
+            'larchgw_taken_total{front="platform",job_class="proof"}') == 2, "the second job")
+        with frozen(program):
+            call.serve("first")
+            until(lambda: delivered(call.sock))
+            leave(held)
+        assert answer(first).startswith(b"HTTP/1.1 200 ")
+        until(lambda: gone(program) == 1)
+        last = client(program, post("last", more="Connection: close\r\n"))
+        other = desk.call() if not _readable(call) else call
+        assert other.read() == "last"
+        other.serve("last")
+        assert answer(last).startswith(b"HTTP/1.1 200 ")
+
+
+def _readable(call: Call) -> bool:
+    """Whether something has come on a connection that was answered: a request, not an end."""
+    call.sock.setblocking(False)
+    try:
+        return bool(call.sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
+    finally:
+        call.sock.settimeout(PATIENCE)
+
+
+def test_a_flood_of_clients_that_send_and_leave_costs_no_good_request(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _), ThreadPoolExecutor(8) as pool:
+        warm_up(program)
+        with frozen(program):
+            flood = [client(program, *(post(f"f{c}-{n}") for n in range(6))) for c in range(120)]
+            for sock in flood:
+                leave(sock)
+            silent = [client(program) for _ in range(60)]
+            good = [client(program, post(f"good{n}", body=b"%d" % n, more="Connection: close\r\n"))
+                    for n in range(4)]
+        for n, got in enumerate(pool.map(answer, good)):
+            assert got.startswith(b"HTTP/1.1 200 ") and got.endswith(b"s-1:%d" % n)
+        assert sorted(name for name, _, _ in runner.seen) == [*(f"good{n}" for n in range(4)), "warm"]
+        for sock in (*flood, *silent, *good):
+            sock.close()
+
+
--- a/tests/test_gearman.py
+++ b/tests/test_gearman.py
@@ -4,13 +4,14 @@
 
 import socket
 import struct
+import time
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
-from stand_ins import PATIENCE, Program, Runner, job_class, running, until
+from stand_ins import PATIENCE, Program, Runner, delivered, frozen, job_class, running, until
 
 from larchgw.core import Answer, AnswerKind
 from larchgw.core.counters import Counters
@@ -172,6 +173,26 @@
         assert settled(program)['larchgw_sent_total{transport="gearman"}'] == 1
 
 
+def test_a_foreground_job_whose_clients_end_came_with_it_is_never_sent(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        assert program.job("warm")[0] == 200
+        time.sleep(0.1)  # a kept connection to the worker, on which a job goes out at once
+        with frozen(program):
+            left = [Peer(program) for _ in range(4)]
+            for peer in left:
+                peer.send(SUBMIT, b"proof", b"", b"left")
+                peer.sock.shutdown(socket.SHUT_WR)
+                until(lambda peer=peer: delivered(peer.sock))
+            stays = Peer(program)
+            stays.send(SUBMIT_BG, b"proof", b"", b"background")
+            stays.sock.shutdown(socket.SHUT_WR)  # nobody need wait for this one
+        until(lambda: runner.runs[b"background"])
+        assert [body for _, _, body in runner.seen] == [b"", b"background"]
+        for peer in (*left, stays):
+            peer.close()
+
+
 def test_the_same_unique_joins_a_living_job_and_a_release_never_runs_twice(tmp_path: Path) -> None:
     with running(tmp_path) as (program, _):
         worker, clients, runs = Worker(program, b"s-1"), [Peer(program) for _ in range(3)], Counter[bytes]()
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,58 @@
+"""The parts of a turn, each alone: whose news comes first, how long a silent watch is believed."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from stand_ins import delivered, settings, until
+
+from larchgw.config import Config, read
+from larchgw.core import Core
+from larchgw.core.deadlines import Clock, Deadlines
+from larchgw.interface import JobClass, Settings, Status
+from larchgw.net import discovery as net_discovery
+from larchgw.net import httpserver
+from larchgw.net.ending import Ending
+from larchgw.net.httpserver import Exchange, HttpServer
+from larchgw.net.listener import Listener
+from larchgw.net.loop import CLIENTS, FIRST, NEWCOMERS, READ, WORKERS, Loop
+from larchgw.net.runners import RunnerLink, Runners
+from larchgw.node import ASK_FIRST, Node
+
+
+def test_a_turn_hears_lists_and_clients_before_workers_and_newcomers() -> None:
+    """A worker's answer frees a slot: whoever gets it must be there, and the worker in service."""
+    loop = Loop(Clock(), Deadlines())
+    heard: list[int] = []
+    pairs = []
+    for rank in (NEWCOMERS, WORKERS, CLIENTS, FIRST):
+        ours, theirs = socket.socketpair()
+        pairs += [ours, theirs]
+        loop.watch(ours, READ, lambda mask, rank=rank, ours=ours: (heard.append(rank), ours.recv(1)), rank)
+        theirs.send(b"x")
+    loop.turn()
+    for sock in pairs:
+        loop.forget(sock)
+        sock.close()
+    loop.close()
+    assert heard == [FIRST, CLIENTS, WORKERS, NEWCOMERS]
+
+
+def test_what_one_loop_was_told_of_its_listeners_is_not_every_loops() -> None:
+    shared, alone = Loop(Clock(), Deadlines()), Loop(Clock(), Deadlines())
+    shared.reuse_port = True
+    core = Core(Settings([JobClass("proof", 4.0, 10.0)]), 1, Clock(), Deadlines())
+    listeners = [Listener(loop, core.counters, "x", ("127.0.0.1", 0), 4, lambda s: None, lambda: 0,
+                          lambda: False) for loop in (shared, alone)]
+    asked = [x.sock.getsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT) for x in listeners]
+    for listener in listeners:
+        listener.close()
+        listener.loop.close()
+    assert asked == [1, 0]
+
+
--- a/tests/test_wsgi.py
+++ b/tests/test_wsgi.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -65,6 +67,26 @@
         dispatcher.submit("release", b"3")
 
 
+def test_a_future_that_is_cancelled_before_its_job_is_taken_is_never_sent(parts) -> None:
+    _, dispatcher, runner = parts
+    assert dispatcher.submit("proof", b"warm").result(20).kind is AnswerKind.SERVED
+    time.sleep(0.1)  # a kept connection to the worker, on which a job goes out at once
+    asleep, awake = threading.Event(), threading.Event()
+
+    def sleep() -> None:
+        asleep.set()
+        awake.wait(20)
+
+    dispatcher._node.loop.call(sleep)
+    assert asleep.wait(20)  # the dispatcher's thread stands still
+    left = [dispatcher.submit("proof", b"left") for _ in range(3)]
+    assert all(future.cancel() for future in left)
+    kept = dispatcher.submit("proof", b"kept")
+    awake.set()
+    assert kept.result(20).kind is AnswerKind.SERVED
+    assert [body for _, _, body in runner.seen] == [b"warm", b"kept"]
+
+
 def test_an_unknown_class_is_said_at_once(parts) -> None:
     app, dispatcher, _ = parts
     with pytest.raises(KeyError):
