An attempt whose connection comes up late is decided on anew before its first byte

Seen before this change: a job whose connection to a worker was still coming up when the worker began to drain stayed there to the end of the dial time, and its bytes went out if the connection came up meanwhile, past the grace where the dial time is longer; a repeat of a deduplicated job went out after its worker's memory of the first (dial time 3 s, memory 2 s); one with a memory under 1 s was never repeated at all.

The window's end is the first send that may have run plus the class's memory, less 0.05 s for the bytes to arrive; a repeat is decided on if its dial time fits before it.

Tests, failing before: both on drains, the repeat at its window's edge [3.0], three in test_choice. Those on a release whose connection is reset at each of six stages, refused or never up pass before, too: that rule was kept.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -34,6 +34,7 @@
 FETCHES_SAVED = 0.15  # fetches that one home in the fleet saves for each job that crosses zones to it
 TRUST = 2.0  # seconds after which half of what was seen of a worker's pace is still trusted
 ORDER = 0.5  # seconds between two sends to a worker from which they come there in that order
+ARRIVE = 0.05  # seconds that a request takes from its first byte to its last one's arrival
 TICK = 0.02
 
 
@@ -326,21 +327,31 @@
         late = now >= job.request.give_up_at
         if job.done or late or not worker.ready or len(job.attempts) >= self.s.max_attempts:
             return False
-        effect, first = job.cls.effect, None
+        effect = job.cls.effect
         for a in job.attempts:
             if a.state == NEVER_RAN:
                 continue
             if a.worker is worker or (a.state == OUT and not self.s.second_copies) or effect == "unsafe":
                 return False
             if effect == "keyed":
-                if first is None:
-                    first = a.sent
                 group = job.cls.group
                 if (group == "zone" and a.worker.zone != worker.zone) or (
                         group == "cell" and a.worker.cell != worker.cell):
                     return False
-        # The copies' memory is counted from the first send; leave time for this one to arrive and wait.
-        return first is None or now + 1.0 < first + job.cls.window
+        return now + self.s.dial_timeout < self._window_end(job)  # its connection may come up late
+
+    def _window_end(self, job: Job, before: int | None = None) -> float:
+        """Until when a send may go out: workers remember a repeat from the first send that may have run."""
+        ran = (a.sent for a in job.attempts[:before] if a.state != NEVER_RAN)
+        first = next(ran, None) if job.cls.effect == "keyed" else None
+        return float("inf") if first is None else first + job.cls.window - ARRIVE
+
+    def may_begin(self, now: float, request: int, attempt: int) -> bool:
+        """Whether the first byte of an attempt may still go out, though its connection came up late."""
+        job = self.jobs.get(request)
+        if job is None or job.done or attempt >= len(job.attempts):
+            return False
+        return job.attempts[attempt].worker.ready and now < self._window_end(job, attempt)
 
     def _may_refuse(self, job: Job) -> bool:
         """A refusal says that a retry is harmless."""
--- a/larchgw/core/counters.py
+++ b/larchgw/core/counters.py
@@ -24,6 +24,10 @@
                             registry=r)
         self.caps = Counter("larchgw_caps", "Times that a limit of ours was met", ["cap"], registry=r)
         self.dead = Counter("larchgw_dead_connections", "Kept connections that proved dead", registry=r)
+        self.stale = Counter("larchgw_stale_connections",
+                             "Kept connections on which something had come when they were wanted", registry=r)
+        self.withdrawn = Counter("larchgw_withdrawn",
+                                 "Attempts whose connection came up too late to be sent", registry=r)
         self.lists = Counter("larchgw_lists", "Answers of discovery", ["kind"], registry=r)
         self.faults = Counter("larchgw_faults", "Errors of our own that were caught", ["where"], registry=r)
         self.open = Gauge("larchgw_open_requests", "Requests without a final answer", registry=r)
--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -142,6 +142,12 @@
 
     # From transports
 
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Whether the first byte of an attempt may go out now, some time after it was decided on."""
+        request = attempt.request
+        return not request.over() and self.boxes.open_to_work(attempt.worker) and (
+            self.dispatcher.may_begin(self.clock.now(), request.id, attempt.index))
+
     def written(self, attempt: Attempt) -> None:
         """The last byte of the attempt has gone to its box."""
         if not attempt.written:
--- a/larchgw/net/ending.py
+++ b/larchgw/net/ending.py
@@ -26,6 +26,7 @@
     STRANGER = "what came names another request"
     SILENT = "nothing came in time"
     GIVEN_UP = "we cancelled it"
+    WITHDRAWN = "its connection came up when it was no longer to be sent"
     # Ends of connections that carry no attempt
     CLOSED = "the other side closed it between requests"
     IDLE = "it stood idle for too long"
@@ -51,6 +52,7 @@
     Ending.STRANGER: Status.RESET,
     Ending.SILENT: Status.TIMEOUT,
     Ending.GIVEN_UP: Status.CANCELLED,
+    Ending.WITHDRAWN: Status.MOOT,
     # Should one of these meet an attempt all the same, it may have run.
     Ending.CLOSED: Status.RESET,
     Ending.IDLE: Status.RESET,
@@ -65,4 +67,6 @@
     status = _STATUS[ending]
     if not written and status in (Status.RESET, Status.TIMEOUT):
         return Status.CONNECT_FAILED  # a runner begins with the last byte: without it, it never ran
+    if not written and status == Status.CANCELLED:
+        return Status.MOOT  # nor was it its worker's fault
     return status
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -112,6 +112,16 @@
     def _write(self, data: bytes) -> None:
         self._busy, self._ending, self._result, self._report = True, None, b"", ()
         self._heard = False
+    def unsent(self) -> bool:
+        """Whether it carries an attempt of which no byte is out."""
+        connection = self.connection
+        return self.attempt is not None and isinstance(connection, Connection) and connection.connecting
+
+    def withdraw(self) -> None:
+        """No byte of its attempt is out, and none shall be: it never ran, and the module decides anew."""
+        self.pool.core.counters.withdrawn.inc()
+        self._over(Ending.WITHDRAWN)
+
         self.raw.clear()
         self._came = 0
         assert isinstance(self.connection, Connection)
@@ -145,6 +155,9 @@
 
     def on_data(self, data: bytes) -> None:
         if not self._busy:
+        # It has taken its time: since the decision its worker may drain, its client or its window be gone.
+        if self.attempt is not None and not self.pool.core.may_begin(self.attempt):
+            self.withdraw()
             self._over(Ending.GARBLED)  # an answer that nobody asked for
             return
         self._heard = True
@@ -368,7 +381,12 @@
             link.close()
 
     def _close_drained(self) -> None:
-        """Nothing more is sent to a box that drains; its kept connections only hold descriptors."""
+        """Nothing more is sent to a box that drains: what waits there for its connection goes elsewhere, and
+        kept connections only hold descriptors."""
+        for link in [x for x in self.links if x.unsent()]:
+            moved = link.address != self.addresses.get(link.worker)
+            if moved or not self.core.boxes.open_to_work(link.worker):
+                link.withdraw()
         for worker, idle in list(self.idle.items()):
             if not self.core.boxes.open_to_work(worker):
                 for link in list(idle):
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -44,10 +44,12 @@
 
     def __init__(self, workers: int = 4, seed: int = 1, effect: str = "safe", **changes: Any) -> None:
         group = changes.pop("group", "all")
-        job = JobClass("job", 0.4, 5.0, effect=effect, group=group, window=5.0, stretch=2.0)
+        window = changes.pop("window", 5.0)
+        job = JobClass("job", 0.4, 5.0, effect=effect, group=group, window=window, stretch=2.0)
         self.actions = Recorder()
         starts = changes.pop("tells_start", True)
-        self.settings = Settings([job], tells_start=starts, second_copies=True, can_cancel=True, **changes)
+        copies = changes.pop("second_copies", True)
+        self.settings = Settings([job], tells_start=starts, second_copies=copies, can_cancel=True, **changes)
         self.d = Dispatcher(self.settings, seed, self.actions)
         self.now = 100.0
         self.next = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -98,3 +98,38 @@
     assert rig.answers(job) == ["refuse"]
     rig.members(Member(b"lateer"))
     assert job not in rig.actions.sends
+
+
+@pytest.mark.parametrize("window", [0.6, 1.5])
+@pytest.mark.parametrize("early", [True, False])
+def test_a_repeat_is_decided_on_while_its_connection_can_come_up_within_the_window(window, early):
+    """Whole seconds were kept free at the window's end: one of 0.6 s never allowed a repeat at all."""
+    rig = Rig(4, effect="keyed", window=window, dial_timeout=0.25, second_copies=False)
+    job = rig.request()
+    rig.wait(window - 0.25 - (0.1 if early else 0.04))
+    rig.end(job, Status.RESET)
+    assert len(rig.actions.sends[job]) == (2 if early else 1)
+
+
+def test_a_repeat_whose_connection_is_late_may_begin_up_to_the_windows_end_and_not_after():
+    rig = Rig(4, effect="keyed", window=1.5, dial_timeout=0.25)
+    job = rig.request()
+    sent = rig.now
+    rig.wait(0.5)
+    rig.end(job, Status.RESET)
+    assert rig.d.may_begin(sent + 1.4, job, 1)
+    assert not rig.d.may_begin(sent + 1.46, job, 1)  # its last byte would come when the first is forgotten
+    assert rig.d.may_begin(sent + 1.46, job, 0)  # the first is no repeat
+    rig.drain(rig.where(job))
+    assert not rig.d.may_begin(sent + 1.0, job, 1)
+    assert not rig.d.may_begin(sent + 1.0, job, 2) and not rig.d.may_begin(sent + 1.0, job + 1, 0)
+
+
+def test_what_never_ran_opens_no_window():
+    rig = Rig(4, effect="keyed", window=0.6, dial_timeout=0.25)
+    job = rig.request()
+    rig.end(job, Status.CONNECT_FAILED)
+    rig.wait(1.0)
+    rig.end(job, Status.FULL)
+    rig.wait(1.0)
+    assert len(rig.actions.sends[job]) == 3 and rig.d.may_begin(rig.now, job, 2)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -174,3 +174,136 @@
             sock.close()
 
 
+# A worker that drains, or whose connection comes up late
+
+
+def test_a_job_whose_connection_has_not_come_up_leaves_a_worker_that_begins_to_drain(tmp_path: Path) -> None:
+    desk, other = Desk("s-1", shut=True), Runner("s-2")
+    allowed = ALLOWED | {"dialTimeout": 15.0}
+    with running(tmp_path, desk, settings={"allowed": allowed}) as (program, discovery), \
+            ThreadPoolExecutor(1) as pool:
+        job = pool.submit(program.job, "job", b"x", "/release", "0", 12_000)
+        until(lambda: program.counters().get('larchgw_sent_total{transport="http"}') == 1, "the attempt")
+        discovery.tell("s-2", addr=other.address)
+        discovery.tell("s-1", "DRAINING", desk.address)
+        assert job.result(PATIENCE) == (200, b"s-2:x")  # long before that connection would be given up
+        desk.open()
+        assert all(call.closed() for call in desk.calls)
+        other.close()
+
+
+def test_a_connection_that_comes_up_as_its_worker_begins_to_drain_carries_nothing(tmp_path: Path) -> None:
+    desk, other = Desk("s-1", shut=True), Runner("s-2")
+    allowed = ALLOWED | {"dialTimeout": 15.0}
+    with running(tmp_path, desk, settings={"allowed": allowed}) as (program, discovery), \
+            ThreadPoolExecutor(1) as pool:
+        job = pool.submit(program.job, "job", b"x", "/release", "0", 12_000)
+        until(lambda: program.counters().get('larchgw_sent_total{transport="http"}') == 1, "the attempt")
+        with frozen(program):
+            desk.open()
+            late = desk.call()
+            asked = discovery.asked
+            discovery.tell("s-2", addr=other.address)
+            discovery.tell("s-1", "DRAINING", desk.address)
+            until(lambda: discovery.told >= asked, "the list on its way")
+        assert job.result(PATIENCE) == (200, b"s-2:x")
+        assert late.closed()
+        other.close()
+
+
+# Repeats
+
+
+BOOKING = [job_class("proof", "idempotent", 10.0),
+           job_class("booking", "deduplicated", 9.0) | {"group": "all", "memorySpan": 2.0}]
+
+
+@pytest.mark.parametrize("dial", [1.0, 3.0])
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path: Path, dial: float) -> None:
+    """Workers have forgotten the first by then, and would run it a second time."""
+    first, second = Desk("s-1"), Desk("s-2", shut=True)
+    told = {"allowed": ALLOWED | {"dialTimeout": dial}, "classes": BOOKING}
+    with running(tmp_path, first, settings=told) as (program, discovery):
+        asks = client(program, post("b1", "/booking", b"x", 3000,
+                                    "Idempotency-Key: k1\r\nConnection: close\r\n"))
+        call = first.call()
+        assert call.read() == "b1"
+        begun = time.monotonic()
+        discovery.tell("s-2", addr=second.address)
+        until(lambda: program.counters().get('larchgw_lists_total{kind="full"}', 0) >= 2, "the second worker")
+        call.reset()
+        until(lambda: program.counters().get('larchgw_ended_total{outcome="reset",transport="http"}') == 1)
+        sent = program.counters()['larchgw_sent_total{transport="http"}']
+        with frozen(program):
+            second.open()
+            if sent == 2:  # else the time was not enough, and it is not tried
+                second.calls.append(second.call())
+            time.sleep(max(begun + 2.0 - time.monotonic(), 0.0))  # the window's end, by the test's own clock
+        assert all(call.closed() for call in second.calls)
+        assert answer(asks).startswith((b"HTTP/1.1 500 ", b"HTTP/1.1 503 "))
+
+
+# A job that may run but once, its connection reset at each stage
+
+
+@pytest.mark.parametrize("stage", ["read", "head", "started", "half a line", "running", "done, cut"])
+def test_a_release_whose_connection_is_reset_after_its_last_byte_is_not_sent_again(
+        tmp_path: Path, stage: str) -> None:
+    desks = Desk("s-1"), Desk("s-2")
+    with running(tmp_path, *desks) as (program, _), ThreadPoolExecutor(1) as pool:
+        job = pool.submit(program.job, "r1", b"x" * 3000, "/release")
+        call = _whoever(desks)
+        assert call.read() == "r1"
+        if stage == "head":
+            call.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        elif stage != "read":
+            call.begin("r1")
+        if stage == "half a line":
+            call.sock.sendall(b'40\r\n{"id":"r1","state":"do')
+        elif stage == "running":
+            call.say(id="r1", state="running", share=0.5)
+        elif stage == "done, cut":
+            text = json.dumps({"id": "r1", "state": "done", "result": "made"}).encode()
+            call.sock.sendall(b"%x\r\n%b" % (len(text) + 20, text))  # its line has no end
+        call.reset()
+        assert job.result(PATIENCE)[0] == 500
+        program.stop()
+        assert not any(_asked(desk) for desk in desks)
+
+
+def test_a_release_whose_connection_is_refused_or_never_comes_up_goes_elsewhere_once(tmp_path: Path) -> None:
+    shut, good = Desk("s-1", shut=True), Runner("s-2")
+    with running(tmp_path, shut, good) as (program, _):
+        assert [program.job(f"r{n}", b"%d" % n, "/release")[0] for n in range(3)] == [200] * 3
+        assert [good.runs[b"%d" % n] for n in range(3)] == [1, 1, 1]
+        shut.open()
+        assert all(call.closed() for call in shut.calls)
+
+
+def _whoever(desks: tuple[Desk, ...]) -> Call:
+    """The next connection to any of them."""
+    for desk in desks:
+        desk.sock.setblocking(False)
+    found: list[Call] = []
+
+    def come() -> bool:
+        for desk in desks:
+            try:
+                found.append(Call(desk.sock.accept()[0]))
+            except BlockingIOError:
+                continue
+        return bool(found)
+
+    until(come, "a connection")
+    return found[0]
+
+
+def _asked(desk: Desk) -> bool:
+    """Whether a request has come on a further connection."""
+    desk.sock.setblocking(False)
+    try:
+        return Call(desk.sock.accept()[0]).read() != ""
+    except BlockingIOError:
+        return False
+
+
