A kept connection on which anything has come is not used for the next job

Seen before this change: with a late second answer, its half, an answer to nobody or the worker's close in the same turn as the next job, the job was written to that connection: it read the old answer as its own (STRANGER, or a result cut short) and failed. An answer without an end was read for as long as its job lived. A probe took a job's late answer for a report.

Lines: Runners._link took any connection that had stood 5 ms; RunnerLink.on_data bounded a line, not an answer; on_message_complete took any 200 for a report.

Change: one look into the socket before use, and what is not quiet is closed and counted (larchgw_stale_connections); a connection rests 0.05 s before it is used again (a second answer may come some milliseconds late); an answer holds 2 MB at most; a probe's answer that names a state is a stranger's. What a turn cannot show (the bytes come after the next request) still ends as STRANGER: nothing is relayed.

Tests, failing before: four of the five crossings, the endless answer, the probe. The reset, done with the close in one read, and 1xx ahead of an answer pass before, too.

--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -21,11 +21,14 @@
 
 MAX_RAW = 8192  # of an answer that has not ended
 MAX_LINE = 8 * 65536  # of a runner's answer: a result of 64 KiB, escaped as JSON may be
+MAX_ANSWER = 4 * MAX_LINE  # of all that it says, with heads and signs of life: one without an end is cut off
 PROBE_TIME = 0.3
 MAX_REPORT = 4096  # of the body that answers a probe
 LAST_CHUNK_TIME = 0.5  # after the line that ends an attempt
 IDLE_SHARE, IDLE_MARGIN = 0.8, 1.0  # we close well before the runner's machine does
-SETTLE = 0.005  # seconds that a connection must have stood, for a close right after an answer to be seen
+# Seconds that a connection must have stood, for what comes after an answer to be seen: a close, or a second
+# answer, which would else be taken for that of the next request.
+SETTLE = 0.05
 DISTRUST = 0.25  # share of its standing time that is still trusted when a kept connection proves dead
 REGAIN = 30.0  # seconds in which the trusted time doubles again
 # The settings name the report's fields by the simulator's words, the sockets by these.
@@ -109,9 +112,6 @@
         if isinstance(self.connection, Connection):
             self.connection.close()
 
-    def _write(self, data: bytes) -> None:
-        self._busy, self._ending, self._result, self._report = True, None, b"", ()
-        self._heard = False
     def unsent(self) -> bool:
         """Whether it carries an attempt of which no byte is out."""
         connection = self.connection
@@ -122,6 +122,9 @@
         self.pool.core.counters.withdrawn.inc()
         self._over(Ending.WITHDRAWN)
 
+    def _write(self, data: bytes) -> None:
+        self._busy, self._ending, self._result, self._report = True, None, b"", ()
+        self._heard = False
         self.raw.clear()
         self._came = 0
         assert isinstance(self.connection, Connection)
@@ -152,16 +155,19 @@
     def on_open(self) -> None:
         self.pool.loop.deadlines.drop(self.timer)
         self.timer = None
-
-    def on_data(self, data: bytes) -> None:
-        if not self._busy:
         # It has taken its time: since the decision its worker may drain, its client or its window be gone.
         if self.attempt is not None and not self.pool.core.may_begin(self.attempt):
             self.withdraw()
+
+    def on_data(self, data: bytes) -> None:
+        if not self._busy:
             self._over(Ending.GARBLED)  # an answer that nobody asked for
             return
         self._heard = True
         self._came += len(data)
+        if self._came > MAX_ANSWER:
+            self._over(self._ending or Ending.GARBLED)
+            return
         if self._came <= MAX_RAW:
             self.raw += data
         try:
@@ -237,7 +243,7 @@
             never = status in (503, 504) and self._headers.get(b"x-not-run") == b"1"
             if self.probe_at and status == 200:
                 self._report = self._report or self.pool.report_in(bytes(self._body))
-                self._ending = Ending.DONE
+                self._ending = Ending.STRANGER if b'"state"' in self._body else Ending.DONE
             elif status == 200:
                 self._ending = Ending.CUT_SHORT  # EOF, or a last chunk, without a last line is no answer
             else:
@@ -420,8 +426,11 @@
         if idle and new:
             idle[0].close()  # the new one takes its place
         elif idle:
-            link = next((x for x in reversed(idle) if now - x.idle_since >= SETTLE), None)
-            if link is not None:
+            for link in [x for x in reversed(idle) if now - x.idle_since >= SETTLE]:
+                if not isinstance(link.connection, Connection) or not link.connection.quiet():
+                    link.close()  # its end, or a second answer, lies in our socket: its turn has not come yet
+                    self.core.counters.stale.inc()
+                    continue
                 idle.remove(link)
                 self.loop.deadlines.drop(link.timer)
                 link.timer, link.stood = None, now - link.idle_since
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -307,3 +307,83 @@
         return False
 
 
+# Kept connections to workers
+
+
+@pytest.mark.parametrize("what", ["a second answer", "an answer to no one", "half an answer", "its end",
+                                  "a reset"])
+def test_a_kept_connection_on_which_something_comes_with_the_next_job_is_not_used(
+        tmp_path: Path, what: str) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        asks = client(program, post("a"))
+        kept = desk.call()
+        assert kept.read() == "a"
+        kept.serve("a", "first")
+        until(lambda: b"first" in asks.recv(65536))
+        time.sleep(0.1)  # a younger one is not used anyhow
+        with frozen(program):
+            asks.sendall(post("b", more="Connection: close\r\n"))  # first, so that its turn comes first
+            until(lambda: delivered(asks))
+            if what == "a reset":
+                kept.reset()
+            elif what == "its end":
+                leave(kept.sock)
+            else:
+                name = "zz" if what == "an answer to no one" else "a"
+                kept.begin(name)
+                if what != "half an answer":
+                    kept.end(name, "again")
+                until(lambda: delivered(kept.sock))
+        fresh = desk.call()
+        assert fresh.read() == "b"
+        fresh.serve("b", "second")
+        got = answer(asks)
+        assert got.startswith(b"HTTP/1.1 200 ") and got.endswith(b"second")
+        if what not in ("a reset", "its end"):
+            assert kept.closed()
+
+
+def test_done_and_the_close_in_one_read_serve_the_job_and_the_next_one_goes_elsewhere(tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        asks = client(program, post("a"))
+        call = desk.call()
+        assert call.read() == "a"
+        with frozen(program):
+            call.serve("a", "first")
+            leave(call.sock)
+            asks.sendall(post("b", more="Connection: close\r\n"))
+            until(lambda: delivered(asks))
+        fresh = desk.call()
+        assert fresh.read() == "b"
+        fresh.serve("b", "second")
+        got = answer(asks)
+        assert got.count(b"HTTP/1.1 200 ") == 2 and got.index(b"first") < got.index(b"second")
+
+
+def test_an_answer_that_never_ends_is_cut_off(tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        asks = client(program, post("a", "/release", wait=24_000, more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "a"
+        call.begin("a")
+        with pytest.raises(OSError):
+            for _ in range(1000):  # 64 MB
+                for _ in range(64):
+                    call.say(id="a", state="running", share=0.5, pad="x" * 1000)
+        assert answer(asks).startswith(b"HTTP/1.1 500 ")
+
+
+def test_signs_of_life_ahead_of_an_answer_are_none(tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        asks = client(program, post("a", "/release", more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "a"
+        call.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n")
+        call.serve("a")
+        assert answer(asks).endswith(b"made")
+
+
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -56,3 +56,24 @@
     assert asked == [1, 0]
 
 
+# A probe that hears what was meant for a job
+
+
+@pytest.mark.parametrize("body", [b'{"id":"a","state":"done","result":"x"}\n', b"util=0.1,x0=5"])
+def test_a_late_second_answer_is_no_report(body: bytes) -> None:
+    probed: list[Any] = []
+    core = SimpleNamespace(on_list=[], probed=lambda *told: probed.append(told))
+    told = {"report": {"via": "pull", "fields": ["busy", "x0"]}, "allowed": {}}
+    loop = Loop(Clock(), Deadlines())
+    pool = Runners(loop, core, told, 8)  # type: ignore[arg-type]
+    ours, theirs = socket.socketpair()
+    link = RunnerLink(pool, b"s-1", ("127.0.0.1", 1), ours)
+    pool.links.add(link)
+    link.begin_probe()
+    link.on_data(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+    link.close()
+    theirs.close()
+    loop.close()
+    assert len(probed) == 1
+    assert probed[0][1] == (Status.RESET if b"state" in body else Status.OK)
+    assert b"state" in body or probed[0][3] == [0.1, 5.0]
