A request that lies in our socket as its resting connection is to end is answered

Seen before this change: of 20 resting connections with a request in our socket when the stop closes what rests, some got an end and no answer; the same at the end of a connection's idle time and where a newcomer needs its descriptor.

Lines: HttpServer.close_idle, Link._expire and HttpServer._make_room closed by what had been read so far. Listener.close accepted 64 of a backlog of 1,024.

What comes after our shutdown is read and dropped, never handled (that was so, and has a test now).

Tests, failing before: the one on 20 connections (test_crossings), stop, idle and crowd (test_turns).

--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -303,9 +303,17 @@
         else:
             self.close()
 
+    def retire(self) -> bool:
+        """Closes it if it rests. A request that lies in our socket came first: it is read and answered."""
+        self.connection.read_now()
+        if self in self.server.links and self.idle():
+            self.close()
+        return self not in self.server.links
+
     def close(self) -> None:
         """Closes in good order, after what is written."""
         self.server.loop.deadlines.drop(self._timer)
+        self.server.loop.deadlines.drop(self._look)
         self.server.drop(self)
         self._clear()
         self._broken = True
@@ -313,7 +321,6 @@
 
     def _rearm(self) -> None:
         """What the other side has to do next, and how long it may take. A job's own time is the core's."""
-        self.server.loop.deadlines.drop(self._look)
         if self.connection.unsent:
             self._time(WRITE_TIME, Ending.CLOGGED)
         elif self._coming is not None:
@@ -342,7 +349,7 @@
             self._break(408, "the request came too slowly")
             self.advance()
         elif ending in (Ending.SLOW, Ending.IDLE) and self.idle():
-            self.close()
+            self.retire()
         elif ending is Ending.CLOGGED:
             self.connection.close()
             self.on_end(ending)
@@ -403,8 +410,12 @@
             link = idle
         else:
             return False
-        link.close()
-        link.connection.close()  # lingering, it would hold the descriptor that the new one needs
+        link.connection.read_now()
+        if link in self.links:
+            if link.current is not None or link.waiting:
+                return False  # it has just asked: the newcomer waits for the next turn
+            link.close()
+            link.connection.close()  # lingering, it would hold the descriptor that the new one needs
         self.counters.caps.labels(self.handler.name + "_idle").inc()
         return True
 
@@ -423,4 +434,4 @@
     def close_idle(self) -> None:
         newest = self.loop.clock.now() - NEWCOMER  # the first request of whoever came later is on its way
         for link in [x for x in self.links if x.idle() and (x.proven or x.opened < newest)]:
-            link.close()
+            link.retire()
--- a/larchgw/net/listener.py
+++ b/larchgw/net/listener.py
@@ -100,7 +100,8 @@
 
     def close(self) -> None:
         if self.open and not self._paused:
-            self._ready()  # whoever the kernel has let in by now was promised an answer
+            for _ in range(BACKLOG // AT_ONCE):
+                self._ready()  # whoever the kernel has let in by now was promised an answer
             self.loop.forget(self.sock)
         self.open = False
         self.sock.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -387,3 +387,59 @@
         assert answer(asks).endswith(b"made")
 
 
+# Shutdown
+
+
+def test_a_request_that_lies_in_our_socket_as_its_resting_connection_is_to_end_is_answered(
+        tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        rests = [client(program, post(f"a{n}")) for n in range(20)]
+        for sock in rests:
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200 ")
+        program.process.terminate()
+        until(lambda: program.logged("event=stop.begin"))
+        with frozen(program):
+            time.sleep(1.0)  # by now its connections are due to end
+            for n, sock in enumerate(rests):
+                sock.sendall(post(f"b{n}"))
+                until(lambda sock=sock: delivered(sock))
+        for sock in rests:
+            got = answer(sock)
+            assert got.startswith((b"HTTP/1.1 200 ", b"HTTP/1.1 503 ")), got
+        assert program.process.wait(PATIENCE) == 0
+
+
+def test_sigterm_and_a_request_in_one_turn(tmp_path: Path) -> None:
+    runner = Runner("s-1")
+    with running(tmp_path, runner) as (program, _):
+        rests = client(program, post("a"))
+        assert rests.recv(65536).startswith(b"HTTP/1.1 200 ")
+        with frozen(program):
+            rests.sendall(post("b", "/release", b"x"))
+            new = client(program, post("c", "/release", b"y"))
+            until(lambda: delivered(new) and delivered(rests))
+            program.process.terminate()
+        assert answer(rests).startswith(b"HTTP/1.1 200 ")
+        assert answer(new).startswith(b"HTTP/1.1 200 ")
+        assert program.process.wait(PATIENCE) == 0
+        assert (runner.runs[b"x"], runner.runs[b"y"]) == (1, 1)
+
+
+def test_a_second_sigterm_and_a_sighup_in_the_midst_of_a_stop_change_nothing(tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        asks = client(program, post("a", "/release", more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "a"
+        with frozen(program):
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                program.process.send_signal(number)
+        until(lambda: program.logged("event=reload.done"))
+        program.process.terminate()
+        call.serve("a")
+        assert answer(asks).endswith(b"made")
+        assert program.process.wait(PATIENCE) == 0
+        assert len(program.logged("event=stop.begin")) == 1
+
+
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -56,6 +56,92 @@
     assert asked == [1, 0]
 
 
+# A client's connection that is to end
+
+
+class Told:
+    """A handler that answers each request at once, unless it is told to hold them."""
+
+    name = "told"
+
+    def __init__(self) -> None:
+        self.heard: list[bytes] = []
+        self.hold = False
+        self.held: list[Exchange] = []
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        self.heard.append(exchange.target)
+        if self.hold:
+            self.held.append(exchange)
+        else:
+            exchange.reply(200, b"made " + exchange.target)
+
+    def on_client_gone(self, exchange: Exchange) -> None:
+        pass
+
+
+@pytest.fixture
+def served() -> Any:
+    loop, handler = Loop(Clock(), Deadlines()), Told()
+    core = Core(Settings([JobClass("proof", 4.0, 10.0)]), 1, loop.clock, loop.deadlines)
+    server = HttpServer(loop, core.counters, ("127.0.0.1", 0), handler, 8, 1 << 20)
+    sock = socket.create_connection(server.listener.address, timeout=20)
+    sock.sendall(b"GET /1 HTTP/1.1\r\n\r\n")
+    until(lambda: (loop.turn(), handler.heard)[1])
+    assert sock.recv(4096).endswith(b"made /1")
+    yield loop, server, handler, sock
+    sock.close()
+    for link in list(server.links):
+        link.connection.close()
+    server.listener.close()
+    loop.close()
+
+
+def send(sock: socket.socket, text: bytes) -> None:
+    sock.sendall(text)
+    until(lambda: delivered(sock))
+
+
+@pytest.mark.parametrize("end", ["stop", "idle", "crowd"])
+def test_a_request_that_lies_unread_when_its_connection_is_to_end_is_answered(served: Any, end: str) -> None:
+    loop, server, handler, sock = served
+    send(sock, b"GET /2 HTTP/1.1\r\n\r\n")
+    link = next(iter(server.links))
+    if end == "stop":
+        server.close_idle()
+    elif end == "idle":
+        link._expire(Ending.IDLE)
+    else:
+        server.resize(0, 1 << 20)
+    assert sock.recv(4096).endswith(b"made /2")
+    assert handler.heard == [b"/1", b"/2"]
+
+
+@pytest.mark.parametrize("later", ["linger", "at once"])
+def test_what_comes_after_the_shutdown_is_not_handled_and_takes_no_answer_with_it(
+        served: Any, later: str) -> None:
+    """A close over unread bytes resets the connection, and the reset takes along what was not read yet."""
+    loop, server, handler, sock = served
+    handler.hold = True
+    send(sock, b"GET /2 HTTP/1.1\r\n\r\n")
+    until(lambda: (loop.turn(), handler.held)[1])
+    link = next(iter(server.links))
+    handler.held[0].keep = False
+    handler.held[0].reply(200, b"x" * 50_000)
+    send(sock, b"GET /3 HTTP/1.1\r\n\r\n" * 3)
+    if later == "linger":
+        loop.turn()
+    else:
+        link.connection.close()
+    got = b"".join(iter(lambda: sock.recv(65536), b""))  # an end in order, no reset
+    assert got.endswith(b"x" * 50_000)
+    assert handler.heard == [b"/1", b"/2"]
+
+
+def test_a_client_that_is_not_read_is_looked_at_for_its_end_every_tenth_of_a_second() -> None:
+    assert httpserver.LOOK <= 0.15  # what waits on its connection may be sent on up to 0.3 s after its end
+
+
 # A probe that hears what was meant for a job
 
 
