A watch that has fallen silent is known, opened anew and answered before what it misses counts

Cause, reckoned from the lines and shown in virtual time (test_turns): a watch waited 10 s (WAIT_MS) and was given up after 13 s where lists are asked for (TURN_TIME), while it counts 2 s after its wait, at 12 s; where lists are pushed, after 11 s of 12, then a backoff of up to 2 s and calls that waited 10 s again, so a second silent one broke it.

Change: pushed lists are watched 2 s at a time and given up 1 s later; asked ones 4.5 to 6 s and 1.2 s. The call after one that failed does not wait (wait_ms=0), shows its own silence in 0.4 s where lists are pushed, and goes out soon after a watch that broke. A process is ready once the agent has answered or been silent (or 1 s has passed): what it holds counts from the first moment, and the list from before the start may be older. A reload that numbers zones or kinds anew asks for the whole list.

A test of ours is changed: it said that there are four calls after three failures and then a watch that waits. The fourth no longer waits, so it asks for five, and for the shape of each: watch, three short ones, watch. Tests, failing before: what a silent watch misses (asked, and pushed when two or three fall silent in a row), ready, zones numbered anew. The two on real sockets pass before as well: their 11 and 13 s are inside the test's patience.

--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -18,12 +18,19 @@
 from .ending import Ending
 from .loop import FIRST, Loop
 
-WAIT_MS = 10_000  # how long a watch may wait
+# What a watch that has fallen silent misses counts as told 6 s after it fell silent, or 2 s after its wait is
+# over if that is later. By then it must be known to be silent, opened anew and answered: so no watch may take
+# longer than its wait and ANSWER_TIME or WATCH_TIME, and the next call is a short one.
+WAIT = 2.0  # seconds that a watch may wait where lists are pushed: it costs nobody anything
 ANSWER_TIME = 1.0  # beyond that wait, until discovery counts as silent
-FIRST_BACKOFF, LAST_BACKOFF = 0.1, 2.0
+AGAIN_TIME = 0.4  # in place of both after a call that failed: this one does not wait, and silence shows soon
+FIRST_BACKOFF, LAST_BACKOFF = 0.1, 0.3
 # Where lists must be asked for, one service of fixed capacity answers all dispatchers, each call in its turn.
 # A call that we give up still has its turn, and calls that come faster than they are answered wait in vain.
-TURN_TIME = 3.0  # in place of ANSWER_TIME
+ASK_WAIT = 6.0  # seconds that a watch waits there, less up to a fourth, so that not all end at once
+TURN_TIME = 3.0  # in place of ANSWER_TIME, for a call that does not wait
+WATCH_TIME = 1.2  # in place of ANSWER_TIME for a watch
+FIRST_GAP = 0.01  # seconds between two calls of the whole fleet after a watch that broke: no sign of a crowd
 GAP = 0.2  # seconds between two calls of the whole fleet, on the first retry; twice that on the next, ...
 LATEST = 3.2  # times `list_patience`: after four times of it we count as told of what is in the list
 MAX_ANSWER = 8 << 20
@@ -55,8 +62,8 @@
     """Reads discovery's form."""
 
     def __init__(self, raw_settings: dict[str, Any]) -> None:
-        self._zones = Names(raw_settings.get("areas") or [])
-        self._kinds = Names(raw_settings.get("shapes") or [])
+        self.named = (list(raw_settings.get("areas") or []), list(raw_settings.get("shapes") or []))
+        self._zones, self._kinds = Names(self.named[0]), Names(self.named[1])
 
     def read(self, said: Any) -> Listing:
         """ValueError if it is not a list of boxes."""
@@ -93,6 +100,7 @@
         self._complete = self._keep = False
         self._timer: Deadline | None = None
         self._failures = 0  # in a row
+        self.asked = False  # whether a call has been answered, or was silent, since the start
         self._random = random.Random(seed)
         self._down = self._stopped = False
 
@@ -107,10 +115,11 @@
         """Asks another address from now on.
 
         Versions are an address's own: a watch after the old one's could wait at the new one for ever, so the
-        whole list is asked for. Until it comes the old list holds.
+        whole list is asked for. Until it comes the old list holds. So it is where zones and kinds are
+        numbered anew: the numbers in the old list mean others.
         """
-        self.reader = reader
-        if address == self.address:
+        same, self.reader = reader.named == self.reader.named, reader
+        if address == self.address and same:
             return
         self.address, self.version, self._failures = address, None, 0
         if not self._stopped:
@@ -142,18 +151,30 @@
     def _ask(self) -> None:
         if self._connection is None:
             return
-        path, wait = "/api/targets", TURN_TIME if self.core.settings.must_subscribe else ANSWER_TIME
+        path, wait = "/api/targets", self._wait()
+        limit = wait + self._answer_time(wait)
         if self.version is not None:
-            path += f"?after={self.version}&wait_ms={WAIT_MS}"
-            wait += WAIT_MS / 1000.0
+            path += f"?after={self.version}&wait_ms={round(1000 * wait)}"
         self._parser, self._complete = httptools.HttpResponseParser(self), False
         self._body.clear()
         self.loop.deadlines.drop(self._timer)
         self._timer = self.loop.deadlines.add(
-            self.loop.clock.now() + wait, lambda: self._failed("silent"))
+            self.loop.clock.now() + limit, lambda: self._failed("silent"))
         host = f"{self.address[0]}:{self.address[1]}"
         self._connection.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
+    def _wait(self) -> float:
+        """Seconds that the next call may wait for news; 0 after one that failed: what was missed is there."""
+        if self.version is None or self._failures:
+            return 0.0
+        return ASK_WAIT * self._random.uniform(0.75, 1.0) if self.core.settings.must_subscribe else WAIT
+
+    def _answer_time(self, wait: float) -> float:
+        """Seconds beyond its wait until a call counts as silent."""
+        if self.core.settings.must_subscribe:
+            return WATCH_TIME if wait else TURN_TIME
+        return AGAIN_TIME if self._failures else ANSWER_TIME
+
     def _drop(self) -> None:
         self.loop.deadlines.drop(self._timer)
         self._timer = None
@@ -166,6 +187,7 @@
         self._drop()
         if self._stopped:
             return
+        self.asked |= why == "silent"
         if not self._down:
             self._down = True
             log.warning("discovery.down", why=why)
@@ -177,11 +199,12 @@
     def _backoff(self) -> float:
         """Seconds until the next try, longer each time."""
         settings = self.core.settings
-        first, last = FIRST_BACKOFF, LAST_BACKOFF
+        first, last, times = FIRST_BACKOFF, LAST_BACKOFF, self._failures
         if settings.must_subscribe:
-            last = LATEST * settings.list_patience
-            first = max(first, GAP * settings.instances)
-        wait: float = min(first * 2 ** min(self._failures, 16), last) * self._random.uniform(0.5, 1.0)
+            last, times = LATEST * settings.list_patience, max(times - 1, 0)
+            watched = self.version is not None and not self._failures
+            first = max(first, (FIRST_GAP if watched else GAP) * settings.instances)
+        wait: float = min(first * 2 ** min(times, 16), last) * self._random.uniform(0.5, 1.0)
         self._failures += 1
         return wait
 
@@ -205,7 +228,7 @@
         if self._down:
             self._down = False
             log.info("discovery.up", version=listing.version)
-        self._failures = 0
+        self._failures, self.asked = 0, True
         self.version = listing.version
         # The next watch goes out first: a gap of 200 ms would make it a new one.
         if self._keep:
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -20,6 +20,7 @@
 RUNNER_SHARE = 0.4  # of the descriptors left; the clients' connections have the rest
 OWN_MB = 24  # memory of the program with no request in it, and a little
 BODY_SHARE = 0.2  # of the memory left
+ASK_FIRST = 1.0  # seconds that discovery has at a start before the list from before the start is used
 log = structlog.get_logger()
 
 
@@ -42,7 +43,7 @@
             self.core.counters.registry.register(RoomFigures(self.planner))
             self.planner.on_bound = self._room_bound
         self.runners = Runners(self.loop, self.core, config.raw, runner_cap)
-        self.stopping = False
+        self.stopping, self._started = False, clock.now()
         reader = ListReader(config.raw)
         self.discovery = Discovery(self.loop, self.core, config.discovery, reader, self.runners.locate,
                                    config.seed)
@@ -82,7 +83,17 @@
 
     def ready(self) -> bool:
         """Whether new requests are welcome."""
-        return not self.stopping and bool(self.core.boxes.listed or self.core.boxes.joined)
+        return not self.stopping and self._known() and bool(self.core.boxes.listed or self.core.boxes.joined)
+
+    def _known(self) -> bool:
+        """Whether the list may be used.
+
+        What the agent of pushed lists holds counts as told from our first moment, and the list that we start
+        from may be older: it serves only once the agent has been silent for a while.
+        """
+        if self.core.settings.must_subscribe or self.discovery.asked:
+            return True
+        return self.loop.clock.now() - self._started > ASK_FIRST
 
     def close(self) -> None:
         self.discovery.stop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -443,3 +443,46 @@
         assert len(program.logged("event=stop.begin")) == 1
 
 
+# Lists
+
+
+def test_zones_that_a_reload_numbers_anew_are_read_anew(tmp_path: Path) -> None:
+    """What is held of a worker is its zone's number, and the same number would now mean another zone."""
+    with running(tmp_path, Runner("s-1"), settings={"areas": ["a", "b"]}) as (program, discovery):
+        asked = len(discovery.paths)
+        assert "event=reload.done" in program.reload(settings=settings(areas=["b", "a"]))
+        until(lambda: "/api/targets" in discovery.paths[asked:], "the whole list")
+
+
+@pytest.mark.parametrize("mode", ["automatic", "subscribe"])
+def test_a_watch_that_never_hears_again_is_opened_anew_and_what_it_missed_counts(
+        tmp_path: Path, mode: str) -> None:
+    old, new = Runner("s-1"), Runner("s-2")
+    with running(tmp_path, old, settings={"registryMode": mode}) as (program, discovery):
+        until(lambda: discovery.asked >= 2, "the watch")
+        discovery.mute = True  # the open watch hears nothing more, and its connection stays up
+        discovery.tell("s-2", addr=new.address)
+        discovery.tell("s-1", "DRAINING", old.address)
+        asked = len(discovery.paths)
+        until(lambda: len(discovery.paths) > asked, "a new watch")
+        until(lambda: program.counters().get('larchgw_lists_total{kind="full"}', 0) >= 2, "what it missed")
+        assert program.job("a", b"x") == (200, b"s-2:x")
+    new.close()
+
+
+def test_other_classes_at_a_reload_are_refused_in_one_line_while_jobs_are_out(tmp_path: Path) -> None:
+    desk = Desk("s-1")
+    with running(tmp_path, desk) as (program, _):
+        asks = client(program, post("a", "/release", more="Connection: close\r\n"))
+        call = desk.call()
+        assert call.read() == "a"
+        changed = settings(classes=[job_class("proof", "at_most_once", 10.0),
+                                    job_class("release", "idempotent", 25.0)])
+        before = len(program.lines)
+        line = program.reload(settings=changed)
+        assert "event=reload.refused" in line and "settings.requestClasses" in line
+        assert len(program.logged("reload.")) == 1 and len(program.lines) == before + 1
+        call.reset()  # had `release` become idempotent, this would be sent again
+        assert answer(asks).startswith(b"HTTP/1.1 500 ")
+        assert not _asked(desk)
+
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -228,9 +228,11 @@
     program = Program(tmp_path, discovery.address, known=known, settings={"registryMode": "subscribe"})
     try:
         assert program.job("a", b"x") == (200, b"s-1:x")  # the known list serves meanwhile
-        until(lambda: len(discovery.paths) == 4, "the fourth call")
+        until(lambda: len(discovery.paths) >= 5, "the fifth call")
         assert all(path.startswith("/api/targets?after=1&") for path in discovery.paths)
-        discovery.tell("s-1", addr=runner.address)
+        # The watch at the start, three calls that ask at once after as many failures, and a watch again.
+        short = [path.endswith("wait_ms=0") for path in discovery.paths[:5]]
+        assert short == [False, True, True, True, False]
         until(lambda: program.logged("event=discovery.up"))
         program.stop()
     finally:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -56,6 +56,84 @@
     assert asked == [1, 0]
 
 
+# A watch that falls silent
+
+
+class Wire:
+    """Stands where connections to discovery stand: notes each call and when it was made."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.calls: list[tuple[float, str, Any]] = []
+
+    def connect(self, loop: Any, address: Any, owner: Any, *rank: int) -> Any:
+        def write(data: bytes) -> None:
+            self.calls.append((self.now(), data.decode().split()[1], owner))
+
+        return SimpleNamespace(write=write, close=lambda: None)
+
+
+def answered(owner: Any, version: int) -> None:
+    body = json.dumps({"version": version, "full": True, "servers": []}).encode()
+    owner.on_data(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+@pytest.mark.parametrize("pushed, silent", [(True, 1), (True, 2), (True, 3), (False, 1)])
+@pytest.mark.parametrize("seed", range(5))
+def test_what_a_silent_watch_misses_is_asked_for_before_it_counts_as_told(
+        monkeypatch: pytest.MonkeyPatch, pushed: bool, silent: int, seed: int) -> None:
+    """It counts 6 s after the silence began, or 2 s after the call's wait, if that is later.
+
+    Pushed lists cost nothing, so further calls may fall silent, too; where all ask one service, the next
+    call after a silent one is answered in its turn.
+    """
+    now = 100.0
+    clock, deadlines = SimpleNamespace(now=lambda: now), Deadlines()
+    told = Settings([JobClass("proof", 1.0, 5.0)], instances=4, must_subscribe=not pushed)
+    core = Core(told, seed, clock, deadlines)  # type: ignore[arg-type]
+    wire = Wire(lambda: now)
+    monkeypatch.setattr(net_discovery, "connect", wire.connect)
+    watched = net_discovery.Discovery(
+        SimpleNamespace(clock=clock, deadlines=deadlines),  # type: ignore[arg-type]
+        core, ("127.0.0.1", 1), net_discovery.ListReader({}), lambda worker, address: None, seed)
+    watched.start()
+    answered(wire.calls[-1][2], 1)
+    fell = now  # the watch that goes out now hears nothing
+    path = wire.calls[-1][1]
+    wait = float(path.split("wait_ms=")[1]) / 1000.0
+    before = len(wire.calls)
+    while len(wire.calls) < before + silent:
+        due = deadlines.next()
+        assert due is not None
+        now = max(now, due)
+        deadlines.sweep(now)
+    answered(wire.calls[-1][2], 2)
+    assert watched.version == 2
+    assert now - fell <= max(6.0, wait + 2.0) - 0.5  # half a second is left for the answer and its way
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_ready_waits_for_what_the_agent_holds_but_not_for_one_that_is_silent(pushed: bool) -> None:
+    """What the agent holds counts as told from our first moment; the list from before may be older."""
+    known = {"version": 1, "full": True, "servers": [
+        {"id": "s-1", "addr": "127.0.0.1:1", "zone": "a", "kind": "m", "state": "SERVING"}]}
+    node = Node(_config(known=known, settings=settings(registryMode="automatic" if pushed else "subscribe")))
+    begun = node.loop.clock.now()
+    node.loop.clock.now = lambda: begun + 0.01  # type: ignore[method-assign]
+    assert node.ready() is not pushed
+    node.loop.clock.now = lambda: begun + ASK_FIRST + 0.1  # type: ignore[method-assign]
+    assert node.ready()
+    node.loop.clock.now = lambda: begun + 0.01  # type: ignore[method-assign]
+    node.discovery.asked = True
+    assert node.ready()
+    node.close()
+
+
+def _config(**changes: Any) -> Config:
+    told = {"discovery": "127.0.0.1:1", "seed": "1", "settings": settings()}
+    return read(told | changes, need_listen=False)
+
+
 # A client's connection that is to end
 
 
