A SIGHUP in the first moments of a start neither ends the program nor is lost

Also: whether listeners share their port was a class attribute of Listener, so one process's setting was every loop's; it is the loop's.

--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -1,5 +1,6 @@
 """`python -m larchgw`: serves. With arguments, the command line."""
 
+import signal
 import sys
 
 
@@ -9,6 +10,8 @@
         from .cli.main import run
 
         return run()
+    # Until the daemon listens to it, a SIGHUP would end us. The configuration is read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from .daemon import serve
 
     return serve()
--- a/larchgw/daemon.py
+++ b/larchgw/daemon.py
@@ -43,7 +43,7 @@
         loop.on_signal = self.on_signal
         assert settings.listen is not None
         self._gearman_share = GEARMAN_SHARE if fronts.gearman else 0.0
-        Listener.reuse_port = settings.accept_fd is not None
+        loop.reuse_port = settings.accept_fd is not None
         cap, gearman_cap = self._caps()
         self.platform = PlatformFront(loop, core, settings.listen, cap, node.body_cap, self._serves,
                                       settings.accept_fd)
@@ -219,6 +219,8 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
+    missed: list[int] = []  # a SIGHUP between reading the configuration and being ready to read it again
+    signal.signal(signal.SIGHUP, lambda number, frame: missed.append(number))
     try:
         daemon = Daemon(config.load(os.environ), fronts or config.Fronts(), room)
     except config.ConfigError as error:
@@ -227,6 +229,8 @@
     except OSError as error:
         print(f"larchgw: listen: {error.strerror}", file=sys.stderr)
         return 2
+    if missed:
+        daemon.on_signal(signal.SIGHUP)
     gc.collect()
     gc.freeze()
     daemon.run()
--- a/larchgw/net/listener.py
+++ b/larchgw/net/listener.py
@@ -19,8 +19,6 @@
 class Listener:
     """Accepts for `take`. At the cap, `make_room` may close an idle connection; else accepting waits."""
 
-    reuse_port = False  # whether another process of ours may listen where we do, for the time of an upgrade
-
     def __init__(self, loop: Loop, counters: Counters, name: str, address: tuple[str, int], cap: int,
                  take: Callable[[socket.socket], None], count: Callable[[], int],
                  make_room: Callable[[], bool], inherited: int | None = None) -> None:
@@ -43,7 +41,7 @@
             else:
                 family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
                 sock = socket.create_server(address, family=family, backlog=BACKLOG,
-                                            reuse_port=self.reuse_port)
+                                            reuse_port=self.loop.reuse_port)
         except OSError as error:
             where = (f"{self.name} at {address[0]}:{address[1]}" if self._inherited is None
                      else f"descriptor {self._inherited} of PROXY_ACCEPT_FD")
--- a/larchgw/net/loop.py
+++ b/larchgw/net/loop.py
@@ -30,6 +30,7 @@
         self._calls: deque[Callable[[], None]] = deque()
         self._running = True
         self.finishing = 0  # connections that write their last bytes
+        self.reuse_port = False  # whether another process of ours may listen where we do, during an upgrade
         self.on_signal: Callable[[int], None] = lambda number: None
         self._wake_in, self.wake_out = socket.socketpair()
         self._wake_in.setblocking(False)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -443,6 +443,49 @@
         assert len(program.logged("event=stop.begin")) == 1
 
 
+# Signals at a start
+
+
+EARLY = """
+import os, signal, sys
+from larchgw import config
+whole = config.load
+def load(environ):
+    told = whole(environ)
+    if not os.environ.pop("hup", None):
+        os.environ["hup"] = "1"
+        os.kill(os.getpid(), signal.SIGHUP)
+    return told
+config.load = load
+"""
+
+
+def test_a_sighup_while_the_configuration_is_read_is_followed_once_all_stands(tmp_path: Path) -> None:
+    runner, discovery = Runner("s-1"), Discovery()
+    discovery.tell("s-1", addr=runner.address)
+    program = Program(tmp_path, discovery.address, before=EARLY)
+    try:
+        until(lambda: program.logged("event=reload.done"), "the reload")
+        program.ready()
+        assert program.job("a", b"x") == (200, b"s-1:x")
+        program.stop()
+    finally:
+        program.process.kill()
+        runner.close()
+        discovery.close()
+
+
+def test_a_sighup_before_python_runs_our_first_line_does_not_end_the_program(tmp_path: Path) -> None:
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    (tmp_path / "sitecustomize.py").write_text("import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\n")
+    program = Program(tmp_path, "127.0.0.1:1", shell=run.replace(".venv/bin/python", sys.executable),
+                      environ={"PYTHONPATH": str(tmp_path)})
+    try:
+        program.stop()
+    finally:
+        program.process.kill()
+
+
 # Lists
 
 
