A silent attempt is cancelled only where another worker can take the job

Ruled out: the hand-over (the job went to the right process and out), room, the dial time.

Lines: Dispatcher._check cancels an idempotent job's attempt at a silent worker; nobody else could take it (_may_send never sends twice to one worker), so it waited until it was late. Jobs of milliseconds make a patience of some 20 ms, which a busy machine exceeds.

Change: cancelled only if some worker takes work that has not had the job.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -730,5 +730,11 @@
         if self.s.second_copies and self._place(now, job):
             self.hedges -= 1.0
         elif not self.s.second_copies and self.s.can_cancel and job.cls.effect == "safe" and (
-                len(job.attempts) < self.s.max_attempts):  # the last one is let run: nothing can follow it
+                len(job.attempts) < self.s.max_attempts and self._another(job)):
+            # The last one is let run, and one that nobody else can take: nothing could follow it.
             self.act.cancel(job.request.id, attempt.index)
+
+    def _another(self, job: Job) -> bool:
+        """Whether a worker takes work that has not had this job yet."""
+        tried = {a.worker.id for a in job.attempts if a.state != NEVER_RAN and a.worker.ready}
+        return self.ready > len(tried)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -133,3 +133,14 @@
     rig.end(job, Status.FULL)
     rig.wait(1.0)
     assert len(rig.actions.sends[job]) == 3 and rig.d.may_begin(rig.now, job, 2)
+
+
+@pytest.mark.parametrize("workers, cancelled", [(1, 0), (2, 1)])
+def test_an_attempt_at_a_silent_worker_is_cancelled_only_where_another_can_follow(workers, cancelled):
+    """With one worker, a job that took a moment longer than usual was cancelled, and refused seconds later."""
+    rig = Rig(workers, second_copies=False)
+    for _ in range(5):
+        rig.end(rig.request())
+    job = rig.request()
+    rig.wait(2.0)
+    assert sum(a[:2] == ("cancel", job) for a in rig.actions.log) == cancelled
