Boxes are drawn by their listed size, and by what waits there or turned a job away

Cause: there are no keys and no live weights there. Dispatcher._spill compared boxes by keys and by our own pending alone, of which one of 200 dispatchers has next to none, so it drew all alike; the list's weights tell the boxes' sizes (nominal), two kinds of which differ by half in speed, and Fleet.speed read only live ones. Reports told of the queue; Reports.heard read free slots only, and a full answer told nothing of the box to the estimates.

Change: where the settings say that weights are nominal or rough, a box has places on the ring by its weight over the mean (0.25 to 4 of it); where probes report, ties in the rank go by others' slots there, the told queue counts among them, and a box that turned a job away counts as twice full, which fades as reports do (half in 4 s).

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -277,12 +277,12 @@
             worker = workers[bisect(places, mix(key + i * 0x9E3779B97F4A7C15 & MASK)) % len(places)]
             if self._has_room(now, job, worker) and self.fleet.draw(now, job, worker):
                 return worker
-        best, rank, ties, seen = None, (0.0, 0.0), 1, 0
+        best, rank, ties, seen = None, (0.0, 0.0, 0.0), 1, 0
         for i in range(2 * SAMPLE):
             at = mix(key + i * 0x9E3779B97F4A7C15 & MASK) if key and not homes and i < SAMPLE else bits(64)
             worker = workers[bisect(places, at) % len(places)]
             if worker is not best and self._has_room(now, job, worker) and self.fleet.draw(now, job, worker):
-                own = (len(worker.keys), worker.pending)
+                own = (len(worker.keys), worker.pending, self.fleet.load(now, worker))
                 seen += 1
                 if best is None or own < rank:
                     best, rank, ties = worker, own, 1
@@ -582,6 +582,7 @@
             # Full by others' jobs: step off for about as long as a slot takes to come free.
             self._alive(now, worker)
             worker.fulls += 1
+            self.fleet.full(now, worker)
             self._less(now, worker, self.runs[0].value * min(0.15 * 2**worker.fulls, 2.0), self.fair)
         elif status in (Status.CONNECT_FAILED, Status.RESET):
             worker.breaks += 1
--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -25,6 +25,7 @@
 SPARE = 1  # homes of a key beyond those that its part of all jobs needs
 MOST_ORDERS = 4096  # keys for which the order of boxes is kept
 PLACES = 8  # boxes in it
+LIGHT, HEAVY = 0.25, 4.0  # sizes over the mean that are believed
 NEAR = 0.1  # share of that time where the wait is reckoned from reports, which are as old as a job is long
 HASTE = 0.5  # share of the time a job has left that its wait at a box is expected to take at the most
 
@@ -49,6 +50,8 @@
         self.health = Health(settings)
         self.boxes = 0  # that take work
         self._orders: dict[tuple[int, int, int], list[Worker]] = {}  # by key, zone and kind
+        self._weights: dict[bytes, float] = {}  # as listed, where they tell of a box's size
+        self.sizes: dict[bytes, float] = {}  # over the mean one
         self.runs = Runs(settings.classes)
         self.taken = Taken()
         self.loads = Loads()
@@ -73,6 +76,15 @@
             self.loads.told(now, listed)
             warm = [w for w in workers if now >= w.warm_at]
             self.loads.sum_up(now, warm, self.runs.mean())
+        elif self.s.sized:
+            self._sized(listed, workers)
+
+    def _sized(self, listed: Sequence[tuple[Worker, float]], workers: Sequence[Worker]) -> None:
+        """Boxes are drawn by their size: drawn alike, the slow ones fill first and turn jobs away."""
+        self._weights.update((w.id, max(size, 0.0)) for w, size in listed)
+        told = [size for w in workers if (size := self._weights.get(w.id, 0.0)) > 0.0]
+        mean = sum(told) / len(told) if told else 1.0
+        self.sizes = {w.id: min(max(self._weights.get(w.id, mean) / mean, LIGHT), HEAVY) for w in workers}
 
     def started(self, now: float, worker: Worker) -> None:
         """A box has started: it is cold, and holds nothing."""
@@ -84,6 +96,7 @@
     def gone(self, worker: Worker) -> None:
         """A box is no longer listed."""
         self.cold.left(worker)
+        self._weights.pop(worker.id, None)
         self.loads.forget(worker.id)
         self.reports.forget(worker.id)
 
@@ -115,6 +128,10 @@
             warm = sum(w.ready and now >= w.warm_at for w in workers.values())
             self.taken.sum_up(now, self.s.instances, warm)
 
+    def full(self, now: float, worker: Worker) -> None:
+        """It has turned a job away: its queue is full of others' jobs."""
+        self.reports.full(now, worker)
+
     # Asked by the module
 
     def able(self, worker: Worker) -> float:
@@ -213,7 +230,14 @@
         return (*range(start, first + 1), *range(start), *range(first + 1, most))
 
     def speed(self, worker: Worker) -> float:
-        return self.loads.speed(worker) if self.live else 1.0
+        """What a box can do over the mean box, as far as its weight in the list tells."""
+        if self.live:
+            return self.loads.speed(worker)
+        return self.sizes.get(worker.id, 1.0) if self.s.sized else 1.0
+
+    def load(self, now: float, worker: Worker) -> float:
+        """Slots that others have there over those that it has, by its reports; 0 where there are none."""
+        return self.reports.others(now, worker) / self.reports.slots(worker) if self.reports.on else 0.0
 
     def turn(self, now: float, job: Job, fit: Callable[[Worker], bool]) -> Worker | None:
         """The cold box whose turn it is with this job, if it is any one's and `fit` says yes to it."""
--- a/larchgw/estimates/reports.py
+++ b/larchgw/estimates/reports.py
@@ -59,6 +59,7 @@
     def configure(self, settings: Settings) -> None:
         self.s = settings
         self.on = settings.can_probe and settings.pull and settings.slot_reports >= 0
+        self.tells_queue = self.on and settings.queue_reports >= 0
 
     # Asking
 
@@ -124,12 +125,20 @@
         self._trim(now, sight)
         own = worker.pending - sum(c for at, c in sight.changes if at > now - LAG)
         others = self.kinds[worker.kind] - free - max(own, 0.0)
-        if free < FULL:
+        if self.tells_queue and len(report) > self.s.queue_reports:
+            others += max(report[self.s.queue_reports], 0.0)
+        elif free < FULL:
             others = max(others, (self.s.instances - 1) * own)  # what waits there is told nowhere
         gain = GAIN if sight.free >= 0.0 else 1.0
         sight.others += gain * (max(others, 0.0) - sight.others)
         sight.free, sight.at = free, now
 
+    def full(self, now: float, worker: Worker) -> None:
+        """It has turned a job away: as many wait as run, at the least. That fades as a report does."""
+        sight = self.sights.get(worker.id)
+        if self.on and sight is not None:
+            sight.others, sight.at = max(sight.others, 2.0 * self.slots(worker)), now
+
     def changed(self, now: float, worker: WorkerId, slots: float) -> None:
         """We sent so many slots there, or had them back (negative)."""
         sight = self.sights.get(worker)
--- a/larchgw/interface.py
+++ b/larchgw/interface.py
@@ -109,6 +109,7 @@
     live_weights: bool = False  # whether a member's size is lowered by the requests that it holds per core
     pull: bool = False  # whether load reports come only with answers to probes
     rank: int = -1  # our number among the dispatchers; -1: not told
+    sized: bool = False  # whether a member's size tells what it can do, whatever it holds
     dial_timeout: float = 0.25  # seconds that a connection may take to come up
 
 
--- a/larchgw/wire.py
+++ b/larchgw/wire.py
@@ -214,6 +214,7 @@
             top.get("weightSource") == "live",
             report.get("via") == "pull",
             top.get("rank", -1),
+            top.get("weightSource") in ("nominal", "rough"),
             float(allowed.get("dialTimeout", 0.25)) or 0.25,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -137,7 +137,7 @@
 
 @pytest.mark.parametrize("workers, cancelled", [(1, 0), (2, 1)])
 def test_an_attempt_at_a_silent_worker_is_cancelled_only_where_another_can_follow(workers, cancelled):
-    """With one worker, a job that took a moment longer than usual was cancelled, and refused seconds later."""
+    """With one worker, a job that took a moment longer than usual was cancelled, and refused later."""
     rig = Rig(workers, second_copies=False)
     for _ in range(5):
         rig.end(rig.request())
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -418,3 +418,64 @@
         dispatcher.on_request(1.0, Request(n, 9.0, job_class=n % 2, key=1 + n // 2))
     assert {request % 2 for request in actions.sends} == {0, 1} and len(actions.sends) > 12
     assert all(worker.startswith(b"k%d" % (request % 2)) for request, (worker,) in actions.sends.items())
+
+
+def test_what_a_box_says_that_waits_there_counts_with_what_runs():
+    """A full queue and a short one look alike by free slots: both have none."""
+    told = told_by_probes()
+    told.queue_reports = 1
+    reports, box = Reports(told, 5), boxes(1)[0]
+    reports.due(0.0, [box])
+    reports.heard(0.0, box, (8.0, 0.0))
+    for n in range(1, 30):
+        reports.heard(n * 0.5, box, (0.01 * n, 12.0))
+    assert reports.others(14.5, box) == pytest.approx(20.0, abs=0.5)
+
+
+def test_a_box_that_turned_a_job_away_is_taken_for_crowded_and_that_fades():
+    reports, box = Reports(told_by_probes(), 5), boxes(1)[0]
+    reports.full(0.0, box)  # never probed: nothing is known, nothing is held against it
+    assert reports.others(0.0, box) == 0.0
+    reports.due(0.0, [box])
+    reports.heard(0.0, box, (8.0,))
+    reports.full(1.0, box)
+    assert reports.others(1.0, box) == 16.0 and reports.wait(1.0, box, 1.0, 0.5) > 0.0
+    assert reports.others(60.0, box) < 0.01
+
+
+def test_without_keys_the_box_with_less_of_others_work_is_taken():
+    told = Settings([SAFE], slot_reports=0, pull=True, can_probe=True, instances=4, tells_start=True)
+    d, now = Dispatcher(told, 3, Recorder()), 100.0
+    d.on_members(now, ListKind.FULL, [Member(b"box%d" % n) for n in range(2)])
+    d.fleet.reports.due(now, d.workers.values())
+    for n, free in enumerate((8.0, 7.0)):
+        d.on_probed(now, b"box%d" % n, Status.OK, 0.01, (free,))
+    took = []
+    for n in range(20):
+        d.on_request(now, Request(n + 1, now + 10.0, key=0))
+        took += d.act.sends[n + 1]
+        d.on_gone(now, n + 1)
+        for worker in d.workers.values():
+            worker.pending = 0.0
+    assert took.count(b"box0") >= 15  # two are compared, and a sample may hold one box twice
+
+
+@pytest.mark.parametrize("sized, share", [(True, 0.75), (False, 0.5)])
+def test_jobs_go_by_the_sizes_that_the_list_tells_where_the_settings_say_that_it_does(sized, share):
+    took = 0
+    for seed in range(12):
+        d, now = Dispatcher(Settings([SAFE], sized=sized, instances=40), seed, Recorder()), 100.0
+        members = [Member(b"%06d" % (97 * n + seed), size=6.0 if n % 2 else 2.0) for n in range(40)]
+        d.on_members(now, ListKind.FULL, members)
+        places, workers = d._ring(-1, -1)
+        took += sum(w.id in {m.worker for m in members if m.size == 6.0} for w in workers) / len(workers)
+    assert took / 12 == pytest.approx(share, abs=0.04)
+
+
+def test_sizes_that_cannot_be_believed_shut_nobody_out():
+    d, now = Dispatcher(Settings([SAFE], sized=True), 1, Recorder()), 100.0
+    d.on_members(now, ListKind.FULL, [Member(b"%06d" % n, size=size) for n, size in enumerate(
+        (0.0, -1.0, 1.0, 1e9))])
+    assert {w.id for w in d._ring(-1, -1)[1]} == set(d.workers)
+    d.on_members(now, ListKind.FULL, [Member(b"%06d" % n, size=0.0) for n in range(3)])
+    assert len({w.id for w in d._ring(-1, -1)[1]}) == 3
