--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -26,9 +26,7 @@
 MAX_REPORT = 4096  # of the body that answers a probe
 LAST_CHUNK_TIME = 0.5  # after the line that ends an attempt
 IDLE_SHARE, IDLE_MARGIN = 0.8, 1.0  # we close well before the runner's machine does
-# Seconds that a connection must have stood, for what comes after an answer to be seen: a close, or a second
-# answer, which would else be taken for that of the next request.
-SETTLE = 0.05
+SETTLE = 0.005  # seconds that a connection must have stood, for a close right after an answer to be seen
 DISTRUST = 0.25  # share of its standing time that is still trusted when a kept connection proves dead
 REGAIN = 30.0  # seconds in which the trusted time doubles again
 # The settings name the report's fields by the simulator's words, the sockets by these.
