--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,8 +12,11 @@
 import sys
 import time
 import tomllib
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 from stand_ins import (
@@ -174,28 +177,29 @@
 # A worker that drains, or whose connection comes up late
 
 
-def test_a_job_whose_connection_has_not_come_up_leaves_a_worker_that_begins_to_drain(tmp_path: Path) -> None:
+@contextmanager
+def still_connecting(folder: Path) -> Iterator[tuple[Program, Discovery, Desk, Runner, Future[Any]]]:
+    """A release on its way to a worker whose connection does not come up; a second worker is not listed yet."""
     desk, other = Desk("s-1", shut=True), Runner("s-2")
-    allowed = ALLOWED | {"dialTimeout": 15.0}
-    with running(tmp_path, desk, settings={"allowed": allowed}) as (program, discovery), \
-            ThreadPoolExecutor(1) as pool:
+    told = {"allowed": ALLOWED | {"dialTimeout": 15.0}}
+    with running(folder, desk, settings=told) as (program, discovery), ThreadPoolExecutor(1) as pool:
         job = pool.submit(program.job, "job", b"x", "/release", "0", 12_000)
         until(lambda: program.counters().get('larchgw_sent_total{transport="http"}') == 1, "the attempt")
+        yield program, discovery, desk, other, job
+        other.close()
+
+
+def test_a_job_whose_connection_has_not_come_up_leaves_a_worker_that_begins_to_drain(tmp_path: Path) -> None:
+    with still_connecting(tmp_path) as (program, discovery, desk, other, job):
         discovery.tell("s-2", addr=other.address)
         discovery.tell("s-1", "DRAINING", desk.address)
         assert job.result(PATIENCE) == (200, b"s-2:x")  # long before that connection would be given up
         desk.open()
         assert all(call.closed() for call in desk.calls)
-        other.close()
 
 
 def test_a_connection_that_comes_up_as_its_worker_begins_to_drain_carries_nothing(tmp_path: Path) -> None:
-    desk, other = Desk("s-1", shut=True), Runner("s-2")
-    allowed = ALLOWED | {"dialTimeout": 15.0}
-    with running(tmp_path, desk, settings={"allowed": allowed}) as (program, discovery), \
-            ThreadPoolExecutor(1) as pool:
-        job = pool.submit(program.job, "job", b"x", "/release", "0", 12_000)
-        until(lambda: program.counters().get('larchgw_sent_total{transport="http"}') == 1, "the attempt")
+    with still_connecting(tmp_path) as (program, discovery, desk, other, job):
         with frozen(program):
             desk.open()
             late = desk.call()
@@ -205,7 +209,6 @@
             until(lambda: discovery.told >= asked, "the list on its way")
         assert job.result(PATIENCE) == (200, b"s-2:x")
         assert late.closed()
-        other.close()
 
 
 # Repeats
