--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -179,7 +179,7 @@
 
 @contextmanager
 def still_connecting(folder: Path) -> Iterator[tuple[Program, Discovery, Desk, Runner, Future[Any]]]:
-    """A release on its way to a worker whose connection does not come up; a second worker is not listed yet."""
+    """A release on its way to a worker whose connection does not come up; another is not listed yet."""
     desk, other = Desk("s-1", shut=True), Runner("s-2")
     told = {"allowed": ALLOWED | {"dialTimeout": 15.0}}
     with running(folder, desk, settings=told) as (program, discovery), ThreadPoolExecutor(1) as pool:
