Where the oldest resting connection has just asked, the next one makes room

Where a request lay there, HttpServer._make_room said that there is no room, and the listener paused for 50 ms, with all newcomers behind it.

Change: it goes on to the next oldest; the one that asked is no longer among them. The test fails without this.

--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -413,7 +413,7 @@
         link.connection.read_now()
         if link in self.links:
             if link.current is not None or link.waiting:
-                return False  # it has just asked: the newcomer waits for the next turn
+                return self._make_room()  # it has just asked, and is no longer among these
             link.close()
             link.connection.close()  # lingering, it would hold the descriptor that the new one needs
         self.counters.caps.labels(self.handler.name + "_idle").inc()
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -195,6 +195,21 @@
     assert handler.heard == [b"/1", b"/2"]
 
 
+def test_where_the_oldest_has_just_asked_the_next_one_makes_room(served: Any) -> None:
+    """Else the newcomer, and all behind it, waited for the listener's pause at each such moment."""
+    loop, server, handler, sock = served
+    with socket.create_connection(server.listener.address, timeout=20) as second:
+        send(second, b"GET /a HTTP/1.1\r\n\r\n")
+        until(lambda: (loop.turn(), b"/a" in handler.heard)[1])
+        assert second.recv(4096).endswith(b"made /a")
+        handler.hold = True
+        send(sock, b"GET /2 HTTP/1.1\r\n\r\n")
+        server.resize(1, 1 << 20)
+        assert second.recv(4096) == b"" and len(server.links) == 1
+        handler.held[0].reply(200, b"made /2")
+        assert sock.recv(4096).endswith(b"made /2")
+
+
 @pytest.mark.parametrize("later", ["linger", "at once"])
 def test_what_comes_after_the_shutdown_is_not_handled_and_takes_no_answer_with_it(
         served: Any, later: str) -> None:
