The dial time is read in one place; a result nobody used and a check that cannot fail are out

Runners kept its own reading of allowed.dialTimeout beside the one that the settings now carry; Link.retire returned what no caller asked for; Connection.quiet asked whether it was closed where a closed socket has already raised. Four tests that begin with a release out at a desk share that.

--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -196,7 +196,7 @@
         try:
             self.sock.recv(1)
         except BlockingIOError:
-            return not self.closed
+            return True
         except OSError:
             pass
         return False
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -303,12 +303,11 @@
         else:
             self.close()
 
-    def retire(self) -> bool:
+    def retire(self) -> None:
         """Closes it if it rests. A request that lies in our socket came first: it is read and answered."""
         self.connection.read_now()
         if self in self.server.links and self.idle():
             self.close()
-        return self not in self.server.links
 
     def close(self) -> None:
         """Closes in good order, after what is written."""
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -303,7 +303,6 @@
         allowed = raw_settings.get("allowed", {})
         idle = float(allowed.get("idleClose", 15.0))
         self.idle_time = max(min(IDLE_SHARE * idle, idle - IDLE_MARGIN), 0.1 * idle)
-        self.dial_time = float(allowed.get("dialTimeout", 0.25)) or 0.25
         report = raw_settings.get("report", {})
         self._fields: list[str] = report.get("fields", []) if report.get("via", "silent") != "silent" else []
 
@@ -442,7 +441,7 @@
         if isinstance(link.connection, Ending):
             return link.connection
         self.links.add(link)
-        link.time(self.dial_time, Ending.NEVER_UP)
+        link.time(self.core.settings.dial_timeout, Ending.NEVER_UP)
         return link
 
     def _make_room(self) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -52,6 +52,14 @@
     return sock
 
 
+def release_out(program: Program, desk: Desk, wait: int = 9000) -> tuple[socket.socket, Call]:
+    """A client with one release, and the connection on which the desk has read it."""
+    asks = client(program, post("a", "/release", wait=wait, more="Connection: close\r\n"))
+    call = desk.call()
+    assert call.read() == "a"
+    return asks, call
+
+
 def leave(sock: socket.socket) -> None:
     """Ends it from the client's side; once this returns the program's socket knows."""
     sock.shutdown(socket.SHUT_WR)
@@ -365,9 +373,7 @@
 def test_an_answer_that_never_ends_is_cut_off(tmp_path: Path) -> None:
     desk = Desk("s-1")
     with running(tmp_path, desk) as (program, _):
-        asks = client(program, post("a", "/release", wait=24_000, more="Connection: close\r\n"))
-        call = desk.call()
-        assert call.read() == "a"
+        asks, call = release_out(program, desk, wait=24_000)
         call.begin("a")
         with pytest.raises(OSError):
             for _ in range(1000):  # 64 MB
@@ -379,9 +385,7 @@
 def test_signs_of_life_ahead_of_an_answer_are_none(tmp_path: Path) -> None:
     desk = Desk("s-1")
     with running(tmp_path, desk) as (program, _):
-        asks = client(program, post("a", "/release", more="Connection: close\r\n"))
-        call = desk.call()
-        assert call.read() == "a"
+        asks, call = release_out(program, desk)
         call.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n")
         call.serve("a")
         assert answer(asks).endswith(b"made")
@@ -429,9 +433,7 @@
 def test_a_second_sigterm_and_a_sighup_in_the_midst_of_a_stop_change_nothing(tmp_path: Path) -> None:
     desk = Desk("s-1")
     with running(tmp_path, desk) as (program, _):
-        asks = client(program, post("a", "/release", more="Connection: close\r\n"))
-        call = desk.call()
-        assert call.read() == "a"
+        asks, call = release_out(program, desk)
         with frozen(program):
             for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
                 program.process.send_signal(number)
@@ -516,9 +518,7 @@
 def test_other_classes_at_a_reload_are_refused_in_one_line_while_jobs_are_out(tmp_path: Path) -> None:
     desk = Desk("s-1")
     with running(tmp_path, desk) as (program, _):
-        asks = client(program, post("a", "/release", more="Connection: close\r\n"))
-        call = desk.call()
-        assert call.read() == "a"
+        asks, call = release_out(program, desk)
         changed = settings(classes=[job_class("proof", "at_most_once", 10.0),
                                     job_class("release", "idempotent", 25.0)])
         before = len(program.lines)
