--- /dev/null
+++ b/larchgw/configuration/interface.py
@@ -0,0 +1,18 @@
+"""The calls other packages make of this one; `validation.py` and `change.py` hold them.
+
+    validation.decode(body: bytes) -> dict                      JSON object, or MalformedConfiguration
+    validation.parse(raw: dict) -> Configuration                checked whole, or MalformedConfiguration /
+        InvalidConfiguration
+    change.apply_change(current: dict, change: dict) -> dict    `add` and `remove` by name, raw to raw; the
+        same errors
+    change.evaluate(current: Configuration | None, operation: str, built_on: int, body: bytes) ->
+    Configuration
+                                                                the version that an operator's "replace" or
+                                                                "change"
+                                                                asks for; StaleConfiguration where built_on
+                                                                is not the
+                                                                current version (0 for none)
+    routing.RouteTable(configuration).find(host: str, path: str) -> Route | None
+                                                                longest path_start of the host; O(path
+                                                                segments)
+"""
--- /dev/null
+++ b/larchgw/configuration/settings.py
@@ -0,0 +1,131 @@
+"""The settings of one process, from the JSON file that LARCHGW_NODE_FILE names."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import dacite
+
+from .errors import SettingsError
+
+VARIABLE = "LARCHGW_NODE_FILE"
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """Where the role listens, each "host:port"; empty if it does not serve that."""
+
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What the machine gives this process."""
+
+    cpu_share: float = 1.0
+    cpus: int = 1
+    memory_mb: float = 256.0
+    open_files: int = 1024
+    link_mbps: float = 1000.0
+    disk_mb: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Survive:
+    """How many may be lost at once while all promises hold."""
+
+    computers: int = 0
+    zones: int = 0
+    regions: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TimeLimits:
+    """The bounds of the deployment; names ending in _ms are milliseconds, in _s seconds."""
+
+    seed_lag_s: float = 3.0
+    reuse_after_s: float = 2.0
+    contact_ms: float = 3000.0
+    ack_ms: float = 4000.0
+    catch_up_s: float = 4.0
+    drain_end_ms: float = 2000.0
+    grace_period_s: float = 8.0
+    loss_slack_ms: float = 200.0
+    apply_ms: float = 2000.0
+    downgrade_ms: float = 250.0
+    stretch_ms: float = 5000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_extra: float = 50.0
+    recovery_s: float = 12.0
+    pass_ms: float = 120.0
+    again_s: float = 0.0
+    fenced: bool = False
+    lease_term_ms: float = 3000.0
+    unfreeze_ms: float = 300.0
+    ceiling_window_s: float = 5.0
+    origin_rate_cap: float = 1.1
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """All that a process is told at its start."""
+
+    node_name: str
+    ip: str
+    zone: str
+    role: str = ""
+    machine_class: str = ""
+    region: str = ""
+    serves: list[str] = field(default_factory=list)
+    zones: dict[str, str] = field(default_factory=dict)
+    listen: Listen = Listen()
+    spare_ports: list[int] = field(default_factory=list)
+    seed_list: list[str] = field(default_factory=list)
+    first_boot: bool = False
+    counts_for_quorum: bool = False
+    limits: MachineLimits = MachineLimits()
+    data_dir: str | None = None
+    beat_ms: float = 1200.0
+    promises: list[str] = field(default_factory=list)
+    survive: Survive = Survive()
+    time_limits: TimeLimits = TimeLimits()
+
+    def port(self, offset: int) -> int:
+        """The spare port at this place. Raises SettingsError if there are not that many."""
+        first, last = self.spare_ports
+        if first + offset > last:
+            raise SettingsError("spare_ports", f"holds no port {first + offset}", "give it a wider range")
+        return first + offset
+
+
+def parse(raw: dict[str, Any]) -> NodeSettings:
+    """The settings in a decoded file; unknown fields are ignored. Raises SettingsError."""
+    known = {name: value for name, value in raw.items() if value is not None}
+    try:
+        settings = dacite.from_dict(NodeSettings, known, dacite.Config(cast=[float, int], check_types=True))
+    except (dacite.DaciteError, ValueError, TypeError) as error:
+        raise SettingsError("settings", str(error), "see docs/operators-system.md for the fields") from error
+    if len(settings.spare_ports) != 2:
+        raise SettingsError("spare_ports", "is no pair of ports", "give the first and the last free port")
+    return settings
+
+
+def load(path: str | None = None) -> NodeSettings:
+    """Reads the file at `path`, or the one that the environment names. Raises SettingsError."""
+    name = path or os.environ.get(VARIABLE, "")
+    if not name:
+        raise SettingsError(VARIABLE, "is not set", "set it to the path of the settings file")
+    try:
+        raw = json.loads(Path(name).read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(name, str(error), "make it a readable JSON file") from error
+    if not isinstance(raw, dict):
+        raise SettingsError(name, "is no JSON object", "make it an object of settings")
+    return parse(raw)
--- /dev/null
+++ b/larchgw/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: the operator's API, check-ins, replicated configuration, distribution, placement."""
--- /dev/null
+++ b/larchgw/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Which runner gets a request: the design's selection, split by concern, pure."""
--- /dev/null
+++ b/larchgw/directory/interface.py
@@ -0,0 +1,18 @@
+"""The calls other packages make of this one.
+
+    checkins.parse_checkin(id: str, body: bytes) -> RunnerRecord        or CheckinError (a typed error,
+        status 400)
+    directory.Directory(registry, clock, beat_s: float, owner: str)     one per control process; pure
+        .checkin(record) -> CheckinOutcome(news: bool, urgent: bool)     urgent: draining or gone for the
+            first time
+        .leave(id) -> CheckinOutcome
+        .tick(now)                                                      marks runners silent, forgets old ones
+        .runners(service=None) -> list[RunnerRecord]                    all that are not gone
+    view.RunnerView(registry)                                           at a dispatcher: records by id and
+        by service
+        .by_service(name) -> dict[id, RunnerRecord];  .holders(service, model, adapter) -> list[RunnerRecord]
+
+A runner counts for the control process that acknowledged it last; when that process is lost, the others
+start their own
+clocks for its runners. A record is republished only when its content changed.
+"""
--- /dev/null
+++ b/larchgw/distribution/interface.py
@@ -0,0 +1,31 @@
+"""Names and types of the registry that other packages rely on.
+
+Keys are "<kind>/<name>". The kinds in use and who writes them:
+
+    configuration            the committed configuration (JSON); major = index of its log record
+    runner/<id>              a RunnerRecord (larchgw/directory/records.py); major = call_count, minor = its
+        stage
+    placer                   JSON {"address": rpc address, "fence": n}; major = fence
+    expected/<id>            what the placer has ordered at a runner (JSON); major = fence, minor = serial
+    view                     JSON of the current View; major = epoch
+    fleet                    JSON {"edges": n, "control": n}; major = epoch, minor = serial; from membership
+
+    registry.Registry(origin: str)
+        .put(key, value: bytes, major, minor=0) -> bool     accepted here; False if an entry as new or newer
+            stands
+        .merge(entries: list[Entry]) -> list[Entry]         from another process; the ones that were news
+        .advance(upto: dict[str, int])                      after merge of a PullReply that was whole
+        .vector() -> dict[str, int]
+        .delta(have, prefixes, limit_bytes) -> PullReply    what a process at `have` lacks
+        .get(key) -> Entry | None;  .items(prefix) -> iterator of Entry
+        .watch(prefix, callback(Entry))                     called for each entry that is news, local or
+            merged
+        .remove_older(prefix, predicate)                    forgets tombstones
+"""
+
+CONFIGURATION = "configuration"
+RUNNER = "runner/"
+PLACER = "placer"
+EXPECTED = "expected/"
+VIEW = "view"
+FLEET = "fleet"
--- /dev/null
+++ b/larchgw/rpc/client.py
@@ -0,0 +1,137 @@
+"""The calling side: one kept connection to one process, many calls at once."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import Any
+
+from thrift.Thrift import TApplicationException, TMessageType
+
+from .codec import DecodeError, FrameReader, decode_message, encode_message
+from .errors import RpcConnectionLost, RpcError, RpcRefused, RpcTimeout
+from .generated import Control
+
+log = logging.getLogger(__name__)
+CONNECT_TIMEOUT = 0.5  # seconds
+USER_TIMEOUT_MS = 1500  # unacknowledged bytes end a connection after this
+
+
+class _Connection(asyncio.Protocol):
+    """A connection and the calls that wait on it."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
+        self._frames = FrameReader()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        tune(transport)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for frame in self._frames.feed(data):
+                message = decode_message(frame)
+                future = self.waiting.pop(message.sequence, None)
+                if future is not None and not future.done():
+                    future.set_result(message.body)
+        except DecodeError as error:
+            log.warning("rpc: closing a connection: %s", error)
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        waiting, self.waiting = self.waiting, {}
+        for future in waiting.values():
+            if not future.done():
+                future.set_exception(RpcConnectionLost(f"the connection ended: {error or 'closed'}"))
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def tune(transport: asyncio.Transport) -> None:
+    """Sends at once, and notices a peer that has gone silent."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class RpcClient:
+    """Calls one address ("host:port"). Opens its connection when needed, and anew after it broke."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._connection: _Connection | None = None
+        self._opening: asyncio.Task[_Connection] | None = None
+        self._sequence = 0
+
+    async def call(self, method: str, argument: Any, timeout: float) -> Any:
+        """What `method` returned. `timeout` is in seconds. Raises RpcError."""
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self._connect()
+                return await self._exchange(connection, method, argument)
+        except TimeoutError:
+            raise RpcTimeout(f"{method} at {self.address}: no answer in {timeout:.2f} s") from None
+
+    async def send(self, method: str, argument: Any) -> None:
+        """A call that has no answer. Raises RpcError if it could not be sent."""
+        connection = await self._connect()
+        if connection.transport is None:
+            raise RpcConnectionLost(f"{self.address}: the connection ended", sent=False)
+        connection.transport.write(self._frame(method, TMessageType.ONEWAY, 0, argument))
+
+    def close(self) -> None:
+        """Ends the connection; calls that wait on it fail."""
+        if self._opening is not None:
+            self._opening.cancel()
+            self._opening = None
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _exchange(self, connection: _Connection, method: str, argument: Any) -> Any:
+        if connection.transport is None:
+            raise RpcConnectionLost(f"{self.address}: the connection ended", sent=False)
+        self._sequence = (self._sequence + 1) & 0x7FFFFFFF
+        sequence = self._sequence
+        future = connection.waiting[sequence] = asyncio.get_running_loop().create_future()
+        connection.transport.write(self._frame(method, TMessageType.CALL, sequence, argument))
+        try:
+            result = await future
+        finally:
+            connection.waiting.pop(sequence, None)
+        if isinstance(result, TApplicationException):
+            raise RpcError(f"{method} at {self.address}: {result.message}")
+        unavailable = getattr(result, "unavailable", None)
+        if unavailable is not None:
+            raise RpcRefused(f"{method} at {self.address}: {unavailable.reason}; {unavailable.remedy}")
+        return getattr(result, "success", None)
+
+    def _frame(self, method: str, kind: int, sequence: int, argument: Any) -> bytes:
+        arguments = getattr(Control, method + "_args")
+        return encode_message(method, kind, sequence, arguments(argument))
+
+    async def _connect(self) -> _Connection:
+        if self._connection is not None and self._connection.transport is not None:
+            return self._connection
+        if self._opening is None or self._opening.done():
+            self._opening = asyncio.ensure_future(self._open())
+        return await asyncio.shield(self._opening)
+
+    async def _open(self) -> _Connection:
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                _, connection = await loop.create_connection(_Connection, host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise RpcConnectionLost(f"{self.address}: {error or 'no answer'}", sent=False) from error
+        self._connection = connection
+        return connection
--- /dev/null
+++ b/larchgw/rpc/larchgw.thrift
@@ -0,0 +1,108 @@
+// What the processes of the system say to each other. `thrift --gen py` writes larchgw/rpc/generated from it;
+// see larchgw/rpc/README.md. Times are milliseconds. Fields are only ever added, never renumbered.
+namespace py larchgw.rpc.generated
+
+// ---- Distribution: versioned entries that every process holds a copy of ----
+
+// One value of the replicated registry. Of two entries with one key the higher (major, minor) wins.
+// (origin, sequence) says which process accepted it and as which of its updates.
+struct Entry {
+  1: string key
+  2: i64 major
+  3: i32 minor
+  4: string origin
+  5: i64 sequence
+  6: binary value
+}
+
+// Asks for what the caller's version vector lacks; waits up to wait_ms for news if there is none.
+struct PullRequest {
+  1: string node_name
+  2: map<string, i64> have
+  3: i32 wait_ms
+  4: list<string> prefixes  // keys the caller wants; empty: all
+}
+
+// `upto` is the version vector that the caller has reached once it has merged `entries`.
+struct PullReply {
+  1: list<Entry> entries
+  2: map<string, i64> upto
+  3: bool more              // the reply was cut at its size limit: ask again at once
+  4: bool isolated          // this control process is cut off from the majority: ask another
+  5: list<string> control   // "host:port" rpc addresses of the control processes known now
+}
+
+struct PushRequest {
+  1: string node_name
+  2: list<Entry> entries
+}
+
+struct PushReply {
+  1: map<string, i64> have
+}
+
+// ---- Demand and placement ----
+
+// What one dispatcher has seen of one model or adapter since its last report.
+struct ModelDemand {
+  1: string service_name
+  2: string model
+  3: string adapter         // empty: the model without an adapter
+  4: i32 arrivals           // requests that came in the interval
+  5: i32 waiting            // requests that wait now for the model to be loaded
+  6: i32 in_flight          // requests at runners now
+  7: i32 urgency_ms         // least time left of a waiting request; 0: none waits
+  8: double worth           // sum of the arrivals' importance (rank based)
+}
+
+struct DemandReport {
+  1: string node_name
+  2: i32 interval_ms
+  3: list<ModelDemand> models
+}
+
+// ---- Replication of control state ----
+
+struct View {
+  1: i64 epoch
+  2: string primary
+  3: list<string> backups   // in sync: each holds every acknowledged record
+  4: list<string> witnesses
+  5: map<string, string> addresses  // member -> "host:port" of its rpc
+}
+
+// One message of the replication or lease protocol. `kind` and `body` are defined by larchgw/replication
+// (messages.py); the transport only carries them.
+struct PeerMessage {
+  1: string sender
+  2: string receiver
+  3: string kind
+  4: binary body
+}
+
+// ---- The operator's calls, passed on to the primary ----
+
+struct OperatorCall {
+  1: string operation       // "replace", "change", "read"
+  2: i64 built_on           // of X-Built-On; -1: not given
+  3: binary body
+}
+
+struct OperatorAnswer {
+  1: i32 status             // HTTP status; 503: no clear answer
+  2: binary body
+  3: string primary         // who answered; empty: not known here
+}
+
+exception Unavailable {
+  1: string reason
+  2: string remedy
+}
+
+service Control {
+  PullReply pull(1: PullRequest request) throws (1: Unavailable unavailable)
+  PushReply push(1: PushRequest request) throws (1: Unavailable unavailable)
+  void demand(1: DemandReport report) throws (1: Unavailable unavailable)
+  OperatorAnswer submit(1: OperatorCall call) throws (1: Unavailable unavailable)
+  oneway void deliver(1: PeerMessage message)
+}
