--- a/larchgw/directory/records.py
+++ b/larchgw/directory/records.py
@@ -61,5 +61,6 @@
     def decode(cls, data: bytes) -> RunnerRecord:
         """The record in a registry entry."""
         id, service, address, zone, stage, slots, version, phase, cold, left, calls, models = json.loads(data)
-        held = tuple(HeldModel(name, model_version, tuple(adapters)) for name, model_version, adapters in models)
+        held = tuple(HeldModel(held_name, held_version, tuple(adapters))
+                     for held_name, held_version, adapters in models)
         return cls(id, service, address, zone, Stage(stage), slots, version, phase, cold, left, calls, held)
