Selection of a runner and the retry budget, first working version

The edge needs both to carry anything. The design's path (busiest holder under a threshold, else fewest active keys, then least pending) with terms in modules of their own: pending by key, marks of keys refused by 421, kept parts of prompts, rendezvous hashing of shared prefixes, told load, ejection and backoff, prefill pace. The budget's part of each dispatcher is counted over its own windows and the most dispatchers seen lately.

--- /dev/null
+++ b/larchgw/decide/affinity.py
@@ -0,0 +1,46 @@
+"""Rendezvous hashing: all dispatchers prefer the same runner for a prefix without talking to each other."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from hashlib import blake2b
+
+from .interface import RequestTraits
+
+_MASK = (1 << 64) - 1
+_MULTIPLIER = 0xBF58476D1CE4E5B9  # of splitmix64: spreads any two inputs that differ in a bit
+
+
+def stable_hash(*words: str) -> int:
+    """64 bits that are the same in every process."""
+    return int.from_bytes(blake2b("\0".join(words).encode(), digest_size=8).digest(), "big")
+
+
+def shared_prefix(request: RequestTraits) -> int:
+    """The identity of what the request's prompt shares with others: all parts but the last, its own."""
+    shared = request.parts[:-1] or request.parts
+    return stable_hash(*request.key, *(part.id for part in shared))
+
+
+class Rendezvous:
+    """Weights of runners for a prefix; the highest is preferred. A lost runner moves only its own prefixes.
+    """
+
+    def __init__(self) -> None:
+        self._seeds: dict[str, int] = {}
+
+    def weight(self, prefix: int, runner: str) -> int:
+        """The runner's weight for the prefix."""
+        seed = self._seeds.get(runner)
+        if seed is None:
+            seed = self._seeds[runner] = stable_hash(runner)
+        mixed = ((prefix ^ seed) * _MULTIPLIER) & _MASK
+        return ((mixed ^ (mixed >> 31)) * _MULTIPLIER) & _MASK
+
+    def preferred(self, prefix: int, runners: Sequence[str]) -> str:
+        """The runner with the highest weight. Raises ValueError if there is none."""
+        return max(runners, key=lambda runner: self.weight(prefix, runner))
+
+    def forget(self, runner: str) -> None:
+        """The runner is gone."""
+        self._seeds.pop(runner, None)
--- /dev/null
+++ b/larchgw/decide/budget.py
@@ -0,0 +1,115 @@
+"""This dispatcher's part of the budget for sends beyond the first of each request.
+
+The rule, over all dispatchers: within any window of `retry_window_s`, arrivals at a service beyond the first
+of each request are at most `retry_ratio` x requests + `retry_extra`, where requests are those of that window,
+of the one before it, or of the one half a window earlier, whichever are most.
+
+The part is kept without talking. By its own requests: a repeat at s lies in windows that end at s to
+s + W, and the ratio is taken of the fewest requests that any of these windows can count, so what has not come
+yet is not relied upon. By the number of dispatchers: `retry_extra` is divided by the most that were seen
+lately, since a dispatcher that is cut off still spends its part.
+
+Parts below one are not lost: each dispatcher rounds by a phase of its own that starts at random and moves
+slowly, so at each time the right share of the dispatchers may make one repeat more, and all have their turn.
+The phase doesn't depend on demand, so that no idle time is saved up and spent by all at once.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from collections import deque
+from random import Random
+
+from ..configuration.settings import TimeLimits
+
+# Of the budget. The rest is for dispatchers whose traffic differs from the others', and for rounding.
+MARGIN = 0.8
+STEPS = 16  # pieces of a window in which the fewest requests are looked for
+PHASE_WINDOWS = 50.0  # windows in which the phase goes round once
+START_S = 5.0  # until then membership may not have found the others
+START_DISPATCHERS = 32  # assumed until then
+RECENT_WINDOWS = 3.0  # windows for which a higher number of dispatchers is remembered
+
+
+class _Traffic:
+    """Times of requests and of repeats at one service, oldest first."""
+
+    def __init__(self) -> None:
+        self.requests: list[float] = []
+        self.repeats: deque[float] = deque()
+
+    def trim(self, oldest_request: float, oldest_repeat: float) -> None:
+        """Forgets what no window reaches."""
+        first = bisect_right(self.requests, oldest_request)
+        if first > 64 and first * 2 > len(self.requests):
+            del self.requests[:first]
+        while self.repeats and self.repeats[0] <= oldest_repeat:
+            self.repeats.popleft()
+
+    def between(self, start: float, end: float) -> int:
+        """Requests in (start, end]."""
+        return max(0, bisect_right(self.requests, end) - bisect_right(self.requests, start))
+
+
+class RetryBudget:
+    """Counts requests and repeats by service, and says whether one more repeat is within the part."""
+
+    def __init__(self, limits: TimeLimits, random: Random) -> None:
+        self._window = limits.retry_window_s
+        self._ratio = limits.retry_ratio
+        self._extra = limits.retry_extra
+        self._phase = random.random()
+        self._started: float | None = None
+        self._services: dict[str, _Traffic] = {}
+        self._most = 0
+        self._most_until = -math.inf
+
+    def request(self, now: float, service: str) -> None:
+        """A client's request for the service has come."""
+        traffic = self._traffic(now, service)
+        traffic.requests.append(now)
+        traffic.trim(now - 2.0 * self._window, now - self._window)
+
+    def repeat(self, now: float, service: str) -> None:
+        """A send beyond the request's first was made. One whose connection never came up does not count."""
+        self._traffic(now, service).repeats.append(now)
+
+    def may_repeat(self, now: float, service: str, dispatchers: int) -> bool:
+        """Whether one more repeat now is within this dispatcher's part."""
+        traffic = self._traffic(now, service)
+        traffic.trim(now - 2.0 * self._window, now - self._window)
+        part = self._ratio * self._fewest(now, traffic) + self._extra / self._dispatchers(now, dispatchers)
+        allowed = math.floor(MARGIN * part + self._turn(now))
+        return len(traffic.repeats) + 1 <= allowed
+
+    def _traffic(self, now: float, service: str) -> _Traffic:
+        if self._started is None:
+            self._started = now
+        return self._services.setdefault(service, _Traffic())
+
+    def _turn(self, now: float) -> float:
+        """This dispatcher's rounding, in [0, 1)."""
+        return (self._phase + now / (self._window * PHASE_WINDOWS)) % 1.0
+
+    def _dispatchers(self, now: float, seen: int) -> int:
+        """The most dispatchers seen lately, and no fewer than assumed at the start."""
+        if seen >= self._most or now >= self._most_until:
+            self._most = seen
+            self._most_until = now + RECENT_WINDOWS * self._window
+        starting = self._started is None or now < self._started + START_S
+        return max(1, self._most, START_DISPATCHERS if starting else 0)
+
+    def _fewest(self, now: float, traffic: _Traffic) -> int:
+        """The fewest requests that count in any window which ends in [now, now + W].
+
+        For each piece of ends, counted are the requests that lie in all windows of the piece.
+        """
+        window, step = self._window, self._window / STEPS
+        fewest = None
+        for index in range(STEPS):
+            early, late = now + index * step, now + (index + 1) * step
+            most = max(traffic.between(late - window * (1.0 + before), early - window * before)
+                       for before in (0.0, 0.5, 1.0))
+            fewest = most if fewest is None else min(fewest, most)
+        return fewest or 0
--- /dev/null
+++ b/larchgw/decide/ejection.py
@@ -0,0 +1,139 @@
+"""Runners that are left out for a while because of what came of requests sent there.
+
+Health answers are not used: a runner's own requests show what it does. Two kinds of reasons:
+
+- backoff: it said that it is full, or no connection came up. Nothing ran; it is left alone for a short
+  time that doubles with each repeat.
+- ejection: answers were lost, cut or wrong. Penalties add up and decay; above a limit the runner is left
+  out for a time that doubles with each ejection, then one request at a time tries it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from .interface import AttemptOutcome
+
+FULL_BACKOFF_S = 0.05  # about ten batch steps: a slot may have come free
+CONNECT_BACKOFF_S = 0.1
+BACKOFF_MOST_S = 1.0
+EJECTION_S = 1.0  # first ejection; a restart takes longer, a hiccup less
+EJECTION_MOST_S = 8.0
+PENALTY_LIMIT = 3.0
+PENALTY_DECAY_S = 5.0
+EJECTED_SHARE = 0.5  # at most: if more fail, the cause is not the runners
+PENALTIES = {
+    AttemptOutcome.CONNECT_FAILED: 1.5,
+    AttemptOutcome.RESET: 1.0,
+    AttemptOutcome.CUT: 1.0,
+    AttemptOutcome.GARBLED: 0.5,
+    AttemptOutcome.SILENT: 2.0,
+    AttemptOutcome.RUNNER_ERROR: 0.5,
+}
+
+
+@dataclass(slots=True)
+class RunnerHealth:
+    """What one runner's outcomes have come to."""
+
+    penalty: float = 0.0
+    at: float = 0.0  # when `penalty` was right
+    ejections: int = 0
+    ejected_until: float = -math.inf
+    backoffs: int = 0
+    backoff_until: float = -math.inf
+    on_trial: bool = False  # was ejected and has not answered since
+    trial_sent: bool = False
+
+    def add(self, now: float, penalty: float) -> None:
+        """Adds a penalty to what is left of the earlier ones."""
+        self.penalty = self.penalty * math.exp(-(now - self.at) / PENALTY_DECAY_S) + penalty
+        self.at = now
+
+    def back_off(self, now: float, first_s: float) -> None:
+        """Leaves it alone, twice as long as the last time. Reports of one moment count once."""
+        if now < self.backoff_until:
+            return
+        self.backoff_until = now + min(BACKOFF_MOST_S, first_s * 2.0 ** self.backoffs)
+        self.backoffs += 1
+
+    def eject(self, now: float) -> None:
+        """Leaves it out, twice as long as the last time."""
+        self.ejected_until = now + min(EJECTION_MOST_S, EJECTION_S * 2.0 ** self.ejections)
+        self.ejections += 1
+        self.on_trial = True
+        self.trial_sent = False
+
+    def closed(self, now: float) -> bool:
+        """Whether it is ejected, or its trial is under way."""
+        return now < self.ejected_until or (self.on_trial and self.trial_sent)
+
+
+class Ejection:
+    """The health of all runners that were sent to."""
+
+    def __init__(self) -> None:
+        self._runners: dict[str, RunnerHealth] = {}
+
+    def sent(self, now: float, runner: str) -> None:
+        """A request goes there; if the runner is on trial, it is the trial."""
+        health = self._runners.get(runner)
+        if health and health.on_trial and now >= health.ejected_until:
+            health.trial_sent = True
+
+    def answered(self, runner: str) -> None:
+        """The runner answered properly: it is no longer on trial, and backoff begins anew."""
+        health = self._runners.get(runner)
+        if health is None:
+            return
+        if health.on_trial:
+            health.penalty = 0.0
+            health.on_trial = False
+            health.ejected_until = -math.inf
+        health.trial_sent = False
+        health.backoffs = 0
+        health.backoff_until = -math.inf
+
+    def ended(self, now: float, runner: str, outcome: AttemptOutcome) -> None:
+        """An attempt is over."""
+        if outcome is AttemptOutcome.DONE:
+            self.answered(runner)
+            return
+        health = self._runners.setdefault(runner, RunnerHealth(at=now))
+        health.trial_sent = False
+        if outcome is AttemptOutcome.FULL:
+            health.back_off(now, FULL_BACKOFF_S)
+        if outcome is AttemptOutcome.CONNECT_FAILED:
+            health.back_off(now, CONNECT_BACKOFF_S)
+        penalty = PENALTIES.get(outcome, 0.0)
+        if not penalty:
+            return
+        health.add(now, penalty)
+        if now >= health.ejected_until and (health.on_trial or health.penalty >= PENALTY_LIMIT):
+            health.eject(now)
+
+    def backoff_until(self, runner: str) -> float:
+        """Until when it is left alone; in the past if it is not."""
+        health = self._runners.get(runner)
+        return health.backoff_until if health else -math.inf
+
+    def closed(self, now: float, runner: str) -> bool:
+        """Whether it is ejected now, leaving the bound on the share aside."""
+        health = self._runners.get(runner)
+        return health is not None and health.closed(now)
+
+    def admitted(self, now: float, runners: Sequence[str]) -> list[str]:
+        """Those that are not ejected, and the nearest to their end of those above the share that may be."""
+        calm = [runner for runner in runners if not self.closed(now, runner)]
+        least = len(runners) - int(len(runners) * EJECTED_SHARE)
+        if len(calm) >= least:
+            return calm
+        closed = [runner for runner in runners if self.closed(now, runner)]
+        closed.sort(key=lambda runner: self._runners[runner].ejected_until)
+        return calm + closed[:least - len(calm)]
+
+    def forget(self, runner: str) -> None:
+        """The runner is gone."""
+        self._runners.pop(runner, None)
--- /dev/null
+++ b/larchgw/decide/pending.py
@@ -0,0 +1,80 @@
+"""What this dispatcher has at each runner: requests sent and not yet ended, by key and in total."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .interface import Attempt
+
+Key = tuple[str, str, str]  # service, model, adapter
+
+
+@dataclass(slots=True)
+class RunnerPending:
+    """The counts at one runner. Tokens are those of prompts and wanted outputs."""
+
+    total: int = 0
+    tokens: int = 0
+    by_key: dict[Key, int] = field(default_factory=dict)
+    unread: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
+    unread_tokens: int = 0
+
+    @property
+    def active_keys(self) -> int:
+        """Keys with at least one request pending."""
+        return len(self.by_key)
+
+
+_NOTHING = RunnerPending()
+
+
+class PendingTable:
+    """Pending requests by runner. `unread` is what a runner has to prefill before our answers begin."""
+
+    def __init__(self) -> None:
+        self._runners: dict[str, RunnerPending] = {}
+        self._services: dict[str, int] = {}
+
+    def at(self, runner: str) -> RunnerPending:
+        """The counts at this runner; to be read only."""
+        return self._runners.get(runner, _NOTHING)
+
+    def by_service(self, service: str) -> int:
+        """Requests at all runners of the service."""
+        return self._services.get(service, 0)
+
+    def sent(self, attempt: Attempt, unread_tokens: int) -> None:
+        """An attempt is on its way; the runner has this much of its prompt to prefill."""
+        request = attempt.request
+        counts = self._runners.setdefault(attempt.runner, RunnerPending())
+        counts.total += 1
+        counts.tokens += request.prompt_tokens + request.output_tokens
+        counts.by_key[request.key] = counts.by_key.get(request.key, 0) + 1
+        counts.unread[request.number, attempt.number] = (unread_tokens, attempt.at)
+        counts.unread_tokens += unread_tokens
+        self._services[request.service] = self._services.get(request.service, 0) + 1
+
+    def began(self, attempt: Attempt) -> int | None:
+        """Its answer has begun, so its prompt is read. The tokens counted for it; None if counted before."""
+        counts = self._runners.get(attempt.runner)
+        entry = counts.unread.pop((attempt.request.number, attempt.number), None) if counts else None
+        if counts is None or entry is None:
+            return None
+        counts.unread_tokens -= entry[0]
+        return entry[0]
+
+    def ended(self, attempt: Attempt) -> None:
+        """It is over. Each attempt that was sent ends exactly once."""
+        self.began(attempt)
+        request = attempt.request
+        counts = self._runners.get(attempt.runner)
+        if counts is None or request.key not in counts.by_key:
+            raise ValueError(f"attempt at {attempt.runner} ended without being sent; call sent() first")
+        counts.total -= 1
+        counts.tokens -= request.prompt_tokens + request.output_tokens
+        counts.by_key[request.key] -= 1
+        if not counts.by_key[request.key]:
+            del counts.by_key[request.key]
+        if not counts.total:
+            del self._runners[attempt.runner]
+        self._services[request.service] -= 1
--- /dev/null
+++ b/larchgw/decide/selection.py
@@ -0,0 +1,254 @@
+"""Which runner a request goes to.
+
+The ordinary path: a request for a model or adapter goes to the holder with the most pending of that key that
+is still under a threshold; if none is, to the holder with the fewest active keys, then the least pending.
+A request without a model goes to the least loaded runner. Ties are broken at random. The terms around it,
+each in a module of its own, say which holders may be asked at all and which are better among those with room.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from ..configuration.model import Configuration
+from ..directory.records import RunnerRecord, Stage
+from .affinity import Rendezvous, shared_prefix
+from .ejection import Ejection
+from .interface import Attempt, AttemptOutcome, Choice, Refuse, RequestTraits, Send, Wait
+from .kept_parts import KeptParts, chains
+from .keys import KeyMarks
+from .load import LoadTable
+from .pace import PrefillPace
+from .pending import PendingTable
+from .terms import UNKNOWN_SLOTS, ServiceTerms, all_terms
+
+LEAST_PRIORITY = 9  # of the Priority header; 0 is the most urgent
+ASK_AGAIN_S = 0.2  # a waiting request asks at least this often, should a change go unnoticed
+LEAST_SERVICE_S = 0.03  # no answer comes sooner than this
+LEAST_RETRY_S = 0.05  # shortest Retry-After
+RETRY_SHARE = 1.0 / 3.0  # of the time left: clients honour Retry-After up to this
+HOLD_SHARE = 0.45  # of a request's time that it is held with nothing in sight; more than half is dear
+PRUNE_S = 2.0  # how often runners that are gone are forgotten
+
+
+@dataclass(frozen=True, slots=True)
+class SelectionSettings:
+    """What the operator of a dispatcher may set.
+
+    `threshold_share`: of a runner's slots that this dispatcher's pending requests of one key may take before
+    others are preferred. `prefill_share`: of the time until its aim that a request may wait behind prompts to
+    be read. `shared_tokens`: a shared prefix of at least this many tokens is worth leaving the zone for.
+    `free_share`: of its slots up to which a runner without models counts as free.
+    """
+
+    threshold_share: float = 0.125
+    prefill_share: float = 0.25
+    shared_tokens: int = 1024
+    free_share: float = 0.5
+
+
+class Selector:
+    """The implementation of `interface.Selection` for one dispatcher."""
+
+    def __init__(self, zone: str, random: Random, settings: SelectionSettings | None = None) -> None:
+        self._zone = zone
+        self._random = random
+        self._settings = settings or SelectionSettings()
+        self._terms: dict[str, ServiceTerms] = {}
+        self._pending = PendingTable()
+        self._marks = KeyMarks()
+        self._kept = KeptParts()
+        self._rendezvous = Rendezvous()
+        self._load = LoadTable()
+        self._ejection = Ejection()
+        self._pace = PrefillPace()
+        self._records: dict[str, RunnerRecord] = {}
+        self._pruned_at: dict[str, float] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """A configuration is in force."""
+        self._terms = all_terms(configuration)
+
+    def choose(self, now: float, request: RequestTraits, runners: Mapping[str, RunnerRecord],
+               tried: Sequence[str], expected: Mapping[str, float]) -> Choice:
+        """Where the request goes; see `interface.Selection`."""
+        self._prune(now, request.service, runners)
+        holders = [record for record in runners.values()
+                   if record.stage < Stage.DRAINING and self._marks.holds(record, request.key)]
+        pool = self._pool(holders, tried)
+        if not pool:
+            return self._without_holder(now, request, expected)
+        open_ones = self._open(now, pool)
+        if not open_ones:
+            return self._while_closed(now, request, pool, expected)
+        chosen = self._keyed(now, request, open_ones) if request.model else self._unkeyed(now, open_ones)
+        self._records[chosen.id] = chosen
+        return Send(chosen, min(LEAST_PRIORITY, max(0, request.route.rank)))
+
+    def sent(self, attempt: Attempt) -> None:
+        """The attempt is on its way; it counts as pending."""
+        request = attempt.request
+        kept = self._kept.kept(attempt.runner, self._chains(request), request.parts)
+        self._pending.sent(attempt, max(0, request.prompt_tokens - kept))
+        self._ejection.sent(attempt.at, attempt.runner)
+
+    def head(self, now: float, attempt: Attempt) -> None:
+        """The answer has begun: the prompt is read, and its parts are kept there."""
+        request = attempt.request
+        before = self._pending.at(attempt.runner).unread_tokens
+        own = self._pending.began(attempt)
+        if own is None:
+            return
+        if own == before:
+            self._pace.seen(request.service, own, now - attempt.at)
+        if request.parts:
+            self._kept.read(attempt.runner, self._chains(request), request.parts,
+                            self._service(request.service).cache_tokens)
+
+    def ended(self, now: float, attempt: Attempt, outcome: AttemptOutcome) -> None:
+        """It is over; it is pending no more."""
+        self._pending.ended(attempt)
+        self._ejection.ended(now, attempt.runner, outcome)
+        record = self._records.get(attempt.runner)
+        if outcome is AttemptOutcome.NOT_HELD and record is not None:
+            self._marks.unmark(record, attempt.request.key)
+
+    def told_load(self, now: float, runner: str, running: int, waiting: int, slots: int) -> None:
+        """From an X-Runner-Load header."""
+        self._load.told(now, runner, running, waiting, slots, self._pending.at(runner).total)
+
+    def pending(self, service: str) -> int:
+        """Requests of this dispatcher at runners of the service."""
+        return self._pending.by_service(service)
+
+    def _service(self, name: str) -> ServiceTerms:
+        return self._terms.get(name) or ServiceTerms()
+
+    @staticmethod
+    def _chains(request: RequestTraits) -> list[int]:
+        return chains(request.model, request.adapter, request.parts)
+
+    @staticmethod
+    def _pool(holders: Sequence[RunnerRecord], tried: Sequence[str]) -> list[RunnerRecord]:
+        """The holders to look at: those ready and not tried, else those ready, else silent ones."""
+        ready = [record for record in holders if record.stage is Stage.READY]
+        fresh = [record for record in ready if record.id not in tried]
+        return fresh or ready or [record for record in holders if record.id not in tried]
+
+    def _open(self, now: float, pool: Sequence[RunnerRecord]) -> list[RunnerRecord]:
+        """Those of the pool that are neither ejected nor left alone for a moment."""
+        admitted = set(self._ejection.admitted(now, [record.id for record in pool]))
+        return [record for record in pool
+                if record.id in admitted and self._ejection.backoff_until(record.id) <= now]
+
+    def _keyed(self, now: float, request: RequestTraits, holders: Sequence[RunnerRecord]) -> RunnerRecord:
+        """The design's path, among holders that are better by the terms."""
+        if len(holders) == 1:
+            return holders[0]
+        warm = [record for record in holders if record.cold_left_ms <= 0.0] or list(holders)
+        with_room = [record for record in warm if self._has_room(now, request, record)]
+        if not with_room:
+            return self._spill(warm)
+        near = self._near(request, with_room)
+        return self._busiest(request, self._most_kept(request, near))
+
+    def _has_room(self, now: float, request: RequestTraits, record: RunnerRecord) -> bool:
+        """Whether the holder is under the threshold for this key, and can soon begin with the prompt."""
+        counts = self._pending.at(record.id)
+        slots = self._slots(record)
+        if counts.by_key.get(request.key, 0) >= max(1.0, self._settings.threshold_share * slots):
+            return False
+        if self._load.requests(now, record.id, counts.total) >= slots:
+            return False
+        patience = self._settings.prefill_share * (request.target_at - request.arrived_at)
+        return self._pace.seconds(request.service, counts.unread_tokens) <= patience
+
+    def _spill(self, holders: Sequence[RunnerRecord]) -> RunnerRecord:
+        """The holder with the fewest active keys, then the least pending."""
+        return min(holders, key=lambda record: (self._pending.at(record.id).active_keys,
+                                                self._pending.at(record.id).total,
+                                                self._random.random()))
+
+    def _near(self, request: RequestTraits, holders: Sequence[RunnerRecord]) -> Sequence[RunnerRecord]:
+        """Those in the own zone, unless the prompt shares so much that one runner for all zones pays."""
+        if sum(part.tokens for part in request.parts[:-1]) >= self._settings.shared_tokens:
+            return holders
+        return [record for record in holders if record.zone == self._zone] or holders
+
+    def _most_kept(self, request: RequestTraits, holders: Sequence[RunnerRecord]) -> Sequence[RunnerRecord]:
+        """Those that keep the most of the prompt; where none keeps any, the one all dispatchers prefer."""
+        if not request.parts or len(holders) == 1:
+            return holders
+        prefixes = self._chains(request)
+        kept = [self._kept.kept(record.id, prefixes, request.parts) for record in holders]
+        most = max(kept)
+        if most:
+            return [record for record, tokens in zip(holders, kept, strict=True) if tokens == most]
+        best = self._rendezvous.preferred(shared_prefix(request), [record.id for record in holders])
+        return [record for record in holders if record.id == best]
+
+    def _busiest(self, request: RequestTraits, holders: Sequence[RunnerRecord]) -> RunnerRecord:
+        """The holder with the most pending of the key."""
+        return max(holders, key=lambda record: (self._pending.at(record.id).by_key.get(request.key, 0),
+                                                self._random.random()))
+
+    def _unkeyed(self, now: float, runners: Sequence[RunnerRecord]) -> RunnerRecord:
+        """The least loaded runner; one in the own zone while it is free enough."""
+        def rank(record: RunnerRecord) -> tuple[bool, float, bool, float, float]:
+            requests = self._load.requests(now, record.id, self._pending.at(record.id).total)
+            load = requests / self._slots(record)
+            crowded = load if load > self._settings.free_share else 0.0
+            return (record.cold_left_ms > 0.0, crowded, record.zone != self._zone, load,
+                    self._random.random())
+
+        return min(runners, key=rank)
+
+    def _slots(self, record: RunnerRecord) -> int:
+        """Requests that the runner handles at once."""
+        told = self._load.newest(record.id)
+        return (told.slots if told else record.slots) or self._service(record.service).slots or UNKNOWN_SLOTS
+
+    def _without_holder(self, now: float, request: RequestTraits, expected: Mapping[str, float]) -> Choice:
+        """No runner holds the key. With a load under way it waits for that, if it ends in time."""
+        held_until = request.arrived_at + HOLD_SHARE * (request.deadline_at - request.arrived_at)
+        last_start = request.deadline_at - LEAST_SERVICE_S
+        if expected:
+            done = min(expected.values())
+            if done < last_start:
+                return Wait(min(max(done, now + LEAST_SERVICE_S), now + ASK_AGAIN_S), "loading")
+            return self._refuse(now, request, done, "loads_too_late")
+        soonest = now + self._service(request.service).least_load_s(request.model)
+        if now < held_until and soonest < last_start:
+            return Wait(min(held_until, now + ASK_AGAIN_S), "no_holder")
+        return self._refuse(now, request, soonest, "no_holder")
+
+    def _while_closed(self, now: float, request: RequestTraits, pool: Sequence[RunnerRecord],
+                      expected: Mapping[str, float]) -> Choice:
+        """All holders are left alone for a moment: they were full, or not to be reached."""
+        admitted = self._ejection.admitted(now, [record.id for record in pool])
+        opening = min(max(now, self._ejection.backoff_until(id)) for id in admitted)
+        if expected:
+            opening = min(opening, max(now, min(expected.values())))
+        if opening + LEAST_SERVICE_S < request.deadline_at:
+            return Wait(min(max(opening, now + 0.01), now + ASK_AGAIN_S), "holders_full")
+        return self._refuse(now, request, opening, "holders_full")
+
+    @staticmethod
+    def _refuse(now: float, request: RequestTraits, until: float, reason: str) -> Refuse:
+        """Refuses with the time after which it may be worth asking again."""
+        most = RETRY_SHARE * max(0.0, request.deadline_at - now)
+        return Refuse(min(max(LEAST_RETRY_S, until - now), max(LEAST_RETRY_S, most)), reason)
+
+    def _prune(self, now: float, service: str, runners: Mapping[str, RunnerRecord]) -> None:
+        """Forgets runners of the service that are gone."""
+        if now - self._pruned_at.get(service, now - PRUNE_S) < PRUNE_S:
+            return
+        self._pruned_at[service] = now
+        gone = [id for id, record in self._records.items()
+                if record.service == service and (id not in runners or runners[id].stage is Stage.GONE)]
+        for id in gone:
+            del self._records[id]
+            for table in (self._marks, self._kept, self._rendezvous, self._load, self._ejection):
+                table.forget(id)
--- /dev/null
+++ b/tests/test_decide_budget.py
@@ -0,0 +1,122 @@
+"""The retry budget: no window over all dispatchers may go beyond the bound."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchgw.configuration.settings import TimeLimits
+from larchgw.decide.budget import RetryBudget
+
+LIMITS = TimeLimits(retry_ratio=0.2, retry_window_s=10.0, retry_extra=56.0)
+SERVICE = "s"
+
+
+def worst_excess(limits: TimeLimits, requests: list[float], repeats: list[float]) -> float:
+    """The most by which repeats in a window go beyond what the rule allows; below 0 if none does."""
+    window, worst = limits.retry_window_s, -float("inf")
+    for end in repeats:
+        # A window ending with a repeat, or just short of the next instant: the repeats are what it can hold.
+        used = sum(1 for at in repeats if end - window < at <= end)
+        counted = max(sum(1 for at in requests if end - shift - window < at <= end - shift)
+                      for shift in (0.0, window / 2, window))
+        worst = max(worst, used - limits.retry_ratio * counted - limits.retry_extra)
+    # Windows that end later hold the same repeats as long as the first is inside, and other requests.
+    for first in repeats:
+        end = first + window - 1e-6
+        used = sum(1 for at in repeats if end - window < at <= end)
+        counted = max(sum(1 for at in requests if end - shift - window < at <= end - shift)
+                      for shift in (0.0, window / 2, window))
+        worst = max(worst, used - limits.retry_ratio * counted - limits.retry_extra)
+    return worst
+
+
+def play(dispatchers: int, rates: list[int], seed: int, seen: int, limits: TimeLimits,
+         want: float = 1.0) -> tuple[list[float], list[float]]:
+    """Requests a second over some seconds, each wanting a repeat with this chance; who gets it is random."""
+    random = Random(seed)
+    budgets = [RetryBudget(limits, Random(f"{seed}-{n}")) for n in range(dispatchers)]
+    requests, repeats = [], []
+    for second, rate in enumerate(rates):
+        for at in sorted(second + random.random() for _ in range(rate)):
+            budget = random.choice(budgets)
+            budget.request(at, SERVICE)
+            requests.append(at)
+            if random.random() < want and budget.may_repeat(at, SERVICE, seen):
+                budget.repeat(at, SERVICE)
+                repeats.append(at)
+    return requests, repeats
+
+
+@settings(max_examples=60, deadline=None)
+@given(dispatchers=st.integers(1, 12), seed=st.integers(0, 10_000),
+       rates=st.lists(st.sampled_from([0, 0, 2, 10, 40]), min_size=5, max_size=45))
+def test_no_window_goes_beyond_the_bound(dispatchers: int, seed: int, rates: list[int]) -> None:
+    requests, repeats = play(dispatchers, rates, seed, dispatchers, LIMITS)
+    assert worst_excess(LIMITS, requests, repeats) <= 0.0
+
+
+@settings(max_examples=10, deadline=None)
+@given(seed=st.integers(0, 10_000))
+def test_shares_below_one_do_not_add_up_to_more_than_the_bound(seed: int) -> None:
+    limits = TimeLimits(retry_ratio=0.0, retry_window_s=10.0, retry_extra=180.0)
+    rates = [0, 0, 200, 400, 0, 0, 0, 0, 400, 400, 400, 0, 0, 300, 300]
+    requests, repeats = play(490, rates, seed, 490, limits)
+    assert worst_excess(limits, requests, repeats) <= 0.0
+
+
+def test_shares_below_one_are_used_and_not_lost() -> None:
+    limits = TimeLimits(retry_ratio=0.0, retry_window_s=10.0, retry_extra=20.0)
+    _, repeats = play(100, [0] * 6 + [300] * 30, 3, 100, limits)
+    assert len(repeats) >= 20
+
+
+def test_every_dispatcher_has_its_turn_of_a_share_below_one() -> None:
+    budget = RetryBudget(TimeLimits(retry_ratio=0.0, retry_window_s=10.0, retry_extra=1.0), Random(5))
+    allowed = [budget.may_repeat(10.0 * turn, SERVICE, 8) for turn in range(60)]
+    assert any(allowed) and not all(allowed)
+
+
+def test_steady_traffic_gets_most_of_the_ratio() -> None:
+    limits = TimeLimits(retry_ratio=0.2, retry_window_s=10.0, retry_extra=0.0)
+    requests, repeats = play(4, [40] * 40, 1, 4, limits)
+    late = [at for at in repeats if at > 20]
+    assert len(late) >= 0.12 * len([at for at in requests if at > 20])
+
+
+def test_a_burst_that_ends_does_not_leave_a_ratio_behind() -> None:
+    budget = RetryBudget(TimeLimits(retry_ratio=0.2, retry_window_s=10.0, retry_extra=0.0), Random(1))
+    for index in range(1000):
+        budget.request(index * 0.001, SERVICE)
+    assert budget.may_repeat(5.0, SERVICE, 1)
+    assert not budget.may_repeat(25.0, SERVICE, 1)
+
+
+def test_a_dispatcher_cut_off_from_the_others_keeps_to_its_part() -> None:
+    limits = TimeLimits(retry_ratio=0.0, retry_window_s=10.0, retry_extra=60.0)
+    budget = RetryBudget(limits, Random(1))
+    budget.may_repeat(6.0, SERVICE, 60)
+    made = 0
+    while budget.may_repeat(12.0, SERVICE, 1):
+        budget.repeat(12.0, SERVICE)
+        made += 1
+    assert made <= 1
+
+
+def test_a_start_before_membership_is_known_takes_a_small_part() -> None:
+    budget = RetryBudget(LIMITS, Random(1))
+    made = 0
+    while budget.may_repeat(0.0, SERVICE, 1):
+        budget.repeat(0.0, SERVICE)
+        made += 1
+    assert made <= 2
+
+
+def test_services_do_not_share_a_budget() -> None:
+    budget = RetryBudget(TimeLimits(retry_extra=2.0), Random(1))
+    budget.may_repeat(0.0, "a", 1)
+    while budget.may_repeat(50.0, "a", 1):
+        budget.repeat(50.0, "a")
+    assert budget.may_repeat(50.0, "b", 1)
--- /dev/null
+++ b/tests/test_decide_ejection.py
@@ -0,0 +1,90 @@
+"""Ejection: failing runners are left out, tried again, and never too many at once."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larchgw.decide.ejection import EJECTED_SHARE, EJECTION_MOST_S, EJECTION_S, Ejection
+from larchgw.decide.interface import AttemptOutcome
+
+RUNNERS = ["a", "b", "c", "d"]
+
+
+def fail(ejection: Ejection, now: float, runner: str) -> None:
+    """Two sends that fail so."""
+    for _ in range(2):
+        ejection.sent(now, runner)
+        ejection.ended(now, runner, AttemptOutcome.SILENT)
+
+
+def test_a_runner_that_goes_silent_is_left_out() -> None:
+    ejection = Ejection()
+    fail(ejection, 0.0, "a")
+    assert ejection.admitted(0.1, RUNNERS) == ["b", "c", "d"]
+
+
+def test_one_trial_at_a_time_after_the_ejection() -> None:
+    ejection = Ejection()
+    fail(ejection, 0.0, "a")
+    later = EJECTION_S + 0.01
+    assert "a" in ejection.admitted(later, RUNNERS)
+    ejection.sent(later, "a")
+    assert "a" not in ejection.admitted(later, RUNNERS)
+    ejection.ended(later, "a", AttemptOutcome.DONE)
+    assert "a" in ejection.admitted(later, RUNNERS)
+
+
+def test_a_failed_trial_ejects_for_longer() -> None:
+    ejection = Ejection()
+    fail(ejection, 0.0, "a")
+    later = EJECTION_S + 0.01
+    ejection.sent(later, "a")
+    ejection.ended(later, "a", AttemptOutcome.RESET)
+    assert "a" not in ejection.admitted(later + EJECTION_S + 0.01, RUNNERS)
+    assert "a" in ejection.admitted(later + 2 * EJECTION_S + 0.01, RUNNERS)
+
+
+def test_a_cancelled_trial_does_not_close_the_runner_for_good() -> None:
+    ejection = Ejection()
+    fail(ejection, 0.0, "a")
+    later = EJECTION_S + 0.01
+    ejection.sent(later, "a")
+    ejection.ended(later, "a", AttemptOutcome.CANCELLED)
+    assert "a" in ejection.admitted(later, RUNNERS)
+
+
+def test_single_failures_far_apart_do_not_eject() -> None:
+    ejection = Ejection()
+    for at in range(0, 100, 10):
+        ejection.ended(float(at), "a", AttemptOutcome.RESET)
+        assert "a" in ejection.admitted(float(at), RUNNERS)
+
+
+def test_what_never_ran_for_want_of_a_slot_is_no_failure() -> None:
+    ejection = Ejection()
+    for _ in range(50):
+        ejection.ended(0.0, "a", AttemptOutcome.FULL)
+        ejection.ended(0.0, "a", AttemptOutcome.NOT_HELD)
+    assert "a" in ejection.admitted(0.0, RUNNERS)
+
+
+def test_refusals_of_one_moment_count_once() -> None:
+    ejection = Ejection()
+    for _ in range(10):
+        ejection.ended(0.0, "a", AttemptOutcome.FULL)
+    assert ejection.backoff_until("a") < 0.06
+
+
+@given(events=st.lists(st.tuples(st.sampled_from(RUNNERS), st.sampled_from(list(AttemptOutcome)),
+                                 st.floats(0.0, 2.0)), max_size=80))
+def test_at_most_the_share_is_ejected_and_all_come_back(
+        events: list[tuple[str, AttemptOutcome, float]]) -> None:
+    ejection, now = Ejection(), 0.0
+    for runner, outcome, pause in events:
+        now += pause
+        ejection.sent(now, runner)
+        ejection.ended(now, runner, outcome)
+        left = ejection.admitted(now, RUNNERS)
+        assert len(left) >= len(RUNNERS) * (1 - EJECTED_SHARE)
+    assert ejection.admitted(now + EJECTION_MOST_S + 0.01, RUNNERS) == RUNNERS
--- /dev/null
+++ b/tests/test_decide_selection.py
@@ -0,0 +1,225 @@
+"""The design's selection, told as its page tells it, and the terms around it."""
+
+from __future__ import annotations
+
+import pytest
+from decide_helpers import parts, runner, world
+
+from larchgw.decide.interface import AttemptOutcome, Refuse, Send, Wait
+from larchgw.directory.records import Stage
+
+THRESHOLD = 2  # 16 slots x the default share
+
+
+# The design: holders only; the most pending still under the threshold; else fewest keys, then least pending.
+@pytest.mark.parametrize(("pending", "wanted"), [
+    ({"a": {"m": 0}, "b": {"m": 1}}, "b"),  # the busiest under the threshold
+    ({"a": {"m": 0}, "b": {"m": THRESHOLD}}, "a"),  # at the threshold: no more
+    ({"a": {"n": 5}, "b": {"m": 1}}, "b"),  # what counts is the pending of that key
+    ({"a": {"m": 2, "n": 1}, "b": {"m": 3}}, "b"),  # all at it: the fewest active keys
+    ({"a": {"m": 3, "n": 1}, "b": {"m": 2, "n": 1}}, "b"),  # then the least pending
+    ({"a": {"m": 2}, "b": {"m": 2}, "c": {}}, "c"),
+])
+def test_keyed_request_goes_where_the_design_says(pending: dict[str, dict[str, int]], wanted: str) -> None:
+    w = world(runner("a", "mn"), runner("b", "mn"), runner("c", "mn" if "c" in pending else "n"))
+    for where, counts in pending.items():
+        for model, times in counts.items():
+            for _ in range(times):
+                w.send_to(where, w.request(model))
+    assert w.chosen(w.request("m")) == wanted
+
+
+def test_only_holders_are_sent_to_however_busy_they_are() -> None:
+    w = world(runner("a", "m"), runner("b", "n"))
+    for _ in range(20):
+        w.send_to("a")
+    assert w.chosen(w.request("m")) == "a"
+
+
+def test_a_holder_of_the_model_without_the_adapter_is_no_holder() -> None:
+    w = world(runner("a", "m"), runner("b", "m"))
+    assert isinstance(w.choose(w.request("m", "a9")), Wait)
+    assert w.chosen(w.request("m", "a1")) in ("a", "b")
+
+
+def test_every_outcome_frees_the_pending_count() -> None:
+    for outcome in AttemptOutcome:
+        w = world(runner("a"))
+        w.end(w.send_to("a"), outcome)
+        assert w.selector.pending("models") == 0
+
+
+def test_an_attempt_that_ends_twice_is_an_error_of_the_caller() -> None:
+    w = world(runner("a"))
+    attempt = w.send_to("a")
+    w.end(attempt)
+    with pytest.raises(ValueError):
+        w.end(attempt)
+
+
+def test_ties_break_at_random_so_no_holder_starves() -> None:
+    w = world(*(runner(id) for id in "abc"))
+    assert {w.chosen(w.request()) for _ in range(60)} == {"a", "b", "c"}
+
+
+def test_421_unmarks_the_key_until_a_newer_record_lists_it() -> None:
+    w = world(runner("a", calls=4))
+    w.fail(w.request(), AttemptOutcome.NOT_HELD)
+    assert isinstance(w.choose(w.request()), Wait)
+    assert w.chosen(w.request("m", "a1")) == "a"
+    w.runners["a"] = runner("a", calls=5)
+    assert w.chosen(w.request()) == "a"
+
+
+@pytest.mark.parametrize("stage", [Stage.DRAINING, Stage.GONE])
+def test_a_runner_that_leaves_gets_nothing_even_as_the_only_holder(stage: Stage) -> None:
+    w = world(runner("a", stage=stage))
+    assert not isinstance(w.choose(w.request()), Send)
+
+
+def test_a_silent_runner_gets_requests_only_when_no_other_is_there() -> None:
+    w = world(runner("a", stage=Stage.SILENT), runner("b"))
+    assert {w.chosen(w.request()) for _ in range(30)} == {"b"}
+    del w.runners["b"]
+    assert w.chosen(w.request()) == "a"
+
+
+def test_a_second_send_goes_to_another_holder() -> None:
+    w = world(runner("a"), runner("b"))
+    assert {w.chosen(w.request(), ("a",)) for _ in range(10)} == {"b"}
+
+
+def test_a_full_holder_is_left_alone_longer_each_time() -> None:
+    w = world(runner("a"), runner("b"))
+    w.end(w.send_to("a"), AttemptOutcome.FULL)
+    assert {w.chosen(w.request()) for _ in range(10)} == {"b"}
+    w.now += 0.06
+    assert {w.chosen(w.request()) for _ in range(20)} == {"a", "b"}
+    w.end(w.send_to("a"), AttemptOutcome.FULL)
+    w.now += 0.06
+    assert {w.chosen(w.request()) for _ in range(10)} == {"b"}
+
+
+def test_all_holders_full_waits_only_while_the_deadline_allows() -> None:
+    w = world(runner("a"))
+    w.end(w.send_to("a"), AttemptOutcome.FULL)
+    waiting = w.choose(w.request())
+    assert isinstance(waiting, Wait) and w.now < waiting.until <= w.now + 0.2
+    refused = w.choose(w.request(deadline_s=0.06))
+    assert isinstance(refused, Refuse) and refused.retry_after > 0
+
+
+def test_a_model_under_way_is_waited_for_and_asked_again() -> None:
+    w = world(runner("a", "n"))
+    w.expected = {"a": w.now + 2.0}
+    choice = w.choose(w.request())
+    assert isinstance(choice, Wait) and choice.until <= w.now + 0.2
+
+
+def test_a_load_that_ends_too_late_is_refused_at_once() -> None:
+    w = world(runner("a", "n"))
+    w.expected = {"a": w.now + 6.0}
+    refused = w.choose(w.request(deadline_s=5.0))
+    assert isinstance(refused, Refuse) and refused.retry_after <= 5.0 / 3 + 1e-9
+
+
+def test_a_model_nobody_loads_is_not_held_for_half_of_the_time() -> None:
+    w = world(runner("a", "n"))
+    request = w.request(deadline_s=4.0)
+    w.now += 1.9
+    assert isinstance(w.choose(request), Refuse)
+
+
+def test_a_kept_prefix_draws_requests_that_share_it() -> None:
+    w = world(runner("a"), runner("b"), runner("c"))
+    prompt = parts(2000, 4000, 500)
+    attempt = w.send_to("b", w.request(prompt=prompt))
+    w.selector.head(w.now + 0.2, attempt)
+    w.end(attempt)
+    again = (*prompt[:2], *parts(300, name="other"))
+    assert {w.chosen(w.request(prompt=again)) for _ in range(10)} == {"b"}
+
+
+def test_a_part_behind_another_beginning_is_not_taken_for_kept() -> None:
+    w = world(runner("a"), runner("b"))
+    prompt = parts(2000, 4000, 500)
+    attempt = w.send_to("b", w.request(prompt=prompt))
+    w.selector.head(w.now + 0.2, attempt)
+    w.end(attempt)
+    elsewhere = [(*parts(10, name=f"x{n}"), prompt[1], prompt[2]) for n in range(40)]
+    assert {w.chosen(w.request(prompt=other)) for other in elsewhere} == {"a", "b"}
+
+
+def test_dispatchers_prefer_the_same_holder_for_a_shared_prefix() -> None:
+    records = [runner(id) for id in "abcdefg"]
+    prompt = parts(2000, 4000, 500)
+    chosen = set()
+    for _ in range(4):
+        w = world(*records)
+        chosen.add(w.chosen(w.request(prompt=prompt)))
+    assert len(chosen) == 1
+
+
+def test_a_long_prompt_waiting_to_be_read_sends_the_next_elsewhere() -> None:
+    w = world(runner("a"), runner("b"))
+    prompt = parts(2000, 40_000, 500)
+    w.send_to("a", w.request(prompt=prompt))
+    assert w.chosen(w.request(prompt=parts(10, 10, name="q"))) == "b"
+
+
+def test_own_zone_is_preferred_for_short_prompts() -> None:
+    w = world(runner("a", zone="there"), runner("b"), runner("c", zone="there"))
+    assert {w.chosen(w.request()) for _ in range(20)} == {"b"}
+
+
+def test_a_cold_runner_is_left_to_warm_up_while_others_have_it() -> None:
+    w = world(runner("a", cold_ms=500.0), runner("b"))
+    assert {w.chosen(w.request()) for _ in range(20)} == {"b"}
+
+
+def test_rank_becomes_the_priority() -> None:
+    w = world(runner("a"))
+    priorities = []
+    for rank in (0, 3, 12):
+        choice = w.choose(w.request(rank=rank))
+        assert isinstance(choice, Send)
+        priorities.append(choice.priority)
+    assert priorities == [0, 3, 9]
+
+
+def test_unkeyed_requests_go_to_the_least_loaded() -> None:
+    w = world(*(runner(id, "", slots=6, service="plain") for id in "abc"))
+    for id, times in {"a": 5, "b": 4, "c": 6}.items():
+        for _ in range(times):
+            w.send_to(id, w.request("", service="plain"))
+    assert w.chosen(w.request("", service="plain")) == "b"
+
+
+def test_load_told_by_a_runner_counts_others_requests_and_ages() -> None:
+    w = world(*(runner(id, "", slots=6, service="plain") for id in "ab"))
+    w.selector.told_load(w.now, "a", 6, 3, 6)
+    assert {w.chosen(w.request("", service="plain")) for _ in range(10)} == {"b"}
+    w.now += 20.0
+    assert {w.chosen(w.request("", service="plain")) for _ in range(40)} == {"a", "b"}
+
+
+def test_the_same_seed_makes_the_same_choices() -> None:
+    def run() -> list[str]:
+        w = world(*(runner(id) for id in "abcd"))
+        chosen = []
+        for _ in range(50):
+            chosen.append(w.chosen(w.request()))
+            w.send_to(chosen[-1])
+        return chosen
+
+    assert run() == run()
+
+
+def test_nothing_is_remembered_of_runners_that_are_gone() -> None:
+    w = world(runner("a"), runner("b"))
+    w.fail(w.request(), AttemptOutcome.NOT_HELD)
+    w.fail(w.request(), AttemptOutcome.RESET)
+    w.runners = {"c": runner("c")}
+    w.now += 10.0
+    w.choose(w.request())
+    assert set(w.selector._records) == {"c"}
