--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,158 @@
+"""What is taken as a configuration, and that nothing else is."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from configurations import EXAMPLE, body, configurations, example, with_value
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchgw.configuration import route_reader
+from larchgw.configuration.errors import ConfigurationError, MalformedConfiguration
+from larchgw.configuration.validation import decode, examine, parse
+
+
+def test_every_field_of_a_valid_configuration_is_read() -> None:
+    read = parse(decode(body(EXAMPLE)))
+    plan, note, level = read.routes
+    assert (read.config_version, len(read.services), read.limits.idle_ms) == (7, 2, 15000.0)
+    assert (plan.service, plan.deadline_ms, plan.gap_aim_ms, plan.idempotent) == ("models", 15000, 300, False)
+    assert [(share.service, share.weight) for share in note.split()] == [("models", 90.0), ("lookups", 10.0)]
+    assert note.idempotent and [share.service for share in level.split()] == ["lookups"]
+    runtime = read.services[0].runtime
+    assert runtime is not None and runtime.model("m1") is not None and runtime.weights_mb == 230000.0
+    assert read.services[1].runtime is None
+
+
+def test_unknown_fields_are_passed_over_and_read_back() -> None:
+    raw = with_value(example(later={"a": 1}), "routes.0.tenant", "t1")
+    read = parse(decode(body(raw)))
+    assert read.raw == raw and read.routes == parse(EXAMPLE).routes
+
+
+WRONG: list[tuple[str, Any]] = [
+    ("config_version", ...), ("config_version", 0), ("config_version", -3), ("config_version", True),
+    ("config_version", "7"), ("config_version", 7.5), ("config_version", 10**30), ("config_version", None),
+    ("routes", ...), ("routes", {}), ("routes", None), ("routes.0", "r"), ("services", ...), ("services", 3),
+    ("services.0", []), ("limits", []), ("limits.idle_ms", 0), ("limits.header_bytes", -1),
+    ("limits.body_bytes", "many"),
+    ("routes.0.name", ...), ("routes.0.name", ""), ("routes.0.name", 3), ("routes.1.name", "r-plan"),
+    ("routes.0.hostname", ...), ("routes.0.hostname", ""), ("routes.0.hostname", ["a"]),
+    ("routes.0.path_start", ...), ("routes.0.path_start", "plan/"), ("routes.0.path_start", "/plan"),
+    ("routes.0.path_start", ""), ("routes.1.path_start", "/plan/"),
+    ("routes.0.kind", ...), ("routes.0.kind", "batch"), ("routes.0.kind", 1),
+    ("routes.0.deadline_ms", ...), ("routes.0.deadline_ms", 0), ("routes.0.deadline_ms", 0.0),
+    ("routes.0.deadline_ms", -5), ("routes.0.deadline_ms", True), ("routes.0.deadline_ms", "5000"),
+    ("routes.0.deadline_ms", 1e300), ("routes.0.target_ms", -1), ("routes.0.target_ms", [1]),
+    ("routes.0.rank", -1), ("routes.0.rank", 0.5), ("routes.0.rank", False), ("routes.0.tries", 0),
+    ("routes.0.tries", -1), ("routes.0.pinned", 1), ("routes.0.pinned", "yes"), ("routes.0.can_resume", 0),
+    ("routes.0.gap_aim_ms", -0.5),
+    ("routes.0.service", ...), ("routes.0.service", ""), ("routes.0.service", "nobody"),
+    ("routes.0.service", 5), ("routes.1.service", "nobody"),
+    ("routes.1.shares", []), ("routes.1.shares", "models"), ("routes.1.shares.0", "models"),
+    ("routes.1.shares.0.service", "nobody"), ("routes.1.shares.0.service", ...),
+    ("routes.1.shares.0.weight", -1), ("routes.1.shares.0.weight", True), ("routes.1.shares.0.weight", ...),
+    ("routes.1.shares", [{"service": "models", "weight": 0}, {"service": "lookups", "weight": 0.0}]),
+    ("services.0.name", ...), ("services.0.name", ""), ("services.0.name", "lookups"),
+    ("services.0.max_conns", -1), ("services.0.max_conns", "many"), ("services.0.uses_tls", "no"),
+    ("services.0.runtime", []), ("services.0.runtime.slots", 0.5), ("services.0.runtime.models", {"m1": {}}),
+    ("services.0.runtime.models.0.name", ...), ("services.0.runtime.models.0.name", "m2"),
+    ("services.0.runtime.models.0.weights_mb", -1), ("services.0.runtime.models.0.adapters", "a1"),
+    ("services.0.runtime.loads_per_s", True),
+]
+
+
+@pytest.mark.parametrize("path, value", WRONG)
+def test_one_wrong_field_spoils_the_whole_and_is_named(path: str, value: object) -> None:
+    with pytest.raises(ConfigurationError) as caught:
+        parse(decode(body(with_value(EXAMPLE, path, value))))
+    steps = path.replace(".0", "[0]").replace(".1", "[1]")
+    top = steps.split(".")[0].split("[")[0]
+    assert caught.value.field.startswith(top) and caught.value.remedy and caught.value.status == 400
+    assert str(caught.value).startswith(caught.value.field)
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"", b"[]", b"null", b"7", b"{", b'{"config_version":1', body(EXAMPLE)[:-1], body(EXAMPLE)[:400],
+    body(EXAMPLE) + b"}", b"\xff\xfe{}", body(EXAMPLE).replace(b"15000", b"NaN"),
+    body(EXAMPLE).replace(b"15000", b"-Infinity"), body(EXAMPLE).replace(b"15000", b"1e999"),
+    body(EXAMPLE).replace(b'"rank": 0', b'"rank": 0, "rank": 1'), b'{"a":' * 200000,
+    body(EXAMPLE).replace(b"15000", b"9" * 5000), body(EXAMPLE).replace(b'"r-plan"', b'"\\ud800"')])
+def test_a_body_that_cannot_be_read_whole_is_refused(spoilt: bytes) -> None:
+    with pytest.raises(MalformedConfiguration):
+        parse(decode(spoilt))
+
+
+@pytest.mark.parametrize("path, value", [
+    ("routes.0.target_ms", None), ("routes.0.shares", []), ("routes.0.shares", None), ("limits", ...),
+    ("routes.1.shares.0.weight", 0), ("routes.0.deadline_ms", 0.25), ("routes.0.tries", 2.0),
+    ("routes.0.path_start", "/"), ("routes.1.hostname", "other.example"), ("routes.0.target_ms", 99999),
+    ("services.0.runtime", None), ("services.0.runtime.models", []), ("services.0.health_path", ...),
+    ("routes", []), ("routes.1.service", "models")])
+def test_what_the_protocol_allows_is_not_refused(path: str, value: object) -> None:
+    assert parse(decode(body(with_value(EXAMPLE, path, value)))).config_version == 7
+
+
+def test_hosts_that_differ_in_case_alone_are_one_place() -> None:
+    raw = with_value(EXAMPLE, "routes.1.path_start", "/plan/")
+    raw = with_value(raw, "routes.1.hostname", "DESK.example")
+    with pytest.raises(ConfigurationError, match=r"routes\[1\].path_start"):
+        parse(raw)
+
+
+def test_the_operator_is_told_of_all_faulty_items_at_once() -> None:
+    raw = with_value(with_value(EXAMPLE, "routes.0.kind", "batch"), "routes.2.deadline_ms", 0)
+    configuration, faults = examine(with_value(raw, "routes.1.shares.1.service", "nobody"))
+    assert configuration is None
+    assert [fault.field for fault in faults] == ["routes[0].kind", "routes[2].deadline_ms",
+                                                 "routes[1].shares[1].service"]
+
+
+@settings(max_examples=80)
+@given(configurations())
+def test_no_valid_configuration_is_refused(raw: dict[str, Any]) -> None:
+    read = parse(decode(body(raw)))
+    assert read.raw == raw and len(read.routes) == len(raw["routes"])
+
+
+@given(configurations(), st.sampled_from(["routes", "services"]), st.data())
+def test_a_repeated_name_is_always_refused(raw: dict[str, Any], field: str, data: st.DataObject) -> None:
+    items = raw[field]
+    if not items:
+        return
+    items.append(dict(data.draw(st.sampled_from(items)), hostname="another.example"))
+    with pytest.raises(ConfigurationError):
+        parse(raw)
+
+
+@settings(max_examples=60)
+@given(configurations(), st.data(), st.sampled_from(
+    [("kind", "x"), ("deadline_ms", 0), ("deadline_ms", True), ("path_start", "/x"), ("service", "no such"),
+     ("tries", 0), ("pinned", "no"), ("hostname", 3), ("shares", [{"weight": 0}])]))
+def test_one_spoilt_route_among_many_is_always_refused(
+        raw: dict[str, Any], data: st.DataObject, spoil: tuple[str, object]) -> None:
+    if not raw["routes"]:
+        return
+    data.draw(st.sampled_from(raw["routes"]))[spoil[0]] = spoil[1]
+    with pytest.raises(ConfigurationError):
+        parse(raw)
+
+
+@given(configurations())
+def test_the_quick_reading_of_a_route_gives_what_dacite_gives(raw: dict[str, Any]) -> None:
+    quick = [route_reader._ordinary(route) for route in raw["routes"]]
+    whole = [route_reader.read_by_record(route, "r") for route in raw["routes"]]
+    assert quick == whole
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+                    lambda inner: st.lists(inner) | st.dictionaries(
+                        st.sampled_from(["config_version", "routes", "services", "limits", "name"]), inner)))
+def test_no_json_at_all_breaks_the_reader(value: object) -> None:
+    try:
+        parse(decode(json.dumps(value).encode()))
+    except ConfigurationError as error:
+        assert error.status == 400
