Registry, pulls and handoff between processes; check-ins, directory and a dispatcher's view of runners

Need: the roles of the system are built on these. A registry merges versioned entries; callers pull what their version vectors lack over long polls.

The directory publishes a runner when its content changes, who watches it included, and marks it silent after 3.2 beats at the process that acknowledged it last. RunnerRecord gains `owner`. A runner that leaves is published above every count.

--- /dev/null
+++ b/larchgw/directory/directory.py
@@ -0,0 +1,230 @@
+"""A control process's part in knowing the runners: from check-ins to registry entries. Pure but for its
+clock.
+
+Stages
+    The registry orders what control processes say of one runner by the runner's own `call_count` (major),
+    then by stage (minor): whoever heard the later check-in is right, and of two that heard the same one the
+    later stage stands. DRAINING is kept on by every later check-in. GONE is published above every count, so
+    nothing brings a runner back that has said that it leaves. Only READY turns to SILENT: a draining runner
+    gets no requests whether it beats or not.
+
+Who watches whom
+    A record names as its owner the process that acknowledged the runner's last check-in. The owner publishes
+    SILENT when no check-in has come for SILENT_BEATS beats. A runner that takes its check-ins elsewhere is
+    published by the new owner, since its owner is part of its content, and the former stops watching. Should
+    a record of an earlier check-in than the last one heard here come in, this process publishes what it
+    heard. When an owner is lost, every other process gives its runners as long again to check in elsewhere,
+    then publishes them as SILENT.
+
+    A pause of this process itself (freeze) is no silence of the runners: clocks stand still over it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from ..distribution.interface import RUNNER
+from ..distribution.registry import Registry
+from ..rpc.generated.ttypes import Entry
+from .records import RunnerRecord, Stage
+
+log = logging.getLogger(__name__)
+SILENT_BEATS = 3.2  # beats without a check-in: two may be lost on their way, and the third be late
+KEEP_S = 300.0  # how long a runner that is gone or silent is remembered; longer than a process may be cut off
+FORGET_EVERY_S = 10.0  # how often old ones are looked for
+GONE_MAJOR = 2 ** 62  # above every call_count
+
+
+@dataclass(frozen=True, slots=True)
+class CheckinOutcome:
+    """What a check-in or Leave changed. Urgent: it must be at the other control processes before it is
+    acknowledged.
+    """
+
+    news: bool
+    urgent: bool
+
+
+NOTHING_NEW = CheckinOutcome(news=False, urgent=False)
+
+
+@dataclass(slots=True)
+class _Beat:
+    """The last check-in heard here of a runner that this process watches."""
+
+    record: RunnerRecord
+    heard_at: float
+
+
+def same_content(old: RunnerRecord, new: RunnerRecord) -> bool:
+    """Whether the difference is nothing that others need to know: counts and the times that run down by
+    themselves.
+    """
+    alike = replace(new, call_count=old.call_count, cold_left_ms=old.cold_left_ms, left_ms=old.left_ms)
+    return (alike == old and (new.cold_left_ms > 0.0) == (old.cold_left_ms > 0.0)
+            and (new.left_ms >= 0.0) == (old.left_ms >= 0.0))
+
+
+class Directory:
+    """The runners that this control process knows, and those that it watches.
+
+    `owner` names this life of the process. `alive` tells whether the life of a process that a record names as
+    its owner still runs; while this process is itself cut off from the majority it must answer True, since it
+    cannot know.
+    """
+
+    def __init__(self, registry: Registry, clock: Callable[[], float], beat_s: float, owner: str,
+                 alive: Callable[[str], bool] = lambda owner: True) -> None:
+        self.owner = owner
+        self._registry = registry
+        self._clock = clock
+        self._beat_s = beat_s
+        self._alive = alive
+        self._records: dict[str, RunnerRecord] = {}
+        self._changed_at: dict[str, float] = {}
+        self._by_owner: dict[str, set[str]] = {}
+        self._beats: dict[str, _Beat] = {}  # the one heard longest ago first
+        self._lost: dict[str, float] = {}  # owner -> since when it is known to be lost
+        self._last_tick = clock()
+        self._forgot_at = self._last_tick
+        for entry in registry.items(RUNNER):
+            self._learn(entry)
+        registry.watch(RUNNER, self._learn)
+
+    @property
+    def silent_after_s(self) -> float:
+        """Seconds without a check-in after which a runner counts as silent."""
+        return SILENT_BEATS * self._beat_s
+
+    def get(self, id: str) -> RunnerRecord | None:
+        """The record of a runner, whatever its stage."""
+        return self._records.get(id)
+
+    def runners(self, service: str | None = None) -> list[RunnerRecord]:
+        """All that are not gone, or those of one service."""
+        return [record for record in self._records.values()
+                if record.stage is not Stage.GONE and service in (None, record.service)]
+
+    def checkin(self, record: RunnerRecord) -> CheckinOutcome:
+        """A check-in as `parse_checkin` read it. One that is overtaken by a later one changes nothing."""
+        standing = self._records.get(record.id)
+        if standing is not None and standing.stage is Stage.GONE:
+            return NOTHING_NEW
+        if record.call_count < self._last_count(record.id):
+            return NOTHING_NEW
+        self._heard(record)
+        new = replace(record, stage=_later_stage(record, standing), owner=self.owner)
+        if standing is not None and same_content(standing, new):
+            return NOTHING_NEW
+        news = self._publish(new)
+        return CheckinOutcome(news, urgent=news and new.stage >= Stage.DRAINING)
+
+    def leave(self, id: str) -> CheckinOutcome:
+        """The runner ends. Also published for a runner that is not known here: its record may yet come."""
+        standing = self._records.get(id)
+        if standing is not None and standing.stage is Stage.GONE:
+            return NOTHING_NEW
+        record = standing or RunnerRecord(id, service="", address="", zone="")
+        news = self._publish(replace(record, stage=Stage.GONE, models=(), owner=self.owner))
+        return CheckinOutcome(news, urgent=news)
+
+    def tick(self, now: float) -> None:
+        """Publishes runners as silent and forgets old ones; to be called several times a beat."""
+        pause = now - self._last_tick
+        self._last_tick = now
+        if pause > self._beat_s:
+            self._stand_still(pause)
+        self._mark_silent(now)
+        self._watch_owners(now)
+        if now - self._forgot_at >= FORGET_EVERY_S:
+            self._forgot_at = now
+            self._forget(now)
+
+    def _last_count(self, id: str) -> int:
+        """The highest call_count known of the runner."""
+        beat, standing = self._beats.get(id), self._records.get(id)
+        return max(beat.record.call_count if beat else -1, standing.call_count if standing else -1)
+
+    def _heard(self, record: RunnerRecord) -> None:
+        self._beats.pop(record.id, None)
+        self._beats[record.id] = _Beat(record, self._clock())
+
+    def _publish(self, record: RunnerRecord) -> bool:
+        major = GONE_MAJOR if record.stage is Stage.GONE else record.call_count
+        return self._registry.put(RUNNER + record.id, record.encode(), major, int(record.stage))
+
+    def _learn(self, entry: Entry) -> None:
+        """An entry of a runner is news, made here or elsewhere."""
+        record = RunnerRecord.decode(entry.value)
+        self._note(record)
+        beat = self._beats.get(record.id)
+        if beat is None or (record.owner == self.owner and record.stage is not Stage.GONE):
+            return
+        if record.stage is Stage.GONE or record.call_count >= beat.record.call_count:
+            del self._beats[record.id]
+            return
+        self._publish(replace(beat.record, stage=_later_stage(beat.record, record), owner=self.owner))
+
+    def _note(self, record: RunnerRecord) -> None:
+        self._unnote(record.id)
+        self._records[record.id] = record
+        self._changed_at[record.id] = self._clock()
+        self._by_owner.setdefault(record.owner, set()).add(record.id)
+
+    def _unnote(self, id: str) -> None:
+        old = self._records.pop(id, None)
+        self._changed_at.pop(id, None)
+        if old is None:
+            return
+        self._by_owner[old.owner].discard(id)
+        if not self._by_owner[old.owner]:
+            del self._by_owner[old.owner]
+
+    def _stand_still(self, seconds: float) -> None:
+        """This process did not run for that long: what it did not hear then, it could not hear."""
+        for beat in self._beats.values():
+            beat.heard_at += seconds
+        self._lost = {owner: since + seconds for owner, since in self._lost.items()}
+
+    def _mark_silent(self, now: float) -> None:
+        overdue = []
+        for id, beat in self._beats.items():
+            if now - beat.heard_at < self.silent_after_s:
+                break
+            overdue.append(id)
+        for id in overdue:
+            beat = self._beats.pop(id)
+            self._publish_silent(id, beat.record.call_count)
+
+    def _publish_silent(self, id: str, call_count: int) -> None:
+        standing = self._records.get(id)
+        if standing is not None and standing.stage is Stage.READY:
+            log.warning("runner %s at %s has stopped checking in", id, standing.address)
+            self._publish(replace(standing, stage=Stage.SILENT, call_count=call_count, owner=self.owner))
+
+    def _watch_owners(self, now: float) -> None:
+        others = [owner for owner in self._by_owner if owner != self.owner]
+        self._lost = {owner: self._lost.get(owner, now) for owner in others if not self._alive(owner)}
+        for owner, since in self._lost.items():
+            if now - since >= self.silent_after_s:
+                for id in list(self._by_owner.get(owner, ())):
+                    self._publish_silent(id, self._records[id].call_count)
+
+    def _forget(self, now: float) -> None:
+        old = {id for id, record in self._records.items()
+               if record.stage is not Stage.READY and id not in self._beats
+               and now - self._changed_at[id] >= KEEP_S}
+        if not old:
+            return
+        self._registry.remove_older(RUNNER, lambda entry: entry.key.removeprefix(RUNNER) in old)
+        for id in old:
+            self._unnote(id)
+
+
+def _later_stage(checked_in: RunnerRecord, standing: RunnerRecord | None) -> Stage:
+    """A check-in ends a silence, and nothing else that was said of the runner."""
+    if standing is None or standing.stage is Stage.SILENT:
+        return checked_in.stage
+    return max(checked_in.stage, standing.stage)
--- a/larchgw/directory/records.py
+++ b/larchgw/directory/records.py
@@ -29,8 +29,9 @@
 class RunnerRecord:
     """The newest that is known of one incarnation of a runner.
 
-    `left_ms` is the time until it is taken away, -1 where that is not told; `cold_left_ms` how long it
-    is slow yet.
+    `left_ms` is the time until it is taken away, -1 where that is not told; `cold_left_ms` how long it is
+    slow yet; both as of the check-in that brought the record. `owner` is the control process that
+    acknowledged the runner's last check-in (the name of its directory), which watches for its silence.
     """
 
     id: str
@@ -45,6 +46,7 @@
     left_ms: float = -1.0
     call_count: int = 0
     models: tuple[HeldModel, ...] = field(default=())
+    owner: str = ""
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Whether it holds the model and, if one is named, the adapter."""
@@ -54,13 +56,16 @@
         """JSON for the registry."""
         models = [[held.name, held.config_version, list(held.adapters)] for held in self.models]
         fields = [self.id, self.service, self.address, self.zone, int(self.stage), self.slots,
-                  self.config_version, self.phase, self.cold_left_ms, self.left_ms, self.call_count, models]
+                  self.config_version, self.phase, self.cold_left_ms, self.left_ms, self.call_count, models,
+                  self.owner]
         return json.dumps(fields, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> RunnerRecord:
         """The record in a registry entry."""
-        id, service, address, zone, stage, slots, version, phase, cold, left, calls, models = json.loads(data)
+        (id, service, address, zone, stage, slots, version, phase, cold, left, calls, models,
+         owner) = json.loads(data)
         held = tuple(HeldModel(held_name, held_version, tuple(adapters))
                      for held_name, held_version, adapters in models)
-        return cls(id, service, address, zone, Stage(stage), slots, version, phase, cold, left, calls, held)
+        return cls(id, service, address, zone, Stage(stage), slots, version, phase, cold, left, calls, held,
+                   owner)
--- /dev/null
+++ b/larchgw/directory/view.py
@@ -0,0 +1,153 @@
+"""What a dispatcher knows of runners, indexed for its choices and kept up with the registry.
+
+Addresses are used again: a runner that appears at the address of an older one shows that the older is gone,
+though nobody has said so. The older one is then left out, until the one that took its place turns silent or
+is gone itself.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import TypeVar
+
+from ..distribution.interface import RUNNER
+from ..distribution.registry import Registry
+from ..rpc.generated.ttypes import Entry
+from .directory import KEEP_S
+from .records import RunnerRecord, Stage
+
+Key = tuple[str, str, str]  # service, model, adapter; the adapter is empty for the model itself
+Watcher = Callable[[RunnerRecord], None]
+Name = TypeVar("Name")
+AT_ITS_ADDRESS = (Stage.READY, Stage.DRAINING)  # stages in which a runner is known to be at its address
+
+
+def held_keys(record: RunnerRecord) -> Iterator[Key]:
+    """All keys that requests for what the runner holds may have."""
+    for held in record.models:
+        yield (record.service, held.name, "")
+        for adapter in held.adapters:
+            yield (record.service, held.name, adapter)
+
+
+class RunnerView:
+    """The runners by id, by service and by what they hold. Runners that are gone are in none of them."""
+
+    def __init__(self, registry: Registry, clock: Callable[[], float] = time.monotonic) -> None:
+        self._registry = registry
+        self._clock = clock
+        self._known: dict[str, RunnerRecord] = {}  # also those that are gone or replaced
+        self._changed_at: dict[str, float] = {}
+        self._listed: dict[str, RunnerRecord] = {}
+        self._services: dict[str, dict[str, RunnerRecord]] = {}
+        self._holders: dict[Key, dict[str, RunnerRecord]] = {}
+        self._at_address: dict[str, list[str]] = {}  # ids, the newest last
+        self._watchers: list[Watcher] = []
+        for entry in registry.items(RUNNER):
+            self._learn(entry)
+        registry.watch(RUNNER, self._learn)
+
+    def __len__(self) -> int:
+        return len(self._listed)
+
+    def get(self, id: str) -> RunnerRecord | None:
+        """The runner, unless it is gone or another has its address."""
+        return self._listed.get(id)
+
+    def by_service(self, service: str) -> dict[str, RunnerRecord]:
+        """The service's runners of every stage but GONE; not to be changed by the caller."""
+        return self._services.get(service, {})
+
+    def holders(self, service: str, model: str, adapter: str = "") -> list[RunnerRecord]:
+        """The ready runners that hold the model and, if one is named, the adapter."""
+        return [record for record in self._holders.get((service, model, adapter), {}).values()
+                if record.stage is Stage.READY]
+
+    def on_change(self, callback: Watcher) -> None:
+        """Calls back with each record that has changed, also one that is now gone (its stage says so)."""
+        self._watchers.append(callback)
+
+    def forget(self) -> None:
+        """Drops runners that have not been ready for KEEP_S seconds; to be called now and then."""
+        before = self._clock() - KEEP_S
+        old = {id for id, record in self._known.items()
+               if record.stage is not Stage.READY and self._changed_at[id] <= before}
+        if not old:
+            return
+        self._registry.remove_older(RUNNER, lambda entry: entry.key.removeprefix(RUNNER) in old)
+        for id in old:
+            self._drop(id)
+
+    def _learn(self, entry: Entry) -> None:
+        record = RunnerRecord.decode(entry.value)
+        old = self._known.get(record.id)
+        moved = old is not None and old.address != record.address
+        if old is not None and moved:
+            self._leave_address(old)
+        self._known[record.id] = record
+        self._changed_at[record.id] = self._clock()
+        if record.address:
+            ids = self._at_address.setdefault(record.address, [])
+            if record.id not in ids:
+                ids.append(record.id)
+        for id in self._at_address.get(record.address, [record.id]):
+            self._list(id, tell=id == record.id)
+        if old is not None and moved:
+            for id in self._at_address.get(old.address, []):
+                self._list(id, tell=False)
+
+    def _drop(self, id: str) -> None:
+        record = self._known.pop(id)
+        del self._changed_at[id]
+        self._unlist(id)
+        self._leave_address(record)
+
+    def _leave_address(self, record: RunnerRecord) -> None:
+        ids = self._at_address.get(record.address, [])
+        if record.id in ids:
+            ids.remove(record.id)
+        if not ids:
+            self._at_address.pop(record.address, None)
+
+    def _replaced(self, record: RunnerRecord) -> bool:
+        """Whether a newer runner is at its address."""
+        ids = self._at_address.get(record.address, [])
+        newer = ids[ids.index(record.id) + 1:] if record.id in ids else []
+        return any(self._known[id].stage in AT_ITS_ADDRESS for id in newer)
+
+    def _list(self, id: str, tell: bool) -> None:
+        """Puts the runner into the indexes as it is now, or takes it out."""
+        record, old = self._known[id], self._listed.get(id)
+        gone = record.stage is Stage.GONE or self._replaced(record)
+        if gone:
+            self._unlist(id)
+        elif record != old:
+            self._unlist(id)
+            self._listed[id] = record
+            self._services.setdefault(record.service, {})[id] = record
+            for key in held_keys(record):
+                self._holders.setdefault(key, {})[id] = record
+        if tell or gone != (old is None):
+            self._tell(record, gone)
+
+    def _unlist(self, id: str) -> None:
+        record = self._listed.pop(id, None)
+        if record is None:
+            return
+        _discard(self._services, record.service, id)
+        for key in held_keys(record):
+            _discard(self._holders, key, id)
+
+    def _tell(self, record: RunnerRecord, gone: bool) -> None:
+        shown = replace(record, stage=Stage.GONE) if gone else record
+        for callback in self._watchers:
+            callback(shown)
+
+
+def _discard(index: dict[Name, dict[str, RunnerRecord]], name: Name, id: str) -> None:
+    members = index[name]
+    members.pop(id, None)
+    if not members:
+        del index[name]
--- /dev/null
+++ b/larchgw/distribution/handoff.py
@@ -0,0 +1,89 @@
+"""Hinted handoff: urgent entries are at the other control processes before they are acknowledged.
+
+`replicate` pushes entries to every peer and tells which of them have it. What a peer did not take is kept as
+a hint and handed over by `run` when the peer takes calls again, a batch at a time. Hints shorten the time
+until a returning peer knows what is urgent; nothing rests on them alone, since peers also pull from one
+another.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+from ..rpc.errors import RpcError
+from ..rpc.generated.ttypes import Entry, PushRequest
+from .hints import Hints
+from .puller import Caller
+
+log = logging.getLogger(__name__)
+MOST_HINTS = 5000  # a peer; some times the runners of a large deployment
+BATCH = 200  # entries in one handover, about 50 kB
+PACE_S = 0.05  # between two batches to one peer
+RETRY_S = 0.5  # between two attempts at peers that hints are kept for
+HANDOVER_TIMEOUT_S = 1.0
+
+
+class Handoff:
+    """Pushes to the peers that `peers` names (rpc addresses of the live control processes, the own one left
+    out).
+    """
+
+    def __init__(self, connect: Callable[[str], Caller], peers: Callable[[], Sequence[str]], *,
+                 node_name: str = "", most_hints: int = MOST_HINTS) -> None:
+        self._connect = connect
+        self._peers = peers
+        self._node_name = node_name
+        self._callers: dict[str, Caller] = {}
+        self.hints = Hints(most_hints)
+
+    async def replicate(self, entries: Sequence[Entry], timeout: float) -> set[str]:
+        """The peers that have the entries, once all have answered or after `timeout` seconds."""
+        peers = list(self._peers())
+        taken = await asyncio.gather(*(self._push(peer, entries, timeout) for peer in peers))
+        missed = [peer for peer, took in zip(peers, taken, strict=True) if not took]
+        for peer in missed:
+            self.hints.keep(peer, entries)
+        return set(peers).difference(missed)
+
+    async def run(self) -> None:
+        """Hands hints over until it is cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(RETRY_S)
+                await self.hand_over()
+        finally:
+            self.close()
+
+    async def hand_over(self) -> None:
+        """Gives live peers what is kept for them; closes connections to those that are no peers any more."""
+        live = set(self._peers())
+        for address in set(self._callers) - live:
+            self._callers.pop(address).close()
+        waiting = [peer for peer in self.hints.peers() if peer in live]
+        await asyncio.gather(*(self._hand_to(peer) for peer in waiting))
+
+    def close(self) -> None:
+        """Ends the connections."""
+        for caller in self._callers.values():
+            caller.close()
+        self._callers.clear()
+
+    async def _hand_to(self, peer: str) -> None:
+        while batch := self.hints.first(peer, BATCH):
+            if not await self._push(peer, batch, HANDOVER_TIMEOUT_S):
+                return
+            self.hints.delivered(peer, batch)
+            await asyncio.sleep(PACE_S)
+
+    async def _push(self, peer: str, entries: Sequence[Entry], timeout: float) -> bool:
+        if peer not in self._callers:
+            self._callers[peer] = self._connect(peer)
+        request = PushRequest(node_name=self._node_name, entries=list(entries))
+        try:
+            await self._callers[peer].call("push", request, timeout)
+        except RpcError as error:
+            log.info("handoff: %s did not take %d entries: %s", peer, len(entries), error)
+            return False
+        return True
--- /dev/null
+++ b/larchgw/distribution/peers.py
@@ -0,0 +1,66 @@
+"""Control processes pull from one another: one puller a peer, all keys."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+
+from .puller import Caller, Puller
+from .registry import Registry
+from .sources import PullSettings
+
+LOOK_S = 0.1  # how often the list of peers is compared with the pullers that run
+
+
+class PeerPullers:
+    """Keeps one puller running for each address that `peers` names (rpc addresses, the own one left out)."""
+
+    def __init__(self, registry: Registry, connect: Callable[[str], Caller],
+                 peers: Callable[[], Sequence[str]], settings: PullSettings, dice: random.Random, *,
+                 node_name: str = "",
+                 clock: Callable[[], float] = time.monotonic) -> None:
+        self._registry = registry
+        self._connect = connect
+        self._peers = peers
+        self._settings = settings
+        self._dice = dice
+        self._node_name = node_name
+        self._clock = clock
+        self._pullers: dict[str, Puller] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Follows the list of peers until it is cancelled."""
+        try:
+            while True:
+                self.reconcile()
+                await asyncio.sleep(LOOK_S)
+        finally:
+            for address in list(self._tasks):
+                self._stop(address)
+
+    def reconcile(self) -> None:
+        """Starts and stops pullers so that they are those of the peers of now."""
+        wanted = set(self._peers())
+        for address in set(self._tasks) - wanted:
+            self._stop(address)
+        for address in wanted:
+            if address not in self._tasks or self._tasks[address].done():
+                self._start(address)
+
+    def last_heard(self, address: str) -> float | None:
+        """When that peer last answered and was not cut off, by the clock."""
+        puller = self._pullers.get(address)
+        return puller.last_heard if puller is not None else None
+
+    def _start(self, address: str) -> None:
+        puller = Puller(self._registry, self._connect, lambda: [address], self._settings, self._dice,
+                        node_name=self._node_name, learns=False, clock=self._clock)
+        self._pullers[address] = puller
+        self._tasks[address] = asyncio.get_running_loop().create_task(puller.run())
+
+    def _stop(self, address: str) -> None:
+        self._tasks.pop(address).cancel()
+        self._pullers.pop(address, None)
--- /dev/null
+++ b/larchgw/distribution/puller.py
@@ -0,0 +1,171 @@
+"""The asking side of pulls: keeps a registry up to date from one control process at a time.
+
+A pull waits at the control process for news. A process that errs, stays silent longer than the settings allow
+or says that it is cut off from the majority is left for another at once; what a cut-off process sends is
+merged all the same, since merging never takes anything back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+from ..rpc.errors import RpcError
+from ..rpc.generated.ttypes import PullReply, PullRequest, PushRequest
+from .interface import RUNNER
+from .registry import Registry
+from .sources import PullSettings, SourceChoice
+from .vectors import Vector, cursors, without_cursors
+
+log = logging.getLogger(__name__)
+NO_ADDRESS_PAUSE_S = 0.1  # until the addresses are asked for again
+
+
+class Caller(Protocol):
+    """A connection to one process; rpc.client.RpcClient is the real one."""
+
+    async def call(self, method: str, argument: Any, timeout: float) -> Any:
+        """The answer. `timeout` is in seconds. Raises RpcError."""
+
+    def close(self) -> None:
+        """Ends the connection."""
+
+
+class _Session:
+    """What is known of the process pulled from, since the change to it."""
+
+    def __init__(self, address: str, caller: Caller) -> None:
+        self.address = address
+        self.caller = caller
+        self.cursors: Vector = {}
+        self.vector: Vector = {}  # what it holds
+        self.returns_at: float | None = None  # when entries that it lacks are given to it
+        self.life = ""  # its cursor's name
+
+    def read(self, reply: PullReply) -> bool:
+        """Notes how far it is read; whether it is another life of that process than before."""
+        upto = reply.upto or {}
+        self.cursors = cursors(upto)
+        life = next(iter(self.cursors), "")
+        changed = life != self.life
+        if changed:
+            self.life, self.vector = life, {}
+        for origin, sequence in without_cursors(upto).items():
+            self.vector[origin] = max(sequence, self.vector.get(origin, 0))
+        return changed
+
+
+class Puller:
+    """Pulls entries with `prefixes` (none: all) into the registry until it is cancelled.
+
+    `connect` opens a connection to an address; `addresses` gives the control processes to start from. Later
+    ones are learned from the replies. With `returns` set, entries of runners that the process pulled from
+    turns out to lack some time after the change to it are given to it: after a restart of all control
+    processes the dispatchers are the only ones who know of a runner that crashed meanwhile.
+    """
+
+    def __init__(self, registry: Registry, connect: Callable[[str], Caller],
+                 addresses: Callable[[], Sequence[str]], settings: PullSettings, dice: random.Random, *,
+                 node_name: str = "", prefixes: Sequence[str] = (), near: Callable[[str], bool] | None = None,
+                 learns: bool = True, returns: bool = False,
+                 clock: Callable[[], float] = time.monotonic) -> None:
+        self.registry = registry
+        self.last_heard: float | None = None  # by `clock`: the last answer of a process that is not cut off
+        self.changes = 0  # of the process pulled from
+        self._connect = connect
+        self._addresses = addresses
+        self._settings = settings
+        self._dice = dice
+        self._choice = SourceChoice(settings, dice, near)
+        self._node_name = node_name
+        self._prefixes = list(prefixes)
+        self._learns = learns
+        self._returns = returns
+        self._clock = clock
+        self._learned: list[str] = []
+        self._session: _Session | None = None
+
+    @property
+    def source(self) -> str:
+        """The control process that served last; empty if there is none."""
+        return self._choice.current
+
+    async def run(self) -> None:
+        """Pulls until it is cancelled."""
+        try:
+            while True:
+                await self.step()
+        finally:
+            self._leave()
+
+    async def step(self) -> None:
+        """One pull, with the pause before it."""
+        given = list(self._addresses())
+        source = self._choice.choose(self._clock(), self._learned or given, given)
+        if source is None:
+            await asyncio.sleep(NO_ADDRESS_PAUSE_S)
+            return
+        if source.pause > 0.0:
+            await asyncio.sleep(source.pause)
+        session = self._open(source.address)
+        try:
+            reply = await self._pull(session)
+        except RpcError as error:
+            log.info("pull: leaving %s: %s", source.address, error)
+            self._choice.failed(source.address)
+            self._leave()
+            return
+        self._take(session, reply)
+        await self._return_entries(session)
+
+    async def _pull(self, session: _Session) -> PullReply:
+        request = PullRequest(node_name=self._node_name, have=self.registry.vector() | session.cursors,
+                              wait_ms=round(self._settings.wait_s * 1000.0), prefixes=self._prefixes)
+        timeout = self._settings.wait_s + self._settings.silence_s
+        return await session.caller.call("pull", request, timeout)
+
+    def _take(self, session: _Session, reply: PullReply) -> None:
+        now = self._clock()
+        self.registry.merge(reply.entries or [])
+        if not reply.more:
+            self.registry.advance(reply.upto or {})
+        if session.read(reply) and self._returns:
+            session.returns_at = now + self._settings.return_after_s * self._dice.uniform(1.0, 1.5)
+        if self._learns and reply.control:
+            self._learned = list(reply.control)
+        if reply.isolated:
+            self._choice.failed(session.address)
+        else:
+            self._choice.served(now, session.address)
+            self.last_heard = now
+
+    async def _return_entries(self, session: _Session) -> None:
+        if session.returns_at is None or self._clock() < session.returns_at:
+            return
+        session.returns_at = None
+        lacking = list(self.registry.beyond(session.vector, RUNNER))
+        if not lacking:
+            return
+        log.info("pull: giving %d entries to %s, which lacks them", len(lacking), session.address)
+        try:
+            await session.caller.call("push", PushRequest(node_name=self._node_name, entries=lacking),
+                                      self._settings.silence_s)
+        except RpcError as error:
+            log.info("pull: %s did not take entries: %s", session.address, error)
+
+    def _open(self, address: str) -> _Session:
+        if self._session is not None and self._session.address != address:
+            self._leave()
+        if self._session is None:
+            self._session = _Session(address, self._connect(address))
+            self.changes += 1
+        return self._session
+
+    def _leave(self) -> None:
+        if self._session is not None:
+            self._session.caller.close()
+            self._session = None
--- /dev/null
+++ b/larchgw/distribution/sources.py
@@ -0,0 +1,112 @@
+"""Which control process to pull from next. Pure: time comes in as an argument, randomness is a seeded
+generator.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from ..configuration.settings import TimeLimits
+
+WAIT_SHARE = 0.25  # of the time within which news must be in force: how long one pull waits
+SILENCE_SHARE = 0.35  # of that time: how much longer than the wait an answer may take
+
+
+@dataclass(frozen=True, slots=True)
+class PullSettings:
+    """Times of pulls, in seconds."""
+
+    wait_s: float = 0.5  # how long a control process may keep a pull waiting
+    silence_s: float = 0.7  # beyond the wait; then the process counts as lost
+    start_spread_s: float = 0.1  # the first pull comes within this, so that a start of all at once is spread
+    first_backoff_s: float = 0.05  # pause once every process was tried in vain; doubles
+    last_backoff_s: float = 0.8  # where doubling ends
+    reconsider_s: float = 60.0  # after this, one in the own zone is taken again if the current one is not
+    return_after_s: float = 5.0  # after a change, when entries that the new process lacks are given to it
+
+    @classmethod
+    def of(cls, limits: TimeLimits) -> PullSettings:
+        """Waits short enough that news is here in time although one control process has just been lost."""
+        bound = min(limits.apply_ms, limits.drain_end_ms) / 1000.0
+        return cls(wait_s=WAIT_SHARE * bound, silence_s=SILENCE_SHARE * bound)
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Pull from this address after a pause of so many seconds."""
+
+    address: str
+    pause: float
+
+
+class SourceChoice:
+    """Stays with one process while it serves; tries every other one before it comes back to one that did not.
+
+    `near` says of an address whether it is in the own zone. `fallback` addresses are tried after all others.
+    """
+
+    def __init__(self, settings: PullSettings, dice: random.Random,
+                 near: Callable[[str], bool] | None = None) -> None:
+        self._settings = settings
+        self._dice = dice
+        self._near = near or (lambda address: False)
+        self._current = ""
+        self._since = 0.0
+        self._failed: set[str] = set()  # in this round
+        self._rounds = 0  # gone through in vain
+        self._started = False
+
+    @property
+    def current(self) -> str:
+        """The process that served last; empty if it no longer does."""
+        return self._current
+
+    def choose(self, now: float, addresses: Sequence[str], fallback: Sequence[str] = ()) -> Source | None:
+        """Whom to ask next; None while no address is known."""
+        if self._stays(now, addresses):
+            return Source(self._current, 0.0)
+        self._current = ""
+        known = list(dict.fromkeys([*addresses, *fallback]))
+        if not known:
+            return None
+        fresh = [address for address in known if address not in self._failed]
+        pause = self._first_pause()
+        if not fresh:
+            fresh, self._failed = known, set()
+            pause = self._backoff()
+        first = [address for address in fresh if address in addresses] or fresh
+        near = [address for address in first if self._near(address)]
+        return Source(self._dice.choice(near or first), pause)
+
+    def served(self, now: float, address: str) -> None:
+        """It has answered, and is not cut off."""
+        if address != self._current:
+            self._current, self._since = address, now
+        self._failed.clear()
+        self._rounds = 0
+
+    def failed(self, address: str) -> None:
+        """It gave no answer, or said that it is cut off from the majority."""
+        self._failed.add(address)
+        self._current = ""
+
+    def _stays(self, now: float, addresses: Sequence[str]) -> bool:
+        if not self._current:
+            return False
+        if self._near(self._current) or now - self._since < self._settings.reconsider_s:
+            return True
+        self._since = now + self._dice.random() * self._settings.reconsider_s
+        return not any(self._near(address) for address in addresses)
+
+    def _first_pause(self) -> float:
+        if self._started:
+            return 0.0
+        self._started = True
+        return self._dice.random() * self._settings.start_spread_s
+
+    def _backoff(self) -> float:
+        longest = min(self._settings.first_backoff_s * 2.0 ** self._rounds, self._settings.last_backoff_s)
+        self._rounds += 1
+        return longest * self._dice.uniform(0.5, 1.0)
