The edge's data plane: requests to runners, answers and streams back

The system's edge had no code that carries requests. larchgw/edge/proxy.py takes clients on the present program's HTTP server, asks the selection where each request goes, and passes answers on; larchgw/net gains an event loop on asyncio, limits that can be changed while it runs, and answers written in pieces.

--- /dev/null
+++ b/larchgw/edge/exchange.py
@@ -0,0 +1,401 @@
+"""One client's request from its coming to its final answer: where it is sent, how often, what is answered."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Mapping
+
+from ..core.deadlines import Deadline
+from ..decide.interface import Attempt, AttemptOutcome, Refuse, RequestTraits, Send, Wait
+from ..directory.records import RunnerRecord, Stage
+from ..net.heads import Fields
+from ..net.httpserver import Exchange
+from . import requesthead as head_of
+from .answers import Verdict, judge, runner_load
+from .context import ProxyContext
+from .events import EventTooLong
+from .relay import WholeRelay
+from .runner_link import AnswerHead, RunnerLink
+from .stream_relay import StreamMismatch, StreamRelay
+
+DEADLINE_MARGIN_S = 0.02  # before the client gives up: our answer has to reach it
+EXTRA_SENDS = 3  # beyond the route's tries, for sends that certainly never ran
+LEAST_RETRY_AFTER_S = 0.05
+RETRY_AFTER_S = 0.25  # where the decision names no time
+RETRY_AFTER_SHARE = 1 / 3  # of the time left: clients honour no more
+# A silent stream is taken up elsewhere, well before its client gives it up (2 s and more): after this ...
+SILENCE_S = 1.0
+SILENCE_GAPS = 4.0  # ... or so many times the longest pause that is in time
+HIGH_WATER = 256 * 1024  # unsent bytes to a client at which its runner's answer is read no further
+log = logging.getLogger(__name__)
+
+
+class ProxyExchange:
+    """Carries one request. Every one ends in exactly one of `_reply`, `_cut`, `_done` and `client_gone`."""
+
+    def __init__(self, context: ProxyContext, exchange: Exchange, traits: RequestTraits, name: bytes) -> None:
+        self.name, self.traits = name, traits
+        self._context, self._exchange = context, exchange
+        self._fields: Fields = exchange.fields
+        self._tried: list[str] = []
+        self._sends = self._arrivals = self._runs = 0
+        self._over = self._asking = self._wanted = False
+        self._attempt: Attempt | None = None
+        self._send: Send | None = None
+        self._link: RunnerLink | None = None
+        self._verdict: AttemptOutcome | None = None  # of an answer that is not passed on
+        self._head: AnswerHead | None = None
+        self._relay: WholeRelay | None = None
+        self._stream: StreamRelay | None = None
+        self._streaming = False  # whether the present answer goes to `_stream`
+        self._heard_at = 0.0
+        self._wake: Deadline | None = None
+        self._silence: Deadline | None = None
+        self._deadline = context.loop.deadlines.add(
+            max(traits.deadline_at - DEADLINE_MARGIN_S, traits.arrived_at), self._expired)
+
+    @property
+    def at_runner(self) -> bool:
+        """Whether it is at a runner, or on its way there."""
+        return self._attempt is not None
+
+    @property
+    def started(self) -> bool:
+        """Whether the client has got the beginning of an answer."""
+        return (self._stream is not None and self._stream.started) or (
+            self._relay is not None and self._relay.started)
+
+    # Where it goes
+
+    def ask(self) -> bool:
+        """Asks the selection where it goes, and does it. Returns whether it waits no more."""
+        if self._over or self._attempt is not None or self._asking:
+            return True
+        self._asking = True
+        try:
+            return self._ask()
+        finally:
+            self._asking = False
+
+    def _ask(self) -> bool:
+        """Sends that fail at once lead to the next question."""
+        context, traits = self._context, self.traits
+        while not self._over and self._attempt is None:
+            now = context.now()
+            if self._arrivals and not context.budget.may_repeat(now, traits.service, context.dispatchers()):
+                self._give_up(RETRY_AFTER_S, "budget")
+                return True
+            expected = context.expected(traits.service, traits.model, traits.adapter)
+            choice = context.selection.choose(now, traits, self._candidates(), tuple(self._tried), expected)
+            if isinstance(choice, Wait):
+                self._wait(now, choice)
+                return False
+            self._wait_no_more()
+            if isinstance(choice, Refuse):
+                self._give_up(choice.retry_after, choice.reason)
+            else:
+                self._send_to(now, choice)
+        return True
+
+    def _candidates(self) -> Mapping[str, RunnerRecord]:
+        """The service's runners; for a stream that goes on, those known to have the same weights."""
+        runners = self._context.runners(self.traits.service)
+        stream, model = self._stream, self.traits.model
+        if stream is None or not stream.started or not stream.version or not model:
+            return runners
+        version = int(stream.version) if stream.version.isdigit() else 0
+        same = {name: runner for name, runner in runners.items()
+                if any(held.name == model and held.config_version == version for held in runner.models)}
+        return same or runners
+
+    def _wait(self, now: float, choice: Wait) -> None:
+        context, traits = self._context, self.traits
+        context.waiting.add(self)
+        context.loop.deadlines.drop(self._wake)
+        self._wake = context.loop.deadlines.add(max(choice.until, now), self._woken)
+        if traits.model and not self._wanted:
+            ready = [x for x in context.runners(traits.service).values() if x.stage < Stage.DRAINING]
+            if not any(runner.holds(traits.model, traits.adapter) for runner in ready):
+                self._wanted = True
+                context.on_wanted(traits.service, traits.model, traits.adapter)
+
+    def _woken(self) -> None:
+        self._wake = None
+        self.ask()
+
+    def _wait_no_more(self) -> None:
+        self._context.waiting.remove(self)
+        self._context.loop.deadlines.drop(self._wake)
+        self._wake = None
+
+    def _send_to(self, now: float, choice: Send) -> None:
+        context, runner = self._context, choice.runner
+        attempt = Attempt(self.traits, runner.id, self._sends, now)
+        self._sends += 1
+        if runner.id not in self._tried:
+            self._tried.append(runner.id)
+        self._attempt, self._send, self._verdict, self._head = attempt, choice, None, None
+        self._heard_at = now
+        context.selection.sent(attempt)
+        if self._arrivals:
+            context.budget.repeat(now, self.traits.service)
+        link = context.pool.acquire(runner, once=not self.traits.route.idempotent)
+        if link is None:
+            self._ended(AttemptOutcome.UNSENT)
+            return
+        self._link = link
+        link.begin(self, self._exchange.method == b"HEAD")
+
+    # What the connection asks and tells
+
+    def request(self) -> bytes | None:
+        """The request's bytes for the present runner; None if it takes none any more."""
+        attempt, choice = self._attempt, self._send
+        if attempt is None or choice is None:
+            return None
+        runner = self._context.runners(self.traits.service).get(attempt.runner)
+        if runner is None or runner.stage >= Stage.DRAINING or runner.address != choice.runner.address:
+            return None
+        exchange = self._exchange
+        left_ms = max(int(1000.0 * (self.traits.deadline_at - self._context.now())), 1)
+        lines = [b"%b %b HTTP/1.1" % (exchange.method, exchange.target)]
+        lines += [b"%b: %b" % field for field in self._passed_on()]
+        lines.append(b"X-Attempt-Id: %b\r\nX-Target-Runner: %b\r\nX-Time-Left-Ms: %d\r\nPriority: %d"
+                     % (self.name, attempt.runner.encode("latin-1"), left_ms, choice.priority))
+        if exchange.body or b"content-length" in exchange.headers or b"transfer-encoding" in exchange.headers:
+            lines.append(b"Content-Length: %d" % len(exchange.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + exchange.body
+
+    def _passed_on(self) -> Fields:
+        """The client's fields; for a stream that goes on, with the event and the weights it goes on from."""
+        stream = self._stream
+        if stream is None or not stream.started:
+            return head_of.passed_on(self._fields)
+        replaced = frozenset((head_of.LAST_EVENT_ID, head_of.EXPECT_VERSION))
+        fields = head_of.passed_on(self._fields, replaced)
+        fields.append((b"Last-Event-Id", b"%d" % (stream.last_id or 0)))
+        if stream.version:
+            fields.append((b"Expect-Version", stream.version))
+        return fields
+
+    def on_answer(self, head: AnswerHead) -> None:
+        """The head of the runner's answer has come."""
+        attempt = self._attempt
+        assert attempt is not None
+        self._head = head
+        load = runner_load(head)
+        if load is not None:
+            self._context.selection.told_load(self._context.now(), attempt.runner, *load)
+        verdict = judge(head)
+        self._streaming = verdict is Verdict.EVENTS
+        if verdict is Verdict.EVENTS:
+            self._stream_begins(head)
+        elif self._stream is not None and self._stream.started and verdict is Verdict.ANSWER:
+            self._verdict = AttemptOutcome.RUNNER_ERROR  # the client has the head of a stream already
+        elif verdict is Verdict.ANSWER:
+            self._relay = WholeRelay(self._exchange, head)
+            self._context.selection.head(self._context.now(), attempt)
+        elif verdict is Verdict.NO_ANSWER:
+            self._break_off(AttemptOutcome.GARBLED)
+        else:
+            self._verdict = {Verdict.FULL: AttemptOutcome.FULL, Verdict.NOT_HELD: AttemptOutcome.NOT_HELD,
+                             Verdict.UNPROVEN: AttemptOutcome.RUNNER_ERROR}[verdict]
+
+    def on_body(self, data: bytes) -> None:
+        """Bytes of the runner's answer."""
+        if self._verdict is not None:
+            return
+        if self._streaming:
+            self._stream_bytes(data)
+        elif self._relay is not None:
+            self._relay.feed(data)
+        if self._exchange.unsent > HIGH_WATER and self._link is not None:
+            self._link.pause(True)
+            self._exchange.on_drained = self._drained
+
+    def _drained(self) -> None:
+        self._exchange.on_drained = None
+        self._heard_at = self._context.now()
+        if self._link is not None:
+            self._link.pause(False)
+
+    def on_answer_end(self) -> None:
+        """The runner's answer is whole."""
+        self._link = None
+        if self._verdict is not None:
+            self._ended(self._verdict)
+            return
+        relay = self._stream if self._streaming else self._relay
+        assert relay is not None and self._head is not None
+        status = self._head.status
+        try:
+            relay.complete()
+        except StreamMismatch as error:
+            self._mismatch(error)
+            return
+        self._settle(AttemptOutcome.DONE if status < 500 else AttemptOutcome.RUNNER_ERROR)
+        self._context.counters.answers.labels(str(status), "runner").inc()
+        self._finish()
+
+    def on_lost(self, outcome: AttemptOutcome) -> None:
+        """There is no (more) answer from the runner."""
+        self._link = None
+        self._ended(self._verdict if self._verdict is not None else outcome)
+
+    # Streams
+
+    def _stream_begins(self, head: AnswerHead) -> None:
+        if self._stream is None:
+            self._stream = StreamRelay(self._exchange)
+        try:
+            self._stream.begin(head)
+        except StreamMismatch as error:
+            self._mismatch(error)
+            return
+        self._heard_at = self._context.now()
+        if self.traits.route.can_resume and self._silence is None:
+            self._watch_silence(self._heard_at + self._silence_s())
+
+    def _stream_bytes(self, data: bytes) -> None:
+        stream, attempt = self._stream, self._attempt
+        assert stream is not None and attempt is not None
+        started = stream.started
+        self._heard_at = self._context.now()
+        try:
+            stream.feed(data)
+        except (StreamMismatch, EventTooLong) as error:
+            self._mismatch(error)
+            return
+        if stream.started and not started:
+            self._context.selection.head(self._heard_at, attempt)
+
+    def _mismatch(self, error: Exception) -> None:
+        log.warning("a runner's stream can't be passed on: %s", error)
+        self._break_off(AttemptOutcome.GARBLED)
+
+    def _silence_s(self) -> float:
+        return max(SILENCE_S, SILENCE_GAPS * self.traits.route.gap_aim_ms / 1000.0)
+
+    def _watch_silence(self, at: float) -> None:
+        self._silence = self._context.loop.deadlines.add(at, self._check_silence)
+
+    def _check_silence(self) -> None:
+        """A runner that has fallen silent in a stream is left where the stream may go on elsewhere."""
+        self._silence = None
+        now, limit = self._context.now(), self._silence_s()
+        waits = self._attempt is not None and self.started and self._exchange.on_drained is None
+        if not waits or now - self._heard_at < limit:
+            self._watch_silence(max(self._heard_at, now - limit / 2) + limit)
+            return
+        service = self.traits.service
+        allowed = self._context.budget.may_repeat(now, service, self._context.dispatchers())
+        if allowed and self._may_run_again(self._runs + 1):
+            self._break_off(AttemptOutcome.SILENT)
+        else:
+            self._watch_silence(now + limit)
+
+    # How attempts end
+
+    def _break_off(self, outcome: AttemptOutcome) -> None:
+        """We give the attempt up; `outcome` where it may have run."""
+        link, self._link = self._link, None
+        never_sent = link is not None and link.cancel() is AttemptOutcome.UNSENT
+        self._ended(AttemptOutcome.UNSENT if never_sent else outcome)
+
+    def _settle(self, outcome: AttemptOutcome) -> None:
+        """Books the end of the attempt."""
+        attempt, self._attempt = self._attempt, None
+        assert attempt is not None
+        self._context.selection.ended(self._context.now(), attempt, outcome)
+        self._context.counters.attempts.labels(outcome.name.lower()).inc()
+        if outcome not in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.UNSENT):
+            self._arrivals += 1
+        if not outcome.never_ran:
+            self._runs += 1
+        self._context.waiting.runner_freed(attempt.runner)
+
+    def _ended(self, outcome: AttemptOutcome) -> None:
+        """An attempt ended without the answer: it goes elsewhere, or is given up."""
+        self._settle(outcome)
+        if outcome.never_ran:
+            again = self._sends < self.traits.route.tries + EXTRA_SENDS
+        else:
+            again = self._may_run_again(self._runs)
+        if again and self.started and self._stream is not None:
+            self._context.counters.resumed.inc()
+        if again:
+            self._relay = None
+            self.ask()
+        else:
+            self._give_up(self._retry_after(), outcome.name.lower(), outcome is AttemptOutcome.SILENT)
+
+    def _may_run_again(self, runs: int) -> bool:
+        """Whether it may go to a further runner after it may have run so many times."""
+        route = self.traits.route
+        if not route.idempotent or runs >= route.tries:
+            return False
+        if not self.started:
+            return True
+        stream = self._stream
+        return route.can_resume and stream is not None and stream.started and stream.can_go_on
+
+    def _retry_after(self) -> float:
+        """What the runner that turned it away asks for."""
+        told = self._head.headers.get(b"retry-after", b"") if self._head is not None else b""
+        try:
+            return max(float(told), LEAST_RETRY_AFTER_S)
+        except ValueError:
+            return RETRY_AFTER_S
+
+    # The final answer
+
+    def _expired(self) -> None:
+        """The deadline has come."""
+        if self._over:
+            return
+        if self._attempt is not None:
+            link, self._link = self._link, None
+            sent = link is not None and link.cancel() is not AttemptOutcome.UNSENT
+            self._settle((self._verdict or AttemptOutcome.SILENT) if sent else AttemptOutcome.UNSENT)
+        self._give_up(RETRY_AFTER_S, "deadline", late=True)
+
+    def _give_up(self, retry_after: float, reason: str, late: bool = False) -> None:
+        """Answers at once. 503 promises that it never ran and never will."""
+        if self.started:
+            self._cut(reason)
+        elif self._runs:
+            self._reply(504 if late else 502, reason)
+        else:
+            left = max(self.traits.deadline_at - self._context.now(), 0.0)
+            seconds = min(max(retry_after, LEAST_RETRY_AFTER_S), left * RETRY_AFTER_SHARE)
+            self._context.counters.refused.labels(reason).inc()
+            self._reply(503, reason, (("Retry-After", f"{seconds:.3f}"),))
+
+    def _reply(self, status: int, reason: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        self._context.counters.answers.labels(str(status), "edge").inc()
+        self._exchange.reply(status, reason.encode() + b"\n", headers)
+        self._finish()
+
+    def _cut(self, reason: str) -> None:
+        """The answer has begun and can't be ended: the client must see that it isn't whole."""
+        self._context.counters.cut.inc()
+        log.info("an answer is cut off: %s", reason)
+        self._exchange.end(complete=False)
+        self._finish()
+
+    def client_gone(self) -> None:
+        """Its client has left: nothing more is owed, and the runner may stop."""
+        if self._over:
+            return
+        self._context.counters.gone.inc()
+        if self._attempt is not None:
+            link, self._link = self._link, None
+            self._settle(link.cancel() if link is not None else AttemptOutcome.UNSENT)
+        self._finish()
+
+    def _finish(self) -> None:
+        self._over = True
+        self._wait_no_more()
+        self._context.loop.deadlines.drop(self._deadline)
+        self._context.loop.deadlines.drop(self._silence)
+        self._context.closed(self)
--- /dev/null
+++ b/larchgw/edge/proxy.py
@@ -0,0 +1,241 @@
+"""The edge's data plane: clients' requests in, runners' answers out."""
+
+from __future__ import annotations
+
+import logging
+import random
+import zlib
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from ..configuration.model import Configuration, Limits, Route
+from ..configuration.routing import RouteTable
+from ..configuration.settings import NodeSettings
+from ..core.counters import Counters
+from ..core.deadlines import Deadline
+from ..decide.interface import Budget, RequestTraits, Selection
+from ..directory.records import RunnerRecord
+from ..net.connection import parse_address
+from ..net.httpserver import Exchange, HttpServer, ServerLimits
+from ..net.loop import EventLoop
+from ..rpc.generated.ttypes import ModelDemand
+from . import requesthead as head_of
+from .context import ProxyContext
+from .counters import EdgeCounters
+from .demand import DemandTally
+from .errors import BadRequest
+from .exchange import ProxyExchange
+from .runner_pool import RunnerPool
+
+FILES_KEPT = 200  # descriptors for files outside the sockets
+CLIENT_SHARE = 0.6  # of the descriptors, for clients; runners, rpc and readiness have the rest
+BODY_SHARE = 0.25  # of the memory, for bodies of requests that are still being read
+UNCONFIGURED_RETRY_S = 0.5
+DRAIN_LOOK_S = 0.05  # between two looks whether all has been answered and written
+SLOW_PIECE_S = 2.0  # for the next piece of a body, once the time for a head is over ...
+SLOW_BODY_S = 30.0  # ... up to this, for the largest bodies on slow links
+log = logging.getLogger(__name__)
+
+
+class Proxy:
+    """Serves clients. All times, also those that the callbacks give, are seconds of `loop.clock`.
+
+    The callbacks are set by whoever wires it: `runners(service)`; `expected(service, model, adapter)`, when
+    an ordered load is done, by runner; `dispatchers()`, how many share the limits; `on_wanted(service,
+    model, adapter)`, called when a request waits for what no runner holds.
+    """
+
+    name = "edge"  # of its listener, in counters
+
+    def __init__(self, loop: EventLoop, settings: NodeSettings, selection: Selection, budget: Budget,
+                 rng: random.Random) -> None:
+        self.loop, self._settings, self._random = loop, settings, rng
+        self.net_counters = Counters()
+        self.counters = EdgeCounters(self.net_counters.registry)
+        self.runners: Callable[[str], Mapping[str, RunnerRecord]] = lambda service: {}
+        self.expected: Callable[[str, str, str], Mapping[str, float]] = lambda service, model, adapter: {}
+        self.dispatchers: Callable[[], int] = lambda: 1
+        self.on_wanted: Callable[[str, str, str], None] = lambda service, model, adapter: None
+        self._pool = RunnerPool(loop, self.counters, self._max_open)
+        self._context = ProxyContext(
+            loop, selection, budget, self._pool, self.counters, lambda service: self.runners(service),
+            lambda service, model, adapter: self.expected(service, model, adapter),
+            lambda: max(self.dispatchers(), 1),
+            lambda service, model, adapter: self.on_wanted(service, model, adapter), self._closed)
+        self._configuration: Configuration | None = None
+        self._routes: RouteTable | None = None
+        self._open: set[ProxyExchange] = set()
+        self._demand = DemandTally()
+        self._numbers = 0
+        self._server: HttpServer | None = None
+        self._drained: Callable[[], None] | None = None
+        self._look: Deadline | None = None
+
+    # Control
+
+    def configure(self, configuration: Configuration) -> None:
+        """The routes, services and limits in force for requests from now on."""
+        self._routes = RouteTable(configuration)
+        self._configuration = configuration
+        if self._server is not None:
+            self._server.limits = _server_limits(configuration.limits)
+        self._context.waiting.all_changed()
+
+    def runners_changed(self) -> None:
+        """The runners, what they hold or what is expected there changed: waiting requests are asked anew."""
+        if self._configuration is not None:
+            runners: dict[str, RunnerRecord] = {}
+            for service in self._configuration.services:
+                runners.update(self.runners(service.name))
+            self._pool.runners_changed(runners)
+        self._context.waiting.all_changed()
+
+    def listen(self, address: str) -> tuple[str, int]:
+        """Takes clients at this "host:port". Returns where. Raises OSError and ValueError."""
+        files = self._settings.limits.open_files - FILES_KEPT
+        limits = _server_limits(self._configuration.limits if self._configuration else Limits())
+        self._server = HttpServer(
+            self.loop, self.net_counters, parse_address(address), self, cap=max(int(CLIENT_SHARE * files), 1),
+            max_held=int(BODY_SHARE * self._settings.limits.memory_mb * (1 << 20)), limits=limits)
+        return self._server.listener.address
+
+    def stop_accepting(self) -> None:
+        """Takes no more connections and closes resting ones; the others close behind their answers."""
+        if self._server is not None:
+            self._server.stopping = True
+            self._server.listener.close()
+            self._server.close_idle()
+
+    def drain(self, done: Callable[[], None]) -> None:
+        """Calls `done` once every request has its answer and that is written. Call `stop_accepting` first."""
+        self._drained = done
+        self._check_drained()
+
+    def close(self) -> None:
+        """Closes every connection, whatever it carries."""
+        self.loop.deadlines.drop(self._look)
+        for request in list(self._open):
+            request.client_gone()
+        self._pool.close()
+        if self._server is not None:
+            if self._server.listener.open:
+                self._server.listener.close()
+            for link in list(self._server.links):
+                link.close()
+                link.connection.close()
+            for connection in list(self._server.lingering):
+                connection.close()
+
+    @property
+    def open_count(self) -> int:
+        """Requests without a final answer."""
+        return len(self._open)
+
+    def demand(self) -> list[ModelDemand]:
+        """What was asked for by model and adapter since the last call, and what waits and runs now."""
+        at_runners = Counter(request.traits.key for request in self._open if request.at_runner)
+        return self._demand.take(self.loop.clock.now(), self._context.waiting.traits(), at_runners)
+
+    # From clients
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        """A request has come in whole."""
+        if exchange.old:
+            self._own_answer(exchange, 505, "use HTTP/1.1")
+            return
+        if self._routes is None:
+            self._own_answer(exchange, 503, "not configured yet", UNCONFIGURED_RETRY_S)
+            return
+        try:
+            name = head_of.attempt_id(exchange.headers)
+            head_of.check_single(exchange.fields)
+        except BadRequest as error:
+            self._own_answer(exchange, 400, str(error))
+            return
+        host = exchange.headers.get(b"host", b"").decode("latin-1")
+        route = self._routes.find(host, exchange.path.decode("latin-1"))
+        if route is None:
+            self._own_answer(exchange, 404, "no route")
+            return
+        self._begin(exchange, route, name)
+
+    def on_client_gone(self, exchange: Exchange) -> None:
+        """Its client left before the answer."""
+        if isinstance(exchange.extra, ProxyExchange):
+            exchange.extra.client_gone()
+
+    # Inside
+
+    def _begin(self, exchange: Exchange, route: Route, name: bytes) -> None:
+        traits = self._traits(exchange, route, name)
+        self.counters.requests.labels(route.kind).inc()
+        self._context.budget.request(traits.arrived_at, traits.service)
+        if traits.model:
+            self._demand.arrived(traits)
+        request = exchange.extra = ProxyExchange(self._context, exchange, traits, name)
+        self._open.add(request)
+        self.counters.open.set(len(self._open))
+        request.ask()
+
+    def _traits(self, exchange: Exchange, route: Route, name: bytes) -> RequestTraits:
+        self._numbers += 1
+        headers, arrived = exchange.headers, exchange.arrived
+        service = split_service(route, name)
+        described = self._configuration.service(service) if self._configuration is not None else None
+        pinned = route.pinned and described is not None and described.runtime is not None
+        model, adapter = head_of.model_of(headers) if pinned else ("", "")
+        tokens_in, tokens_out = head_of.tokens_of(headers)
+        longest = route.deadline_ms / 1000.0
+        target = (route.target_ms or route.deadline_ms) / 1000.0
+        return RequestTraits(
+            number=self._numbers, route=route, service=service, arrived_at=arrived,
+            deadline_at=arrived + head_of.time_left(headers, longest), target_at=arrived + target,
+            model=model, adapter=adapter, prompt_tokens=tokens_in, output_tokens=tokens_out,
+            parts=head_of.parts_of(headers))
+
+    def _own_answer(self, exchange: Exchange, status: int, reason: str, retry_after: float = 0.0) -> None:
+        headers = (("Retry-After", f"{retry_after:.3f}"),) if retry_after else ()
+        self.counters.answers.labels(str(status), "edge").inc()
+        exchange.reply(status, reason.encode() + b"\n", headers)
+
+    def _closed(self, request: object) -> None:
+        assert isinstance(request, ProxyExchange)
+        self._open.discard(request)
+        self.counters.open.set(len(self._open))
+
+    def _max_open(self, service: str) -> int:
+        described = self._configuration.service(service) if self._configuration is not None else None
+        return (described.max_conns if described is not None else 0) // max(self.dispatchers(), 1)
+
+    def _check_drained(self) -> None:
+        self._look = None
+        if self._drained is None:
+            return
+        server = self._server
+        if server is not None:
+            server.close_idle()
+        if self._open or (server is not None and (server.links or server.lingering)):
+            self._look = self.loop.deadlines.add(self.loop.clock.now() + DRAIN_LOOK_S, self._check_drained)
+            return
+        done, self._drained = self._drained, None
+        done()
+
+
+def split_service(route: Route, name: bytes) -> str:
+    """The service of the try with this id: always the same; over many ids in proportion to the weights."""
+    shares = [share for share in route.split() if share.weight > 0]
+    if len(shares) == 1:
+        return shares[0].service
+    point = zlib.crc32(name) / 2 ** 32 * sum(share.weight for share in shares)
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
+
+
+def _server_limits(limits: Limits) -> ServerLimits:
+    head_s, idle_s = limits.header_ms / 1000.0, limits.idle_ms / 1000.0
+    return ServerLimits(head_bytes=limits.header_bytes, body_bytes=limits.body_bytes, first_s=idle_s,
+                        message_s=head_s, silence_s=max(SLOW_PIECE_S, head_s),
+                        message_most_s=max(SLOW_BODY_S, head_s), idle_s=idle_s)
--- /dev/null
+++ b/larchgw/net/asyncloop.py
@@ -0,0 +1,125 @@
+"""`EventLoop` on the running asyncio loop, so that connections share a process with Tornado and the rpc."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+
+from ..core.counters import Counters
+from ..core.deadlines import Clock, Deadline, Deadlines
+from .loop import FIRST, READ, WRITE
+
+log = logging.getLogger(__name__)
+
+
+class _ScheduledDeadlines(Deadlines):
+    """Tells its owner whenever an earlier time than before comes first."""
+
+    def __init__(self, on_earlier: Callable[[float], None]) -> None:
+        super().__init__()
+        self._on_earlier = on_earlier
+
+    def add(self, at: float, action: Callable[[], None]) -> Deadline:
+        entry = super().add(at, action)
+        if self.next() == at:
+            self._on_earlier(at)
+        return entry
+
+
+class _Watch:
+    """One watched socket; asyncio hears only of changes in the events that are wanted."""
+
+    __slots__ = ("owner", "descriptor", "events", "ready")
+
+    def __init__(self, owner: AsyncLoop, descriptor: int) -> None:
+        self.owner, self.descriptor, self.events = owner, descriptor, 0
+        self.ready: Callable[[int], None] = lambda mask: None
+
+    def change(self, events: int) -> None:
+        """Asks asyncio for these events instead of the present ones."""
+        loop, added, removed = self.owner.loop, events & ~self.events, self.events & ~events
+        self.events = events
+        if added & READ:
+            loop.add_reader(self.descriptor, self._notify, READ)
+        if added & WRITE:
+            loop.add_writer(self.descriptor, self._notify, WRITE)
+        if removed & READ:
+            loop.remove_reader(self.descriptor)
+        if removed & WRITE:
+            loop.remove_writer(self.descriptor)
+
+    def _notify(self, mask: int) -> None:
+        self.owner.guard(lambda: self.ready(mask))
+
+
+class AsyncLoop:
+    """`EventLoop` for one asyncio loop. Times are those of `clock`, seconds.
+
+    Where `Loop` hears sockets of a lower rank first, this one hears them in the selector's order.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock | None = None) -> None:
+        self.loop, self.clock = loop, clock or Clock()
+        self.deadlines: Deadlines = _ScheduledDeadlines(self._earlier)
+        self.counters: Counters | None = None
+        self.finishing = 0
+        self.reuse_port = False
+        self._watches: dict[int, _Watch] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = float("inf")
+        self._closed = False
+
+    def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None],
+              rank: int = FIRST) -> None:
+        """Calls `ready` with the events at hand; 0 events pause it."""
+        descriptor = sock.fileno()
+        watch = self._watches.get(descriptor)
+        if watch is None:
+            if not events:
+                return
+            watch = self._watches[descriptor] = _Watch(self, descriptor)
+        watch.ready = ready
+        if watch.events != events:
+            watch.change(events)
+        if not events:
+            del self._watches[descriptor]
+
+    def forget(self, sock: socket.socket) -> None:
+        """Watches the socket no more."""
+        self.watch(sock, 0, lambda mask: None)
+
+    def call(self, action: Callable[[], None]) -> None:
+        """From any thread: does this in one of the loop's next turns."""
+        self.loop.call_soon_threadsafe(self.guard, action)
+
+    def close(self) -> None:
+        """Sweeps no more deadlines. What is watched is closed by its owners."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def guard(self, action: Callable[[], object]) -> None:
+        """Does it; an error of one connection is logged and must not reach the others."""
+        try:
+            action()
+        except Exception:
+            if self.counters:
+                self.counters.faults.labels("loop").inc()
+            log.exception("a callback of the loop failed")
+
+    def _earlier(self, at: float) -> None:
+        if self._closed or at >= self._due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = at
+        self._timer = self.loop.call_later(max(at - self.clock.now(), 0.0), self._sweep)
+
+    def _sweep(self) -> None:
+        self._timer, self._due = None, float("inf")
+        self.guard(lambda: self.deadlines.sweep(self.clock.now()))
+        due = self.deadlines.next()
+        if due is not None:
+            self._earlier(due)
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -9,7 +9,7 @@
 
 from ..core.deadlines import Deadline
 from .ending import Ending
-from .loop import CLIENTS, READ, WRITE, Loop
+from .loop import CLIENTS, READ, WRITE, EventLoop
 
 CHUNK = 65536
 READS = 4  # chunks read in one turn: what came last may be the end
@@ -34,10 +34,11 @@
 class Connection:
     """`unsent` is what the kernel has not taken yet; `over`: the other side's end has been read already."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, connecting: bool = False,
+    def __init__(self, loop: EventLoop, sock: socket.socket, owner: Owner, connecting: bool = False,
                  rank: int = CLIENTS) -> None:
         self.loop, self.sock, self.owner, self.rank = loop, sock, owner, rank
         self.over = False
+        self.max_unsent = MAX_UNSENT  # bytes; whoever writes more at once has to raise it
         self.connecting, self.closed, self._paused = connecting, False, False
         self._finishing = False
         self._lingering: dict[Connection, float] = {}  # where it stands while it finishes
@@ -62,7 +63,7 @@
         self._out += data
         if not self.connecting:
             self._flush()
-            if not self.closed and len(self._out) > MAX_UNSENT:
+            if not self.closed and len(self._out) > self.max_unsent:
                 self._end(Ending.CLOGGED)
 
     def pause(self, paused: bool) -> None:
@@ -208,7 +209,7 @@
         return bool(poll.poll(0))
 
 
-def connect(loop: Loop, address: tuple[str, int], owner: Owner, rank: int) -> Connection | Ending:
+def connect(loop: EventLoop, address: tuple[str, int], owner: Owner, rank: int) -> Connection | Ending:
     """Opens a connection, or says at once why not."""
     try:
         sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
--- /dev/null
+++ b/larchgw/net/heads.py
@@ -0,0 +1,41 @@
+"""Heads of HTTP/1.1 messages: the fields that concern one connection only, and heads written by us."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+Fields = list[tuple[bytes, bytes]]
+# Fields of one connection (RFC 9110, 7.6.1), and those of framing, which each sender writes anew.
+HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate",
+                        b"proxy-authorization", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+                        b"content-length", b"expect"))
+CLOSE = (b"Connection", b"close")
+CHUNKED = (b"Transfer-Encoding", b"chunked")
+
+
+def end_to_end(fields: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes] = frozenset()) -> Fields:
+    """The fields to pass on: without those of one connection, those that `Connection` names, and `dropped`.
+
+    `dropped` holds names in lower case.
+    """
+    fields = list(fields)
+    named = {token.strip().lower() for name, value in fields if name.lower() == b"connection"
+             for token in value.split(b",")}
+    unwanted = HOP_BY_HOP | dropped | named
+    return [field for field in fields if field[0].lower() not in unwanted]
+
+
+def reply_head(status: int, reason: bytes, fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """The head of an answer, with the empty line behind it."""
+    lines = [b"HTTP/1.1 %d %b" % (status, reason)]
+    lines += [b"%b: %b" % field for field in fields]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def phrase(status: int) -> bytes:
+    """The usual reason of a status; empty where it has none."""
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -14,22 +15,17 @@
 from ..core.deadlines import Deadline
 from .connection import CHUNK, Connection
 from .ending import Ending
+from .heads import CLOSE, Fields
+from .limits import MAX_BODY, ServerLimits
 from .listener import Listener
-from .loop import Loop
+from .loop import EventLoop
+from .replywriter import ReplyWriter
+
+__all__ = ["MAX_BODY", "Exchange", "Handler", "HttpServer", "Link", "ServerLimits"]
 
-MAX_BODY = 65536
-MAX_HEAD = 16384
 MAX_HEADERS = 100
-MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # as it comes, in chunks however small
-MAX_WAITING = 8  # requests read ahead on one connection ...
-MAX_WAITING_BYTES = MAX_BODY  # ... and their bodies; past either, reading waits
-# A client that sends nothing, or half a request, costs a descriptor that others need.
-FIRST_TIME = 2.0  # for a connection's first byte
-MESSAGE_TIME = 2.6  # for a request to come in whole, from its first byte, or the connection's start
-SILENCE = 1.0  # after that, for the next piece of one that still comes ...
-MESSAGE_MOST = 10.0  # ... up to this
+MAX_WAITING = 8  # requests read ahead on one connection, or bodies of the greatest size; then reading waits
 NEWCOMER = 0.25  # seconds in which the first request of a good client comes in
-IDLE_TIME = 300.0
 LOOK = 0.1  # seconds between two looks for the end of a connection of which nothing is read for now
 # Given twice, one of these is two requests in one: joined by what no value may hold, so that no reader takes
 # it for a value. Others are lists.
@@ -41,27 +37,55 @@
 
 
 class Exchange:
-    """One request and its answer."""
+    """One request and its answer: either `reply`, or `start`, any number of `send`, and `end`.
+
+    `headers` holds each name once, in lower case; `fields` is what came. `on_drained` is called once all that
+    was sent has been written, where it is set.
+    """
 
-    __slots__ = ("link", "method", "target", "path", "headers", "body", "arrived", "keep", "error", "extra",
-                 "done")
+    __slots__ = ("link", "method", "target", "path", "headers", "fields", "body", "arrived", "keep", "error",
+                 "extra", "done", "old", "on_drained")
 
     def __init__(self, link: Link, method: bytes = b"", target: bytes = b"") -> None:
         self.link, self.method, self.target = link, method, target
         self.path = target.partition(b"?")[0]
         self.headers: dict[bytes, bytes] = {}
+        self.fields: Fields = []
         self.body = b""
         self.arrived = link.server.loop.clock.now()
         self.keep = True
         self.error: tuple[int, str] | None = None
         self.extra: Any = None
         self.done = False
+        self.old = False  # whether its client speaks a version before HTTP/1.1
+        self.on_drained: Callable[[], None] | None = None
 
     def reply(self, status: int, body: bytes = b"", headers: tuple[tuple[str, str], ...] = ()) -> None:
         if not self.done:
             self.done = True
             self.link.reply(self, status, body, headers)
 
+    def start(self, status: int, reason: bytes, fields: Fields, length: int | None) -> None:
+        """Begins an answer of `length` bytes, or in chunks where that is None."""
+        if not self.done:
+            self.link.start(self, status, reason, fields, length)
+
+    def send(self, data: bytes) -> None:
+        """The next bytes of the answer that was begun."""
+        if not self.done:
+            self.link.send(self, data)
+
+    def end(self, complete: bool) -> None:
+        """Ends the answer that was begun; one that is not complete is seen as such by the client."""
+        if not self.done:
+            self.done = True
+            self.link.end(self, complete)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers on its connection that the kernel has not taken yet."""
+        return self.link.connection.unsent
+
 
 class Handler(Protocol):
     name: str
@@ -87,12 +111,13 @@
         self._look: Deadline | None = None
         self._head = self._raw = 0
         self._body = bytearray()
+        self._writer: ReplyWriter | None = None  # of the answer that was begun
         self._url = b""
         self._parser = httptools.HttpRequestParser(self)
         self.opened = self.heard = self._began = server.loop.clock.now()
         self.proven = False  # whether a request has come in whole
         self.connection = Connection(server.loop, sock, self)
-        self._time(FIRST_TIME, Ending.SLOW)
+        self._time(server.limits.first_s, Ending.SLOW)
 
     def idle(self) -> bool:
         return self.current is None and not self.waiting and self._coming is None and not self._broken
@@ -117,13 +142,16 @@
         if self._coming is not None and not self._broken:
             self._raw += len(data)
             # A head that never ends is seen by its bytes alone: the parser tells of no header before its end.
-            if self._raw > (MAX_RAW if self._coming.method else MAX_HEAD + CHUNK):
+            limits = self.server.limits
+            if self._raw > (limits.raw_bytes if self._coming.method else limits.head_bytes + CHUNK):
                 self._break(400, "the request is too long")
         self._pace()
         self.advance()
 
     def on_written(self) -> None:
         self._rearm()
+        if self.current is not None and self.current.on_drained is not None:
+            self.current.on_drained()
         self.advance()
 
     def on_end(self, ending: Ending) -> None:
@@ -144,27 +172,28 @@
         self.server.standing.pop(self, None)
         if self.proven:
             self._began = self.heard
-            self._time(MESSAGE_TIME, Ending.SLOW)
+            self._time(self.server.limits.message_s, Ending.SLOW)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
         self._head += len(url)
-        if self._head > MAX_HEAD:
+        if self._head > self.server.limits.head_bytes:
             self._url = b""
             self._break(414, "the path is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._coming is None:
             return
-        headers, name = self._coming.headers, name.lower()
+        headers, original, name = self._coming.headers, name, name.lower()
         self._head += len(name) + len(value)
         value = value.strip(b" \t")  # the parser leaves what stands behind a value
-        if len(headers) >= MAX_HEADERS or self._head > MAX_HEAD:
+        if len(headers) >= MAX_HEADERS or self._head > self.server.limits.head_bytes:
             self._break(431, "too many headers")
         elif name in headers and name != b"cookie":
             headers[name] += (b"\n" if name in SINGLE else b",") + value
         else:
             headers[name] = value
+        self._coming.fields.append((original, value))
 
     def on_headers_complete(self) -> None:
         coming = self._coming
@@ -173,12 +202,13 @@
         coming.method = self._parser.get_method()
         coming.target, coming.path = self._url, self._url.partition(b"?")[0]
         coming.keep = self._parser.should_keep_alive()
+        coming.old = self._parser.get_http_version() != "1.1"
         length = coming.headers.get(b"content-length", b"0")
         if b"transfer-encoding" in coming.headers and b"content-length" in coming.headers:
             # Two lengths: whoever goes by the other one reads a second request out of the body.
             self._break(400, "both Content-Length and Transfer-Encoding")
-        elif length.isdigit() and int(length) > MAX_BODY:
-            self._break(413, "the body is over 64 KiB")
+        elif length.isdigit() and int(length) > self.server.limits.body_bytes:
+            self._too_large()
         elif coming.headers.get(b"expect", b"").lower() == b"100-continue" and (
                 self.current is None and not self.waiting):
             self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -186,8 +216,8 @@
     def on_body(self, body: bytes) -> None:
         if self._broken:
             return
-        if len(self._body) + len(body) > MAX_BODY:
-            self._break(413, "the body is over 64 KiB")
+        if len(self._body) + len(body) > self.server.limits.body_bytes:
+            self._too_large()
         elif self.server.held + len(body) > self.server.max_held:
             self.server.no_memory()
             self._break(503, "no memory for the body")
@@ -207,6 +237,9 @@
             self.server.unproven.pop(self, None)
         self._time(None)
 
+    def _too_large(self) -> None:
+        self._break(413, f"the body is over {self.server.limits.body_bytes // 1024} KiB")
+
     def _break(self, status: int, reason: str) -> None:
         """The framing is in doubt: what came before is answered, then this error, then it closes."""
         if self._broken:
@@ -257,7 +290,8 @@
 
     def _pace(self) -> None:
         """Reads ahead only so far: what is read is held in memory until its turn comes."""
-        ahead = len(self.waiting) >= MAX_WAITING or sum(len(x.body) for x in self.waiting) > MAX_WAITING_BYTES
+        ahead = len(self.waiting) >= MAX_WAITING or (
+            sum(len(x.body) for x in self.waiting) > self.server.limits.body_bytes)
         self.connection.pause(ahead)
         if ahead and self._look is None and not self.connection.closed:
             deadlines, now = self.server.loop.deadlines, self.server.loop.clock.now()
@@ -288,12 +322,20 @@
               headers: tuple[tuple[str, str], ...]) -> None:
         if exchange is not self.current:
             return
-        keep = exchange.keep and not (self.server.stopping and not self.waiting) and not self.server.one_call
+        keep = self._keeps(exchange)
         lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", f"Content-Length: {len(body)}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines += [] if keep else ["Connection: close"]
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self.connection.write(head if exchange.method == b"HEAD" else head + body)
+        self._answered(keep)
+
+    def _keeps(self, exchange: Exchange) -> bool:
+        """Whether the connection stays open after the answer to this request."""
+        stops = self.server.stopping and not self.waiting
+        return exchange.keep and not stops and not self.server.one_call
+
+    def _answered(self, keep: bool) -> None:
         self.current = None
         if self.connection.closed:
             return
@@ -303,6 +345,29 @@
         else:
             self.close()
 
+    # An answer in pieces
+
+    def start(self, exchange: Exchange, status: int, reason: bytes, fields: Fields,
+              length: int | None) -> None:
+        if exchange is not self.current:
+            return
+        exchange.keep = self._keeps(exchange)
+        connection = [] if exchange.keep else [CLOSE]
+        self._writer = ReplyWriter(self.connection, status, reason, fields + connection, length,
+                                   exchange.method == b"HEAD")
+
+    def send(self, exchange: Exchange, data: bytes) -> None:
+        if exchange is not self.current or self._writer is None:
+            return
+        self._writer.send(data)
+        if self.connection.unsent and self._timer is None:
+            self._time(WRITE_TIME, Ending.CLOGGED)
+
+    def end(self, exchange: Exchange, complete: bool) -> None:
+        writer, self._writer = self._writer, None
+        if exchange is self.current and writer is not None:
+            self._answered(writer.end(complete) and exchange.keep)
+
     def retire(self) -> None:
         """Closes it if it rests. A request that lies in our socket came first: it is read and answered."""
         self.connection.read_now()
@@ -323,11 +388,11 @@
         if self.connection.unsent:
             self._time(WRITE_TIME, Ending.CLOGGED)
         elif self._coming is not None:
-            self._time(MESSAGE_TIME, Ending.SLOW)
+            self._time(self.server.limits.message_s, Ending.SLOW)
         elif self.idle():
             if self.proven:
                 self.server.standing[self] = None
-            self._time(IDLE_TIME, Ending.IDLE)
+            self._time(self.server.limits.idle_s, Ending.IDLE)
         else:
             self._time(None)
 
@@ -339,11 +404,12 @@
             self._timer = deadlines.add(self.server.loop.clock.now() + seconds, lambda: self._expire(ending))
 
     def _expire(self, ending: Ending) -> None:
-        now = self.server.loop.clock.now()
-        comes = now < min(self.heard + SILENCE, self._began + MESSAGE_MOST)
-        if ending is Ending.SLOW and self._coming is not None and (comes or now < self._began + MESSAGE_TIME):
-            until = max(self._began + MESSAGE_TIME, self.heard + SILENCE)
-            self._time(max(min(until, self._began + MESSAGE_MOST) - now, 0.0), Ending.SLOW)
+        now, limits = self.server.loop.clock.now(), self.server.limits
+        due, most = self._began + limits.message_s, self._began + limits.message_most_s
+        comes = now < min(self.heard + limits.silence_s, most)
+        if ending is Ending.SLOW and self._coming is not None and (comes or now < due):
+            until = max(due, self.heard + limits.silence_s)
+            self._time(max(min(until, most) - now, 0.0), Ending.SLOW)
         elif ending is Ending.SLOW and self._coming is not None:
             self._break(408, "the request came too slowly")
             self.advance()
@@ -357,9 +423,11 @@
 class HttpServer:
     """Listens, and keeps its clients' connections in the order of their coming."""
 
-    def __init__(self, loop: Loop, counters: Counters, address: tuple[str, int], handler: Handler,
-                 cap: int, max_held: int, one_call: bool = False, inherited: int | None = None) -> None:
+    def __init__(self, loop: EventLoop, counters: Counters, address: tuple[str, int], handler: Handler,
+                 cap: int, max_held: int, one_call: bool = False, inherited: int | None = None,
+                 limits: ServerLimits | None = None) -> None:
         self.loop, self.counters, self.handler = loop, counters, handler
+        self.limits = limits or ServerLimits()  # may be replaced; in force from the next bytes and waits on
         self.one_call = one_call  # on each connection
         self.held, self.max_held = 0, max_held  # bytes of bodies that the handler does not have yet
         self.links: dict[Link, None] = {}
--- /dev/null
+++ b/larchgw/net/limits.py
@@ -0,0 +1,29 @@
+"""What a client may send to an HTTP server, and how long it may take."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MAX_BODY = 65536
+MAX_HEAD = 16384
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Sizes in bytes, times in seconds. The defaults are those of the deployments of `larchgw serve`.
+
+    A client that sends nothing, or half a request, costs a descriptor that others need.
+    """
+
+    head_bytes: int = MAX_HEAD
+    body_bytes: int = MAX_BODY
+    first_s: float = 2.0  # for a connection's first byte
+    message_s: float = 2.6  # for a request to come in whole, from its first byte, or the connection's start
+    silence_s: float = 1.0  # after that, for the next piece of one that still comes ...
+    message_most_s: float = 10.0  # ... up to this
+    idle_s: float = 300.0  # between two requests
+
+    @property
+    def raw_bytes(self) -> int:
+        """Of a request as it comes, in chunks however small."""
+        return self.head_bytes + 8 * self.body_bytes
--- a/larchgw/net/listener.py
+++ b/larchgw/net/listener.py
@@ -8,7 +8,7 @@
 import structlog
 
 from ..core.counters import Counters
-from .loop import NEWCOMERS, READ, Loop
+from .loop import NEWCOMERS, READ, EventLoop
 
 BACKLOG = 1024
 AT_ONCE = 64  # connections accepted in one turn
@@ -19,7 +19,7 @@
 class Listener:
     """Accepts for `take`. At the cap, `make_room` may close an idle connection; else accepting waits."""
 
-    def __init__(self, loop: Loop, counters: Counters, name: str, address: tuple[str, int], cap: int,
+    def __init__(self, loop: EventLoop, counters: Counters, name: str, address: tuple[str, int], cap: int,
                  take: Callable[[socket.socket], None], count: Callable[[], int],
                  make_room: Callable[[], bool], inherited: int | None = None) -> None:
         self.loop, self.counters, self.name, self.cap = loop, counters, name, cap
--- a/larchgw/net/loop.py
+++ b/larchgw/net/loop.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
 import structlog
 
@@ -20,6 +21,26 @@
 log = structlog.get_logger()
 
 
+class EventLoop(Protocol):
+    """What connections, listeners and servers need of the loop that they run on."""
+
+    clock: Clock
+    deadlines: Deadlines
+    counters: Counters | None
+    finishing: int  # connections that write their last bytes
+    reuse_port: bool  # whether another process of ours may listen where we do
+
+    def watch(self, sock: socket.socket, events: int, ready: Callable[[int], None],
+              rank: int = FIRST) -> None:
+        """Calls `ready` with the events at hand; 0 events pause it."""
+
+    def forget(self, sock: socket.socket) -> None:
+        """Watches the socket no more."""
+
+    def call(self, action: Callable[[], None]) -> None:
+        """From any thread: does this in one of the loop's next turns."""
+
+
 class Loop:
     """Each turn handles the sockets that are ready, then sweeps the deadlines."""
 
