Replication: members with views, failover, joining, and leases over the witnesses

The control role needs configurations and fences that survive the loss of machines. Primary and backups with witnesses, as pure state machines fed messages and time; a simulated world plays the real members through failover, replacement, planned ends, loss of power and of disks.

--- /dev/null
+++ b/larchgw/replication/explore_checks.py
@@ -0,0 +1,65 @@
+"""What must hold in every explored run, whatever happens to messages, processes and disks."""
+
+from __future__ import annotations
+
+
+class Broken(Exception):
+    """A property of the protocol does not hold."""
+
+
+class Checks:
+    """Watches a run from outside: it sees what members hand to their callers, never their insides."""
+
+    def __init__(self, lease_term: float) -> None:
+        self._term = lease_term
+        self._committed: dict[int, bytes] = {}  # index -> the record that some replica handed out
+        self._acknowledged: dict[int, bytes] = {}
+        self._built_on: dict[int, bytes] = {}  # version -> the acknowledged change of it
+        self._primaries: dict[int, str] = {}  # epoch -> who acted in it
+        self._highest_fence = 0
+        self._holder_of: dict[int, str] = {}  # fence -> holder
+        self._acted: dict[str, float] = {}  # holder -> when it last acted
+
+    @property
+    def newest_acknowledged(self) -> int:
+        """The highest acknowledged index; 0 if there is none."""
+        return max(self._acknowledged, default=0)
+
+    def committed(self, member: str, index: int, record: bytes) -> None:
+        """A replica hands out a record as acknowledged."""
+        known = self._committed.setdefault(index, record)
+        if known != record:
+            raise Broken(f"{member} hands out {record!r} at {index}, where another handed out {known!r}")
+
+    def acknowledged(self, index: int, version: int, record: bytes) -> None:
+        """A proposal built on `version` is done."""
+        there = self._committed.get(index)
+        if there != record:
+            raise Broken(f"{record!r} was acknowledged at {index}, where there is {there!r}")
+        other = self._built_on.setdefault(version, record)
+        if other != record:
+            raise Broken(f"{record!r} and {other!r} were both acknowledged on top of version {version}")
+        self._acknowledged[index] = record
+
+    def read(self, member: str, acknowledged_before: int, index: int) -> None:
+        """A read that began when `acknowledged_before` was the newest is confirmed as of `index`."""
+        if index < acknowledged_before:
+            raise Broken(f"{member} confirmed a read as of {index}; {acknowledged_before} was acknowledged")
+
+    def acts(self, member: str, epoch: int) -> None:
+        """A member acts as primary in this epoch. `member` names one life of its process."""
+        other = self._primaries.setdefault(epoch, member)
+        if other != member:
+            raise Broken(f"{member} and {other} both act as primary of epoch {epoch}")
+
+    def holds_lease(self, now: float, holder: str, fence: int) -> None:
+        """A member acts under a lease."""
+        if fence < self._highest_fence:
+            raise Broken(f"{holder} acts with fence {fence} after {self._highest_fence} was in use")
+        if self._holder_of.setdefault(fence, holder) != holder:
+            raise Broken(f"{holder} acts with fence {fence}, which is {self._holder_of[fence]}'s")
+        for other, at in self._acted.items():
+            if other != holder and now - at < self._term:
+                raise Broken(f"{holder} acts {now - at:.3f} s after {other} did; the term is {self._term} s")
+        self._highest_fence = fence
+        self._acted[holder] = now
--- /dev/null
+++ b/larchgw/replication/explore_world.py
@@ -0,0 +1,277 @@
+"""A simulated set of machines in virtual time: the real members, a network and disks that misbehave as told.
+
+Everything follows from one seed: a run that broke a property is repeated by its seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from .effects import Effects, NotPrimary, Outgoing
+from .explore_checks import Broken, Checks
+from .explore_disk import Crashed, SimulatedDisk
+from .member import Member
+from .messages import PeerMessage
+from .settings import MemberSettings
+
+TICK = 0.02  # seconds
+LEASE = "placer"
+TERM = 3.0
+
+
+@dataclass
+class Machine:
+    """One machine: its disk, its process if that runs, and the state its process has built from records."""
+
+    address: str
+    disk: SimulatedDisk
+    clock_offset: float
+    member: Member | None = None
+    life: int = 0
+    frozen: bool = False
+    inbox: list[PeerMessage] = field(default_factory=list)  # came while it was frozen
+    version: int = 0  # index of the newest record applied
+    newest: int = 0  # of its own proposals too
+    # ticket -> the version it built on, its record
+    proposals: dict[int, tuple[int, bytes]] = field(default_factory=dict)
+    reads: dict[int, int] = field(default_factory=dict)  # ticket -> newest acknowledged when it began
+    digest: tuple[object, ...] = ()
+
+    @property
+    def name(self) -> str:
+        """This life of the process."""
+        return f"{self.address}/{self.life}"
+
+
+class World:
+    """Machines a, b, c, ...; the first `seeds` are the seeds of the first boot."""
+
+    def __init__(self, seed: int, machines: int, seeds: int, survive: int) -> None:
+        self.random = Random(seed)
+        self.now = 100.0
+        self.checks = Checks(TERM)
+        self.survive = survive
+        self.machines: dict[str, Machine] = {}
+        self.seeds = tuple(self.new_machine().address for _ in range(machines))[:seeds]
+        self.events = 0
+        self.states: set[int] = set()
+        self.acknowledged = 0
+        self.confirmed = 0
+        self.loss = 0.0
+        self.double = 0.0
+        self.delay = (0.0005, 0.004)
+        self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
+        self._queue: list[tuple[float, int, str, PeerMessage | None]] = []
+        self._order = 0
+
+    # ---- machines ----
+
+    def new_machine(self) -> Machine:
+        """An empty machine at a new address."""
+        address = f"m{len(self.machines)}:1"
+        self.machines[address] = Machine(address, SimulatedDisk(), self.random.uniform(0.0, 50.0))
+        return self.machines[address]
+
+    def start(self, address: str, first_boot: bool = False) -> None:
+        """Starts the machine's process on its disk as it is."""
+        machine = self.machines[address]
+        machine.life += 1
+        settings = MemberSettings(address, self.seeds, first_boot, f"{address}#{machine.life}", self.survive,
+                                  TERM, compact_records=12, batch_bytes=200)
+        machine.version = machine.newest = 0
+        machine.proposals.clear()
+        machine.reads.clear()
+        machine.inbox.clear()
+        machine.frozen = False
+        try:
+            machine.member = Member(settings, machine.disk.ports(), lambda: _snapshot(machine), self.random)
+            if not first_boot:
+                machine.member.set_contacts(self.machines)
+            self._carry_out(machine, machine.member.start(self._clock(machine)))
+        except Crashed:
+            machine.member = None
+            return
+        self._push(self.random.uniform(0.0, TICK), address, None)
+
+    def kill(self, address: str) -> None:
+        """The process ends; its files stay as they are."""
+        self.machines[address].member = None
+
+    def lose_power(self, address: str) -> None:
+        """The process ends, and writes that were not synced may be gone."""
+        machine = self.machines[address]
+        machine.member = None
+        machine.disk.lose_power(self.random)
+
+    def wipe(self, address: str) -> None:
+        """The process ends, and its disk is empty from now on."""
+        machine = self.machines[address]
+        machine.member = None
+        machine.disk = SimulatedDisk()
+
+    def freeze(self, address: str) -> None:
+        """The process stands still; its clock does not."""
+        self.machines[address].frozen = True
+
+    def thaw(self, address: str) -> None:
+        """The process goes on and finds what came meanwhile."""
+        machine = self.machines[address]
+        machine.frozen = False
+        inbox, machine.inbox = machine.inbox, []
+        for message in inbox:
+            self._push(0.0, address, message)
+
+    @property
+    def running(self) -> list[Machine]:
+        """Machines whose process runs and is not frozen."""
+        return [machine for machine in self.machines.values()
+                if machine.member is not None and not machine.frozen]
+
+    def primaries(self) -> list[Machine]:
+        """Machines that believe to be primary."""
+        return [machine for machine in self.running
+                if machine.member is not None and machine.member.is_primary]
+
+    # ---- time ----
+
+    def run(self, seconds: float) -> None:
+        """Plays all events of the next seconds."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            at, _, address, message = heapq.heappop(self._queue)
+            self.now = max(self.now, at)
+            self._event(self.machines[address], message)
+        self.now = end
+
+    def _event(self, machine: Machine, message: PeerMessage | None) -> None:
+        if machine.member is None:
+            return
+        if machine.frozen:
+            if message is not None:
+                machine.inbox.append(message)
+            else:
+                self._push(TICK, machine.address, None)
+            return
+        self.events += 1
+        if message is None:
+            self._push(TICK, machine.address, None)
+            self._call(machine, lambda member, clock: member.tick(clock))
+        else:
+            self._call(machine, lambda member, clock: member.receive(clock, message))
+
+    def _call(self, machine: Machine, call: Callable[[Member, float], Effects]) -> None:
+        assert machine.member is not None
+        writes = machine.disk.writes
+        try:
+            effects = call(machine.member, self._clock(machine))
+        except Crashed:
+            self._crash(machine)
+            return
+        self._carry_out(machine, effects, 0.001 * (machine.disk.writes - writes))
+        self._observe(machine)
+
+    def _crash(self, machine: Machine) -> None:
+        if self.random.random() < 0.5:
+            self.lose_power(machine.address)
+        else:
+            self.kill(machine.address)
+
+    def _clock(self, machine: Machine) -> float:
+        return self.now + machine.clock_offset
+
+    # ---- what members hand out ----
+
+    def _carry_out(self, machine: Machine, effects: Effects, written: float = 0.0) -> None:
+        if effects.installed is not None:
+            machine.version = int(effects.installed[1])
+        for index, record in effects.committed:
+            self.checks.committed(machine.name, index, record)
+            if index != machine.version + 1:
+                raise Broken(f"{machine.name} was handed record {index} after {machine.version}")
+            machine.version = index
+        for done in effects.done:
+            if done.ticket.number in machine.proposals:
+                built_on, record = machine.proposals.pop(done.ticket.number)
+                self.checks.acknowledged(done.index, built_on, record)
+                self.acknowledged += 1
+            else:
+                self.checks.read(machine.name, machine.reads.pop(done.ticket.number), done.index)
+                self.confirmed += 1
+        for failed in effects.failed:
+            machine.proposals.pop(failed.ticket.number, None)
+            machine.reads.pop(failed.ticket.number, None)
+        for outgoing in effects.messages:
+            self._transmit(machine, outgoing, written)
+
+    def _observe(self, machine: Machine) -> None:
+        member = machine.member
+        assert member is not None
+        if member.acting_epoch is not None:
+            self.checks.acts(machine.name, member.acting_epoch)
+        lease = member.lease(self._clock(machine), LEASE)
+        if lease is not None:
+            self.checks.holds_lease(self.now, member.id, lease.fence)
+        epoch = 0 if member.view is None else member.view.epoch
+        machine.digest = (member.id, epoch, member.acting_epoch, member.committed_index, member.last_index)
+        self.states.add(hash(tuple(other.digest for other in self.machines.values())))
+
+    def _transmit(self, machine: Machine, outgoing: Outgoing, written: float) -> None:
+        if self.cut(machine.address, outgoing.address) or self.random.random() < self.loss:
+            return
+        if outgoing.address not in self.machines:
+            return
+        copies = 2 if self.random.random() < self.double else 1
+        for _ in range(copies):
+            self._push(written + self.random.uniform(*self.delay), outgoing.address, outgoing.message)
+
+    def _push(self, after: float, address: str, message: PeerMessage | None) -> None:
+        self._order += 1
+        heapq.heappush(self._queue, (self.now + after, self._order, address, message))
+
+    # ---- the operator ----
+
+    def change(self, machine: Machine) -> bool:
+        """An operator's change on top of the newest version that the machine knows; False if it takes
+        none."""
+        member = machine.member
+        if member is None or machine.frozen or not member.is_primary:
+            return False
+        built_on = max(machine.newest, machine.version)
+        record = json.dumps([built_on, self.random.randrange(1 << 30)]).encode()
+        clock = self._clock(machine)
+        try:
+            ticket, effects = member.propose(clock, record)
+        except (NotPrimary, OSError):
+            return False
+        except Crashed:
+            self._crash(machine)
+            return False
+        machine.newest = built_on + 1
+        machine.proposals[ticket.number] = (built_on, record)
+        self._carry_out(machine, effects, 0.002)
+        return True
+
+    def read(self, machine: Machine) -> bool:
+        """An operator's read; False if the machine takes none."""
+        member = machine.member
+        if member is None or machine.frozen:
+            return False
+        try:
+            ticket, effects = member.confirm(self._clock(machine))
+        except NotPrimary:
+            return False
+        machine.reads[ticket.number] = self.checks.newest_acknowledged
+        self._carry_out(machine, effects)
+        return True
+
+    def step_down(self, machine: Machine) -> None:
+        """A planned end is ahead."""
+        self._call(machine, lambda member, clock: member.step_down(clock))
+
+
+def _snapshot(machine: Machine) -> bytes:
+    return str(machine.version).encode()
--- /dev/null
+++ b/larchgw/replication/follower.py
@@ -0,0 +1,107 @@
+"""What a member does for a primary: answers heartbeats, takes records in, asks to be taken in itself."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .messages import Append, AppendReply, Heartbeat, HeartbeatReply, Install, Join
+from .outbox import Outbox
+from .replica import Replica
+from .settings import Timing
+from .view import View
+from .witness import Witness
+
+
+class Follower:
+    """Follows the primary of the last accepted view. `heard_at` is when a primary was last heard."""
+
+    def __init__(self, me: str, address: str, witness: Witness, replica: Replica, outbox: Outbox,
+                 timing: Timing, started_at: float) -> None:
+        self._me = me
+        self._address = address
+        self._witness = witness
+        self._replica = replica
+        self._outbox = outbox
+        self._timing = timing
+        self._started_at = started_at
+        self._join_at = started_at
+        self._matched_epoch = 0
+        self._matched = 0  # the log is the primary's up to here, in `_matched_epoch`
+        self.heard_at: float | None = None
+
+    def hears_primary(self, now: float) -> bool:
+        """Whether a primary was heard so lately that nobody should try to replace it."""
+        return self.heard_at is not None and now - self.heard_at < self._timing.primary_silence * 0.8
+
+    def suspects_at(self, view: View) -> float:
+        """When this member, in sync in `view`, should try to become primary."""
+        rank = view.in_sync.index(self._me)
+        if self.heard_at is not None:
+            return self.heard_at + self._timing.primary_silence + rank * self._timing.rank_stagger
+        if rank == 0:
+            return self._started_at + self._timing.own_restart
+        return self._started_at + self._timing.primary_silence + rank * self._timing.rank_stagger
+
+    def heartbeat(self, now: float, sender: str, beat: Heartbeat) -> None:
+        """The primary of an epoch is there. Unless a higher one is promised, this is a proof for its
+        reads."""
+        promised, view = self._witness.promised, self._witness.view
+        granted = promised <= beat.epoch
+        accepted = 0 if view is None else view.epoch
+        if granted or view is not None and view.primary == sender:
+            self.heard_at = now
+        if accepted == beat.epoch and granted:
+            self._learn_commit(beat.epoch, beat.commit)
+        newer = view if accepted > beat.epoch else None
+        self._outbox.send(sender, HeartbeatReply(beat.epoch, beat.round, granted, promised, accepted, newer))
+
+    def append(self, now: float, sender: str, append: Append) -> None:
+        """Records of the primary. Those of a view that is not accepted here are left alone."""
+        if not self._follows(sender, append.epoch):
+            return
+        self.heard_at = now
+        matched, index = self._replica.follow(append.previous_index, append.previous_epoch, append.epochs,
+                                              append.records)
+        if matched:
+            self._match(append.epoch, index)
+            self._learn_commit(append.epoch, append.commit)
+        self._outbox.send(sender, AppendReply(append.epoch, matched, index))
+
+    def install(self, now: float, sender: str, install: Install) -> tuple[int, bytes] | None:
+        """A snapshot of the primary; returned if it replaced the log."""
+        if not self._follows(sender, install.epoch):
+            return None
+        self.heard_at = now
+        replaced = self._replica.install(install.index, install.index_epoch, install.snapshot)
+        self._match(install.epoch, install.index)
+        self._outbox.send(sender, AppendReply(install.epoch, True, install.index))
+        return (install.index, install.snapshot) if replaced else None
+
+    def ask_to_join(self, now: float, contacts: Iterable[str]) -> None:
+        """While this member is not in sync it asks to be brought up to date, time and again."""
+        if now < self._join_at:
+            return
+        self._join_at = now + self._timing.join
+        join = Join(self._me, self._address)
+        view = self._witness.view
+        if view is not None and self.hears_primary(now):
+            self._outbox.send(view.primary, join)
+            return
+        known = () if view is None else view.addresses.values()
+        for address in dict.fromkeys((*known, *contacts)):
+            self._outbox.send_to_address(address, join)
+
+    def _follows(self, sender: str, epoch: int) -> bool:
+        view = self._witness.view
+        if view is None or self._witness.promised != epoch:
+            return False
+        return (view.epoch, view.primary) == (epoch, sender)
+
+    def _match(self, epoch: int, index: int) -> None:
+        if epoch != self._matched_epoch:
+            self._matched_epoch, self._matched = epoch, 0
+        self._matched = max(self._matched, index)
+
+    def _learn_commit(self, epoch: int, commit: int) -> None:
+        if epoch == self._matched_epoch:
+            self._replica.committed = max(self._replica.committed, min(commit, self._matched))
--- a/larchgw/replication/interface.py
+++ b/larchgw/replication/interface.py
@@ -15,12 +15,11 @@
             this call
         .step_down(now) -> Effects                  before a planned end, or when the disk does not serve
         .is_primary, .primary, .view, .committed_index
-        .lease(name) -> Lease | None                held now: `fence`, `until`; asks for it if it is not held
-    Effects: messages to send; tickets done (index) or failed (reason; whether it may have been taken);
-    records committed
-    (index, bytes) in order; snapshot installed; roles changed. Anything that must be durable is written
-    through the ports
-    before the Effects that rely on it are returned.
+        .lease(now, name) -> Lease | None           held now: `fence`, `until`; asks for it if it is not held
+        .set_contacts(addresses)                    rpc addresses of other members, known from membership
+    Effects: messages to send, each with its address; tickets done (index) or failed (reason; whether it may
+    have been taken); records committed (index, bytes) in order; snapshot installed; role changed. Anything
+    that must be durable is written through the ports before the Effects that rely on it are returned.
 
 Rules (docs/design-system.md has the argument):
   - A record is acknowledged once it is durable at the primary and at every backup of the view, survive + 1
--- /dev/null
+++ b/larchgw/replication/leadership.py
@@ -0,0 +1,261 @@
+"""What an acting primary does: sends records, counts copies, proves reads, and watches its peers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .messages import Accept, Append, AppendReply, Heartbeat, HeartbeatReply, Install
+from .outbox import Outbox
+from .planning import Standing
+from .replica import Replica
+from .settings import MemberSettings
+from .view import View
+
+NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class Peer:
+    """What the primary knows of one other member in this epoch."""
+
+    heard_at: float
+    next_index: int
+    match: int = -1  # everything up to here is durable there; -1 until that is known in this epoch
+    round: int = 0  # the newest heartbeat it granted
+    resend_at: float = NEVER  # of the append that is under way
+    in_flight: bool = False
+    overdue_at: float | None = None  # when it no longer counts as keeping up
+    replicating: bool = False
+    told_view_at: float = NEVER
+
+
+class Leadership:
+    """The primary of one view that a quorum has accepted. Renewed with each view it forms while it stays
+    primary; `before` is the one it continues."""
+
+    def __init__(self, me: str, view: View, replica: Replica, outbox: Outbox, settings: MemberSettings,
+                 now: float, before: Leadership | None) -> None:
+        self.view = view
+        self._me = me
+        self._replica = replica
+        self._outbox = outbox
+        self._settings = settings
+        self._timing = settings.timing
+        self._peers: dict[str, Peer] = {}
+        self._proposed_backups: set[str] = set()
+        self._heartbeat_at = now
+        self.round = 0
+        self.takeover_index = replica.last_index
+        self.joined: dict[str, float] = {}  # members that asked to be brought up to date -> when last
+        self._left_out_at: dict[str, float] = {}
+        if before is not None:
+            self._continue(before, now)
+        for member in view.members:
+            self._peer(member, now)
+        self.refused_since: float | None = None
+
+    def _continue(self, before: Leadership, now: float) -> None:
+        self.round = before.round
+        self.takeover_index = before.takeover_index
+        self.joined = dict(before.joined)
+        self._left_out_at = dict(before._left_out_at)
+        for member in set(before.view.backups) - set(self.view.backups):
+            self._left_out_at[member] = now
+        for member, peer in before._peers.items():
+            self._peer(member, peer.heard_at)
+
+    def _peer(self, member: str, heard_at: float) -> None:
+        if member == self._me or member in self._peers:
+            return
+        replicating = member in self.view.backups or member in self.joined
+        self._peers[member] = Peer(heard_at, self._replica.last_index + 1, replicating=replicating)
+
+    # ---- what is proven ----
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether everything it took over is acknowledged: only then may it judge new records or confirm
+        reads."""
+        return self._replica.committed >= self.takeover_index
+
+    def commit_index(self) -> int:
+        """Up to where records are durable at the primary and at every backup, those of a pending view
+        included."""
+        if len(self.view.in_sync) < self._settings.survive + 1:
+            return self._replica.committed
+        required = set(self.view.backups) | self._proposed_backups
+        required.discard(self._me)
+        copies = [self._peers[member].match for member in required if member in self._peers]
+        if len(copies) < len(required):
+            return self._replica.committed
+        return min([self._replica.last_index, *copies])
+
+    def proven_round(self, self_granted: bool) -> int:
+        """The newest heartbeat that a quorum has granted: the view stood when it was sent."""
+        rounds = {member: peer.round for member, peer in self._peers.items()}
+        if self_granted:
+            rounds[self._me] = self.round
+        for candidate in sorted(set(rounds.values()), reverse=True):
+            if self.view.has_quorum([member for member, reached in rounds.items() if reached >= candidate]):
+                return candidate
+        return 0
+
+    def has_contact(self, now: float) -> bool:
+        """Whether a quorum has been heard of lately."""
+        heard = {member for member, peer in self._peers.items()
+                 if now - peer.heard_at <= self._timing.contact}
+        return self.view.has_quorum(heard | {self._me})
+
+    # ---- views ----
+
+    def propose(self, view: View) -> None:
+        """Until the view is decided its backups must hold what is acknowledged, as well as the present
+        ones."""
+        self._proposed_backups.update(view.backups)
+        for member in view.members:
+            self._peer(member, NEVER)
+
+    def standing(self, now: float, taken: frozenset[str]) -> Standing:
+        """For the next view. `taken`: identities whose address now belongs to another."""
+        healthy = {member for member, peer in self._peers.items()
+                   if member not in taken and self._is_healthy(now, peer)}
+        ready = [member for member in self._peers
+                 if member in healthy and member not in taken and self._may_enter(now, member)]
+        gone = {member for member, peer in self._peers.items()
+                if member in taken or now - peer.heard_at > self._timing.witness_silence}
+        addresses = {member: address for member in self._peers
+                     if (address := self._outbox.address_of(member)) is not None}
+        return Standing(frozenset(healthy), tuple(sorted(ready)), frozenset(gone), addresses)
+
+    def _is_healthy(self, now: float, peer: Peer) -> bool:
+        if now - peer.heard_at > self._timing.backup_silence:
+            return False
+        return peer.overdue_at is None or now <= peer.overdue_at
+
+    def _may_enter(self, now: float, member: str) -> bool:
+        peer = self._peers[member]
+        if member in self.view.in_sync or not peer.replicating:
+            return False
+        if peer.match < self._replica.committed:
+            return False
+        short = sum(self._is_healthy(now, self._peers[backup]) for backup in self.view.backups) \
+            < self._settings.survive
+        return short or now - self._left_out_at.get(member, NEVER) >= self._timing.rejoin
+
+    def forgive_silence(self, now: float) -> None:
+        """This process itself did not run: what it did not hear in that time says nothing of the others."""
+        for peer in self._peers.values():
+            peer.heard_at = max(peer.heard_at, now)
+            peer.overdue_at = None
+
+    # ---- sending ----
+
+    def join(self, now: float, member: str) -> None:
+        """A member that is not in sync asks for records."""
+        if member in self.view.in_sync:
+            return
+        self.joined[member] = now
+        self._peer(member, now)
+        peer = self._peers[member]
+        peer.heard_at = now
+        if not peer.replicating:
+            peer.replicating = True
+            peer.next_index = self._replica.last_index + 1
+        self._tell_view(now, member, peer)
+
+    def heartbeat(self, now: float) -> None:
+        """A new round to everyone."""
+        self.round += 1
+        self._heartbeat_at = now + self._timing.heartbeat
+        beat = Heartbeat(self.view.epoch, self.round, self._replica.committed)
+        for member in self._peers:
+            self._outbox.send(member, beat)
+
+    def tick(self, now: float) -> None:
+        """Heartbeats, records that are due, and forgetting of members that stopped asking."""
+        if now >= self._heartbeat_at:
+            self.heartbeat(now)
+        self.replicate(now)
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        for member in [member for member, peer in self._peers.items()
+                       if member not in self.view.members and member not in self._proposed_backups
+                       and now - peer.heard_at > self._timing.forget]:
+            del self._peers[member]
+            self.joined.pop(member, None)
+
+    def replicate(self, now: float) -> None:
+        """Sends each replica what it lacks, one message under way at a time."""
+        for member, peer in self._peers.items():
+            if peer.replicating:
+                self._replicate_to(now, member, peer)
+
+    def _replicate_to(self, now: float, member: str, peer: Peer) -> None:
+        last = self._replica.last_index
+        if peer.match >= last:
+            peer.overdue_at = None
+            peer.in_flight = False
+            return
+        if peer.in_flight and now < peer.resend_at:
+            return
+        transfer = self._send_records(member, peer) / self._timing.slowest_link
+        peer.in_flight = True
+        peer.resend_at = now + self._timing.retransmit + transfer
+        if peer.overdue_at is None:
+            peer.overdue_at = now + self._timing.backup_silence + transfer
+
+    def _send_records(self, member: str, peer: Peer) -> int:
+        replica = self._replica
+        first = peer.next_index
+        if first < replica.first_kept:
+            index, epoch, snapshot = replica.snapshot()
+            self._outbox.send(member, Install(self.view.epoch, index, epoch, snapshot))
+            return len(snapshot)
+        epochs, records = replica.batch(first, self._settings.batch_bytes)
+        append = Append(self.view.epoch, first - 1, replica.epoch_at(first - 1), replica.committed,
+                        epochs, records)
+        self._outbox.send(member, append)
+        return sum(map(len, records))
+
+    def _tell_view(self, now: float, member: str, peer: Peer) -> None:
+        if now - peer.told_view_at >= self._timing.heartbeat / 2:
+            peer.told_view_at = now
+            self._outbox.send(member, Accept(self.view))
+
+    # ---- answers ----
+
+    def heartbeat_reply(self, now: float, sender: str, reply: HeartbeatReply) -> None:
+        """A peer has answered a heartbeat of this epoch."""
+        peer = self._peers.get(sender)
+        if peer is None or reply.epoch != self.view.epoch:
+            return
+        peer.heard_at = now
+        if not reply.granted:
+            if self.refused_since is None:
+                self.refused_since = now
+            return
+        peer.round = max(peer.round, reply.round)
+        if reply.view_epoch < self.view.epoch:
+            self._tell_view(now, sender, peer)
+
+    def append_reply(self, now: float, sender: str, reply: AppendReply) -> None:
+        """A replica has answered records or a snapshot of this epoch."""
+        peer = self._peers.get(sender)
+        if peer is None or reply.epoch != self.view.epoch:
+            return
+        peer.heard_at = now
+        if reply.matched:
+            if reply.index > peer.match:
+                peer.match = reply.index
+                peer.overdue_at = None
+            peer.next_index = peer.match + 1
+        else:
+            peer.next_index = min(reply.index, self._replica.last_index) + 1
+        peer.in_flight = False
+        self._replicate_to(now, sender, peer)
+
+    def successor(self, now: float) -> str | None:
+        """The backup that would lose the least by becoming primary now."""
+        healthy = [member for member in self.view.backups if self._is_healthy(now, self._peers[member])]
+        return max(healthy, key=lambda member: self._peers[member].match, default=None)
--- /dev/null
+++ b/larchgw/replication/lease_witness.py
@@ -0,0 +1,110 @@
+"""What a witness keeps of leases: durable, the highest fence and who acted last; in memory, whom it granted
+to."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, replace
+from typing import Any
+
+from .messages import LeaseAnswer, LeaseAsk, LeaseRelease
+from .ports import Cell
+from .view import View
+
+NOBODY = ""  # this witness was there from the first boot on and has seen nobody act
+UNKNOWN = "?"  # this witness came later: others may have acted
+
+
+@dataclass(frozen=True, slots=True)
+class StoredLease:
+    """Durable, for one name. A fence belongs to one holder."""
+
+    fence: int = 0
+    holder: str = ""
+    acting_fence: int = 0
+    actor: str = UNKNOWN
+
+
+@dataclass(slots=True)
+class _Grant:
+    holder: str
+    fence: int
+    until: float
+
+
+class LeaseWitness:
+    """Grants a lease to one holder at a time. After a restart, or as a new witness, it grants nothing to a
+    holder that it does not know for one whole term: it may have forgotten a grant, or stand for one who made
+    it."""
+
+    def __init__(self, cell: Cell, term: float) -> None:
+        self._cell = cell
+        self._term = term
+        self._grants: dict[str, _Grant] = {}
+        self._closed_until = 0.0
+        stored = cell.load()
+        value: dict[str, Any] = {"from_first_boot": False, "leases": {}}
+        if stored is not None:
+            value = json.loads(stored)
+        self._from_first_boot = bool(value["from_first_boot"])
+        self._leases = {name: StoredLease(**lease) for name, lease in value["leases"].items()}
+
+    def reset(self, from_first_boot: bool) -> None:
+        """Begins anew with a new identity. `from_first_boot`: no lease can have been granted before."""
+        self._from_first_boot = from_first_boot
+        self._store({})
+
+    def restarted(self, now: float) -> None:
+        """Grants made before are forgotten: for one term only the holder stored last is granted to."""
+        self._closed_until = now + self._term
+
+    def seated(self, now: float) -> None:
+        """Becomes a witness of a view: grants of those who decided before are not known here for one term."""
+        self._closed_until = now + self._term
+        self._grants = {}
+        self._store({name: replace(lease, holder="") for name, lease in self._leases.items()})
+
+    def ask(self, now: float, sender: str, ask: LeaseAsk, view: View | None) -> LeaseAnswer:
+        """Grants, renews or refuses. What is granted is stored before the call returns."""
+        stored = self._leases.get(ask.name, self._default)
+        stale = view is not None and ask.view_epoch < view.epoch
+        remaining = self._remaining(now, ask.name, sender, stored)
+        known = sender == stored.holder and ask.fence == stored.fence
+        granted = not stale and remaining <= 0.0 and (known or ask.fence > stored.fence)
+        if granted:
+            self._record(ask, sender, stored)
+            self._grants[ask.name] = _Grant(sender, ask.fence, now + self._term)
+        return LeaseAnswer(ask.name, ask.attempt, granted, stored.fence, stored.actor, stored.acting_fence,
+                           max(0.0, remaining), view if stale else None)
+
+    def release(self, sender: str, release: LeaseRelease) -> None:
+        """The holder gives its lease up."""
+        grant = self._grants.get(release.name)
+        if grant is not None and grant.holder == sender and grant.fence <= release.fence:
+            del self._grants[release.name]
+
+    @property
+    def _default(self) -> StoredLease:
+        return StoredLease(actor=NOBODY if self._from_first_boot else UNKNOWN)
+
+    def _remaining(self, now: float, name: str, sender: str, stored: StoredLease) -> float:
+        """Seconds for which another may hold the lease."""
+        grant = self._grants.get(name)
+        if grant is not None:
+            return 0.0 if grant.holder == sender else grant.until - now
+        if sender == stored.holder:
+            return 0.0
+        return self._closed_until - now
+
+    def _record(self, ask: LeaseAsk, sender: str, stored: StoredLease) -> None:
+        lease = replace(stored, fence=ask.fence, holder=sender)
+        if ask.acting:
+            lease = replace(lease, acting_fence=ask.fence, actor=sender)
+        if lease != stored:
+            self._store({**self._leases, ask.name: lease})
+
+    def _store(self, leases: dict[str, StoredLease]) -> None:
+        value = {"from_first_boot": self._from_first_boot,
+                 "leases": {name: asdict(lease) for name, lease in leases.items()}}
+        self._cell.store(json.dumps(value).encode())
+        self._leases = leases
--- /dev/null
+++ b/larchgw/replication/planning.py
@@ -0,0 +1,85 @@
+"""Which view comes next. Pure: what a primary or a candidate knows of the others comes in as an argument."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from .view import View
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What the primary knows of the other members."""
+
+    healthy: frozenset[str]  # members of the view that answer and keep up
+    ready: tuple[str, ...]  # not in sync, but hold everything acknowledged and may be taken in
+    gone: frozenset[str]  # silent for long, or their address belongs to a new identity
+    addresses: Mapping[str, str]
+
+
+def failover_view(epoch: int, candidate: str, base: View, answered: Collection[str], minimum: int) -> View:
+    """The view of a new primary: the in-sync members that answered, and `minimum` of them at least. Those
+    that did not answer fill it up: they hold everything acknowledged, and one of them may come back."""
+    others = [member for member in base.in_sync if member != candidate]
+    backups = _at_least(minimum - 1, [member for member in others if member in answered], others)
+    return View(epoch, candidate, backups, base.witnesses, base.former_witnesses, base.addresses)
+
+
+def next_view(epoch: int, view: View, standing: Standing, minimum: int) -> View | None:
+    """The change that the primary of `view` should make now; None if there is none. One step a view: the
+    in-sync set first, then the witnesses."""
+    backups = _next_backups(view, standing, minimum)
+    if set(backups) != set(view.backups):
+        return _changed(epoch, view, standing, backups, view.witnesses, view.former_witnesses)
+    if view.is_joint:
+        return _changed(epoch, view, standing, view.backups, view.witnesses, view.witnesses)
+    witnesses = _next_witnesses(view, standing)
+    if set(witnesses) != set(view.witnesses):
+        return _changed(epoch, view, standing, view.backups, witnesses, view.witnesses)
+    return None
+
+
+def same_view(epoch: int, view: View) -> View:
+    """The same members under a new epoch."""
+    return View(epoch, view.primary, view.backups, view.witnesses, view.former_witnesses, view.addresses)
+
+
+def _next_backups(view: View, standing: Standing, minimum: int) -> tuple[str, ...]:
+    kept = [member for member in view.backups if member in standing.healthy]
+    absent = [member for member in view.backups if member not in standing.healthy]
+    likely_back_first = sorted(absent, key=lambda member: member in standing.gone)
+    return _at_least(minimum - 1, [*kept, *standing.ready], likely_back_first)
+
+
+def _at_least(count: int, members: Collection[str], spare: Collection[str]) -> tuple[str, ...]:
+    """The members, filled up to `count` from `spare`."""
+    chosen = list(members)
+    for member in spare:
+        if len(chosen) >= count:
+            break
+        if member not in chosen:
+            chosen.append(member)
+    return tuple(chosen)
+
+
+def _next_witnesses(view: View, standing: Standing) -> tuple[str, ...]:
+    """One lost witness replaced by an in-sync member that is none yet; else more witnesses, an odd number.
+    The set never shrinks: leases rely on it."""
+    spare = [member for member in view.in_sync
+             if member not in view.witnesses and (member == view.primary or member in standing.healthy)]
+    lost = [member for member in view.witnesses if member in standing.gone]
+    if lost and spare:
+        return tuple(spare[0] if member == lost[0] else member for member in view.witnesses)
+    size = len(view.witnesses) + len(spare)
+    size -= 1 - size % 2
+    added = max(0, size - len(view.witnesses))
+    return (*view.witnesses, *spare[:added])
+
+
+def _changed(epoch: int, view: View, standing: Standing, backups: tuple[str, ...], witnesses: tuple[str, ...],
+             former: tuple[str, ...]) -> View:
+    members = {view.primary, *backups, *witnesses, *former}
+    known = {**view.addresses, **standing.addresses}
+    addresses = {member: known[member] for member in sorted(members) if member in known}
+    return View(epoch, view.primary, backups, witnesses, former, addresses)
--- /dev/null
+++ b/larchgw/replication/settings.py
@@ -0,0 +1,50 @@
+"""Terms and timing of a member."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Seconds. A round trip inside a region takes some ms and a sync up to tens of ms; a restart some
+    seconds."""
+
+    heartbeat: float = 0.1
+    backup_silence: float = 0.5  # after which a backup is left out: several heartbeats
+    primary_silence: float = 0.6  # after which a backup tries to become primary
+    rank_stagger: float = 0.15  # added by rank, so that candidates do not collide
+    own_restart: float = 0.1  # a restarted primary need not wait for itself
+    ballot: float = 0.8  # a ballot without result is given up
+    ballot_resend: float = 0.15
+    settle: float = 0.03  # a quorum waits this long for the other in-sync members
+    contact: float = 1.5  # a primary without a quorum for so long gives up its role
+    refused: float = 0.3  # a promise to another that leads to no view is overruled after this
+    join: float = 0.4  # between two requests of a member that is not in sync
+    retransmit: float = 0.4  # of an append without a reply; plus its size over `slowest_link`
+    slowest_link: float = 10e6  # bytes a second
+    rejoin: float = 2.0  # a backup that was left out is not taken in again before this
+    witness_silence: float = 1.2  # a witness is replaced after this if an in-sync member stands by
+    forget: float = 5.0  # a member outside the view that stopped asking
+    probe: float = 0.25  # to wait for answers to a probe
+    lease_round: float = 0.3  # to wait for answers of witnesses to a request for a lease
+    rest: float = 5.0  # after `step_down`, before a member stands for a role again
+    pause: float = 0.25  # a gap between ticks that means the process itself did not run
+
+
+@dataclass(frozen=True, slots=True)
+class MemberSettings:
+    """`seeds` are the rpc addresses of the first witnesses, the same and in the same order at all of them.
+    `fresh_identity` is used if the disk is empty and this is not the first boot of a seed; it must be unique.
+    `survive` members may be lost at once: a record is acknowledged with survive + 1 copies at least."""
+
+    address: str
+    seeds: tuple[str, ...]
+    first_boot: bool
+    fresh_identity: str
+    survive: int
+    lease_term: float  # seconds
+    compact_records: int = 1000  # a snapshot replaces the log once it holds so many records
+    compact_bytes: int = 16 << 20  # or so many bytes
+    batch_bytes: int = 1 << 20  # of records in one message, unless one alone is larger
+    timing: Timing = field(default_factory=Timing)
