--- /dev/null
+++ b/larchgw/membership/knowledge.py
@@ -0,0 +1,164 @@
+"""What this process holds to be true of all members, and how reports change it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+from .codec import Update
+from .dissemination import Dissemination
+from .health import LocalHealth
+from .member import Member, State
+from .probing import RoundRobin
+from .settings import SwimSettings
+from .suspicion import Suspicions
+from .table import MemberTable
+
+
+class Knowledge:
+    """Merges reports by precedence, refutes those on this process, and passes news on."""
+
+    def __init__(self, me: Member, settings: SwimSettings, random: Random, health: LocalHealth) -> None:
+        self.me = me
+        self.table = MemberTable(random)
+        self.order = RoundRobin(random)
+        self.news = Dissemination(settings.retransmit_factor, settings.queued_updates)
+        self.on_change: Callable[[Member], None] | None = None
+        self.reconnect: dict[str, None] = {}  # dead here, alive to another member; in the order heard
+        self._settings = settings
+        self._health = health
+        self._suspicions = Suspicions(settings)
+        self._gone_since: dict[str, float] = {}
+        self.table.put(me)
+
+    def hear(self, now: float, update: Update, source: str) -> bool:
+        """A report that came as gossip from the member `source`. Whether it is news.
+
+        A death is believed only of a member that has been suspect here for a while. Where the suspicion did
+        not come well before it, its author was cut off, and the member gets the time to refute it.
+        """
+        member = update.member
+        known = self.table.get(member.address)
+        if known is not None and known.present and _is_death_of(member, known) \
+                and not self._suspicions.matured(now, member.address):
+            update = Update(replace(member, state=State.SUSPECT), source)
+        return self._merge(now, update, gossiped=True)
+
+    def compare(self, now: float, update: Update, source: str) -> bool:
+        """A report out of the table of `source`. Whether it is news.
+
+        A death in it may be one that a partition made up, so it only makes the member suspect here; and it is
+        not passed on, as all members compare tables.
+        """
+        member = update.member
+        known = self.table.get(member.address)
+        if known is not None and known.present and _is_death_of(member, known):
+            suspect = replace(member, state=State.SUSPECT)
+            return self._merge(now, Update(suspect, source), gossiped=True)
+        return self._merge(now, update, gossiped=False)
+
+    def suspect(self, now: float, address: str, incarnation: int) -> None:
+        """This process's own probe of that life failed."""
+        known = self.table.get(address)
+        if known is None or not known.present or known.incarnation != incarnation:
+            return
+        suspect = replace(known, state=State.SUSPECT)
+        self._merge(now, Update(suspect, self.me.address), gossiped=True)
+
+    def leave(self) -> None:
+        """This process ends by plan."""
+        self._describe_self(replace(self.me, state=State.LEFT))
+
+    def postpone(self, seconds: float) -> None:
+        """This process did not run for so long: suspicions go on that much longer."""
+        self._suspicions.postpone(seconds)
+
+    def tick(self, now: float) -> None:
+        """Declares dead who did not refute in time, and forgets who has been gone for long."""
+        for address in self._suspicions.expired(now):
+            known = self.table.get(address)
+            if known is not None:
+                self._accept(now, known, Update(replace(known, state=State.DEAD)), gossiped=True)
+        while self._gone_since:
+            address, since = next(iter(self._gone_since.items()))
+            if now - since < self._settings.dead_retention:
+                break
+            self._forget(address)
+
+    def dead(self) -> list[Member]:
+        """Members that ended without leaving, as long as they are remembered."""
+        gone = (self.table.get(address) for address in self._gone_since)
+        return [member for member in gone if member is not None and member.state is State.DEAD]
+
+    def _merge(self, now: float, update: Update, gossiped: bool) -> bool:
+        heard = update.member
+        if heard.address == self.me.address:
+            return self._hear_of_self(heard)
+        known = self.table.get(heard.address)
+        if known is None:
+            if not heard.present:  # nothing to end; a stale report must not keep a forgotten member known
+                return False
+            self._accept(now, None, update, gossiped)
+            return True
+        if heard.precedence > known.precedence:
+            self._accept(now, known, update, gossiped)
+            return True
+        if heard.precedence == known.precedence and heard.state is State.SUSPECT:
+            self._confirm(update)
+        elif heard.present and known.state is State.DEAD and not gossiped:
+            self.reconnect[heard.address] = None
+        return False
+
+    def _hear_of_self(self, heard: Member) -> bool:
+        me = self.me
+        if me.state is State.LEFT or heard.precedence <= me.precedence:
+            return False
+        if heard.incarnation > me.incarnation:  # an earlier life had a clock that ran ahead
+            self._describe_self(replace(me, incarnation=heard.incarnation + 1, refutations=0))
+            return True
+        self._health.worsen()
+        self._describe_self(replace(me, refutations=heard.refutations + 1))
+        return True
+
+    def _describe_self(self, me: Member) -> None:
+        self.me = me
+        self.table.put(me)
+        self.news.add(Update(me))
+
+    def _confirm(self, update: Update) -> None:
+        if update.accuser and self._suspicions.confirm(update.member.address, update.accuser):
+            self.news.add(update)
+
+    def _accept(self, now: float, known: Member | None, update: Update, gossiped: bool) -> None:
+        member = update.member
+        address = member.address
+        if known is not None and known.present and known.incarnation != member.incarnation:
+            self._report(replace(known, state=State.DEAD))
+        self.table.put(member)
+        self._gone_since.pop(address, None)
+        self._suspicions.clear(address)
+        if member.present:
+            self.order.add(address)
+            self.reconnect.pop(address, None)
+        else:
+            self._gone_since[address] = now
+        if member.state is State.SUSPECT:
+            self._suspicions.start(now, address, update.accuser, self.table.present_count())
+        if gossiped:
+            self.news.add(update)
+        if known is None or (known.incarnation, known.state) != (member.incarnation, member.state):
+            self._report(member)
+
+    def _forget(self, address: str) -> None:
+        del self._gone_since[address]
+        self.reconnect.pop(address, None)
+        self.table.forget(address)
+
+    def _report(self, member: Member) -> None:
+        if self.on_change is not None:
+            self.on_change(member)
+
+
+def _is_death_of(heard: Member, known: Member) -> bool:
+    return heard.state is State.DEAD and heard.incarnation == known.incarnation
