--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -28,8 +28,14 @@
     return experiment(options)
 
 
+def _place(options: Options) -> Result:
+    from ..lab.place import experiment
+
+    return experiment(options)
+
+
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
-    "mass": _mass, "room": _room, "room-cost": _room_cost}
+    "mass": _mass, "place": _place, "room": _room, "room-cost": _room_cost}
 
 
 @click.command()
--- /dev/null
+++ b/larchgw/placement/needs.py
@@ -0,0 +1,157 @@
+"""Which models and adapters of a service should be loaded somewhere, and what that is worth. Pure."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from .demand import Demand
+from .model import PlacementSettings, held_name
+from .state import RunnerState, Terms
+from .valuation import ModelDemand, first_holder, replica, wanted_replicas
+
+RUN_S = 0.5  # a request's usual time at a runner: turns a rate into work where nothing is in flight yet
+CALM_IN_FLIGHT = 0.25  # share of a runner's slots in use from which runners count as busy
+ADAPTER_WAIT_COST = 0.1  # share of its worth that a request loses when it waits for an adapter
+ADAPTER_BUSY_RATE = 2.0  # requests a second that one holder of an adapter should have at most
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """A load that is wanted. `deadline` is finite where requests wait that the load can still serve."""
+
+    model: str
+    adapter: str
+    value: float
+    waiting: int
+    deadline: float
+
+    @property
+    def name(self) -> str:
+        """The model, or model and adapter."""
+        return held_name(self.model, self.adapter)
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether requests wait for it."""
+        return self.waiting > 0
+
+    @property
+    def rank(self) -> tuple[int, float, float]:
+        """Sorts what is wanted: those that wait first, by time left, then by worth."""
+        return (0 if self.is_urgent else 1, self.deadline if self.is_urgent else 0.0, -self.value)
+
+
+class ServiceDemand:
+    """The demand of one service's models against what its runners hold and are ordered to."""
+
+    def __init__(self, service: str, terms: Terms, runners: list[RunnerState], demand: Demand,
+                 settings: PlacementSettings) -> None:
+        self.service, self.terms, self.runners = service, terms, runners
+        self._demand, self._settings = demand, settings
+        self.holders: dict[str, int] = {}  # held_name -> runners that hold it and keep it
+        self._coming: dict[str, int] = {}  # held_name -> runners where it is on its way
+        self._index()
+        self.models = {name: self._model(name) for name in terms.models}
+        self._share()
+
+    def _index(self) -> None:
+        for state in self.runners:
+            for model, adapters in state.held.items():
+                for adapter in ("", *adapters):
+                    if state.holds(model, adapter):
+                        name = held_name(model, adapter)
+                        self.holders[name] = self.holders.get(name, 0) + 1
+            if state.under_way is not None:
+                order = state.under_way.order
+                name = order.name if order.is_load else order.purpose
+                self._coming[name] = self._coming.get(name, 0) + 1
+
+    def _model(self, name: str) -> ModelDemand:
+        service, demand = self.service, self._demand
+        return ModelDemand(
+            name, demand.model_rate(service, name), demand.model_worth(service, name),
+            demand.model_waiting(service, name), demand.model_deadline(service, name),
+            demand.model_in_flight(service, name), self.terms.models[name].load_s)
+
+    def _share(self) -> None:
+        """Sets each model's wanted replicas by its part of all work."""
+        work = {name: model.in_flight + model.rate * RUN_S for name, model in self.models.items()}
+        total = sum(work.values())
+        in_flight = sum(model.in_flight for model in self.models.values())
+        slots = sum(state.record.slots for state in self.runners)
+        self.pressure = min(in_flight / max(slots * CALM_IN_FLIGHT, 1.0), 1.0)
+        for name, model in self.models.items():
+            share = work[name] / total if total > 0.0 else 0.0
+            model.wanted = wanted_replicas(share, model.rate, len(self.runners), self._settings)
+
+    def count(self, name: str) -> int:
+        """Runners that hold it or will."""
+        return self.holders.get(name, 0) + self._coming.get(name, 0)
+
+    # ---- What is wanted ----
+
+    def needs(self) -> list[Need]:
+        """All loads that are wanted, most pressing first."""
+        wanted = [need for model in self.models.values() for need in self._model_needs(model)]
+        wanted.extend(need for name in self.models if self.holders.get(name, 0)
+                      for adapter in self._demand.adapters(self.service, name)
+                      for need in self._adapter_needs(name, adapter))
+        return sorted(wanted, key=lambda need: need.rank)
+
+    def _model_needs(self, model: ModelDemand) -> list[Need]:
+        if model.rate <= 0.0 and model.waiting == 0:
+            return []
+        count = self.count(model.name)
+        needs = []
+        if count == 0:
+            value = first_holder(model, self._settings) + model.waiting * model.worth
+            needs.append(Need(model.name, "", value, model.waiting, model.deadline))
+        for nth in range(max(count, 1) + 1, math.ceil(model.wanted) + 1):
+            needs.append(Need(model.name, "", self._replica(model, nth), 0, math.inf))
+        return needs
+
+    def _adapter_needs(self, model: str, adapter: str) -> list[Need]:
+        key = (self.service, model, adapter)
+        rate, waiting = self._demand.rate(key), self._demand.waiting(key)
+        count = self.count(held_name(model, adapter))
+        if count > 0 and count >= min(rate / ADAPTER_BUSY_RATE, self.holders.get(model, 0)):
+            return []
+        value = self._adapter_value(rate) + (waiting if count == 0 else 0) * self.models[model].worth
+        return [Need(model, adapter, value, waiting if count == 0 else 0, self._demand.deadline(key))]
+
+    # ---- What is lost ----
+
+    def _replica(self, model: ModelDemand, holders: int) -> float:
+        return replica(model, holders, self.pressure, self._settings)
+
+    def model_loss(self, name: str) -> float:
+        """Worth lost where one holder fewer has this model; infinite for the last one while requests wait."""
+        model = self.models.get(name)
+        if model is None:
+            return 0.0
+        holders = self.holders.get(name, 0)
+        if holders <= 1 and model.waiting > 0:
+            return math.inf
+        return self._replica(model, holders)
+
+    def adapter_loss(self, model: str, adapter: str) -> float:
+        """The same for an adapter."""
+        key = (self.service, model, adapter)
+        alone = self.holders.get(held_name(model, adapter), 0) <= 1
+        if alone and self._demand.waiting(key) > 0:
+            return math.inf
+        value = self._adapter_value(self._demand.rate(key))
+        return value if alone else value * 0.5
+
+    def in_flight_at_holder(self, model: str, adapter: str = "") -> float:
+        """Requests that are expected to run for it at one of its holders."""
+        if adapter:
+            running = self._demand.in_flight((self.service, model, adapter))
+        else:
+            running = self.models[model].in_flight if model in self.models else 0
+        return running / max(self.holders.get(held_name(model, adapter), 0), 1)
+
+    def _adapter_value(self, rate: float) -> float:
+        asked = 1.0 - math.exp(-rate * self._settings.horizon_s)
+        return asked * (2.0 * self._settings.order_price + ADAPTER_WAIT_COST)
--- /dev/null
+++ b/larchgw/placement/planner.py
@@ -0,0 +1,217 @@
+"""Which load or unload to order next at which runner. Pure: time is an argument.
+
+Every round looks at demand and at what runners hold or are ordered to, lists what should be loaded, and takes
+for each, most pressing first, the runner where that costs least: free room before evictions, and evictions
+of what loses least. Nothing is remembered between rounds; ties break by a seeded generator. A load happens
+only where it is worth more than the prices and what is evicted.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..configuration.model import Configuration
+from .demand import Demand
+from .model import LOADING, UNLOADING, Order, PlacementSettings, held_name
+from .needs import Need, ServiceDemand
+from .state import PlacementState, RunnerState, Terms
+
+HYSTERESIS = 1.5  # a load that nobody waits for must be worth so many times its cost
+RESIDENCE_S = 2.0  # what was loaded stays at least so long, for those who waited to be sent there
+ADAPTER_RESIDENCE_S = 1.0
+WAITING_RUN_COST = 0.05  # worth lost for each run that an unload has to wait for
+ZONE_COST = 0.1  # for a second holder in one zone
+WORK_COST = 0.1  # for a runner with as much work as all others together
+RESERVE_SHARE = 0.4  # of the store's budget, kept for models that requests wait for
+MAX_NEEDS = 32  # looked at in one round and service; the next round comes within 50 ms
+VICTIMS = 3  # evictions for one load at most
+
+
+@dataclass(frozen=True, slots=True)
+class Eviction:
+    """A model, or an adapter, that a runner would give up."""
+
+    model: str
+    adapter: str
+    loss: float
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A runner for a load, with what it costs there."""
+
+    state: RunnerState
+    evictions: tuple[Eviction, ...]
+    cost: float
+
+
+class Planner:
+    """Chooses orders; `plan` is called again and again and keeps nothing but the random generator."""
+
+    def __init__(self, settings: PlacementSettings, rng: random.Random) -> None:
+        self._settings, self._rng = settings, rng
+
+    def plan(self, now: float, configuration: Configuration, terms: Mapping[str, Terms], demand: Demand,
+             state: PlacementState) -> list[Order]:
+        """The next orders, most pressing first, at most one for each runner."""
+        orders: list[Order] = []
+        room = state.ceiling.room(now)
+        parallel = state.parallel_loads
+        for service in configuration.services:
+            if service.name not in terms:
+                continue
+            runners = state.of_service(service.name)
+            wanted = ServiceDemand(service.name, terms[service.name], runners, demand, self._settings)
+            round_ = Round(now, wanted, state, self._settings, self._rng, room, parallel)
+            orders.extend(round_.orders())
+            room, parallel = round_.room, round_.parallel
+        return orders
+
+
+class Round:
+    """One service, one round."""
+
+    def __init__(self, now: float, wanted: ServiceDemand, state: PlacementState, settings: PlacementSettings,
+                 rng: random.Random, room: int, parallel: int) -> None:
+        self._now, self._wanted, self._settings, self._rng = now, wanted, settings, rng
+        self._terms = wanted.terms
+        self._free = {runner.id: runner for runner in wanted.runners if runner.may_order(now)}
+        self._work = self._work_by_runner()
+        self._reserve = math.ceil(RESERVE_SHARE * state.ceiling.limit)
+        self._unasked = math.ceil(len(wanted.runners) / 2)  # runners that may load what nobody waits for
+        self._unasked -= sum(runner.under_way is not None for runner in wanted.runners)
+        self.room, self.parallel = room, parallel
+
+    def _work_by_runner(self) -> dict[str, float]:
+        """Each runner's part of the service's requests, were they spread evenly over holders."""
+        work = {}
+        for runner in self._wanted.runners:
+            work[runner.id] = sum(
+                self._wanted.models[name].rate / max(self._wanted.holders.get(name, 0), 1)
+                for name in runner.held if name in self._wanted.models)
+        total = sum(work.values())
+        return {runner: part / total if total > 0.0 else 0.0 for runner, part in work.items()}
+
+    def orders(self) -> list[Order]:
+        """For each need in turn, the cheapest runner's next order."""
+        orders = []
+        for need in self._wanted.needs()[:MAX_NEEDS]:
+            if not self._free:
+                break
+            order = self._order_for(need)
+            if order is not None:
+                del self._free[order.runner]
+                orders.append(order)
+        return orders
+
+    def _order_for(self, need: Need) -> Order | None:
+        if not need.adapter and not self._may_load(need):
+            return None
+        best = self._cheapest(need)
+        if best is None or not self._is_worth(need, best):
+            return None
+        runner = best.state
+        if best.evictions:
+            first = best.evictions[0]
+            return Order(runner.id, runner.record.address, UNLOADING, first.model, first.adapter,
+                         runner.order_count, need.name)
+        if not need.adapter:
+            self._book_load(need, runner)
+        return Order(runner.id, runner.record.address, LOADING, need.model, need.adapter, runner.order_count)
+
+    def _may_load(self, need: Need) -> bool:
+        """Whether the store has room; what nobody waits for leaves a reserve and runners at rest."""
+        if need.is_urgent:
+            return self.room > 0
+        return (self.room > self._reserve and self.parallel < self._terms.parallel_loads
+                and self._unasked > 0)
+
+    def _book_load(self, need: Need, runner: RunnerState) -> None:
+        if need.model not in runner.was_held:
+            self.room -= 1
+            self.parallel += 1
+        if not need.is_urgent:
+            self._unasked -= 1
+
+    def _is_worth(self, need: Need, candidate: Candidate) -> bool:
+        if not math.isfinite(candidate.cost):
+            return False
+        prices = self._settings.order_price * (1 + len(candidate.evictions))
+        if not need.adapter:
+            prices += self._settings.load_price
+        losses = sum(eviction.loss for eviction in candidate.evictions)
+        factor = 1.0 if need.is_urgent else HYSTERESIS
+        return need.value > factor * (prices + losses)
+
+    # ---- Runners for a load ----
+
+    def _cheapest(self, need: Need) -> Candidate | None:
+        candidates = [candidate for runner in self._free.values()
+                      if (candidate := self._candidate(need, runner)) is not None]
+        return min(candidates, key=lambda candidate: candidate.cost, default=None)
+
+    def _candidate(self, need: Need, runner: RunnerState) -> Candidate | None:
+        if need.adapter:
+            if not runner.holds(need.model) or runner.holds(need.model, need.adapter):
+                return None
+        elif need.model in runner.held:
+            return None
+        evictions = self._evictions(need, runner)
+        if evictions is None:
+            return None
+        cost = sum(eviction.loss + self._settings.order_price for eviction in evictions)
+        cost += self._spread_cost(need, runner) + self._rng.random() * 1e-3
+        return Candidate(runner, tuple(evictions), cost)
+
+    def _spread_cost(self, need: Need, runner: RunnerState) -> float:
+        cost = WORK_COST * self._work[runner.id]
+        if not need.adapter and any(other.record.zone == runner.record.zone and other.holds(need.model)
+                                    for other in self._wanted.runners):
+            cost += ZONE_COST
+        return cost
+
+    # ---- Evictions ----
+
+    def _evictions(self, need: Need, runner: RunnerState) -> list[Eviction] | None:
+        """What to give up at this runner so that the load fits; None if that can't be done now."""
+        if runner.fits(self._terms, need.model, need.adapter):
+            return []
+        if need.adapter and runner.used_slots() >= self._terms.runtime.adapter_slots:
+            victims = self._adapter_victims(runner)[:1]
+            return victims or None
+        return self._model_evictions(need, runner)
+
+    def _model_evictions(self, need: Need, runner: RunnerState) -> list[Eviction] | None:
+        required = (self._terms.adapter_mb(need.model) if need.adapter
+                    else self._terms.weight_mb(need.model))
+        free = self._terms.runtime.weights_mb - runner.used_mb(self._terms)
+        chosen: list[Eviction] = []
+        for victim in self._model_victims(need, runner)[:VICTIMS]:
+            if free >= required:
+                break
+            chosen.append(victim)
+            free += self._terms.weight_mb(victim.model)
+            free += len(runner.held[victim.model]) * self._terms.adapter_mb(victim.model)
+        return chosen if free >= required else None
+
+    def _model_victims(self, need: Need, runner: RunnerState) -> list[Eviction]:
+        """Models here that may go, the least loss first."""
+        victims = [Eviction(name, "", self._loss(runner, name)) for name in runner.held if name != need.model]
+        return sorted((victim for victim in victims if math.isfinite(victim.loss)),
+                      key=lambda victim: victim.loss)
+
+    def _adapter_victims(self, runner: RunnerState) -> list[Eviction]:
+        victims = [Eviction(model, adapter, self._loss(runner, model, adapter))
+                   for model, adapters in runner.held.items() for adapter in sorted(adapters)]
+        return sorted((victim for victim in victims if math.isfinite(victim.loss)),
+                      key=lambda victim: victim.loss)
+
+    def _loss(self, runner: RunnerState, model: str, adapter: str = "") -> float:
+        since = runner.since.get(held_name(model, adapter), -math.inf)
+        if self._now - since < (ADAPTER_RESIDENCE_S if adapter else RESIDENCE_S):
+            return math.inf
+        lost = self._wanted.adapter_loss(model, adapter) if adapter else self._wanted.model_loss(model)
+        return lost + WAITING_RUN_COST * self._wanted.in_flight_at_holder(model, adapter)
--- /dev/null
+++ b/larchgw/placement/reconciler.py
@@ -0,0 +1,288 @@
+"""Observed runners and orders under way in, polls and expectations out. Pure: time is an argument.
+
+A runner takes one order at a time. What became of an order is told by its answer only in part; a report whose
+`call_count` has risen and that is not occupied shows that it is done. Nothing else is ordered at that runner
+before.
+Each order carries the number of orders taken before it, so that of two orders of which the first had no
+answer the
+runner takes one at most.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+
+from ..configuration.model import Configuration
+from ..directory.records import RunnerRecord, Stage
+from .ceiling import LoadCeiling
+from .model import Order, OrderOutcome, PlacementSettings, RunnerReport
+from .state import PlacementState, RunnerState, Terms, UnderWay, held_by, names_of
+
+logger = logging.getLogger(__name__)
+
+FIRST_POLL_S = 0.15  # between polls of a runner whose order should be done, growing to the next
+LAST_POLL_S = 0.4
+SILENT_POLL_S = 1.0  # between polls of a runner that does not answer
+UNANSWERED_S = 1.5  # after a send without an answer, by then a report would show it, had it been taken
+REST_S = 1.0  # without orders after one was refused for no known reason or a load failed
+UNLOAD_S = 0.05  # an unload of a model that nobody uses
+ADAPTER_S = 0.05  # a load of an adapter takes some milliseconds
+LOCAL_SHARE = 0.5  # part of load_s that a load from the runner's own disk takes, before one was seen
+READY_MARGIN_S = 0.03  # added to the time at which a load is expected to be done: too early costs a refusal
+UNSEEN_S = 4.0  # by then check-ins tell what a finished load has brought
+
+
+class Reconciler:
+    """State of all runners, fed with check-ins, reports and the outcomes of orders."""
+
+    def __init__(self, settings: PlacementSettings, ceiling: LoadCeiling) -> None:
+        self._settings, self.ceiling = settings, ceiling
+        self._runners: dict[str, RunnerState] = {}
+        self._disks: dict[tuple[str, str], set[str]] = {}  # (service, address) -> models loaded there
+        self.terms: dict[str, Terms] = {}  # by service
+
+    # ---- What is known ----
+
+    @property
+    def runners(self) -> dict[str, RunnerState]:
+        """By id."""
+        return self._runners
+
+    def state(self) -> PlacementState:
+        """For the planner."""
+        loads = sum(self._from_store(state) for state in self._runners.values())
+        return PlacementState(self._runners, self.ceiling, loads)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes the terms of the services that place models."""
+        self.terms = {service.name: Terms(service.runtime) for service in configuration.services
+                      if service.runtime is not None and service.runtime.models}
+
+    def see_runner(self, now: float, record: RunnerRecord, holding_lease: bool = True) -> None:
+        """A runner's record is new or has changed. One that is gone is forgotten.
+
+        A process that does not hold the lease counts what others load, so that it knows the store's budget
+        if it
+        becomes the holder.
+        """
+        state = self._runners.get(record.id)
+        if record.stage is Stage.GONE:
+            if state is not None:
+                self._forget(now, state)
+            return
+        if record.service not in self.terms:
+            return
+        if state is None:
+            self._runners[record.id] = state = RunnerState(record, held_by(record))
+            self._remember(state)
+            return
+        state.record = record
+        told = held_by(record)
+        names = names_of(told)
+        state.arrived = {name: at for name, at in state.arrived.items() if name not in names}
+        state.departed = {name: at for name, at in state.departed.items() if name in names}
+        if not state.is_known:
+            if not holding_lease:
+                self.ceiling.observed(now, len(told.keys() - state.held.keys()))
+            state.held = told
+            self._remember(state)
+
+    def lease_lost(self, now: float) -> None:
+        """Another placer may order from now on: nothing that was known of runners counts."""
+        for state in self._runners.values():
+            self.ceiling.settled(now, state.id)
+            state.order_count, state.under_way = None, None
+            state.poll_at, state.polls = now, 0
+            state.arrived.clear()
+            state.departed.clear()
+
+    def _forget(self, now: float, state: RunnerState) -> None:
+        self.ceiling.settled(now, state.id)
+        del self._runners[state.id]
+
+    def _remember(self, state: RunnerState) -> None:
+        state.was_held.update(state.held)
+        self._disks.setdefault((state.record.service, state.record.address), set()).update(state.held)
+
+    # ---- Polls ----
+
+    def polls(self, now: float) -> list[RunnerState]:
+        """Runners whose report is wanted now. Each is asked again only after its backoff."""
+        due = []
+        for state in self._runners.values():
+            under_way = state.under_way
+            if under_way is not None:
+                if now >= under_way.poll_at:
+                    under_way.polls += 1
+                    under_way.poll_at = now + _backoff(under_way.polls)
+                    due.append(state)
+            elif not state.is_known and state.is_ready and now >= state.poll_at:
+                state.polls += 1
+                state.poll_at = now + _backoff(state.polls)
+                due.append(state)
+        return due
+
+    def report(self, now: float, runner: str, report: RunnerReport) -> None:
+        """A report has come. It is some hundred milliseconds old."""
+        state = self._runners.get(runner)
+        if state is None:
+            return
+        if state.under_way is None:
+            if not state.is_known:
+                self._learn(now, state, report)
+            return
+        self._progress(now, state, state.under_way, report)
+
+    def poll_failed(self, now: float, runner: str) -> None:
+        """No report came."""
+        state = self._runners.get(runner)
+        if state is None:
+            return
+        state.poll_at = now + SILENT_POLL_S
+        if state.under_way is not None:
+            state.under_way.poll_at = now + SILENT_POLL_S
+
+    def _learn(self, now: float, state: RunnerState, report: RunnerReport) -> None:
+        state.held = {model: set(adapters) for model, adapters in report.models.items()}
+        self._remember(state)
+        if report.occupied:
+            self.ceiling.observed(now)  # a predecessor's load, begun unseen
+            return
+        state.order_count, state.polls = report.call_count, 0
+
+    def _progress(self, now: float, state: RunnerState, under_way: UnderWay, report: RunnerReport) -> None:
+        base = under_way.order.if_revision
+        if base is None or report.call_count > base:
+            under_way.accepted = True
+            self.ceiling.settled(now, state.id)
+            if report.occupied:
+                under_way.ready_at = max(under_way.ready_at, now + FIRST_POLL_S)
+            else:
+                self._finish(now, state, under_way, report)
+            return
+        if report.occupied or under_way.accepted:
+            return
+        if now - under_way.sent_at >= UNANSWERED_S:
+            logger.info("order was not taken runner=%s %s %s", state.id, under_way.order.action,
+                        under_way.order.name)
+            self.ceiling.settled(now, state.id)
+            state.under_way = None
+            self._adopt(state, report)
+
+    def _finish(self, now: float, state: RunnerState, under_way: UnderWay, report: RunnerReport) -> None:
+        order = under_way.order
+        self._adopt(state, report)
+        state.under_way = None
+        present = state.holds(order.model, order.adapter)
+        if present != order.is_load:
+            logger.warning("order had no effect runner=%s %s %s", state.id, order.action, order.name)
+            state.rest_until = now + REST_S
+        elif present:
+            self._arrived(now, state, order)
+        else:
+            self._departed(now, state, order)
+
+    def _arrived(self, now: float, state: RunnerState, order: Order) -> None:
+        state.since[order.name] = now
+        state.departed.pop(order.name, None)
+        if not state.record.holds(order.model, order.adapter):
+            state.arrived[order.name] = now
+
+    def _departed(self, now: float, state: RunnerState, order: Order) -> None:
+        state.since.pop(order.name, None)
+        state.arrived.pop(order.name, None)
+        if state.record.holds(order.model, order.adapter):
+            state.departed[order.name] = now
+
+    def _adopt(self, state: RunnerState, report: RunnerReport) -> None:
+        state.held = {model: set(adapters) for model, adapters in report.models.items()}
+        state.order_count = report.call_count
+        self._remember(state)
+
+    # ---- Orders ----
+
+    def ordering(self, now: float, order: Order) -> None:
+        """The order is about to be sent; from here it counts as taken until the contrary is seen."""
+        state = self._runners[order.runner]
+        if self.needs_store(order):
+            self.ceiling.sent(now, order.runner)
+        ready = now + self.duration(order)
+        state.under_way = UnderWay(order, now, ready, ready + self._settings.report_lag_s)
+
+    def needs_store(self, order: Order) -> bool:
+        """Whether it loads weights that this incarnation is not known to have held."""
+        state = self._runners[order.runner]
+        return order.is_load and not order.adapter and order.model not in state.was_held
+
+    def duration(self, order: Order) -> float:
+        """Seconds that carrying it out is expected to take."""
+        if not order.is_load:
+            return UNLOAD_S
+        if order.adapter:
+            return ADAPTER_S
+        record = self._runners[order.runner].record
+        terms = self.terms.get(record.service)
+        model = terms.models.get(order.model) if terms else None
+        if terms is None or model is None:
+            return FIRST_POLL_S
+        if order.model in self._disks.get((record.service, record.address), ()):
+            return model.load_s * LOCAL_SHARE + READY_MARGIN_S
+        parallel = 1 + sum(self._from_store(state) for state in self._runners.values())
+        slowed = max(parallel / terms.parallel_loads, 1.0)
+        return model.load_s * slowed + READY_MARGIN_S
+
+    def _from_store(self, state: RunnerState) -> bool:
+        return state.under_way is not None and self.needs_store(state.under_way.order)
+
+    def answered(self, now: float, order: Order, outcome: OrderOutcome) -> None:
+        """The runner's answer, or that there is none."""
+        state = self._runners.get(order.runner)
+        if state is None or state.under_way is None or state.under_way.order is not order:
+            return
+        under_way = state.under_way
+        if outcome is OrderOutcome.ACCEPTED:
+            under_way.accepted = True
+            self.ceiling.settled(now, order.runner)
+            return
+        if outcome is OrderOutcome.UNKNOWN:
+            under_way.poll_at = now + self._settings.report_lag_s
+            return
+        self._refused(now, state, outcome)
+
+    def _refused(self, now: float, state: RunnerState, outcome: OrderOutcome) -> None:
+        """It was not taken: what the runner holds must be learned anew."""
+        self.ceiling.cancelled(state.id)
+        state.under_way, state.order_count = None, None
+        state.poll_at, state.polls = now, 0
+        if outcome is OrderOutcome.ALREADY_HELD:
+            return
+        state.rest_until = now + REST_S
+        state.poll_at = now + self._settings.report_lag_s
+        logger.info("order refused runner=%s outcome=%s", state.id, outcome.name)
+
+    # ---- What dispatchers are told ----
+
+    def expected(self, now: float) -> dict[str, dict[str, float]]:
+        """Runner -> model or model/adapter -> when it can be used there, on the clock.
+
+        What is being unloaded has an infinite time. What check-ins tell already has no entry.
+        """
+        told: dict[str, dict[str, float]] = {}
+        for state in self._runners.values():
+            for name, at in [*state.arrived.items(), *state.departed.items()]:
+                if now - at > UNSEEN_S:
+                    state.arrived.pop(name, None)
+                    state.departed.pop(name, None)
+            names = dict.fromkeys(state.departed, math.inf) | state.arrived
+            if state.under_way is not None:
+                order = state.under_way.order
+                names[order.name] = state.under_way.ready_at if order.is_load else math.inf
+            if names:
+                told[state.id] = names
+        return told
+
+
+def _backoff(polls: int) -> float:
+    """Seconds until the next poll of a runner that answers."""
+    return min(FIRST_POLL_S * 1.3 ** (polls - 1), LAST_POLL_S)
--- /dev/null
+++ b/larchgw/placement/service.py
@@ -0,0 +1,231 @@
+"""The placer of one control process: demand, plan and orders in a loop, while it holds the lease.
+
+    service = PlacementService(PlacementRuntime(...))
+    service.configure(configuration)        on each new configuration
+    service.see_runner(record)              on each news of a runner
+    service.demand(report)                  on each dispatcher's report
+    task = asyncio.create_task(service.run())
+
+After the lease was taken, every runner's report is read before its first order; until then nothing is ordered
+there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from ..configuration.model import Configuration
+from ..directory.records import RunnerRecord, Stage
+from .ceiling import LoadCeiling
+from .demand import Demand, DemandReportLike
+from .model import Order, OrderOutcome, PlacementSettings, RunnerReport
+from .planner import Planner
+from .reconciler import Reconciler
+from .state import RunnerState
+
+logger = logging.getLogger(__name__)
+
+BUSY_PERIOD_S = 0.05  # between rounds while an order is under way or a request waits
+CALM_PERIOD_S = 0.25
+LEARN_S = 0.5  # after taking the lease: most runners have answered by then, and load choices see them all
+GONE = -1.0  # published instead of a time: it is being unloaded
+
+
+class Lease(Protocol):
+    """The right to order, as the replication package gives it out."""
+
+    @property
+    def fence(self) -> int:
+        """Rises with each holder."""
+
+    @property
+    def until(self) -> float:
+        """End of the right, on the clock of the runtime."""
+
+
+class RunnerCalls(Protocol):
+    """Calls to runners; `orders.OrderClient` is the implementation."""
+
+    async def order(self, order: Order, fence: int) -> OrderOutcome:
+        """Sends an order."""
+
+    async def report(self, runner: str, address: str) -> RunnerReport | None:
+        """Reads a runner's report."""
+
+
+_tasks: set[asyncio.Task[None]] = set()  # the event loop itself holds its tasks weakly
+
+
+def spawn_task(call: Coroutine[Any, Any, None]) -> None:
+    """Runs a call on the event loop."""
+    task = asyncio.ensure_future(call)
+    _tasks.add(task)
+    task.add_done_callback(_tasks.discard)
+
+
+def _not_published(runner: str, names: dict[str, float]) -> None:
+    """Where nobody is told."""
+
+
+@dataclass(slots=True)
+class PlacementRuntime:
+    """What the service needs of its process.
+
+    `publish` gets, for a runner whose expectations changed, the milliseconds until each model or
+    "model/adapter" can
+    be used there (0: now; GONE: no more), without those that its check-ins tell; an empty dict withdraws
+    them.
+    """
+
+    clock: Callable[[], float]
+    lease: Callable[[], Lease | None]
+    calls: RunnerCalls
+    publish: Callable[[str, dict[str, float]], None] = _not_published
+    spawn: Callable[[Coroutine[Any, Any, None]], None] = spawn_task
+    settings: PlacementSettings = field(default_factory=PlacementSettings)
+    rng: random.Random = field(default_factory=random.Random)
+
+
+class PlacementService:
+    """Runs while the process lives; orders only while it holds the lease."""
+
+    def __init__(self, runtime: PlacementRuntime) -> None:
+        self._runtime, self._clock = runtime, runtime.clock
+        self._demand = Demand(runtime.clock)
+        self._planner = Planner(runtime.settings, runtime.rng)
+        settings = runtime.settings
+        ceiling = LoadCeiling(0.0, settings.ceiling_window_s, settings.origin_rate_cap)
+        self._reconciler = Reconciler(settings, ceiling)
+        self._configuration: Configuration | None = None
+        self._records: dict[str, RunnerRecord] = {}
+        self._started_at = runtime.clock()
+        self._fence: int | None = None
+        self._held_since = math.inf
+        self._published: dict[str, dict[str, float]] = {}
+
+    # ---- News ----
+
+    def configure(self, configuration: Configuration) -> None:
+        """A new configuration is in force."""
+        self._configuration = configuration
+        self._reconciler.configure(configuration)
+        rates = [terms.runtime.loads_per_s for terms in self._reconciler.terms.values()]
+        self._reconciler.ceiling.set_rate(min(rates, default=0.0))
+        for record in self._records.values():
+            self._reconciler.see_runner(self._clock(), record, self._fence is not None)
+
+    def see_runner(self, record: RunnerRecord) -> None:
+        """A runner's record is new or has changed."""
+        self._records[record.id] = record
+        if record.stage is Stage.GONE:
+            del self._records[record.id]
+        self._reconciler.see_runner(self._clock(), record, self._fence is not None)
+
+    def demand(self, report: DemandReportLike) -> None:
+        """A dispatcher reports."""
+        self._demand.report(report)
+
+    # ---- The loop ----
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            self.step()
+            await asyncio.sleep(self.period())
+
+    def step(self) -> None:
+        """One round: polls that are due, then the next orders, then what dispatchers are told."""
+        lease = self._lease()
+        if lease is None:
+            return
+        now = self._clock()
+        self._demand.expire()
+        for state in self._reconciler.polls(now):
+            self._runtime.spawn(self._poll(state))
+        if self._has_learned(now) and self._configuration is not None:
+            orders = self._planner.plan(now, self._configuration, self._reconciler.terms, self._demand,
+                                        self._reconciler.state())
+            for order in orders:
+                self._reconciler.ordering(now, order)
+                self._runtime.spawn(self._order(order, lease.fence))
+        self._publish(now)
+
+    def _lease(self) -> Lease | None:
+        """The lease, if it lasts longer than an order may be on its way; notes when it was taken or lost."""
+        lease, now = self._runtime.lease(), self._clock()
+        if lease is not None and lease.until - now <= self._runtime.settings.order_timeout_s:
+            lease = None
+        fence = lease.fence if lease is not None else None
+        if fence == self._fence:
+            return lease
+        if self._fence is not None:
+            self._reconciler.lease_lost(now)
+            self._published.clear()
+        if fence is not None:
+            self._taken(now, fence)
+        self._fence = fence
+        return lease
+
+    def _taken(self, now: float, fence: int) -> None:
+        logger.info("placing models from now on fence=%d runners=%d", fence, len(self._reconciler.runners))
+        self._held_since = now
+        if now - self._started_at < self._runtime.settings.ceiling_window_s:
+            self._reconciler.ceiling.assume_full(now)
+
+    def _has_learned(self, now: float) -> bool:
+        """Whether reports of the runners have come, or those that are missing had time enough."""
+        runners = self._reconciler.runners.values()
+        if all(state.is_known or not state.is_ready for state in runners):
+            if runners and not any(state.order_count for state in runners):
+                self._reconciler.ceiling.assume_nothing()
+            return True
+        return now - self._held_since >= LEARN_S
+
+    def period(self) -> float:
+        """Seconds until the next round."""
+        busy = any(state.under_way is not None or (state.is_ready and not state.is_known)
+                   for state in self._reconciler.runners.values())
+        return BUSY_PERIOD_S if busy or self._demand.anyone_waits() else CALM_PERIOD_S
+
+    # ---- Calls ----
+
+    async def _poll(self, state: RunnerState) -> None:
+        fence = self._fence
+        report = await self._runtime.calls.report(state.id, state.record.address)
+        if fence != self._fence:
+            return
+        if report is None:
+            self._reconciler.poll_failed(self._clock(), state.id)
+        else:
+            self._reconciler.report(self._clock(), state.id, report)
+
+    async def _order(self, order: Order, fence: int) -> None:
+        lease = self._lease()
+        if lease is None or lease.fence != fence:
+            return
+        logger.info("order runner=%s %s %s", order.runner, order.action, order.name)
+        outcome = await self._runtime.calls.order(order, fence)
+        if fence != self._fence:
+            return
+        if outcome is OrderOutcome.FENCED:
+            logger.warning("a runner has seen a higher fence than %d: another process places models", fence)
+        self._reconciler.answered(self._clock(), order, outcome)
+
+    def _publish(self, now: float) -> None:
+        expected = self._reconciler.expected(now)
+        for runner in self._published.keys() - expected.keys():
+            self._runtime.publish(runner, {})
+        for runner, names in expected.items():
+            if names != self._published.get(runner):
+                self._runtime.publish(runner, {name: _remaining_ms(now, at) for name, at in names.items()})
+        self._published = expected
+
+
+def _remaining_ms(now: float, at: float) -> float:
+    return GONE if math.isinf(at) else max(round((at - now) * 1000.0), 0)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,519 @@
+"""Placement of models: what an order may never do, and what demand must get, against scripted runners."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchgw.configuration.model import Configuration, Model, Runtime, Service
+from larchgw.directory.records import HeldModel, RunnerRecord, Stage
+from larchgw.emulator.modelrunner import Capacity
+from larchgw.emulator.placing import SERVICE, Deployment, Stream, World
+from larchgw.lab.place import Calls, HeldLease, run_at_once
+from larchgw.lab.place import Service as Driver
+from larchgw.placement.ceiling import LoadCeiling
+from larchgw.placement.demand import EXPIRY_S, Demand
+from larchgw.placement.model import (
+    LOADING,
+    UNLOADING,
+    Order,
+    OrderOutcome,
+    PlacementSettings,
+    RunnerReport,
+)
+from larchgw.placement.orders import decode_report, encode_order, outcome_of
+from larchgw.placement.reconciler import LAST_POLL_S, REST_S, UNANSWERED_S, Reconciler
+from larchgw.placement.service import GONE, PlacementRuntime, PlacementService
+from larchgw.rpc.generated.ttypes import DemandReport, ModelDemand
+
+WINDOW_S, CAP = 5.0, 1.1
+GB = 1000.0
+
+
+def line(model="m0", adapter="", arrivals=0, waiting=0, in_flight=0, left_ms=0, worth=0.0):
+    return ModelDemand(SERVICE, model, adapter, arrivals, waiting, in_flight, left_ms, worth)
+
+
+def configuration(count=4, load_s=1.0, weights_mb=70 * GB, adapters=0, room_mb=220 * GB, loads_per_s=2.0):
+    models = tuple(Model(f"m{n}", weights_mb, load_s, adapters, 66.0) for n in range(count))
+    runtime = Runtime(slots=64, models=models, weights_mb=room_mb, adapter_slots=8, loads_per_s=loads_per_s)
+    return Configuration(1, services=(Service(SERVICE, runtime=runtime),))
+
+
+def record(id="r0", held=(), stage=Stage.READY, zone="z0", address="10.0.0.1:80"):
+    models = tuple(HeldModel(name, 1) for name in held)
+    return RunnerRecord(id, SERVICE, address, zone, stage, 64, models=models)
+
+
+def reconciler(config=None, loads_per_s=2.0):
+    made = Reconciler(PlacementSettings(), LoadCeiling(loads_per_s, WINDOW_S, CAP))
+    made.configure(config or configuration())
+    return made
+
+
+def learned(held=("m0",), call_count=0, id="r0"):
+    made = reconciler()
+    made.see_runner(0.0, record(id, held))
+    made.report(0.0, id, told(held, call_count=call_count))
+    return made
+
+
+def told(held=(), occupied=False, call_count=0):
+    return RunnerReport({name: frozenset() for name in held}, occupied, call_count)
+
+
+def load(model, runner="r0", revision=0):
+    return Order(runner, "10.0.0.1:80", LOADING, model, if_revision=revision)
+
+
+def unload(model, runner="r0", revision=0, purpose=""):
+    return Order(runner, "10.0.0.1:80", UNLOADING, model, if_revision=revision, purpose=purpose)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+# ---- Demand ----
+
+def test_rate_of_a_model_asked_for_every_25_s_is_not_lost_between_its_requests():
+    clock = Clock()
+    demand = Demand(clock)
+    for second in range(100):
+        clock.now = 100.0 + second
+        demand.report(DemandReport("e", 1000, [line(arrivals=1)] if second % 25 == 0 else []))
+    assert 0.01 < demand.model_rate(SERVICE, "m0") < 0.1
+
+
+def test_demand_that_has_moved_away_is_seen_to_be_gone_within_seconds():
+    clock = Clock()
+    demand = Demand(clock)
+    for tick in range(400):
+        clock.now = 100.0 + tick * 0.1
+        demand.report(DemandReport("e", 100, [line(arrivals=1)] if tick < 300 else [line("m1", arrivals=1)]))
+    assert demand.model_rate(SERVICE, "m0") < 2.0
+    assert 7.0 < demand.model_rate(SERVICE, "m1") < 13.0
+
+
+def test_requests_that_waited_at_a_dispatcher_that_went_silent_do_not_wait_for_ever():
+    clock = Clock()
+    demand = Demand(clock)
+    demand.report(DemandReport("e", 100, [line(arrivals=1, waiting=3, left_ms=4000)]))
+    assert demand.model_waiting(SERVICE, "m0") == 3 and demand.deadline((SERVICE, "m0", "")) == 104.0
+    clock.now += EXPIRY_S + 0.1
+    assert demand.model_waiting(SERVICE, "m0") == 0 and not demand.anyone_waits()
+
+
+def test_a_dispatcher_that_says_nothing_of_a_model_any_more_has_nobody_waiting_for_it():
+    clock = Clock()
+    demand = Demand(clock)
+    demand.report(DemandReport("e", 100, [line(waiting=3, in_flight=2, left_ms=4000)]))
+    demand.report(DemandReport("e", 100, []))
+    assert (demand.waiting((SERVICE, "m0", "")), demand.in_flight((SERVICE, "m0", ""))) == (0, 0)
+
+
+def test_many_idle_keys_are_forgotten():
+    clock = Clock()
+    demand = Demand(clock)
+    demand.report(DemandReport("e", 100, [line(f"m{n}", arrivals=1) for n in range(800)]))
+    clock.now += 300.0
+    demand.expire()
+    assert demand.model_rate(SERVICE, "m7") == 0.0 and demand.adapters(SERVICE, "m7") == []
+
+
+# ---- Ceiling ----
+
+@given(st.lists(st.tuples(st.floats(0.0, 0.3), st.floats(0.0, 2.0), st.floats(0.0, 1.0)), max_size=200),
+       st.floats(0.2, 8.0))
+def test_no_window_has_more_loads_than_the_store_allows_however_late_they_begin(sends, loads_per_s):
+    """Each load begins at some time between its send and when its outcome is seen."""
+    ceiling = LoadCeiling(loads_per_s, WINDOW_S, CAP)
+    now, outcomes, begun = 0.0, [], []
+    for number, (gap, seen_after, begin_share) in enumerate(sends):
+        now += gap
+        for at, runner in sorted(entry for entry in outcomes if entry[0] <= now):
+            ceiling.settled(at, runner)
+        outcomes = [entry for entry in outcomes if entry[0] > now]
+        if ceiling.room(now) > 0:
+            ceiling.sent(now, f"r{number}")
+            begun.append(now + begin_share * seen_after)
+            outcomes.append((now + seen_after, f"r{number}"))
+    begun.sort()
+    bound = loads_per_s * WINDOW_S * CAP + 3
+    for first in begun:
+        assert sum(first <= at <= first + WINDOW_S for at in begun) <= bound
+
+
+def test_a_new_placer_begins_nothing_while_its_predecessor_may_have_used_the_window():
+    ceiling = LoadCeiling(2.0, WINDOW_S, CAP)
+    ceiling.assume_full(10.0)
+    assert ceiling.room(10.0 + WINDOW_S) == 0
+    assert ceiling.room(10.1 + WINDOW_S) == ceiling.limit
+
+
+def test_loads_that_another_placer_was_seen_to_begin_count():
+    made = reconciler()
+    made.see_runner(0.0, record(held=("m0",)), holding_lease=False)
+    before = made.ceiling.room(0.0)
+    made.see_runner(1.0, record(held=("m0", "m1", "m2")), holding_lease=False)
+    assert made.ceiling.room(1.0) == before - 2
+
+
+# ---- Reconciler ----
+
+def test_memory_of_a_load_counts_from_before_its_order_is_sent():
+    made = learned(("m0", "m1"))
+    made.ordering(0.0, load("m2"))
+    assert not made.runners["r0"].fits(made.terms[SERVICE], "m3")
+    assert made.runners["r0"].used_mb(made.terms[SERVICE]) == 210 * GB
+
+
+def test_memory_of_a_model_being_unloaded_counts_until_a_report_shows_it_gone():
+    made = learned(("m0", "m1", "m2"))
+    made.ordering(0.0, unload("m2"))
+    made.answered(0.01, unload("m2"), OrderOutcome.ACCEPTED)
+    made.report(0.3, "r0", told(("m0", "m1", "m2"), occupied=True, call_count=1))
+    assert not made.runners["r0"].fits(made.terms[SERVICE], "m3")
+    made.report(0.6, "r0", told(("m0", "m1"), call_count=1))
+    assert made.runners["r0"].fits(made.terms[SERVICE], "m3") and made.runners["r0"].may_order(0.6)
+
+
+def test_a_report_older_than_the_order_does_not_end_it():
+    made = learned()
+    order = load("m1")
+    made.ordering(0.0, order)
+    made.answered(0.01, order, OrderOutcome.ACCEPTED)
+    made.report(0.1, "r0", told(("m0",), call_count=0))
+    made.report(2.0, "r0", told(("m0",), call_count=0))
+    assert made.runners["r0"].under_way is not None
+
+
+def test_an_order_without_an_answer_counts_as_taken_until_reports_show_otherwise():
+    made = learned(("m0", "m1"))
+    order = load("m2")
+    made.ordering(0.0, order)
+    made.answered(0.8, order, OrderOutcome.UNKNOWN)
+    made.report(1.0, "r0", told(("m0", "m1"), call_count=0))
+    assert not made.runners["r0"].may_order(1.0)
+    made.report(UNANSWERED_S, "r0", told(("m0", "m1"), call_count=0))
+    assert made.runners["r0"].may_order(UNANSWERED_S)
+    assert made.ceiling.room(UNANSWERED_S) == made.ceiling.limit - 1
+
+
+def test_an_order_without_an_answer_that_was_taken_is_followed_to_its_end():
+    made = learned(("m0",))
+    order = load("m1")
+    made.ordering(0.0, order)
+    made.answered(0.8, order, OrderOutcome.UNKNOWN)
+    made.report(1.0, "r0", told(("m0",), occupied=True, call_count=1))
+    made.report(UNANSWERED_S, "r0", told(("m0",), occupied=True, call_count=1))
+    assert made.runners["r0"].under_way is not None
+    made.report(2.0, "r0", told(("m0", "m1"), call_count=1))
+    assert made.runners["r0"].holds("m1")
+
+
+def test_after_a_conflict_the_runner_is_asked_before_it_is_ordered_again():
+    made = learned()
+    order = load("m1")
+    made.ordering(0.0, order)
+    made.answered(0.01, order, OrderOutcome.CONFLICT)
+    assert not made.runners["r0"].may_order(5.0)
+    assert [state.id for state in made.polls(5.0)] == ["r0"]
+    made.report(5.0, "r0", told(("m0", "m3"), call_count=1))
+    assert made.runners["r0"].may_order(5.0) and made.runners["r0"].order_count == 1
+
+
+def test_a_refused_order_gives_its_place_at_the_store_back():
+    made = learned()
+    order = load("m1")
+    made.ordering(0.0, order)
+    made.answered(0.01, order, OrderOutcome.UNSENT)
+    assert made.ceiling.room(0.01) == made.ceiling.limit
+    made.report(0.3, "r0", told(("m0",)))
+    assert not made.runners["r0"].may_order(0.3) and made.runners["r0"].may_order(REST_S + 0.1)
+
+
+def test_a_runner_still_occupied_by_a_predecessors_order_gets_none():
+    made = reconciler()
+    made.see_runner(0.0, record(held=("m0",)))
+    made.report(0.0, "r0", told(("m0",), occupied=True, call_count=3))
+    assert not made.runners["r0"].may_order(0.0)
+    made.report(1.0, "r0", told(("m0", "m1"), call_count=3))
+    assert made.runners["r0"].may_order(1.0)
+
+
+def test_a_restarted_runner_is_another_one_whose_orders_are_forgotten():
+    made = learned(("m0", "m1"), call_count=4)
+    made.see_runner(1.0, record("r0", stage=Stage.GONE))
+    made.see_runner(2.0, record("r1"))
+    assert "r0" not in made.runners and made.runners["r1"].order_count is None
+    made.report(2.1, "r1", told())
+    assert made.runners["r1"].order_count == 0
+    known = replace(load("m0", "r1"))
+    assert made.duration(known) < 1.0 and made.needs_store(known)
+
+
+def test_a_model_that_this_incarnation_had_does_not_count_at_the_store():
+    made = learned(("m0", "m1"))
+    made.ordering(0.0, unload("m1"))
+    made.report(0.5, "r0", told(("m0",), call_count=1))
+    made.ordering(1.0, load("m1", revision=1))
+    assert made.ceiling.room(1.0) == made.ceiling.limit
+
+
+def test_after_the_lease_was_lost_nothing_is_ordered_before_reports_have_come():
+    made = learned()
+    made.lease_lost(1.0)
+    assert not made.runners["r0"].may_order(1.0)
+    assert [state.id for state in made.polls(1.0)] == ["r0"]
+
+
+def test_polls_of_a_late_order_are_spaced():
+    made = learned()
+    made.ordering(0.0, load("m1"))
+    asked = [t for tick in range(200) if made.polls(t := tick * 0.05)]
+    assert asked[0] >= 1.0 and len(asked) <= (10.0 - asked[0]) / LAST_POLL_S + 6
+
+
+def test_dispatchers_are_told_when_a_load_will_be_done_until_a_check_in_tells_it():
+    made = learned(("m0",))
+    made.ordering(0.0, load("m1"))
+    assert made.expected(0.1) == {"r0": {"m1": pytest.approx(1.03)}}
+    made.report(1.2, "r0", told(("m0", "m1"), call_count=1))
+    assert made.expected(1.2)["r0"]["m1"] <= 1.2
+    made.see_runner(1.5, record(held=("m0", "m1")))
+    assert made.expected(1.5) == {}
+
+
+def test_dispatchers_are_told_that_a_model_is_leaving_until_check_ins_drop_it():
+    made = learned(("m0", "m1"))
+    made.ordering(0.0, unload("m1"))
+    assert made.expected(0.0)["r0"]["m1"] == float("inf")
+    made.report(0.5, "r0", told(("m0",), call_count=1))
+    assert made.expected(0.5)["r0"]["m1"] == float("inf")
+    made.see_runner(1.0, record(held=("m0",)))
+    assert made.expected(1.0) == {}
+
+
+# ---- Orders on the wire ----
+
+def test_an_order_names_its_owner_fence_and_the_orders_before_it():
+    order = Order("r0", "a:1", LOADING, "m", "a3", 2)
+    assert encode_order(order, "node-7", 41) == (
+        b'{"order":"loading","model":"m","owner":"node-7","fence":41,"adapter":"a3","if_revision":2}')
+
+
+@pytest.mark.parametrize("status, outcome", [
+    (202, OrderOutcome.ACCEPTED), (200, OrderOutcome.ALREADY_HELD), (409, OrderOutcome.CONFLICT),
+    (412, OrderOutcome.FENCED), (400, OrderOutcome.REJECTED), (421, OrderOutcome.OTHER_RUNNER),
+    (500, OrderOutcome.UNKNOWN), (599, OrderOutcome.UNKNOWN)])
+def test_an_answer_that_does_not_say_so_is_never_read_as_not_taken(status, outcome):
+    assert outcome_of(status) is outcome
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"models":[1],"occupied":false,"call_count":1}',
+                                  b'{"models":[],"occupied":false,"call_count":"x"}'])
+def test_bytes_that_are_no_report_are_none(body):
+    assert decode_report(body) is None
+
+
+def test_a_report_is_read():
+    body = (b'{"phase":"both","models":[{"name":"d","config_version":1,"adapters":["a1"]}],"occupied":true,'
+            b'"call_count":2,"queued":1,"in_progress":12,"cache_used":1,"cache_total":9,"takes":0}')
+    assert decode_report(body) == RunnerReport({"d": frozenset({"a1"})}, True, 2, 1, 12)
+
+
+# ---- The service against scripted runners ----
+
+def deployment(streams, models=12, runners=4, load_s=1.0, seconds=30.0, adapters=0, loads_per_s=3.0,
+               losses=(), room_mb=230 * GB):
+    known = tuple(Model(f"m{n}", 72.7 * GB, load_s, adapters, 66.0) for n in range(models))
+    return Deployment(known, tuple(streams), runners, 3, Capacity(room_mb), loads_per_s,
+                      max(round(loads_per_s * load_s), 3), seconds, losses)
+
+
+def busy(models, rate=10.0, starts=0.0, ends=1e9, adapter_share=0.0):
+    return Stream(models, (1.0,) * len(models), rate, 1.0, 0.8, 5.0, adapter_share, starts, ends)
+
+
+def rare(models, rate=0.04, aim_s=3.0):
+    return Stream(models, (1.0,) * len(models), rate * len(models), 3.0, aim_s, 8.0)
+
+
+def played(made, seed=1, calls=None, around=None):
+    world = World(made, seed)
+    driver = Driver(world, seed)
+    if calls is not None:
+        driver.service._runtime.calls = calls(world)
+    step = driver.step if around is None else lambda: around(world, driver)
+    world.play(step, driver.see_runner, driver.demand)
+    return world
+
+
+def in_time(asked):
+    asked = list(asked)
+    return sum(request.in_time for request in asked) / len(asked)
+
+
+def names(first, last):
+    return tuple(f"m{n}" for n in range(first, last))
+
+
+def no_rule_broken(world):
+    made = world.deployment
+    assert not any(runner.fallen for runner in world.runners)
+    assert world.store.most_in(WINDOW_S) <= made.loads_per_s * WINDOW_S * CAP + 3
+
+
+def test_rare_models_that_are_nowhere_are_served_within_their_load_time():
+    world = played(deployment([busy(("m0", "m1")), rare(names(2, 24))], models=24))
+    asked = [request for request in world.asked if request.worth == 3.0]
+    assert in_time(asked) > 0.9
+    no_rule_broken(world)
+
+
+def test_no_model_that_is_asked_for_again_and_again_starves():
+    world = played(deployment([busy(("m0", "m1")), rare(names(2, 40), 0.1)], models=40, seconds=40.0))
+    served = {request.model for request in world.asked if request.begun_at >= 0}
+    often = {name for name in names(0, 40) if sum(r.model == name for r in world.asked) >= 4}
+    assert often and often <= served
+    no_rule_broken(world)
+
+
+def test_steady_demand_that_fits_is_left_alone():
+    world = played(deployment([busy(("m0",), 5.0), rare(names(1, 6))], models=6, seconds=40.0))
+    late = [order for runner in world.runners for order in runner.orders if order[0] > 15.0]
+    assert len(late) <= 1
+
+
+def test_demand_that_moves_to_other_models_is_followed():
+    streams = [busy(("m0", "m1"), 20.0, 0.0, 15.0), busy(("m6", "m7"), 20.0, 15.0), rare(names(12, 16))]
+    world = played(deployment(streams, models=16, load_s=2.0))
+    settled = [request for request in world.asked if request.at > 20.0 and request.worth == 1.0]
+    assert in_time(settled) > 0.95
+    assert all(sum(name in runner.held for runner in world.runners) >= 2 for name in ("m6", "m7"))
+    no_rule_broken(world)
+
+
+def test_models_of_a_lost_runner_are_placed_again_and_the_empty_one_is_filled():
+    world = played(deployment([busy(("m0", "m1"), 15.0), rare(names(2, 10))], models=10,
+                              losses=((10.0, 0, 5.0),)))
+    after = [request for request in world.asked if request.at > 11.0]
+    assert in_time(after) > 0.9
+    assert world.runners[0].held
+    no_rule_broken(world)
+
+
+def test_adapters_are_loaded_on_request_and_never_beyond_a_runners_places():
+    world = played(deployment([busy(("m0",), 10.0, adapter_share=0.7)], models=2, adapters=30))
+    asked = [request for request in world.asked if request.adapter and request.at > 10.0]
+    assert in_time(asked) > 0.8
+    assert any(len(runner.held.get("m0", ())) >= 5 for runner in world.runners)
+    no_rule_broken(world)
+
+
+class LossyCalls(Calls):
+    """Loses answers: of an order that was taken, and of one that never arrived."""
+
+    def __init__(self, world):
+        super().__init__(world)
+        self._dice = random.Random(5)
+
+    async def order(self, order, fence):
+        fate = self._dice.random()
+        if fate < 0.15:
+            return OrderOutcome.UNKNOWN
+        outcome = await super().order(order, fence)
+        return OrderOutcome.UNKNOWN if fate < 0.3 else outcome
+
+    async def report(self, runner, address):
+        return None if self._dice.random() < 0.2 else await super().report(runner, address)
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 10**6), st.integers(3, 6), st.sampled_from([0.6, 3.0]), st.floats(0.5, 3.0))
+def test_no_runner_is_ever_overloaded_and_no_window_overdrawn(seed, runners, load_s, loads_per_s):
+    streams = [busy(("m0", "m1"), 8.0, 0.0, 8.0, 0.4), busy(("m2", "m3"), 8.0, 8.0, 99.0, 0.4),
+               rare(names(4, 20), 0.2)]
+    made = deployment(streams, models=20, runners=runners, load_s=load_s, seconds=16.0, adapters=12,
+                      loads_per_s=loads_per_s, losses=((5.0, seed % runners, 3.0),))
+    no_rule_broken(played(made, seed, LossyCalls))
+
+
+def test_lost_answers_do_not_stop_placement():
+    world = played(deployment([busy(("m0", "m1")), rare(names(2, 20))], models=20), calls=LossyCalls)
+    assert in_time(request for request in world.asked if request.worth == 3.0) > 0.6
+
+
+def test_nothing_is_ordered_without_the_lease():
+    world = World(deployment([rare(names(0, 20), 0.2)], models=20, seconds=5.0), 1)
+    runtime = PlacementRuntime(lambda: world.now, lambda: None, Calls(world), spawn=run_at_once)
+    service = PlacementService(runtime)
+    service.configure(world.deployment.configuration())
+    world.play(service.step, service.see_runner, service.demand)
+    assert (world.orders, world.probes) == (0, 0)
+
+
+def test_no_order_is_sent_that_may_arrive_after_the_lease_has_ended():
+    world = World(deployment([rare(names(0, 20), 0.2)], models=20, seconds=9.0), 1)
+    runtime = PlacementRuntime(lambda: world.now, lambda: HeldLease(1, 5.0), Calls(world), spawn=run_at_once)
+    service = PlacementService(runtime)
+    service.configure(world.deployment.configuration())
+    world.play(service.step, service.see_runner, service.demand)
+    sent = [order[0] for runner in world.runners for order in runner.orders]
+    assert sent and max(sent) <= 5.0 - runtime.settings.order_timeout_s
+
+
+def test_a_new_holder_reads_every_report_before_its_first_order_there():
+    seen = []
+
+    class Watched(Calls):
+        async def order(self, order, fence):
+            seen.append(("order", order.runner))
+            return await super().order(order, fence)
+
+        async def report(self, runner, address):
+            seen.append(("report", runner))
+            return await super().report(runner, address)
+
+    played(deployment([rare(names(0, 20), 0.2)], models=20, seconds=8.0), calls=Watched)
+    for runner in {runner for kind, runner in seen if kind == "order"}:
+        assert seen.index(("report", runner)) < seen.index(("order", runner))
+
+
+def test_two_holders_in_turn_never_overload_a_runner():
+    """The second takes over while loads of the first are under way."""
+    world = World(deployment([rare(names(0, 30), 0.3)], models=30, seconds=20.0, load_s=3.0), 3)
+    services = []
+    for fence, begin, end in ((1, 0.0, 7.0), (2, 7.0, 99.0)):
+        def lease(fence=fence, begin=begin, end=end):
+            return HeldLease(fence, end) if begin <= world.now < end else None
+        service = PlacementService(PlacementRuntime(lambda: world.now, lease, Calls(world),
+                                                    spawn=run_at_once))
+        service.configure(world.deployment.configuration())
+        services.append(service)
+    world.play(lambda: [service.step() for service in services],
+               lambda known: [service.see_runner(known) for service in services],
+               lambda report: [service.demand(report) for service in services])
+    assert any(at > 8.0 for runner in world.runners for at, *_ in runner.orders)
+    no_rule_broken(world)
+
+
+def test_expectations_are_published_once_and_withdrawn():
+    published = []
+    world = World(deployment([rare(names(0, 20), 0.2)], models=20, seconds=12.0), 1)
+    runtime = PlacementRuntime(lambda: world.now, HeldLease, Calls(world), spawn=run_at_once,
+                               publish=lambda runner, names: published.append((runner, names)))
+    service = PlacementService(runtime)
+    service.configure(world.deployment.configuration())
+    world.play(service.step, service.see_runner, service.demand)
+    assert any(0 < ms < 5000 for _, names in published for ms in names.values())
+    assert any(ms == GONE for _, names in published for ms in names.values())
+    assert any(names == {} for _, names in published)
+    assert all(first != second for first, second in zip(published, published[1:], strict=False))
