Edge: streams that are cut go on elsewhere; tests of streams, parsers and the event loop

A silence that follows an event is now counted from that event: the watch had been set up to half a pause too late. Answers cut at every byte, and events in any pieces, are tried in tests/test_edge_parsers.py.

--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -283,9 +283,11 @@
         """A runner that has fallen silent in a stream is left where the stream may go on elsewhere."""
         self._silence = None
         now, limit = self._context.now(), self._silence_s()
-        waits = self._attempt is not None and self.started and self._exchange.on_drained is None
-        if not waits or now - self._heard_at < limit:
-            self._watch_silence(max(self._heard_at, now - limit / 2) + limit)
+        if self._attempt is None or not self.started or self._exchange.on_drained is not None:
+            self._watch_silence(now + limit / 2)  # nothing is awaited of a runner's stream now
+            return
+        if now < self._heard_at + limit:
+            self._watch_silence(self._heard_at + limit)
             return
         service = self.traits.service
         allowed = self._context.budget.may_repeat(now, service, self._context.dispatchers())
--- /dev/null
+++ b/tests/test_asyncloop.py
@@ -0,0 +1,108 @@
+"""The event loop on asyncio: sockets and deadlines as the present program's loop serves them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from larchgw.core.counters import Counters
+from larchgw.net.asyncloop import AsyncLoop
+from larchgw.net.loop import READ, WRITE
+
+PATIENCE = 20.0
+
+
+def run(test: Callable[[AsyncLoop], Coroutine[Any, Any, None]]) -> None:
+    async def on_loop() -> None:
+        loop = AsyncLoop(asyncio.get_running_loop())
+        await asyncio.wait_for(test(loop), PATIENCE)
+        loop.close()
+
+    asyncio.run(on_loop())
+
+
+def test_a_paused_socket_is_not_heard_until_it_is_watched_again() -> None:
+    async def test(loop: AsyncLoop) -> None:
+        ours, theirs = socket.socketpair()
+        heard: list[int] = []
+        first, second = asyncio.Event(), asyncio.Event()
+
+        def ready(mask: int) -> None:
+            heard.append(mask)
+            ours.recv(1)
+            (second if first.is_set() else first).set()
+
+        loop.watch(ours, READ, ready)
+        theirs.send(b"a")
+        await first.wait()
+        loop.watch(ours, 0, ready)
+        theirs.send(b"b")
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert heard == [READ]
+        loop.watch(ours, READ, ready)
+        await second.wait()
+        loop.forget(ours)
+        ours.close()
+        theirs.close()
+
+    run(test)
+
+
+def test_asyncio_is_told_only_of_events_that_change(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(loop: AsyncLoop) -> None:
+        ours, theirs = socket.socketpair()
+        told: list[str] = []
+        for name in ("add_reader", "remove_reader", "add_writer", "remove_writer"):
+            monkeypatch.setattr(loop.loop, name, lambda *a, name=name: told.append(name))
+        for events in (READ, READ, READ | WRITE, READ, READ, 0, 0):
+            loop.watch(ours, events, lambda mask: None)
+        assert told == ["add_reader", "add_writer", "remove_writer", "remove_reader"]
+        monkeypatch.undo()
+        ours.close()
+        theirs.close()
+
+    run(test)
+
+
+def test_deadlines_come_in_order_also_those_set_later_and_dropped_ones_do_not() -> None:
+    async def test(loop: AsyncLoop) -> None:
+        now, heard, done = loop.clock.now(), list[str](), asyncio.Event()
+        loop.deadlines.add(now + 0.03, done.set)
+        dropped = loop.deadlines.add(now + 0.001, lambda: heard.append("dropped"))
+        loop.deadlines.add(now + 0.02, lambda: heard.append("second"))
+        loop.deadlines.add(now + 0.01, lambda: heard.append("first"))
+        loop.deadlines.drop(dropped)
+        await done.wait()
+        assert heard == ["first", "second"]
+
+    run(test)
+
+
+def test_one_callback_that_fails_ends_neither_the_sweep_nor_the_loop(
+        caplog: pytest.LogCaptureFixture) -> None:
+    async def test(loop: AsyncLoop) -> None:
+        loop.counters = Counters()
+        done = asyncio.Event()
+        now = loop.clock.now()
+        loop.deadlines.add(now, lambda: 1 / 0)  # type: ignore[arg-type,return-value]
+        loop.deadlines.add(now, done.set)
+        with caplog.at_level(logging.CRITICAL):
+            await done.wait()
+        assert loop.counters.figures()["larchgw_faults_total_loop"] == 1
+
+    run(test)
+
+
+def test_another_thread_can_hand_work_in() -> None:
+    async def test(loop: AsyncLoop) -> None:
+        done = asyncio.Event()
+        await asyncio.get_running_loop().run_in_executor(None, loop.call, done.set)
+        await done.wait()
+
+    run(test)
--- /dev/null
+++ b/tests/test_edge_parsers.py
@@ -0,0 +1,217 @@
+"""Whatever the pieces in which bytes come, and wherever they end, the same is read."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larchgw.core.deadlines import Clock, Deadlines
+from larchgw.decide.interface import AttemptOutcome
+from larchgw.edge import events as events_module
+from larchgw.edge.events import EventSplitter, EventTooLong, parse
+from larchgw.edge.keep_time import KeepTime
+from larchgw.edge.requesthead import model_of, parts_of, time_left, tokens_of
+from larchgw.edge.runner_link import AnswerHead, RunnerLink
+from larchgw.net.ending import Ending
+from larchgw.net.heads import end_to_end
+
+LINES = st.lists(st.sampled_from([b"id: 3", b"id:12", b"id: x", b"data: one", b"data", b": ping",
+                                  b"versions: 4", b"data: id: 9"]), min_size=1, max_size=4)
+ENDS = st.sampled_from([b"\n", b"\r\n"])
+
+
+@st.composite
+def streams(draw: st.DrawFn) -> list[bytes]:
+    made = []
+    for _ in range(draw(st.integers(0, 6))):
+        end = draw(ENDS)
+        made.append(end.join(draw(LINES)) + end + end)
+    return made
+
+
+def pieces(data: bytes, cuts: list[int]) -> Iterator[bytes]:
+    places = sorted({cut % (len(data) + 1) for cut in cuts})
+    for start, end in zip([0, *places], [*places, len(data)], strict=True):
+        yield data[start:end]
+
+
+@given(streams(), st.binary(max_size=6).filter(lambda x: b"\n" not in x), st.lists(st.integers(0, 999)))
+def test_events_are_the_same_however_they_are_cut(stream: list[bytes], tail: bytes, cuts: list[int]) -> None:
+    splitter, got = EventSplitter(), []
+    for piece in pieces(b"".join(stream) + tail, cuts):
+        got += splitter.feed(piece)
+    assert [event.raw for event in got] == stream
+    assert splitter.rest() == tail
+
+
+@given(st.binary(max_size=200), st.lists(st.integers(0, 999)))
+def test_no_byte_of_a_stream_is_lost_or_added(data: bytes, cuts: list[int]) -> None:
+    splitter, got = EventSplitter(), b""
+    for piece in pieces(data, cuts):
+        got += b"".join(event.raw for event in splitter.feed(piece))
+    assert got + splitter.rest() == data
+
+
+def test_an_event_tells_its_id_and_version_and_a_comment_tells_nothing() -> None:
+    event = parse(b"versions: 8\nid: 12\ndata: id: 9\n\n")
+    assert (event.id, event.version, event.comment) == (12, b"8", False)
+    assert parse(b"id: 4\r\ndata: x\r\n\r\n").id == 4
+    assert parse(b"id: abc\n\n").id is None
+    assert parse(b": ping\n\n").comment
+
+
+def test_an_event_without_an_end_is_not_held_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(events_module, "MAX_EVENT", 100)
+    splitter = EventSplitter()
+    splitter.feed(b"x" * 100)
+    with pytest.raises(EventTooLong):
+        splitter.feed(b"x")
+
+
+# A runner's answer, cut at every byte
+
+
+class Carried:
+    """Notes what a connection tells of its request."""
+
+    name = b"id1"
+
+    def __init__(self) -> None:
+        self.head: AnswerHead | None = None
+        self.body, self.ends = b"", []  # type: bytes, list[object]
+
+    def request(self) -> bytes | None:
+        return b""
+
+    def on_answer(self, head: AnswerHead) -> None:
+        assert self.head is None
+        self.head = head
+
+    def on_body(self, data: bytes) -> None:
+        assert self.head is not None and not self.ends
+        self.body += data
+
+    def on_answer_end(self) -> None:
+        self.ends.append("whole")
+
+    def on_lost(self, outcome: AttemptOutcome) -> None:
+        self.ends.append(outcome)
+
+
+class Pool:
+    """Owns one connection whose bytes the test gives by hand."""
+
+    def __init__(self) -> None:
+        self.clock, self.deadlines, self.finishing = Clock(), Deadlines(), 0
+        self.loop = self
+        self.free, self.over = 0, 0
+
+    def watch(self, *args: object) -> None:
+        pass
+
+    def forget(self, *args: object) -> None:
+        pass
+
+    def released(self, link: RunnerLink, keep_s: float | None) -> None:
+        self.free += 1
+
+    def closed(self, link: RunnerLink) -> None:
+        self.over += 1
+
+    def died(self, link: RunnerLink) -> None:
+        pass
+
+
+def carry(cuts: list[bytes], ending: Ending | None) -> tuple[Carried, Pool]:
+    pool, carried = Pool(), Carried()
+    link = RunnerLink(pool, ("127.0.0.1", 9))  # type: ignore[arg-type]
+    link.begin(carried, head_only=False)
+    connection = link.connection
+    assert not isinstance(connection, Ending)
+    connection.connecting = False
+    link._written = True
+    for piece in cuts:
+        if piece and not carried.ends:
+            link.on_data(piece)
+    if ending is not None and not connection.closed:
+        link.on_end(ending)
+    connection.close()
+    return carried, pool
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Seal: s\r\n"
+STRANGER = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id0\r\nContent-Length: 3\r\n\r\nold"
+ANSWERS = [HEAD + b"Content-Length: 5\r\n\r\nhello",
+           HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+           STRANGER + HEAD + b"Content-Length: 5\r\n\r\nhello",
+           b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD + b"Content-Length: 5\r\n\r\nhello"]
+
+
+@pytest.mark.parametrize("answer", ANSWERS)
+@pytest.mark.parametrize("ending", [Ending.CLOSED, Ending.BROKE])
+def test_an_answer_cut_at_any_byte_is_never_taken_for_whole(answer: bytes, ending: Ending) -> None:
+    for size in range(len(answer)):
+        carried, pool = carry([answer[:size]], ending)
+        assert carried.ends in ([AttemptOutcome.RESET], [AttemptOutcome.CUT]), size
+        assert (carried.ends == [AttemptOutcome.CUT]) == (carried.head is not None)
+        assert b"hello".startswith(carried.body) and pool.free == 0
+
+
+@pytest.mark.parametrize("answer", ANSWERS)
+def test_an_answer_in_any_two_pieces_is_the_same_one(answer: bytes) -> None:
+    for size in range(len(answer) + 1):
+        carried, pool = carry([answer[:size], answer[size:]], None)
+        assert (carried.ends, carried.body) == (["whole"], b"hello"), size
+        assert carried.head is not None and carried.head.status == 200
+        assert pool.free == (not answer.startswith(STRANGER))
+
+
+@given(st.binary(min_size=1, max_size=120))
+def test_bytes_at_random_are_never_an_answer(data: bytes) -> None:
+    carried, pool = carry([data], Ending.CLOSED)
+    assert carried.ends in ([AttemptOutcome.RESET], [AttemptOutcome.GARBLED])
+    assert pool.free == 0 and pool.over
+
+
+@given(st.integers(0, 200), st.binary(min_size=1, max_size=60))
+def test_an_answer_with_foreign_bytes_inside_is_never_kept_for_the_next_request(at: int, junk: bytes) -> None:
+    whole = ANSWERS[1]
+    at %= len(whole) + 1
+    carried, pool = carry([whole[:at] + junk + whole[at:]], Ending.BROKE)
+    assert len(carried.ends) == 1
+    if pool.free:  # then it was read as a whole answer with nothing behind it
+        assert carried.ends == ["whole"]
+
+
+# Headers
+
+
+def test_fields_of_one_connection_are_dropped_and_all_others_kept_in_order() -> None:
+    fields = [(b"Connection", b"keep-alive, X-Hop"), (b"x-hop", b"1"), (b"Cookie", b"a"),
+              (b"TE", b"trailers"), (b"Cookie", b"b"), (b"Content-Length", b"3"), (b"X-Server-Seal", b"s")]
+    assert end_to_end(fields) == [(b"Cookie", b"a"), (b"Cookie", b"b"), (b"X-Server-Seal", b"s")]
+
+
+def test_headers_of_a_request_are_read_and_wrong_ones_borne() -> None:
+    headers = {b"x-model": b"daka510000/a3", b"x-token-count": b"1460,80", b"x-time-left-ms": b"2500",
+               b"x-prompt-start": b"5c1e07a2:800, 91bd3f06:410,bad"}
+    assert model_of(headers) == ("daka510000", "a3")
+    assert tokens_of(headers) == (1460, 80)
+    assert [(part.id, part.tokens) for part in parts_of(headers)] == [("5c1e07a2", 800), ("91bd3f06", 410)]
+    assert time_left(headers, 5.0) == 2.5 and time_left(headers, 1.0) == 1.0
+    for wrong in (b"", b"x", b"nan", b"-5"):
+        assert 0.0 <= time_left({b"x-time-left-ms": wrong}, 5.0) <= 5.0
+    assert (model_of({}), tokens_of({b"x-token-count": b"x"}), parts_of({})) == (("", ""), (0, 0), ())
+
+
+def test_a_connection_that_proved_dead_shortens_the_trust_for_a_while() -> None:
+    keep = KeepTime()
+    assert keep.limit(0.0, once=True) < keep.limit(0.0) < 10.0
+    keep.told(5.0)
+    assert keep.limit(0.0) == 4.0 and keep.limit(0.0, once=True) == 2.0
+    keep.proved_dead(100.0, stood=3.0)
+    assert keep.limit(100.0) == 1.5 and keep.limit(100.0, once=True) == 1.5
+    assert keep.limit(110.0) == 3.0 and keep.limit(200.0) == 4.0
