Command line on Fire, with the system's roles and checks of its files

The roles start as `larchgw edge` and `larchgw control`; the house's library for the command line is Fire.

Fire calls a function before it has read all arguments, so a misspelt option would have run a whole experiment first: the functions now give a Command, run once nothing is wrong. Arguments stay text, wrong calls stay one line with status 2, and all sub-commands keep their options. `check` also reads the operator's configurations, and `settings` a process's settings.

SIGHUP is ignored by the first statement of `__main__`.

--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -1,20 +1,27 @@
-"""`python -m larchgw`: serves. With arguments, the command line."""
+"""`python -m larchgw`: serves. With the name of a role, that role; with other arguments, the command line."""
 
 import signal
 import sys
 
+# Until a handler stands, a SIGHUP would end the process. All other imports come after this.
+_inherited = signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 
 def main() -> int:
-    """Without arguments nothing of the command line is loaded: the platform's memory limits bind."""
-    if len(sys.argv) > 1:
-        from .cli.main import run
+    """Roles and the plain start load nothing of the command line: limits on memory and time bind."""
+    arguments = sys.argv[1:]
+    if not arguments:
+        from .daemon import serve
+
+        return serve()
+    from .roles import ROLES, run_role
 
-        return run()
-    # Until the daemon listens to it, a SIGHUP would end us. The configuration is read after this.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from .daemon import serve
+    if len(arguments) == 1 and arguments[0] in ROLES:
+        return run_role(arguments[0])
+    signal.signal(signal.SIGHUP, _inherited)  # the command line ends with its terminal
+    from .cli.main import run
 
-    return serve()
+    return run()
 
 
 if __name__ == "__main__":
--- a/larchgw/cli/check.py
+++ b/larchgw/cli/check.py
@@ -1,20 +1,48 @@
-"""`larchgw check FILE...`: every fault of configuration files."""
+"""`larchgw check FILE...` and `larchgw settings FILE`: every fault of files that people write."""
 
 from __future__ import annotations
 
+import json
 import os
+from collections.abc import Sequence
 from pathlib import Path
 
-import click
-
 from .. import config
+from ..configuration import settings as process_settings
+from ..configuration.errors import ConfigurationError
+from ..configuration.validation import decode, examine
 from ..settings_file import Fault, read
+from .command import WRONG_CALL, Command, UsageError, textual
+
+# Fields that a configuration of the operator's has and PROXY_CONFIG's file has not.
+_OPERATORS_FIELDS = frozenset({"config_version", "routes", "services"})
+
 
+def faults_of(path: Path, configuration: bool = False) -> list[Fault]:
+    """The faults of one file.
 
-def faults_of(path: Path) -> list[Fault]:
-    """JSON is read as PROXY_CONFIG's file, of which the first fault is named; anything else as our TOML."""
+    JSON is read as a configuration of the operator's where it looks like one or `configuration` says so, as
+    a process's settings where it names a node, and else as PROXY_CONFIG's file, of which the first fault is
+    named. Anything else is read as our TOML.
+    """
+    if configuration or (path.suffix == ".json" and _OPERATORS_FIELDS & _fields(path)):
+        return _configuration_faults(path)
     if path.suffix != ".json":
         return read(path)[1]
+    if "node_name" in _fields(path):
+        return _settings_faults(path)
+    return _proxy_faults(path)
+
+
+def _fields(path: Path) -> set[str]:
+    """The names at the top of a JSON file; none where it cannot be read."""
+    try:
+        return set(json.loads(path.read_bytes()))
+    except (OSError, ValueError, TypeError):
+        return set()
+
+
+def _proxy_faults(path: Path) -> list[Fault]:
     try:
         config.load({**os.environ, "PROXY_CONFIG": str(path)})
     except config.ConfigError as error:
@@ -23,11 +51,57 @@
     return []
 
 
-@click.command()
-@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
-def check(files: tuple[Path, ...]) -> int:
-    """Names every fault of these files as `file: field: what is wrong`; status 2 if there is one."""
-    faults = [fault for path in files for fault in faults_of(path)]
+def _configuration_faults(path: Path) -> list[Fault]:
+    try:
+        faults = examine(decode(path.read_bytes()))[1]
+    except OSError as error:
+        return [Fault(str(path), "", f"cannot read it: {error.strerror}")]
+    except ConfigurationError as error:
+        faults = [error]
+    return [_fault(path, fault) for fault in faults]
+
+
+def _settings_faults(path: Path) -> list[Fault]:
+    try:
+        process_settings.load(str(path))
+    except ConfigurationError as error:
+        return [_fault(path, error)]
+    return []
+
+
+def _fault(path: Path, error: ConfigurationError) -> Fault:
+    field = "" if error.field == str(path) else error.field
+    return Fault(str(path), field, f"{error.problem}; {error.remedy}")
+
+
+def _report(faults: Sequence[Fault]) -> int:
     for fault in faults:
-        click.echo(str(fault))
-    return 2 if faults else 0
+        print(fault)
+    return WRONG_CALL if faults else 0
+
+
+@textual
+def check(*files: str, configuration: str = "False") -> Command:
+    """Names every fault of these files as `file: field: what is wrong`; status 2 if there is one.
+
+    Args:
+        files: TOML files of ours, PROXY_CONFIG's, configurations of the operator's, settings of a process.
+        configuration: Reads the files as configurations of the operator's, whatever they look like.
+    """
+    forced = configuration != "False"
+    # Fire takes the word behind the option for its value.
+    paths = [Path(name) for name in ([] if configuration in ("False", "True") else [configuration])]
+    paths += [Path(name) for name in files]
+    if not paths:
+        raise UsageError("check: name at least one file")
+    return Command(lambda: _report([fault for path in paths for fault in faults_of(path, forced)]))
+
+
+@textual
+def settings(file: str) -> Command:
+    """Checks the settings file of an edge or control process; status 2 if it cannot be used.
+
+    Args:
+        file: What LARCHGW_NODE_FILE names there (JSON).
+    """
+    return Command(lambda: _report(_settings_faults(Path(file))))
--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import click
-
 from ..lab.results import Options, Result, table
+from .command import Command, UsageError, decimal, textual, whole
+from .command import file as file_option
 
 
 def _room(options: Options) -> Result:
@@ -38,20 +38,32 @@
     "mass": _mass, "place": _place, "room": _room, "room-cost": _room_cost}
 
 
-@click.command()
-@click.argument("name", type=click.Choice(sorted(EXPERIMENTS)))
-@click.option("--seed", default=1, show_default=True, help="The first seed.")
-@click.option("--seeds", default=5, show_default=True, type=click.IntRange(1), help="Runs of each kind.")
-@click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(1.0),
-              help="Length of a run, in the time that it plays in.")
-@click.option("--jobs", type=click.IntRange(1), help="Processes at a time; all cores but one if left out.")
-@click.option("--json", "file", type=click.Path(dir_okay=False, path_type=Path), help="Keeps the result.")
-def lab(name: str, seed: int, seeds: int, seconds: float, jobs: int | None, file: Path | None) -> int:
-    """Runs an experiment against models; the last line printed is NAME: figure=value ..."""
-    options = Options(seed, seeds, seconds) if jobs is None else Options(seed, seeds, seconds, jobs)
+@textual
+def lab(name: str, *, seed: str = "1", seeds: str = "5", seconds: str = "60", jobs: str | None = None,
+        json: str | None = None) -> Command:
+    """Runs an experiment against models; the last line printed is NAME: figure=value ...
+
+    Args:
+        name: The experiment: mass, room or room-cost.
+        seed: The first seed.
+        seeds: Runs of each kind.
+        seconds: Length of a run, in the time that it plays in.
+        jobs: Processes at a time; all cores but one if left out.
+        json: Keeps the result in this file.
+    """
+    if name not in EXPERIMENTS:
+        raise UsageError(f"lab: no experiment {name!r}; there are {', '.join(sorted(EXPERIMENTS))}")
+    options = Options(whole("seed", seed), whole("seeds", seeds, 1), decimal("seconds", seconds, 1.0))
+    if jobs is not None:
+        options.jobs = whole("jobs", jobs, 1)
+    kept = file_option("json", json)
+    return Command(lambda: _run(name, options, kept))
+
+
+def _run(name: str, options: Options, file: Path | None) -> int:
     result = EXPERIMENTS[name](options)
     for line in [*table(result.rows), *result.notes, result.last_line()]:
-        click.echo(line)
+        print(line)
     if file:
         result.save(file, options)
     return 1 if result.figures.get("rules") else 0
--- a/larchgw/cli/main.py
+++ b/larchgw/cli/main.py
@@ -1,67 +1,30 @@
-"""`larchgw [serve|check|lab]`, on click."""
+"""The command line, on Fire: `larchgw [serve|edge|control|check|settings|try|lab]`."""
 
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
-import click
-
 from .. import __version__
 from ..config import ConfigError
-from .check import check
+from ..roles import run_role
+from .check import check, settings
+from .command import INTERRUPTED, WRONG_CALL, Command, UsageError, act, file, read, textual
 from .lab import lab
 from .trial import trial
 
-FILE = click.Path(dir_okay=False, path_type=Path)
-
-
-class OneLine(click.Group):
-    """What a user got wrong is one line on standard error, and status 2."""
-
-    def main(self, *args: object, **extra: object) -> int:  # type: ignore[override]
-        extra["standalone_mode"] = False
-        try:
-            return int(super().main(*args, **extra) or 0)  # type: ignore[call-overload]
-        except click.exceptions.Exit as error:
-            return error.exit_code
-        except click.Abort:
-            return 130
-        except click.ClickException as error:
-            click.echo(f"larchgw: {error.format_message()}", err=True)
-            return 2
-        except ConfigError as error:
-            click.echo(f"larchgw: {error}", err=True)
-            return 2
-
-
-WITH_FRONTS = click.option(
-    "--fronts", type=FILE, help="Where the fronts beside the platform's listen (TOML).")
-WITH_ROOM = click.option(
-    "--room", type=FILE, help="How room is held for large jobs (TOML); off without it.")
-
-
-@click.group(cls=OneLine, invoke_without_command=True)
-@click.version_option(__version__, prog_name="larchgw")
-@WITH_FRONTS
-@WITH_ROOM
-@click.pass_context
-def group(context: click.Context, fronts: Path | None, room: Path | None) -> int:
-    """The job dispatcher. Without a sub-command it serves."""
-    if context.invoked_subcommand is None:
-        return _serve(fronts, room)
-    if fronts or room:
-        raise click.UsageError(f"--fronts and --room belong behind serve, not before "
-                               f"{context.invoked_subcommand}")
-    return 0
-
-
-@group.command()
-@WITH_FRONTS
-@WITH_ROOM
-def serve(fronts: Path | None, room: Path | None) -> int:
-    """Serves, as PROXY_CONFIG's file says, until SIGTERM."""
-    return _serve(fronts, room)
+
+@textual
+def serve(*, fronts: str | None = None, room: str | None = None) -> Command:
+    """Serves, as PROXY_CONFIG's file says, until SIGTERM; also what is done without a sub-command.
+
+    Args:
+        fronts: Where the fronts beside the platform's listen (TOML).
+        room: How room is held for large jobs (TOML); off without it.
+    """
+    fronts_file, room_file = file("fronts", fronts), file("room", room)
+    return Command(lambda: _serve(fronts_file, room_file))
 
 
 def _serve(fronts: Path | None, room: Path | None) -> int:
@@ -71,11 +34,52 @@
     return daemon.serve(load_fronts(fronts) if fronts else None, load_room(room) if room else None)
 
 
-group.add_command(check)
-group.add_command(lab)
-group.add_command(trial)
+@textual
+def edge() -> Command:
+    """Carries clients' requests to runners, as the file in LARCHGW_NODE_FILE says, until SIGTERM."""
+    return Command(lambda: run_role("edge"))
+
+
+@textual
+def control() -> Command:
+    """Keeps the configuration and the runners, as the file in LARCHGW_NODE_FILE says, until SIGTERM."""
+    return Command(lambda: run_role("control"))
+
+
+COMMANDS: dict[str, Callable[..., Command]] = {
+    "serve": serve, "edge": edge, "control": control, "check": check, "settings": settings, "try": trial,
+    "lab": lab}
+
+
+def _for_serve(arguments: Sequence[str]) -> list[str]:
+    """Options without a sub-command belong to `serve`. Raises UsageError if a sub-command follows them."""
+    place = 0
+    while place < len(arguments) and arguments[place].startswith("--"):
+        place += 1 if "=" in arguments[place] else 2
+    if place < len(arguments):
+        raise UsageError(f"--fronts and --room belong behind serve, not before {arguments[place]}")
+    return ["serve", *arguments]
+
+
+def call(arguments: Sequence[str]) -> int:
+    """Runs the command that these arguments name; its exit status. Raises UsageError or ConfigError."""
+    if list(arguments) == ["--version"]:
+        print(f"larchgw, version {__version__}")
+        return 0
+    if arguments and arguments[0].startswith("--") and arguments[0] != "--help":
+        arguments = _for_serve(arguments)
+    command = read(COMMANDS, arguments)
+    return act(command) if command else 0
 
 
 def run() -> int:
-    """The console script's, and `python -m larchgw`'s with arguments."""
-    return int(group.main(sys.argv[1:], prog_name="larchgw") or 0)
+    """The console script's, and `python -m larchgw`'s with arguments. What a user got wrong is one line on
+    standard error, and status 2.
+    """
+    try:
+        return call(sys.argv[1:])
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except (UsageError, ConfigError) as error:
+        print(f"larchgw: {error}", file=sys.stderr)
+        return WRONG_CALL
--- a/larchgw/cli/trial.py
+++ b/larchgw/cli/trial.py
@@ -5,13 +5,11 @@
 import asyncio
 import sys
 from contextlib import AbstractContextManager, nullcontext
-from pathlib import Path
 from typing import Any
 
-import click
-
 from ..emulator.trial import Outcome, Trial, TrialSpec
 from ..lab.results import table
+from .command import Command, UsageError, decimal, file, flag, textual, whole
 
 
 def _live() -> tuple[AbstractContextManager[Any], Any]:
@@ -50,29 +48,39 @@
     if outcome.jobs:
         last = max(j.due for j in outcome.jobs if j.tries) if any(j.tries for j in outcome.jobs) else 0.0
         for line in table(outcome.by_class(last)):
-            click.echo(line)
+            print(line)
     for event in events:
-        click.echo(f"- {event}")
+        print(f"- {event}")
     for line in outcome.broken[:10]:
-        click.echo(f"RULE BROKEN: {line}")
-    click.echo(f"try: rules_broken={len(outcome.broken)} exit={outcome.exit_status}"
+        print(f"RULE BROKEN: {line}")
+    print(f"try: rules_broken={len(outcome.broken)} exit={outcome.exit_status}"
                + (" interrupted=1" if outcome.interrupted else ""))
 
 
-@click.command("try")
-@click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(1.0), help="How long.")
-@click.option("--load", default=0.6, show_default=True, type=click.FloatRange(0.05, 2.0),
-              help="Share of what all cores can do.")
-@click.option("--boxes", default=9, show_default=True, type=click.IntRange(1, 200))
-@click.option("--seed", default=1, show_default=True)
-@click.option("--faults/--no-faults", default=True, show_default=True, help="A slow box and a restart.")
-@click.option("--room", type=click.Path(dir_okay=False, exists=True, path_type=Path),
-              help="Hold room for large jobs, as this file says.")
-@click.option("--plain", is_flag=True, help="No live table.")
-def trial(seconds: float, load: float, boxes: int, seed: int, faults: bool, room: Path | None,
-          plain: bool) -> int:
-    """Starts an emulated fleet, one dispatcher and a mixed load on loopback, and shows what comes of it."""
-    spec = TrialSpec(boxes, load, seconds, min(10.0, seconds), seed, faults, room)
+@textual
+def trial(*, seconds: str = "20", load: str = "0.6", boxes: str = "9", seed: str = "1", faults: str = "True",
+          no_faults: str = "False", room: str | None = None, plain: str = "False") -> Command:
+    """Starts an emulated fleet, one dispatcher and a mixed load on loopback, and shows what comes of it.
+
+    Args:
+        seconds: How long.
+        load: Share of what all cores can do.
+        boxes: Boxes in the fleet, 200 at most.
+        seed: Of all that is drawn.
+        faults: A slow box and a restart.
+        no_faults: None of these.
+        room: Hold room for large jobs, as this file says.
+        plain: No live table.
+    """
+    length = decimal("seconds", seconds, 1.0)
+    with_faults = flag("faults", faults) and not flag("no-faults", no_faults)
+    spec = TrialSpec(whole("boxes", boxes, 1, 200), decimal("load", load, 0.05, 2.0), length,
+                     min(10.0, length), whole("seed", seed), with_faults, file("room", room, exists=True))
+    bare = flag("plain", plain)
+    return Command(lambda: _run(spec, bare))
+
+
+def _run(spec: TrialSpec, plain: bool) -> int:
     live: Any = None
     around: AbstractContextManager[Any] = nullcontext()
     if not plain and sys.stdout.isatty():
@@ -87,6 +95,6 @@
         try:
             outcome = asyncio.run(run.run())
         except RuntimeError as error:
-            raise click.ClickException(str(error)) from error
+            raise UsageError(str(error)) from error
     _summary(outcome, run.events)
     return 1 if outcome.broken or outcome.exit_status else 0
