--- a/larchgw/storage/__init__.py
+++ b/larchgw/storage/__init__.py
@@ -1,1 +1,4 @@
-"""A log in segments with snapshots beside it. See interface.py for what is promised after which call."""
+"""A log in segments with snapshots beside it, and small values replaced atomically.
+
+What is promised after which call stands in docs/storage.md.
+"""
--- /dev/null
+++ b/larchgw/storage/errors.py
@@ -0,0 +1,65 @@
+"""Why the store cannot do what was asked. Every message names the file, the problem and the remedy."""
+
+from __future__ import annotations
+
+import errno
+
+FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
+
+class StorageError(Exception):
+    """Any failure of the store. `path` is the file or folder concerned."""
+
+    def __init__(self, path: str, problem: str, remedy: str) -> None:
+        super().__init__(f"{path}: {problem}; {remedy}")
+        self.path, self.problem, self.remedy = path, problem, remedy
+
+
+class DiskFull(StorageError):
+    """There is no room. Nothing was promised by the call that raised it, and the store stays usable."""
+
+
+class DiskFailed(StorageError):
+    """The disk refused a call for another reason than room. Nothing was promised; the call may be repeated.
+    """
+
+
+class RecordsGone(StorageError):
+    """The records asked for were replaced by a snapshot."""
+
+
+class CorruptData(StorageError):
+    """Data that was synced cannot be read back. `offset` is its place in the file, in bytes."""
+
+    def __init__(self, path: str, offset: int, problem: str, remedy: str) -> None:
+        super().__init__(path, f"at byte {offset}: {problem}", remedy)
+        self.offset = offset
+
+
+class CorruptLog(CorruptData):
+    """A synced record or snapshot is damaged or missing."""
+
+    REMEDY = (
+        "move the data folder aside and start the process with an empty one, so that it is taken in as a new "
+        "replica, or restore the folder from a copy"
+    )
+
+    def __init__(self, path: str, offset: int, problem: str, remedy: str = REMEDY) -> None:
+        super().__init__(path, offset, problem, remedy)
+
+
+class CorruptCell(CorruptData):
+    """Neither copy of a small value can be read."""
+
+    REMEDY = CorruptLog.REMEDY
+
+    def __init__(self, path: str, offset: int, problem: str, remedy: str = REMEDY) -> None:
+        super().__init__(path, offset, problem, remedy)
+
+
+def from_os_error(path: str, error: OSError) -> StorageError:
+    """The typed form of what a system call raised."""
+    reason = error.strerror or str(error)
+    if error.errno in FULL_ERRNOS:
+        return DiskFull(path, reason, "compact the log or free space on the disk, then repeat the call")
+    return DiskFailed(path, reason, "check the disk and the rights of the folder, then repeat the call")
--- /dev/null
+++ b/larchgw/storage/files.py
@@ -0,0 +1,183 @@
+"""The narrow port to the disk, and its implementation by system calls.
+
+What callers may rely on when power is lost: a file holds what its last `sync_file` covered; of the writes and
+truncations after it, each may be there, be missing or be torn, whatever became of the others. A name that was
+made, renamed or removed is certain only after `sync_folder`.
+"""
+
+from __future__ import annotations
+
+import os
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Protocol
+
+from .errors import DiskFailed, from_os_error
+
+FOLDER_MODE = 0o750
+FILE_MODE = 0o640
+
+
+class FilePort(Protocol):
+    """Calls on files by path. Each raises DiskFull or DiskFailed."""
+
+    def make_folder(self, folder: str) -> None:
+        """Makes a folder with its parents; durable once it returns. Nothing happens if it is there."""
+
+    def list(self, folder: str) -> list[str]:
+        """Names of the files in a folder, sorted."""
+
+    def size(self, path: str) -> int | None:
+        """Length in bytes; None if there is no such file."""
+
+    def read(self, path: str, offset: int, size: int) -> bytes:
+        """Up to `size` bytes from `offset`; fewer only at the end of the file."""
+
+    def write(self, path: str, offset: int, data: bytes) -> None:
+        """Writes all bytes at `offset`, and makes the file if need be. Some may be written when it raises."""
+
+    def truncate(self, path: str, size: int) -> None:
+        """Shortens a file to `size` bytes."""
+
+    def rename(self, path: str, target: str) -> None:
+        """Renames within a folder, in place of what was at `target`."""
+
+    def remove(self, path: str) -> None:
+        """Removes a file; nothing happens if there is none."""
+
+    def close(self, path: str) -> None:
+        """Gives back what is held open for a file that will not be written any more."""
+
+    def sync_file(self, path: str) -> None:
+        """Everything written to the file so far survives a loss of power."""
+
+    def sync_folder(self, folder: str) -> None:
+        """All names in the folder survive a loss of power as they are now."""
+
+
+@contextmanager
+def _typed_errors(path: str) -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:
+        raise from_os_error(path, error) from error
+
+
+class DiskFiles:
+    """FilePort on the operating system. Calls on different files may come from different threads.
+
+    A file that was written is kept open until it is closed, renamed or removed: a descriptor that was open
+    all the while is the one at which the system surely reports a failed write-back.
+    """
+
+    def __init__(self) -> None:
+        self._descriptors: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    def make_folder(self, folder: str) -> None:
+        """See FilePort."""
+        if os.path.isdir(folder):
+            return
+        parent = os.path.dirname(os.path.abspath(folder))
+        self.make_folder(parent)
+        with _typed_errors(folder):
+            os.mkdir(folder, FOLDER_MODE)
+        self.sync_folder(parent)
+
+    def list(self, folder: str) -> list[str]:
+        """See FilePort."""
+        with _typed_errors(folder):
+            return sorted(os.listdir(folder))
+
+    def size(self, path: str) -> int | None:
+        """See FilePort."""
+        with _typed_errors(path):
+            try:
+                return os.stat(path).st_size
+            except FileNotFoundError:
+                return None
+
+    def read(self, path: str, offset: int, size: int) -> bytes:
+        """See FilePort."""
+        with _typed_errors(path):
+            descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+            try:
+                return _read_all(descriptor, offset, size)
+            finally:
+                os.close(descriptor)
+
+    def write(self, path: str, offset: int, data: bytes) -> None:
+        """See FilePort."""
+        with _typed_errors(path):
+            descriptor = self._open(path, os.O_CREAT)
+            rest = memoryview(data)
+            while rest:
+                written = os.pwrite(descriptor, rest, offset)
+                if written == 0:
+                    raise DiskFailed(path, "a write made no progress", "check the disk, then repeat the call")
+                rest = rest[written:]
+                offset += written
+
+    def truncate(self, path: str, size: int) -> None:
+        """See FilePort."""
+        with _typed_errors(path):
+            os.ftruncate(self._open(path), size)
+
+    def rename(self, path: str, target: str) -> None:
+        """See FilePort."""
+        self.close(path)
+        self.close(target)
+        with _typed_errors(path):
+            os.rename(path, target)
+
+    def remove(self, path: str) -> None:
+        """See FilePort."""
+        self.close(path)
+        with _typed_errors(path):
+            try:
+                os.unlink(path)
+            except FileNotFoundError:
+                return
+
+    def close(self, path: str) -> None:
+        """See FilePort."""
+        with self._lock:
+            descriptor = self._descriptors.pop(path, None)
+        if descriptor is not None:
+            with _typed_errors(path):
+                os.close(descriptor)
+
+    def sync_file(self, path: str) -> None:
+        """See FilePort."""
+        with _typed_errors(path):
+            os.fdatasync(self._open(path))
+
+    def sync_folder(self, folder: str) -> None:
+        """See FilePort."""
+        with _typed_errors(folder):
+            descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+            try:
+                os.fsync(descriptor)
+            finally:
+                os.close(descriptor)
+
+    def _open(self, path: str, flags: int = 0) -> int:
+        with self._lock:
+            descriptor = self._descriptors.get(path)
+            if descriptor is None:
+                descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC | flags, FILE_MODE)
+                self._descriptors[path] = descriptor
+            return descriptor
+
+
+def _read_all(descriptor: int, offset: int, size: int) -> bytes:
+    parts: list[bytes] = []
+    while size > 0:
+        part = os.pread(descriptor, size, offset)
+        if not part:
+            break
+        parts.append(part)
+        offset += len(part)
+        size -= len(part)
+    return b"".join(parts)
--- /dev/null
+++ b/larchgw/storage/inspect.py
@@ -0,0 +1,79 @@
+"""What a command line can show of a log's folder. Nothing is changed, so it is safe beside a running
+process.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from . import segments
+from .errors import CorruptLog, StorageError
+from .files import DiskFiles, FilePort
+from .recovery import NO_SNAPSHOT, read_snapshot, recover
+
+PREVIEW_BYTES = 60
+
+
+@dataclass(frozen=True)
+class Verification:
+    """Whether a log can be opened. `problem` is empty if so; `tail_bytes` would be cut, never having been
+    synced.
+    """
+
+    problem: str
+    snapshot_index: int
+    first_index: int
+    last_index: int
+    segments: int
+    tail_bytes: int
+    obsolete_files: int
+
+    @property
+    def ok(self) -> bool:
+        """True if all that was synced can be read back."""
+        return not self.problem
+
+    def __str__(self) -> str:
+        if self.problem:
+            return f"DAMAGED: {self.problem}"
+        return (
+            f"ok: records {self.first_index} to {self.last_index} in {self.segments} segments, "
+            f"snapshot up to {self.snapshot_index}, {self.tail_bytes} bytes of torn tail, "
+            f"{self.obsolete_files} obsolete files"
+        )
+
+
+def verify(folder: str, port: FilePort | None = None) -> Verification:
+    """Reads every record and the snapshot."""
+    try:
+        found = recover(port or DiskFiles(), folder)
+    except StorageError as error:
+        return Verification(str(error), 0, 0, 0, 0, 0, 0)
+    snapshot_index = found.snapshot.index
+    last = found.live[-1].last_index if found.live else snapshot_index
+    return Verification(
+        "", snapshot_index, snapshot_index + 1, last, len(found.live), found.tail, len(found.obsolete)
+    )
+
+
+def dump(folder: str, port: FilePort | None = None) -> Iterator[str]:
+    """A line for the snapshot and one for each record. Raises CorruptLog, DiskFailed."""
+    port = port or DiskFiles()
+    found = recover(port, folder)
+    if found.snapshot != NO_SNAPSHOT:
+        payload = read_snapshot(port, folder, found.snapshot)
+        yield f"snapshot up to {found.snapshot.index}: {_describe(payload)}"
+    for segment in found.live:
+        for index in range(segment.first_index, segment.last_index + 1):
+            start, size = segment.place(index)
+            record = segments.decode(segment.first_index, port.read(segment.path, start, size), 0, start)
+            if record is None:
+                raise CorruptLog(segment.path, start, f"record {index} is damaged")
+            yield f"record {index} (durable up to {record.durable}): {_describe(record.payload)}"
+
+
+def _describe(payload: bytes) -> str:
+    shown = payload[:PREVIEW_BYTES].decode("utf-8", "backslashreplace")
+    more = "..." if len(payload) > PREVIEW_BYTES else ""
+    return f"{len(payload)} bytes {shown!r}{more}"
--- /dev/null
+++ b/larchgw/storage/reserve.py
@@ -0,0 +1,46 @@
+"""Room set aside on the disk, given back when the disk is full so that small values can still be stored."""
+
+from __future__ import annotations
+
+import os
+
+from .errors import StorageError
+from .files import FilePort
+
+RESERVE_BYTES = 256 * 1024
+"""Some dozens of stored epochs, with the blocks that a file system takes for each."""
+NAME = "reserve"
+
+
+class Reserve:
+    """A file of zeros beside the log."""
+
+    def __init__(self, port: FilePort, folder: str, size: int = RESERVE_BYTES) -> None:
+        """Does not touch the disk; call `refill` at start and from time to time."""
+        self._port = port
+        self._folder = folder
+        self._path = os.path.join(folder, NAME)
+        self._size = size
+
+    def refill(self) -> bool:
+        """Sets the room aside if it is not; False if the disk does not have it now."""
+        try:
+            if self._port.size(self._path) == self._size:
+                return True
+            self._port.make_folder(self._folder)
+            self._port.write(self._path, 0, bytes(self._size))
+            self._port.sync_file(self._path)
+        except StorageError:
+            return False
+        return True
+
+    def release(self) -> bool:
+        """Gives the room back; False if there is none or the disk refuses even that."""
+        try:
+            if not self._port.size(self._path):
+                return False
+            self._port.remove(self._path)
+            self._port.sync_folder(self._folder)
+        except StorageError:
+            return False
+        return True
--- /dev/null
+++ b/tests/faulty_files.py
@@ -0,0 +1,277 @@
+"""A FilePort in memory that loses what a real disk may lose.
+
+When power is lost, a file holds what its last sync covered; each write and truncation after it is there,
+missing or torn, whatever became of the others. Each name made, renamed or removed since the last sync of
+its folder is kept or lost by itself; a new file survives through its own sync. A sync that fails forgets
+the writes it was to cover, as Linux does: a later sync that succeeds says nothing about them.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from larchgw.storage.errors import DiskFailed, DiskFull
+
+TEAR_BYTES = 16
+"""Unit of a torn write: small, so that the short records of tests are torn as well."""
+
+
+class PowerLost(Exception):
+    """Raised by the call at which the script cuts the power. The port refuses all calls until `restart`."""
+
+
+@dataclass
+class Write:
+    offset: int
+    data: bytes
+    forgotten: bool = False
+
+
+@dataclass
+class Truncation:
+    size: int
+
+
+@dataclass(eq=False)
+class Inode:
+    synced: bytes = b""
+    content: bytes = b""
+    changes: list[Write | Truncation] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class NameChange:
+    """Made (`old` empty), removed (`new` empty) or renamed."""
+
+    old: str
+    new: str
+    inode: Inode
+
+
+def put(content: bytes, offset: int, data: bytes) -> bytes:
+    content = content.ljust(offset, b"\0")
+    return content[:offset] + data + content[offset + len(data) :]
+
+
+class FaultyFiles:
+    """Its randomness comes from one seed, so a run that fails can be repeated."""
+
+    def __init__(self, seed: int = 0, capacity: int = 128 * 1024 * 1024) -> None:
+        self.random = random.Random(seed)
+        self.capacity = capacity
+        self.refuses_writes = False
+        self.failing: dict[str, int] = {}
+        """By call, how many of the next ones raise DiskFailed."""
+        self.calls = 0
+        self.cut_at = 0
+        """Number of the changing call at which power is lost; 0 for never."""
+        self.log: list[str] = []
+        self._powered = True
+        self._names: dict[str, Inode] = {}
+        self._synced_names: dict[str, Inode] = {}
+        self._name_changes: list[NameChange] = []
+
+    def make_folder(self, folder: str) -> None:
+        self._check_power()
+
+    def list(self, folder: str) -> list[str]:
+        self._check_power()
+        prefix = folder + "/"
+        return sorted(path.removeprefix(prefix) for path in self._names if path.startswith(prefix))
+
+    def size(self, path: str) -> int | None:
+        self._check_power()
+        inode = self._names.get(path)
+        return None if inode is None else len(inode.content)
+
+    def read(self, path: str, offset: int, size: int) -> bytes:
+        self._check_power()
+        return self._inode(path).content[offset : offset + size]
+
+    def write(self, path: str, offset: int, data: bytes) -> None:
+        cut = self._begin("write", path)
+        if cut and self.random.random() < 0.5:
+            raise PowerLost
+        inode = self._names.get(path) or self._make(path)
+        written = self._room_for(inode, offset, data)
+        if written:
+            self._change(inode, Write(offset, data[:written]))
+        if cut:
+            raise PowerLost
+        if written < len(data):
+            raise DiskFull(path, "no room", "free some")
+
+    def truncate(self, path: str, size: int) -> None:
+        cut = self._begin("truncate", path)
+        if self.refuses_writes:
+            raise DiskFull(path, "no room", "free some")
+        self._change(self._inode(path), Truncation(size))
+        if cut:
+            raise PowerLost
+
+    def rename(self, path: str, target: str) -> None:
+        cut = self._begin("rename", path)
+        inode = self._names.pop(path)
+        self._names[target] = inode
+        self._name_changes.append(NameChange(path, target, inode))
+        if cut:
+            raise PowerLost
+
+    def remove(self, path: str) -> None:
+        self._check_power()
+        if path not in self._names:
+            return
+        cut = self._begin("remove", path)
+        inode = self._names.pop(path)
+        self._name_changes.append(NameChange(path, "", inode))
+        if cut:
+            raise PowerLost
+
+    def close(self, path: str) -> None:
+        self._check_power()
+
+    def sync_file(self, path: str) -> None:
+        inode = self._inode(path)
+        try:
+            cut = self._begin("sync_file", path)
+        except DiskFailed:
+            for change in inode.changes:
+                if isinstance(change, Write):
+                    change.forgotten = True
+            raise
+        if cut:
+            raise PowerLost
+        inode.synced = self._after_sync(inode)
+        inode.changes = []
+        if inode not in self._synced_names.values():
+            self._synced_names[path] = inode
+
+    def sync_folder(self, folder: str) -> None:
+        if self._begin("sync_folder", folder):
+            raise PowerLost
+        self._synced_names = dict(self._names)
+        self._name_changes = []
+
+    def lose_power(self) -> None:
+        """Leaves what survives; the port can then be used again."""
+        share = self.random.choice([0.0, 0.5, 0.9, 1.0])
+        names = dict(self._synced_names)
+        for change in self._name_changes:
+            if self.random.random() < share:
+                self._apply_name_change(names, change)
+        for inode in names.values():
+            inode.content = self._surviving(inode, share)
+        self._settle(names)
+
+    def kill_process(self) -> None:
+        """Files stay as they are, and what was not synced still may be lost later."""
+        self._powered, self.cut_at = True, 0
+        for inode in self._names.values():
+            for change in inode.changes:
+                if isinstance(change, Write):
+                    change.forgotten = False
+
+    def flip_bit(self, path: str, offset: int) -> None:
+        """Damage to data whether it was synced or not."""
+        inode = self._inode(path)
+        flipped = bytes([inode.content[offset] ^ (1 << self.random.randrange(8))])
+        inode.content = put(inode.content, offset, flipped)
+        inode.synced, inode.changes = inode.content, []
+
+    def set_content(self, path: str, content: bytes) -> None:
+        """Puts a file there, synced, whatever it was."""
+        self._names[path] = Inode(content, content)
+        self._synced_names[path] = self._names[path]
+
+    def paths(self) -> list[str]:
+        return sorted(self._names)
+
+    def used(self) -> int:
+        return sum(len(inode.content) for inode in self._names.values())
+
+    def _begin(self, call: str, path: str) -> bool:
+        """Counts a changing call; True if power is lost at it."""
+        self._check_power()
+        self.calls += 1
+        self.log.append(f"{call} {path}")
+        if self.calls == self.cut_at:
+            self._powered = False
+            return True
+        if self.failing.get(call, 0) > 0:
+            self.failing[call] -= 1
+            raise DiskFailed(path, f"{call} failed", "try again")
+        return False
+
+    def _check_power(self) -> None:
+        if not self._powered:
+            raise PowerLost
+
+    def _inode(self, path: str) -> Inode:
+        self._check_power()
+        inode = self._names.get(path)
+        if inode is None:
+            raise DiskFailed(path, "no such file", "make it")
+        return inode
+
+    def _make(self, path: str) -> Inode:
+        inode = self._names[path] = Inode()
+        self._name_changes.append(NameChange("", path, inode))
+        return inode
+
+    def _room_for(self, inode: Inode, offset: int, data: bytes) -> int:
+        """How many bytes are written; a write that has no room leaves a part of it, never the whole."""
+        if self.refuses_writes:
+            return 0
+        growth = max(0, offset + len(data) - len(inode.content))
+        free = self.capacity - self.used()
+        return len(data) if growth <= free else max(0, len(data) - growth + free)
+
+    def _change(self, inode: Inode, change: Write | Truncation) -> None:
+        inode.changes.append(change)
+        inode.content = self._applied(inode.content, change)
+
+    @staticmethod
+    def _applied(content: bytes, change: Write | Truncation) -> bytes:
+        if isinstance(change, Truncation):
+            return content[: change.size]
+        return put(content, change.offset, change.data)
+
+    def _after_sync(self, inode: Inode) -> bytes:
+        content = inode.synced
+        for change in inode.changes:
+            if isinstance(change, Write) and change.forgotten and self.random.random() < 0.5:
+                continue
+            content = self._applied(content, change)
+        return content
+
+    def _surviving(self, inode: Inode, share: float) -> bytes:
+        content = inode.synced
+        for change in inode.changes:
+            if self.random.random() >= share:
+                continue
+            if isinstance(change, Write) and self.random.random() >= share:
+                content = self._torn(content, change)
+            else:
+                content = self._applied(content, change)
+        return content
+
+    def _torn(self, content: bytes, write: Write) -> bytes:
+        for start in range(0, len(write.data), TEAR_BYTES):
+            if self.random.random() < 0.5:
+                content = put(content, write.offset + start, write.data[start : start + TEAR_BYTES])
+        return content
+
+    @staticmethod
+    def _apply_name_change(names: dict[str, Inode], change: NameChange) -> None:
+        if change.old and names.get(change.old) is change.inode:
+            del names[change.old]
+        if change.new:
+            names[change.new] = change.inode
+
+    def _settle(self, names: dict[str, Inode]) -> None:
+        for inode in names.values():
+            inode.synced, inode.changes = inode.content, []
+        self._names, self._synced_names, self._name_changes = names, dict(names), []
+        self._powered = True
+        self.cut_at = 0
