All faults of a configuration are named, and a change reads only the routes it brings

`larchgw check` named one fault of each item, and a change to a large configuration read all its routes again.

Reading now notes faults and goes on: every field of an item whose type is wrong, or every range it breaks. parse takes the configuration before, and keeps the routes whose JSON objects are the very same ones.

--- a/larchgw/configuration/change.py
+++ b/larchgw/configuration/change.py
@@ -9,7 +9,7 @@
 
 from .errors import InvalidConfiguration, MalformedConfiguration, StaleConfiguration
 from .model import Configuration
-from .records import mapping, sequence, shown
+from .records import shown
 from .validation import decode, parse
 
 REPLACE, CHANGE = "replace", "change"
@@ -43,7 +43,7 @@
         raw = apply_change(current.raw if current else _EMPTY, raw)
     elif operation != REPLACE:
         raise InvalidConfiguration("operation", f"{operation!r} is unknown", f"use {REPLACE} or {CHANGE}")
-    wanted = parse(raw)
+    wanted = parse(raw, current)
     if wanted.config_version <= version:
         raise InvalidConfiguration("config_version", f"{wanted.config_version} is not above {version}",
                                    f"number it from {version + 1}")
@@ -57,8 +57,8 @@
     the place of the item of their name, or stand at the end. `limits` replace the fields they name.
     Raises MalformedConfiguration.
     """
-    removals = mapping(_given(change, "remove"), "remove")
-    additions = mapping(_given(change, "add"), "add")
+    removals = _mapping(_given(change, "remove"), "remove")
+    additions = _mapping(_given(change, "add"), "add")
     changed = {**current, "config_version": change.get("config_version")}
     for field, names in removals.items():
         changed[field] = _without(_list_of(changed, field), names, f"remove.{field}")
@@ -68,10 +68,22 @@
         else:
             changed[field] = _with(_list_of(changed, field), items, f"add.{field}")
     if change.get("limits") is not None:
-        changed["limits"] = _merged(changed, "limits", mapping(change["limits"], "limits"))
+        changed["limits"] = _merged(changed, "limits", _mapping(change["limits"], "limits"))
     return changed
 
 
+def _mapping(value: object, path: str) -> Mapping[str, Any]:
+    if not isinstance(value, dict):
+        raise MalformedConfiguration(path, f"{shown(value)} is no JSON object", "give an object")
+    return value
+
+
+def _sequence(value: object, path: str) -> list[Any]:
+    if not isinstance(value, list):
+        raise MalformedConfiguration(path, f"{shown(value)} is no list", "give a list")
+    return value
+
+
 def _given(change: Mapping[str, Any], field: str) -> object:
     value = change.get(field)
     return {} if value is None else value
@@ -86,7 +98,7 @@
 
 def _merged(raw: Mapping[str, Any], field: str, fields: Mapping[str, Any]) -> dict[str, Any]:
     value = raw.get(field)
-    return {**mapping({} if value is None else value, field), **fields}
+    return {**_mapping({} if value is None else value, field), **fields}
 
 
 def _name(item: object) -> object:
@@ -95,7 +107,7 @@
 
 def _without(items: list[Any], names: object, path: str) -> list[Any]:
     gone = set()
-    for index, name in enumerate(sequence(names, path)):
+    for index, name in enumerate(_sequence(names, path)):
         if not isinstance(name, str):
             raise MalformedConfiguration(f"{path}[{index}]", f"{shown(name)} is no name", "list names")
         gone.add(name)
@@ -106,8 +118,8 @@
     places = {_name(item): place for place, item in enumerate(items)}
     found = list(items)
     added: set[str] = set()
-    for index, item in enumerate(sequence(additions, path)):
-        name = mapping(item, f"{path}[{index}]").get("name")
+    for index, item in enumerate(_sequence(additions, path)):
+        name = _mapping(item, f"{path}[{index}]").get("name")
         where = f"{path}[{index}].name"
         if not isinstance(name, str):
             raise MalformedConfiguration(where, f"{shown(name)} is no name", "name the item")
--- a/larchgw/configuration/records.py
+++ b/larchgw/configuration/records.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import Any, TypeVar
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar, get_type_hints
 
 import dacite
 
-from .errors import InvalidConfiguration, MalformedConfiguration
+from .errors import ConfigurationError, InvalidConfiguration, MalformedConfiguration
 
 LARGEST = 2**63 - 1  # what the 64-bit integers of the internal protocol hold; versions, times and sizes alike
 _SHOWN = 60  # characters of a wrong value that a message repeats
@@ -27,6 +28,58 @@
         self.problem, self.remedy = problem, remedy
 
 
+class Findings:
+    """The faults found so far. Reading goes on after a fault, so that the operator learns of all at once."""
+
+    def __init__(self) -> None:
+        self.faults: list[ConfigurationError] = []
+
+    def malformed(self, path: str, problem: str, remedy: str) -> None:
+        """Notes a field that is missing or of another type."""
+        self.faults.append(MalformedConfiguration(path, problem, remedy))
+
+    def require(self, holds: bool, path: str, problem: str, remedy: str) -> None:
+        """Notes a contradiction unless `holds`."""
+        if not holds:
+            self.faults.append(InvalidConfiguration(path, problem, remedy))
+
+    def mapping(self, value: object, path: str) -> Mapping[str, Any] | None:
+        """A JSON object; None, and a note, where it is something else."""
+        if isinstance(value, dict):
+            return value
+        self.malformed(path, f"{shown(value)} is no JSON object", "give an object")
+        return None
+
+    def sequence(self, value: object, path: str) -> list[Any]:
+        """A JSON list; an empty one, and a note, where it is something else."""
+        if isinstance(value, list):
+            return value
+        self.malformed(path, f"{shown(value)} is no list", "give a list")
+        return []
+
+    def integer(self, value: object, path: str) -> int | None:
+        """A whole number from 0 to LARGEST; None, and a note, where it is something else."""
+        try:
+            return _integer(value)
+        except UnfitValue as error:
+            self.malformed(path, error.problem, error.remedy)
+            return None
+
+    def record(self, data_class: type[T], raw: Mapping[str, Any], path: str) -> T | None:
+        """An instance of `data_class`; None, and a note for each wrong field, where it cannot be made.
+
+        A field that is null counts as left out, and unknown ones are ignored. Fields that are dataclasses
+        or tuples must have been made before.
+        """
+        present = {name: value for name, value in raw.items() if value is not None}
+        try:
+            return dacite.from_dict(data_class, present, _STRICT)
+        except dacite.DaciteFieldError:
+            for name, problem, remedy in _wrong_fields(data_class, present):
+                self.malformed(f"{path}.{name}", problem, remedy)
+            return None
+
+
 def shown(value: object) -> str:
     """A wrong value as a message repeats it: short."""
     text = repr(value)
@@ -60,50 +113,21 @@
     return value
 
 
-_STRICT = dacite.Config(type_hooks={float: _number, int: _integer, str: _text, bool: _flag})
-
-
-def integer(value: object, path: str) -> int:
-    """A whole number from 0 to LARGEST. Raises MalformedConfiguration."""
-    try:
-        return _integer(value)
-    except UnfitValue as error:
-        raise MalformedConfiguration(path, error.problem, error.remedy) from None
-
-
-def mapping(value: object, path: str) -> Mapping[str, Any]:
-    """A JSON object. Raises MalformedConfiguration."""
-    if not isinstance(value, dict):
-        raise MalformedConfiguration(path, f"{shown(value)} is no JSON object", "give an object")
-    return value
-
-
-def sequence(value: object, path: str) -> list[Any]:
-    """A JSON list. Raises MalformedConfiguration."""
-    if not isinstance(value, list):
-        raise MalformedConfiguration(path, f"{shown(value)} is no list", "give a list of objects")
-    return value
-
-
-def record(data_class: type[T], raw: Mapping[str, Any], path: str) -> T:
-    """An instance of `data_class`; a field that is null counts as left out, unknown ones are ignored.
-
-    Raises MalformedConfiguration.
-    """
-    present = {name: value for name, value in raw.items() if value is not None}
-    try:
-        return dacite.from_dict(data_class, present, _STRICT)
-    except UnfitValue as error:
-        raise MalformedConfiguration(f"{path}.{error.field_path}", error.problem, error.remedy) from None
-    except dacite.MissingValueError as error:
-        raise MalformedConfiguration(f"{path}.{error.field_path}", "is missing", "add it") from None
-    except dacite.WrongTypeError as error:
-        raise MalformedConfiguration(
-            f"{path}.{error.field_path}", f"{shown(error.value)} has the wrong type",
-            "give what docs/operators-system.md says") from None
-
-
-def require(holds: bool, path: str, problem: str, remedy: str) -> None:
-    """Raises InvalidConfiguration unless `holds`."""
-    if not holds:
-        raise InvalidConfiguration(path, problem, remedy)
+_HOOKS: dict[Any, Callable[[Any], Any]] = {float: _number, int: _integer, str: _text, bool: _flag}
+_STRICT = dacite.Config(type_hooks=_HOOKS)
+
+
+def _wrong_fields(data_class: type, present: Mapping[str, Any]) -> list[tuple[str, str, str]]:
+    """Field, problem and remedy of each field that dacite would refuse; it stops at the first."""
+    hints = get_type_hints(data_class)
+    found = []
+    for field in dataclasses.fields(data_class):
+        if field.name not in present:
+            if field.default is dataclasses.MISSING:
+                found.append((field.name, "is missing", "add it"))
+            continue
+        try:
+            _HOOKS.get(hints[field.name], lambda value: value)(present[field.name])
+        except UnfitValue as error:
+            found.append((field.name, error.problem, error.remedy))
+    return found
--- a/larchgw/configuration/route_reader.py
+++ b/larchgw/configuration/route_reader.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from .model import KINDS, Route, Share
-from .records import LARGEST, mapping, record, require, sequence
+from .records import LARGEST, Findings
 
 # Field, value where it is left out, and JSON types that need no closer look. Order is that of `Route`.
 _FIELDS: tuple[tuple[str, object, tuple[type, ...]], ...] = (
@@ -30,30 +30,21 @@
 _ORDINARY = frozenset(product(*(types for _, _, types in _FIELDS)))
 
 
-def read_route(value: object, path: str) -> Route:
-    """The route in this JSON object, checked by itself; `path` names it in errors.
-
-    Raises MalformedConfiguration or InvalidConfiguration.
-    """
-    raw = mapping(value, path)
-    return _ordinary(raw) or read_by_record(raw, path)
-
-
-def read_by_record(raw: Mapping[str, Any], path: str) -> Route:
-    """The same by dacite: slower, and it names what is wrong."""
-    shares = _shares(raw.get("shares"), f"{path}.shares")
-    route = record(Route, {**raw, "shares": shares}, path)
-    _check(route, path)
-    return route
+def read_route(value: object, path: str, findings: Findings) -> Route | None:
+    """The route in this JSON object, checked by itself; None where `findings` tells what is wrong."""
+    raw = findings.mapping(value, path)
+    if raw is None:
+        return None
+    return ordinary_route(raw) or route_by_record(raw, path, findings)
 
 
-def _ordinary(raw: Mapping[str, Any]) -> Route | None:
-    """The same as dacite and `_check` would give; None where anything is unusual and they must look."""
+def ordinary_route(raw: Mapping[str, Any]) -> Route | None:
+    """The same as `route_by_record` would give, sooner; None where anything is unusual and it must look."""
     values = tuple(map(raw.get, _NAMES, _DEFAULTS))
     if tuple(map(type, values)) not in _ORDINARY:
         return None
     name, host, start, kind, deadline, target, rank, service, shares, tries, pinned, resume, gap = values
-    split = _ordinary_shares(shares)
+    split = _ordinary_shares(shares) if shares else ()
     if split is None or not (name and host and kind in KINDS and (service or split)):
         return None
     if not (start[:1] == "/" == start[-1:] and 0 < deadline <= LARGEST and 0 <= target <= LARGEST):
@@ -64,8 +55,8 @@
                  pinned, resume, float(gap))
 
 
-def _ordinary_shares(values: list[Any] | tuple[Any, ...]) -> tuple[Share, ...] | None:
-    """The shares of a split route; None where dacite and `_check` must look."""
+def _ordinary_shares(values: list[Any]) -> tuple[Share, ...] | None:
+    """The shares of a split route; None where `route_by_record` must look."""
     shares = []
     total = 0.0
     for value in values:
@@ -77,17 +68,33 @@
             return None
         total += weight
         shares.append(Share(service, float(weight)))
-    return tuple(shares) if total > 0 or not shares else None
+    return tuple(shares) if total > 0 else None
 
 
-def _shares(value: object, path: str) -> tuple[Share, ...]:
-    items = [] if value is None else sequence(value, path)
-    return tuple(record(Share, mapping(item, f"{path}[{index}]"), f"{path}[{index}]")
-                 for index, item in enumerate(items))
+def route_by_record(raw: Mapping[str, Any], path: str, findings: Findings) -> Route | None:
+    """The route by way of dacite, which names what is wrong."""
+    before = len(findings.faults)
+    shares = _shares(raw.get("shares"), f"{path}.shares", findings)
+    route = findings.record(Route, {**raw, "shares": shares}, path)
+    if route is not None:
+        _check(route, path, findings)
+    return route if len(findings.faults) == before else None
+
+
+def _shares(value: object, path: str, findings: Findings) -> tuple[Share, ...]:
+    shares = []
+    for index, item in enumerate([] if value is None else findings.sequence(value, path)):
+        where = f"{path}[{index}]"
+        raw = findings.mapping(item, where)
+        share = None if raw is None else findings.record(Share, raw, where)
+        if share is not None:
+            shares.append(share)
+    return tuple(shares)
 
 
-def _check(route: Route, path: str) -> None:
+def _check(route: Route, path: str, findings: Findings) -> None:
     """What types cannot say."""
+    require = findings.require
     require(route.name != "", f"{path}.name", "is empty", "name the route")
     require(route.hostname != "", f"{path}.hostname", "is empty", "name the host that the route serves")
     require(route.path_start.startswith("/") and route.path_start.endswith("/"), f"{path}.path_start",
--- a/larchgw/configuration/validation.py
+++ b/larchgw/configuration/validation.py
@@ -7,17 +7,31 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NoReturn, TypeVar
 
-from .errors import ConfigurationError, InvalidConfiguration, MalformedConfiguration
+from .errors import ConfigurationError, MalformedConfiguration
 from .model import Configuration, Limits, Model, Route, Runtime, Service
-from .records import integer, mapping, record, require, sequence
+from .records import Findings, shown
 from .route_reader import read_route
 from .routing import normalised_host
 
 WHOLE = "configuration"  # the path that errors name where no single field is at fault
-T = TypeVar("T")
+Named = TypeVar("Named", Route, Service, Model)
+Reader = Callable[[object, str, Findings], Named | None]
+
+
+def decode(body: bytes) -> dict[str, Any]:
+    """The JSON object in a body. Raises MalformedConfiguration."""
+    try:
+        raw = json.loads(body.decode(), object_pairs_hook=_unique, parse_constant=_no_constant)
+        if b"\\ud" in body.lower():  # half of a surrogate pair would fail later, wherever text is sent on
+            json.dumps(raw, ensure_ascii=False).encode()
+    except (ValueError, RecursionError) as error:
+        raise MalformedConfiguration(WHOLE, f"is not JSON ({error})", "send one whole JSON object") from None
+    if not isinstance(raw, dict):
+        raise MalformedConfiguration(WHOLE, f"{shown(raw)} is no JSON object", "send an object")
+    return raw
 
 
 def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
@@ -34,144 +48,142 @@
     raise MalformedConfiguration(WHOLE, f"holds {text}, which is not JSON", "give a finite number")
 
 
-def decode(body: bytes) -> dict[str, Any]:
-    """The JSON object in a body. Raises MalformedConfiguration."""
-    try:
-        raw = json.loads(body.decode(), object_pairs_hook=_unique, parse_constant=_no_constant)
-        if b"\\ud" in body.lower():  # half of a surrogate pair would fail later, wherever text is sent on
-            json.dumps(raw, ensure_ascii=False).encode()
-    except (ValueError, RecursionError) as error:
-        raise MalformedConfiguration(WHOLE, f"is not JSON ({error})", "send one whole JSON object") from None
-    return dict(mapping(raw, WHOLE))
-
+def parse(raw: Mapping[str, Any], known: Configuration | None = None) -> Configuration:
+    """The configuration in a decoded body.
 
-def parse(raw: Mapping[str, Any]) -> Configuration:
-    """The configuration in a decoded body. Raises MalformedConfiguration or InvalidConfiguration."""
-    configuration, faults = examine(raw)
+    Routes of `known` whose JSON objects are the very ones in `raw`, as after `change.apply_change`, are not
+    read again. Raises MalformedConfiguration or InvalidConfiguration.
+    """
+    configuration, faults = examine(raw, known)
     if configuration is None:
         raise faults[0]
     return configuration
 
 
-def examine(raw: Mapping[str, Any]) -> tuple[Configuration | None, list[ConfigurationError]]:
-    """The configuration, or None and every fault that was found (the first one of each item)."""
-    faults: list[ConfigurationError] = []
-    version = _attempt(lambda: _version(raw), faults)
-    services = _items(raw, "services", _service, faults)
-    routes = _items(raw, "routes", read_route, faults)
-    limits = _attempt(lambda: _limits(raw.get("limits")), faults)
-    faults += _repeated_names("services", services)
-    faults += _repeated_names("routes", routes)
-    faults += _repeated_places(routes)
-    if not any(fault.field.startswith("services") for fault in faults):
-        faults += _unknown_services(routes, {service.name for _, service in services})
-    if faults or version is None or limits is None:
-        return None, faults
+def examine(raw: Mapping[str, Any], known: Configuration | None = None,
+            ) -> tuple[Configuration | None, list[ConfigurationError]]:
+    """The configuration, or None and every fault that was found; `known` as for `parse`."""
+    findings = Findings()
+    version = _version(raw.get("config_version"), findings)
+    services = _required(raw, "services", _service, findings)
+    readable = not findings.faults  # all services are known, so routes can be held against them
+    routes = _required(raw, "routes", _reader(known), findings)
+    limits = _limits(raw.get("limits"), findings)
+    _check_names("services", services, findings)
+    _check_names("routes", routes, findings)
+    _check_places(routes, findings)
+    if readable:
+        _check_services(routes, {service.name for _, service in services}, findings)
+    if findings.faults or version is None or limits is None:
+        return None, findings.faults
     return Configuration(version, tuple(route for _, route in routes),
                          tuple(service for _, service in services), limits, dict(raw)), []
 
 
-def _attempt(read: Callable[[], T], faults: list[ConfigurationError]) -> T | None:
-    try:
-        return read()
-    except ConfigurationError as fault:
-        faults.append(fault)
-        return None
+def _reader(known: Configuration | None) -> Reader[Route]:
+    """Reads routes, but for those that `known` holds already."""
+    values = known.raw.get("routes") if known else None
+    if known is None or not isinstance(values, list):
+        return read_route
+    # `known.raw` keeps the objects alive, so no other one can have the id of one of them.
+    held = {id(value): route for value, route in zip(values, known.routes, strict=True)}
+    return lambda value, path, findings: held.get(id(value)) or read_route(value, path, findings)
 
 
-def _version(raw: Mapping[str, Any]) -> int:
-    if raw.get("config_version") is None:
-        raise MalformedConfiguration("config_version", "is missing", "number the configuration")
-    version = integer(raw["config_version"], "config_version")
-    require(version > 0, "config_version", "is 0, which stands for no configuration", "begin with 1")
+def _version(value: object, findings: Findings) -> int | None:
+    if value is None:
+        findings.malformed("config_version", "is missing", "number the configuration")
+        return None
+    version = findings.integer(value, "config_version")
+    findings.require(version != 0, "config_version", "is 0, which stands for none", "begin with 1")
     return version
 
 
-def _items(raw: Mapping[str, Any], field: str, read: Callable[[object, str], T],
-           faults: list[ConfigurationError]) -> list[tuple[str, T]]:
-    """The items of a list that can be read, each with its path."""
+def _required(raw: Mapping[str, Any], field: str, read: Reader[Named], findings: Findings,
+              ) -> list[tuple[str, Named]]:
     if raw.get(field) is None:
-        faults.append(MalformedConfiguration(field, "is missing", "add the list, empty if there are none"))
-        return []
-    found: list[tuple[str, T]] = []
-    try:
-        values = sequence(raw[field], field)
-    except ConfigurationError as fault:
-        faults.append(fault)
+        findings.malformed(field, "is missing", "add the list, empty if there are none")
         return []
-    for index, value in enumerate(values):
-        path = f"{field}[{index}]"
-        try:
-            found.append((path, read(value, path)))
-        except ConfigurationError as fault:
-            faults.append(fault)
+    return _items(raw[field], field, read, findings)
+
+
+def _items(values: object, path: str, read: Reader[Named], findings: Findings) -> list[tuple[str, Named]]:
+    """The items of a list that can be read, each with its path."""
+    found = []
+    for index, value in enumerate(findings.sequence(values, path)):
+        where = f"{path}[{index}]"
+        item = read(value, where, findings)
+        if item is not None:
+            found.append((where, item))
     return found
 
 
-def _service(value: object, path: str) -> Service:
-    raw = mapping(value, path)
+def _service(value: object, path: str, findings: Findings) -> Service | None:
+    raw = findings.mapping(value, path)
+    if raw is None:
+        return None
     runtime = raw.get("runtime")
-    built = None if runtime is None else _runtime(runtime, f"{path}.runtime")
-    service = record(Service, {**raw, "runtime": built}, path)
-    require(service.name != "", f"{path}.name", "is empty", "name the service")
+    built = None if runtime is None else _runtime(runtime, f"{path}.runtime", findings)
+    service = findings.record(Service, {**raw, "runtime": built}, path)
+    if service is not None:
+        findings.require(service.name != "", f"{path}.name", "is empty", "name the service")
     return service
 
 
-def _runtime(value: object, path: str) -> Runtime:
-    raw = mapping(value, path)
-    models = []
-    for index, item in enumerate(sequence(raw.get("models") or [], f"{path}.models")):
-        where = f"{path}.models[{index}]"
-        model = record(Model, mapping(item, where), where)
-        require(model.name != "", f"{where}.name", "is empty", "name the model")
-        models.append((where, model))
-    for fault in _repeated_names(f"{path}.models", models):
-        raise fault
-    return record(Runtime, {**raw, "models": tuple(model for _, model in models)}, path)
+def _runtime(value: object, path: str, findings: Findings) -> Runtime | None:
+    raw = findings.mapping(value, path)
+    if raw is None:
+        return None
+    listed = raw.get("models")
+    models = [] if listed is None else _items(listed, f"{path}.models", _model, findings)
+    _check_names(f"{path}.models", models, findings)
+    return findings.record(Runtime, {**raw, "models": tuple(model for _, model in models)}, path)
+
+
+def _model(value: object, path: str, findings: Findings) -> Model | None:
+    raw = findings.mapping(value, path)
+    model = None if raw is None else findings.record(Model, raw, path)
+    if model is not None:
+        findings.require(model.name != "", f"{path}.name", "is empty", "name the model")
+    return model
 
 
-def _limits(value: object) -> Limits:
+def _limits(value: object, findings: Findings) -> Limits | None:
     if value is None:
         return Limits()
-    limits = record(Limits, mapping(value, "limits"), "limits")
-    for name in Limits.__dataclass_fields__:
-        require(getattr(limits, name) > 0, f"limits.{name}", "is 0", "give a limit above 0, or leave it out")
+    raw = findings.mapping(value, "limits")
+    limits = None if raw is None else findings.record(Limits, raw, "limits")
+    if limits is not None:
+        for name in Limits.__dataclass_fields__:
+            findings.require(getattr(limits, name) > 0, f"limits.{name}", "is 0",
+                             "give a limit above 0, or leave it out")
     return limits
 
 
-def _repeated_names(field: str, items: Iterable[tuple[str, Route | Service | Model]],
-                    ) -> list[InvalidConfiguration]:
+def _check_names(field: str, items: Sequence[tuple[str, Named]], findings: Findings) -> None:
     seen: dict[str, str] = {}
-    faults = []
     for path, item in items:
         first = seen.setdefault(item.name, path)
         if first is not path:
-            faults.append(InvalidConfiguration(
-                f"{path}.name", f"{item.name!r} is the name of {first} too", f"rename one of these {field}"))
-    return faults
+            findings.require(False, f"{path}.name", f"{item.name!r} is the name of {first} too",
+                             f"rename one of these {field}")
 
 
-def _repeated_places(routes: Iterable[tuple[str, Route]]) -> list[InvalidConfiguration]:
+def _check_places(routes: Iterable[tuple[str, Route]], findings: Findings) -> None:
     seen: dict[tuple[str, str], str] = {}
-    faults = []
     for path, route in routes:
         first = seen.setdefault((normalised_host(route.hostname), route.path_start), path)
         if first is not path:
-            faults.append(InvalidConfiguration(
-                f"{path}.path_start", f"shares its host and prefix with {first}",
-                "give it another prefix or host, or drop one of them"))
-    return faults
+            findings.require(False, f"{path}.path_start", f"shares its host and prefix with {first}",
+                             "give it another prefix or host, or drop one of them")
 
 
-def _unknown_services(routes: Iterable[tuple[str, Route]], known: set[str]) -> list[InvalidConfiguration]:
-    faults = []
+def _check_services(routes: Iterable[tuple[str, Route]], known: set[str], findings: Findings) -> None:
     for path, route in routes:
         if not route.shares and route.service in known:
             continue
         named = [(f"{path}.service", route.service)] if route.service else []
         named += [(f"{path}.shares[{i}].service", share.service) for i, share in enumerate(route.shares)]
         for where, name in named:
-            if name not in known:
-                faults.append(InvalidConfiguration(
-                    where, f"service {name!r} is unknown", "add the service, or name another"))
-    return faults
+            findings.require(name in known, where, f"service {name!r} is unknown",
+                             "add the service, or name another")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,8 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larchgw.configuration import route_reader
 from larchgw.configuration.errors import ConfigurationError, MalformedConfiguration
+from larchgw.configuration.records import Findings
+from larchgw.configuration.route_reader import ordinary_route, route_by_record
 from larchgw.configuration.validation import decode, examine, parse
 
 
@@ -56,10 +57,10 @@
     ("routes.1.shares.0.service", "nobody"), ("routes.1.shares.0.service", ...),
     ("routes.1.shares.0.weight", -1), ("routes.1.shares.0.weight", True), ("routes.1.shares.0.weight", ...),
     ("routes.1.shares", [{"service": "models", "weight": 0}, {"service": "lookups", "weight": 0.0}]),
-    ("services.0.name", ...), ("services.0.name", ""), ("services.0.name", "lookups"),
+    ("services.0.name", ...), ("services.0.name", ""), ("services.1.name", "models"),
     ("services.0.max_conns", -1), ("services.0.max_conns", "many"), ("services.0.uses_tls", "no"),
     ("services.0.runtime", []), ("services.0.runtime.slots", 0.5), ("services.0.runtime.models", {"m1": {}}),
-    ("services.0.runtime.models.0.name", ...), ("services.0.runtime.models.0.name", "m2"),
+    ("services.0.runtime.models.0.name", ...), ("services.0.runtime.models.1.name", "m1"),
     ("services.0.runtime.models.0.weights_mb", -1), ("services.0.runtime.models.0.adapters", "a1"),
     ("services.0.runtime.loads_per_s", True),
 ]
@@ -69,10 +70,9 @@
 def test_one_wrong_field_spoils_the_whole_and_is_named(path: str, value: object) -> None:
     with pytest.raises(ConfigurationError) as caught:
         parse(decode(body(with_value(EXAMPLE, path, value))))
-    steps = path.replace(".0", "[0]").replace(".1", "[1]")
-    top = steps.split(".")[0].split("[")[0]
-    assert caught.value.field.startswith(top) and caught.value.remedy and caught.value.status == 400
-    assert str(caught.value).startswith(caught.value.field)
+    named, spoilt = caught.value.field, path.replace(".0", "[0]").replace(".1", "[1]")
+    assert named.startswith(spoilt) or spoilt.startswith(named)
+    assert caught.value.status == 400 and caught.value.remedy and str(caught.value).startswith(named)
 
 
 @pytest.mark.parametrize("spoilt", [
@@ -105,10 +105,26 @@
 
 def test_the_operator_is_told_of_all_faulty_items_at_once() -> None:
     raw = with_value(with_value(EXAMPLE, "routes.0.kind", "batch"), "routes.2.deadline_ms", 0)
-    configuration, faults = examine(with_value(raw, "routes.1.shares.1.service", "nobody"))
+    raw = with_value(with_value(raw, "routes.1.shares.1.service", "nobody"), "routes.0.tries", 0)
+    raw = with_value(with_value(raw, "routes.2.name", 3), "routes.2.hostname", ...)
+    configuration, faults = examine(raw)
     assert configuration is None
-    assert [fault.field for fault in faults] == ["routes[0].kind", "routes[2].deadline_ms",
-                                                 "routes[1].shares[1].service"]
+    assert [fault.field for fault in faults] == [
+        "routes[0].kind", "routes[0].tries", "routes[2].name", "routes[2].hostname",
+        "routes[1].shares[1].service"]
+
+
+def test_routes_are_not_called_strangers_while_the_services_cannot_be_read() -> None:
+    faults = examine(with_value(EXAMPLE, "services.0.max_conns", "many"))[1]
+    assert [fault.field for fault in faults] == ["services[0].max_conns"]
+
+
+def test_a_route_is_read_again_unless_it_is_the_very_object_that_was_checked() -> None:
+    known = parse(EXAMPLE)
+    same = parse(example(routes=EXAMPLE["routes"]), known)
+    assert all(one is other for one, other in zip(same.routes, known.routes, strict=True))
+    with pytest.raises(ConfigurationError):
+        parse(with_value(EXAMPLE, "routes.0.rank", False), known)
 
 
 @settings(max_examples=80)
@@ -143,8 +159,8 @@
 
 @given(configurations())
 def test_the_quick_reading_of_a_route_gives_what_dacite_gives(raw: dict[str, Any]) -> None:
-    quick = [route_reader._ordinary(route) for route in raw["routes"]]
-    whole = [route_reader.read_by_record(route, "r") for route in raw["routes"]]
+    quick = [ordinary_route(route) for route in raw["routes"]]
+    whole = [route_by_record(route, "r", Findings()) for route in raw["routes"]]
     assert quick == whole
 
 
