--- /dev/null
+++ b/larchgw/control/http_api.py
@@ -0,0 +1,107 @@
+"""The HTTP interface to the operator and to runners, on Tornado."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Protocol
+
+import tornado.httpserver
+import tornado.web
+
+from ..directory.checkins import CheckinError
+from .operator import Answer
+
+log = logging.getLogger(__name__)
+MAX_BODY_BYTES = 64 << 20  # a configuration of many thousand routes
+CHECKIN_ACCEPTED = b"{}"
+
+
+class ControlService(Protocol):
+    """What the interface asks of the process behind it."""
+
+    async def operator_call(self, operation: str, built_on: int, body: bytes) -> Answer:
+        """An operator's "replace", "change" or "read"."""
+
+    async def checkin(self, runner: str, body: bytes) -> bool:
+        """A runner's check-in; False if we must not acknowledge it now. Raises CheckinError."""
+
+    async def leave(self, runner: str) -> bool:
+        """A runner's end; False if we must not acknowledge it now."""
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, service: ControlService) -> None:
+        self.service = service
+
+    def answer(self, status: int, body: bytes) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(body)
+
+    def compute_etag(self) -> None:
+        return None
+
+
+class _OperatorHandler(_Handler):
+    async def call(self, operation: str) -> None:
+        text = self.request.headers.get("X-Built-On", "").strip()
+        try:
+            built_on = int(text) if text else -1
+        except ValueError:
+            self.answer(400, b'{"error": "X-Built-On: is no whole number; give the version it builds on"}')
+            return
+        answer = await self.service.operator_call(operation, built_on, self.request.body)
+        self.answer(answer.status, answer.body)
+
+
+class _ReplaceHandler(_OperatorHandler):
+    async def post(self) -> None:
+        await self.call("replace")
+
+
+class _ChangeHandler(_OperatorHandler):
+    async def post(self) -> None:
+        await self.call("change")
+
+
+class _ReadHandler(_OperatorHandler):
+    async def get(self) -> None:
+        await self.call("read")
+
+
+class _CheckinHandler(_Handler):
+    async def post(self, runner: str) -> None:
+        try:
+            taken = await self.service.checkin(runner, self.request.body)
+        except CheckinError as error:
+            self.answer(400, json.dumps({"error": str(error)}).encode())
+            return
+        self.acknowledge(taken)
+
+    def acknowledge(self, taken: bool) -> None:
+        if taken:
+            self.answer(200, CHECKIN_ACCEPTED)
+        else:
+            self.answer(503, b'{"error": "cut off from the other control processes; call another one"}')
+
+
+class _LeaveHandler(_CheckinHandler):
+    async def post(self, runner: str) -> None:
+        self.acknowledge(await self.service.leave(runner))
+
+
+def serve(service: ControlService, host: str, port: int) -> tornado.httpserver.HTTPServer:
+    """Listens for the operator and for runners. Raises OSError."""
+    extra = {"service": service}
+    application = tornado.web.Application([
+        (r"/Config\.Replace", _ReplaceHandler, extra),
+        (r"/Config\.Change", _ChangeHandler, extra),
+        (r"/Config\.Read", _ReadHandler, extra),
+        (r"/Runners\.Checkin/([^/]+)", _CheckinHandler, extra),
+        (r"/Runners\.Leave/([^/]+)", _LeaveHandler, extra),
+    ], log_function=lambda handler: None)
+    server = tornado.httpserver.HTTPServer(application, max_body_size=MAX_BODY_BYTES,
+                                           max_buffer_size=MAX_BODY_BYTES, idle_connection_timeout=60)
+    server.listen(port, host, backlog=512)
+    return server
--- /dev/null
+++ b/larchgw/control/node.py
@@ -0,0 +1,239 @@
+"""The control role put together: what it keeps, what it serves, how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import time
+from pathlib import Path
+
+from ..configuration.errors import SettingsError
+from ..configuration.settings import NodeSettings
+from ..directory.checkins import parse_checkin
+from ..directory.directory import CheckinOutcome, Directory
+from ..distribution.handoff import Handoff
+from ..distribution.interface import CONFIGURATION, EXPECTED, PLACER, RUNNER
+from ..distribution.peers import PeerPullers
+from ..distribution.pulls import PullService
+from ..distribution.registry import Registry
+from ..distribution.sources import PullSettings
+from ..distribution.vectors import new_origin
+from ..membership.member import Member as Process
+from ..membership.settings import SwimSettings
+from ..membership.swim import Swim
+from ..membership.transport import SwimTransport
+from ..net.connection import parse_address
+from ..placement.model import PlacementSettings
+from ..placement.orders import OrderClient
+from ..placement.service import PlacementRuntime, PlacementService
+from ..replication.lease import Lease
+from ..replication.member import Member
+from ..replication.ports import Ports
+from ..replication.settings import MemberSettings
+from ..rpc.client import RpcClient
+from ..rpc.server import RpcServer
+from ..runtime.addresses import (
+    CONTROL_GOSSIP_PORT,
+    RPC_PORT,
+    rpc_address,
+    seed_gossip_addresses,
+    seed_rpc_addresses,
+)
+from ..runtime.clients import RpcClients
+from ..runtime.tasks import Tasks
+from ..storage.cell import Cell
+from ..storage.files import DiskFiles
+from ..storage.log import Log
+from . import http_api
+from .isolation import Isolation
+from .operator import Answer, OperatorService
+from .operator_calls import OperatorCalls
+from .replicated_log import TICK_S, ReplicatedLog
+from .rpc_service import RpcService
+from .state import ConfigurationState
+
+log = logging.getLogger(__name__)
+PLACER_LEASE = "placer"
+DIRECTORY_TICK_S = 0.25
+HANDOFF_TIMEOUT_S = 0.4  # a runner waits a second for its acknowledgement
+CONTACTS_TICK_S = 0.2
+HAND_OVER_S = 0.4  # after a planned end was told, for the others to take over
+
+
+def open_ports(folder: Path) -> Ports:
+    """The files of a member under `folder`. Raises OSError and storage's errors."""
+    files = DiskFiles()
+    return Ports(identity=Cell(files, str(folder), "identity"), witness=Cell(files, str(folder), "witness"),
+                 leases=Cell(files, str(folder), "leases"), journal=Log.open(files, str(folder / "log")))
+
+
+class ControlNode:
+    """One control process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        if settings.data_dir is None:
+            raise SettingsError("data_dir", "is not given", "control keeps its state on disk: name a folder")
+        self.settings = settings
+        self.address = rpc_address(settings)
+        self._dice = random.Random()
+        self._life = int(time.time() * 1000)
+        self.clients = RpcClients()
+        self.tasks = Tasks()
+        self.registry = Registry(new_origin(settings.node_name, self._dice))
+        self.swim = self._make_swim()
+        self.state = ConfigurationState()
+        self.member = self._make_member(Path(settings.data_dir))
+        self.replicated = ReplicatedLog(self.member, self.state, self.clients, self._publish_configuration)
+        self.operator = OperatorCalls(self.member, OperatorService(self.state, self.replicated), self.clients)
+        pull_settings = PullSettings.of(settings.time_limits)
+        self.peers = PeerPullers(self.registry, RpcClient, self._peers, pull_settings, self._dice,
+                                 node_name=settings.node_name)
+        self.isolation = Isolation(self.peers.last_heard, self._electorate)
+        self.pulls = PullService(self.registry, self.isolation.isolated, self._control_addresses)
+        self.handoff = Handoff(RpcClient, self._peers, node_name=settings.node_name)
+        self.directory = Directory(self.registry, time.monotonic, settings.beat_ms / 1000.0, self._owner(),
+                                   self._owner_lives)
+        self._serial = 0
+
+    # ---- Start and end ----
+
+    async def start(self) -> None:
+        """Listens and begins its work. Raises OSError."""
+        settings = self.settings
+        self.placement = self._make_placement()
+        self.registry.watch(RUNNER, lambda entry: self._runner_changed(entry.key.removeprefix(RUNNER)))
+        self.replicated.start()
+        self._rpc = RpcServer(RpcService(self.pulls, self.replicated, self.placement, self.operator))
+        await self._rpc.start(settings.ip, settings.port(RPC_PORT))
+        self._gossip = SwimTransport(self.swim, settings.ip, settings.port(CONTROL_GOSSIP_PORT))
+        await self._gossip.start()
+        self._http = http_api.serve(self, *parse_address(settings.listen.control))
+        self.tasks.every("replication", TICK_S, self.replicated.tick)
+        self.tasks.every("directory", DIRECTORY_TICK_S, lambda: self.directory.tick(time.monotonic()))
+        self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
+        self.tasks.start("peers", self.peers.run)
+        self.tasks.start("handoff", self.handoff.run)
+        self.tasks.start("placement", self.placement.run)
+        log.info("control: started as %s", self.member.identity)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Takes other seeds; addresses stay."""
+        self.settings = settings
+        self.swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
+
+    async def stop(self) -> None:
+        """Hands over what it is alone in doing, and ends."""
+        self.replicated.step_down()
+        self._gossip.leave()
+        self._http.stop()
+        await asyncio.sleep(HAND_OVER_S)
+        self.tasks.stop()
+        self._rpc.stop()
+        self.clients.close()
+
+    # ---- Calls from outside: http_api.ControlService ----
+
+    async def operator_call(self, operation: str, built_on: int, body: bytes) -> Answer:
+        """See http_api.ControlService."""
+        return await self.operator.operator_call(operation, built_on, body)
+
+    async def checkin(self, runner: str, body: bytes) -> bool:
+        """See http_api.ControlService."""
+        return await self._acknowledge(runner, self.directory.checkin(parse_checkin(runner, body)))
+
+    async def leave(self, runner: str) -> bool:
+        """See http_api.ControlService."""
+        return await self._acknowledge(runner, self.directory.leave(runner))
+
+    async def _acknowledge(self, runner: str, outcome: CheckinOutcome) -> bool:
+        """What must not be missed is at the other control processes first."""
+        if not outcome.urgent:
+            return True
+        if self.isolation.isolated():
+            return False
+        entry = self.registry.get(RUNNER + runner)
+        if entry is not None:
+            await self.handoff.replicate([entry], HANDOFF_TIMEOUT_S)
+        return True
+
+    # ---- What is published ----
+
+    def _publish_configuration(self) -> None:
+        current = self.state.current
+        if current is not None:
+            self.registry.put(CONFIGURATION, json.dumps(current.raw).encode(), self.state.index)
+            self.placement.configure(current)
+
+    def _publish_expected(self, runner: str, names: dict[str, float]) -> None:
+        lease = self._placer_lease()
+        if lease is not None:
+            self._serial += 1
+            self.registry.put(EXPECTED + runner, json.dumps(names).encode(), lease.fence, self._serial)
+
+    def _runner_changed(self, runner: str) -> None:
+        record = self.directory.get(runner)
+        if record is not None:
+            self.placement.see_runner(record)
+
+    # ---- Other control processes ----
+
+    def _processes(self) -> list[Process]:
+        return [process for process in self.swim.members("control") if process.address_rpc]
+
+    def _peers(self) -> list[str]:
+        """Rpc addresses of the other control processes that are there."""
+        return [process.address_rpc for process in self._processes() if process.address_rpc != self.address]
+
+    def _control_addresses(self) -> list[str]:
+        return [self.address, *self._peers()]
+
+    def _electorate(self) -> set[str]:
+        """Rpc addresses of the other processes whose majority decides."""
+        view = self.member.view
+        addresses = {view.addresses[name] for name in view.witnesses} if view is not None else set()
+        return addresses - {self.address}
+
+    def _tell_contacts(self) -> None:
+        """The member asks these to be taken in, and the election goes on among them."""
+        self.member.contacts(set(self._peers()) | set(seed_rpc_addresses(self.settings)) - {self.address})
+        lease = self._placer_lease()
+        if lease is not None:
+            self.registry.put(PLACER, json.dumps({"address": self.address}).encode(), lease.fence)
+
+    def _owner(self) -> str:
+        return f"{self.address}/{self._life}"
+
+    def _owner_lives(self, owner: str) -> bool:
+        if self.isolation.isolated():
+            return True
+        return any(f"{process.address_rpc}/{process.incarnation}" == owner for process in self._processes())
+
+    # ---- Parts ----
+
+    def _placer_lease(self) -> Lease | None:
+        return self.replicated.lease(PLACER_LEASE)
+
+    def _make_swim(self) -> Swim:
+        settings = self.settings
+        address = f"{settings.ip}:{settings.port(CONTROL_GOSSIP_PORT)}"
+        me = Process(settings.node_name, address, "control", self._life, settings.zone, self.address)
+        swim = Swim(me, SwimSettings(), self._dice)
+        swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
+        return swim
+
+    def _make_member(self, folder: Path) -> Member:
+        settings = self.settings
+        fresh = f"{self.address}#{self._dice.getrandbits(64):016x}"
+        member_settings = MemberSettings(
+            address=self.address, seeds=tuple(seed_rpc_addresses(settings)), first_boot=settings.first_boot,
+            fresh_identity=fresh, survive=settings.survive.computers,
+            lease_term=settings.time_limits.lease_term_ms / 1000.0)
+        return Member(member_settings, open_ports(folder), self.state.snapshot, self._dice)
+
+    def _make_placement(self) -> PlacementService:
+        return PlacementService(PlacementRuntime(
+            clock=time.monotonic, lease=self._placer_lease, calls=OrderClient(self.address),
+            publish=self._publish_expected, settings=PlacementSettings.of(self.settings.time_limits),
+            rng=self._dice))
--- /dev/null
+++ b/larchgw/control/operator.py
@@ -0,0 +1,92 @@
+"""The operator's calls at the primary: what is acknowledged, refused, or left without a clear answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..configuration.errors import ConfigurationError
+from .state import ConfigurationState, Order
+
+log = logging.getLogger(__name__)
+OK, NOT_FOUND, UNCLEAR = 200, 404, 503
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP status and its body."""
+
+    status: int
+    body: bytes = b"{}"
+
+
+def unclear(reason: str) -> Answer:
+    """Neither taken nor refused as far as we know: the operator sends the same again."""
+    return Answer(UNCLEAR, json.dumps({"error": reason, "remedy": "send the same call again"}).encode())
+
+
+class Replication(Protocol):
+    """What this module needs of the replicated log. Both raise ReplicationUnavailable."""
+
+    async def confirm(self) -> None:
+        """Returns once it is certain that, after this call began, we still were the primary of the last view."""
+
+    async def propose(self, record: bytes) -> int:
+        """Returns the record's index once it is committed and applied here."""
+
+
+class ReplicationUnavailable(Exception):
+    """We are not the primary, or cannot tell in time. What was proposed may still be committed."""
+
+
+class OperatorService:
+    """Serves the operator's calls on the state of this replica, one change at a time."""
+
+    def __init__(self, state: ConfigurationState, replication: Replication) -> None:
+        self.state, self.replication = state, replication
+        self._one_at_a_time = asyncio.Lock()
+
+    async def read(self) -> Answer:
+        """The newest configuration, whole."""
+        try:
+            await self.replication.confirm()
+        except ReplicationUnavailable as error:
+            return unclear(str(error))
+        if self.state.current is None:
+            return Answer(NOT_FOUND, b'{"error": "no configuration has been taken yet"}')
+        return Answer(OK, json.dumps(self.state.current.raw).encode())
+
+    async def submit(self, order: Order) -> Answer:
+        """Takes the order, or says why not. An order that was taken is acknowledged again, never refused."""
+        try:
+            async with self._one_at_a_time:
+                return await self._submit(order)
+        except ReplicationUnavailable as error:
+            return unclear(str(error))
+
+    async def _submit(self, order: Order) -> Answer:
+        await self.replication.confirm()  # or a new primary may have taken it, and we do not know
+        if self.state.taken(order):
+            return self._accepted()
+        refusal = self._refusal(order)
+        if refusal is not None:
+            return refusal
+        await self.replication.propose(order.encode())
+        if self.state.taken(order):
+            return self._accepted()
+        return self._refusal(order) or unclear("the order was overtaken by another one")
+
+    def _refusal(self, order: Order) -> Answer | None:
+        try:
+            self.state.evaluate(order)
+        except ConfigurationError as error:
+            log.info("refused an order of the operator: %s", error)
+            detail = {"error": str(error), "field": error.field, "config_version": self.state.version}
+            return Answer(error.status, json.dumps(detail).encode())
+        return None
+
+    def _accepted(self) -> Answer:
+        return Answer(OK, json.dumps({"config_version": self.state.version}).encode())
--- /dev/null
+++ b/larchgw/control/operator_calls.py
@@ -0,0 +1,72 @@
+"""Brings an operator's call to the primary, wherever it came in."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from ..replication.member import Member
+from ..rpc.errors import RpcError
+from ..rpc.generated.ttypes import OperatorAnswer, OperatorCall
+from ..runtime.clients import RpcClients
+from .operator import Answer, OperatorService, unclear
+from .state import Order
+
+PATIENCE_S = 0.85  # an operator goes to another process after a second of silence
+LARGE_PATIENCE_S = 2.5  # and later where the body is large
+LARGE_BYTES = 256 * 1024
+LOOK_S = 0.02  # how often it is looked for a primary while there is none
+
+
+class OperatorCalls:
+    """Serves a call here if this is the primary, else at the primary that is known here."""
+
+    def __init__(self, member: Member, service: OperatorService, clients: RpcClients) -> None:
+        self._member, self._service, self._clients = member, service, clients
+
+    async def operator_call(self, operation: str, built_on: int, body: bytes) -> Answer:
+        """One call; 503 where no primary gave a clear answer in time."""
+        patience = LARGE_PATIENCE_S if len(body) > LARGE_BYTES else PATIENCE_S
+        until = time.monotonic() + patience
+        try:
+            async with asyncio.timeout(patience):
+                return await self._until_clear(OperatorCall(operation, built_on, body), until)
+        except TimeoutError:
+            return unclear("no primary answered in time")
+
+    async def passed_on(self, call: OperatorCall) -> OperatorAnswer:
+        """A call that another process passes on."""
+        if not self._member.is_primary:
+            return OperatorAnswer(503, b"", "")
+        answer = await self._serve(call)
+        return OperatorAnswer(answer.status, answer.body, self._member.primary)
+
+    async def _until_clear(self, call: OperatorCall, until: float) -> Answer:
+        """Asks again while there is no primary: its place is filled within a second."""
+        while True:
+            if self._member.is_primary:
+                answer = await self._serve(call)
+            else:
+                answer = await self._pass_on(call, until - time.monotonic())
+            if answer.status != 503:
+                return answer
+            await asyncio.sleep(LOOK_S)
+
+    async def _serve(self, call: OperatorCall) -> Answer:
+        if call.operation == "read":
+            return await self._service.read()
+        return await self._service.submit(Order(call.operation, call.built_on, call.body))
+
+    async def _pass_on(self, call: OperatorCall, timeout: float) -> Answer:
+        address = self._primary_address()
+        if not address:
+            return unclear("no primary is known here")
+        try:
+            answer = await self._clients.get(address).call("submit", call, max(timeout, LOOK_S))
+        except RpcError as error:
+            return unclear(str(error))
+        return Answer(answer.status, answer.body)
+
+    def _primary_address(self) -> str:
+        view = self._member.view
+        return view.addresses.get(self._member.primary, "") if view is not None else ""
--- /dev/null
+++ b/larchgw/control/replicated_log.py
@@ -0,0 +1,117 @@
+"""Drives this process's replication member: time, messages to the others, and what its calls came to."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from ..replication.effects import Effects, NotPrimary, Ticket
+from ..replication.lease import Lease
+from ..replication.member import Member
+from ..rpc.generated.ttypes import PeerMessage
+from ..runtime.clients import RpcClients
+from .operator import ReplicationUnavailable
+from .state import ConfigurationState
+
+log = logging.getLogger(__name__)
+TICK_S = 0.02  # heartbeats and time-outs of the protocol are some times this
+DISK_RETRY_S = 1.0  # after the disk refused a write, before it is written to again
+
+
+class ReplicatedLog:
+    """The member, the state that its committed records make, and the calls that wait for it.
+
+    `changed` is called after the state has changed.
+    """
+
+    def __init__(self, member: Member, state: ConfigurationState, clients: RpcClients,
+                 changed: Callable[[], None], clock: Callable[[], float] = time.monotonic) -> None:
+        self.member, self.state = member, state
+        self._clients, self._changed, self._clock = clients, changed, clock
+        self._waiting: dict[Ticket, asyncio.Future[int]] = {}
+        self._disk_rests_until = 0.0
+
+    def start(self) -> None:
+        """Takes up what the disk holds."""
+        self._guard(lambda: self.member.start(self._clock()))
+
+    def tick(self) -> None:
+        """To be called each TICK_S."""
+        self._guard(lambda: self.member.tick(self._clock()))
+
+    def receive(self, message: PeerMessage) -> None:
+        """A message of another member has come."""
+        self._guard(lambda: self.member.receive(self._clock(), message))
+
+    def step_down(self) -> None:
+        """Hands the primary role over, before a planned end."""
+        self._guard(lambda: self.member.step_down(self._clock()))
+
+    def lease(self, name: str) -> Lease | None:
+        """The lease, while it is held here."""
+        return self.member.lease(name)
+
+    async def confirm(self) -> None:
+        """See operator.Replication."""
+        await self._call(self.member.confirm)
+
+    async def propose(self, record: bytes) -> int:
+        """See operator.Replication."""
+        return await self._call(lambda now: self.member.propose(now, record))
+
+    async def _call(self, begin: Callable[[float], tuple[Ticket, Effects]]) -> int:
+        try:
+            ticket, effects = begin(self._clock())
+        except NotPrimary as error:
+            raise ReplicationUnavailable(str(error)) from error
+        except OSError as error:
+            self._disk_failed(error)
+            raise ReplicationUnavailable(f"the disk refuses writes: {error}") from error
+        future = self._waiting[ticket] = asyncio.get_running_loop().create_future()
+        try:
+            self._carry_out(effects)
+            return await future
+        finally:
+            self._waiting.pop(ticket, None)
+
+    def _guard(self, step: Callable[[], Effects]) -> None:
+        if self._clock() < self._disk_rests_until:
+            return
+        try:
+            self._carry_out(step())
+        except OSError as error:
+            self._disk_failed(error)
+
+    def _disk_failed(self, error: OSError) -> None:
+        """Nothing was promised. While the disk rests the others see us silent and go on without us."""
+        log.error("the disk refuses writes (%s): taking no part in replication for %.1f s", error, DISK_RETRY_S)
+        self._disk_rests_until = self._clock() + DISK_RETRY_S
+
+    def _carry_out(self, effects: Effects) -> None:
+        before = self.state.index
+        if effects.installed is not None:
+            self.state.restore(effects.installed[1])
+        for index, record in effects.committed:
+            self.state.apply(index, record)
+        if self.state.index != before:
+            self._changed()
+        for done in effects.done:
+            self._settle(done.ticket, done.index)
+        for failed in effects.failed:
+            self._fail(failed.ticket, failed.reason)
+        for outgoing in effects.messages:
+            self._clients.get(outgoing.address).post("deliver", outgoing.message)
+        if effects.role is not None:
+            log.info("role in the replicated log: %s, view %s", effects.role.name, self.member.view)
+
+    def _settle(self, ticket: Ticket, index: int) -> None:
+        future = self._waiting.get(ticket)
+        if future is not None and not future.done():
+            future.set_result(index)
+
+    def _fail(self, ticket: Ticket, reason: str) -> None:
+        future = self._waiting.get(ticket)
+        if future is not None and not future.done():
+            future.set_exception(ReplicationUnavailable(reason))
--- /dev/null
+++ b/larchgw/control/state.py
@@ -0,0 +1,92 @@
+"""The replicated state: the configuration in force and which orders have been taken. Pure; fed committed records."""
+
+from __future__ import annotations
+
+import json
+import logging
+from dataclasses import dataclass
+
+from ..configuration.change import digest, evaluate
+from ..configuration.errors import ConfigurationError
+from ..configuration.model import Configuration
+from ..configuration.validation import parse
+
+log = logging.getLogger(__name__)
+MOST_TAKEN = 20_000  # orders remembered; one sent again after so many others gets 412
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order of the operator: "replace" or "change". `built_on` is -1 where it was not given."""
+
+    operation: str
+    built_on: int
+    body: bytes
+
+    def encode(self) -> bytes:
+        """One record of the log: a line of JSON, then the body as it came."""
+        head = json.dumps({"operation": self.operation, "built_on": self.built_on})
+        return head.encode() + b"\n" + self.body
+
+    @classmethod
+    def decode(cls, record: bytes) -> Order:
+        """The order in a record."""
+        head, _, body = record.partition(b"\n")
+        fields = json.loads(head)
+        return cls(fields["operation"], fields["built_on"], body)
+
+    def digest(self) -> str:
+        """The same for the same order, however often it is sent."""
+        return digest(self.operation, self.built_on, self.body)
+
+
+class ConfigurationState:
+    """What all committed records make together."""
+
+    def __init__(self) -> None:
+        self.current: Configuration | None = None
+        self.index = 0  # of the record that made `current`
+        self._taken: dict[str, int] = {}  # digest -> version, oldest first
+
+    @property
+    def version(self) -> int:
+        """The current configuration's version; 0 for none."""
+        return self.current.config_version if self.current is not None else 0
+
+    def taken(self, order: Order) -> bool:
+        """Whether this very order is part of the state."""
+        return order.digest() in self._taken
+
+    def evaluate(self, order: Order) -> Configuration:
+        """The configuration that the order would put in force. Raises ConfigurationError."""
+        return evaluate(self.current, order.operation, order.built_on, order.body)
+
+    def apply(self, index: int, record: bytes) -> None:
+        """Takes one committed record; every replica comes to the same state.
+
+        An order that does not fit the state any more is without effect: it was proposed while the fate of one
+        before it was not known.
+        """
+        order = Order.decode(record)
+        try:
+            changed = self.evaluate(order)
+        except ConfigurationError as error:
+            log.warning("record %d is without effect: %s", index, error)
+            return
+        self.current, self.index = changed, index
+        self._taken[order.digest()] = self.current.config_version
+        while len(self._taken) > MOST_TAKEN:
+            del self._taken[next(iter(self._taken))]
+
+    def snapshot(self) -> bytes:
+        """All of it, for `restore`."""
+        raw = self.current.raw if self.current is not None else None
+        return json.dumps({"index": self.index, "configuration": raw, "taken": self._taken}).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Becomes what a snapshot holds."""
+        fields = json.loads(data)
+        raw = fields["configuration"]
+        self.current = parse(raw) if raw is not None else None
+        self.index = fields["index"]
+        self._taken = fields["taken"]
--- /dev/null
+++ b/larchgw/edge/demand_reports.py
@@ -0,0 +1,65 @@
+"""Tells the placer what this dispatcher is asked for, and at once when a request waits for a model."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+from ..distribution.interface import PLACER
+from ..distribution.registry import Registry
+from ..rpc.errors import RpcError
+from ..rpc.generated.ttypes import DemandReport, ModelDemand
+from ..runtime.clients import RpcClients
+
+log = logging.getLogger(__name__)
+INTERVAL_S = 0.5  # between reports; demand changes within seconds
+URGENT_INTERVAL_S = 0.02  # at least so long between two reports that something waits
+TIMEOUT_S = 0.5
+
+
+class DemandReporter:
+    """Sends what `demand` gives to the process that the registry names as placer."""
+
+    def __init__(self, node_name: str, registry: Registry, clients: RpcClients,
+                 demand: Callable[[], list[ModelDemand]]) -> None:
+        self._node_name, self._registry, self._clients, self._demand = node_name, registry, clients, demand
+        self._urgent = asyncio.Event()
+
+    def wanted(self) -> None:
+        """A request waits for a model that nobody holds: report now."""
+        self._urgent.set()
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        loop = asyncio.get_running_loop()
+        last = loop.time()
+        while True:
+            try:
+                async with asyncio.timeout(INTERVAL_S):
+                    await self._urgent.wait()
+            except TimeoutError:
+                pass
+            self._urgent.clear()
+            now = loop.time()
+            await self._report(round(1000.0 * (now - last)))
+            last = now
+            await asyncio.sleep(URGENT_INTERVAL_S)
+
+    async def _report(self, interval_ms: int) -> None:
+        address = self._placer()
+        if not address:
+            return
+        models = self._demand()
+        if not models:
+            return
+        report = DemandReport(node_name=self._node_name, interval_ms=interval_ms, models=models)
+        try:
+            await self._clients.get(address).call("demand", report, TIMEOUT_S)
+        except RpcError as error:
+            log.info("demand was not reported: %s", error)
+
+    def _placer(self) -> str:
+        entry = self._registry.get(PLACER)
+        return str(json.loads(entry.value)["address"]) if entry is not None else ""
--- /dev/null
+++ b/larchgw/edge/expectations.py
@@ -0,0 +1,44 @@
+"""When ordered loads are expected to be done, as the placer tells it."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+
+from ..distribution.interface import EXPECTED
+from ..distribution.registry import Registry
+from ..rpc.generated.ttypes import Entry
+
+STALE_AFTER_S = 10.0  # a load that was to be done so long ago is no longer expected
+
+
+class Expectations:
+    """Runner -> model or "model/adapter" -> time on this process's monotonic clock."""
+
+    def __init__(self, registry: Registry, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._by_runner: dict[str, dict[str, float]] = {}
+        for entry in registry.items(EXPECTED):
+            self._learn(entry)
+        registry.watch(EXPECTED, self._learn)
+
+    def expected(self, model: str, adapter: str) -> dict[str, float]:
+        """Runner -> when it is expected to hold the model and the adapter, if one is named."""
+        name = f"{model}/{adapter}" if adapter else model
+        oldest = self._clock() - STALE_AFTER_S
+        found = {runner: names[name] for runner, names in self._by_runner.items() if name in names}
+        return {runner: at for runner, at in found.items() if at > oldest}
+
+    def leaving(self, runner: str, model: str) -> bool:
+        """Whether the model is being unloaded there."""
+        return self._by_runner.get(runner, {}).get(model, 0.0) < 0.0
+
+    def _learn(self, entry: Entry) -> None:
+        runner = entry.key.removeprefix(EXPECTED)
+        now = self._clock()
+        times = {name: now + ms / 1000.0 if ms >= 0 else -1.0 for name, ms in json.loads(entry.value).items()}
+        if times:
+            self._by_runner[runner] = times
+        else:
+            self._by_runner.pop(runner, None)
--- /dev/null
+++ b/larchgw/edge/main.py
@@ -0,0 +1,11 @@
+"""`larchgw edge`."""
+
+from __future__ import annotations
+
+from ..runtime import process
+from .node import EdgeNode
+
+
+def run() -> int:
+    """Serves until SIGTERM; the exit status."""
+    return process.run(EdgeNode)
--- /dev/null
+++ b/larchgw/edge/node.py
@@ -0,0 +1,135 @@
+"""The edge role put together: what it knows, what it serves, how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Mapping
+
+from ..configuration.errors import ConfigurationError
+from ..configuration.settings import NodeSettings
+from ..configuration.validation import decode, parse
+from ..decide.budget import RetryBudget
+from ..decide.selection import Selector
+from ..directory.records import RunnerRecord
+from ..directory.view import RunnerView
+from ..distribution.interface import CONFIGURATION
+from ..distribution.puller import Puller
+from ..distribution.registry import Registry
+from ..distribution.sources import PullSettings
+from ..distribution.vectors import new_origin
+from ..membership.member import Member
+from ..membership.settings import SwimSettings
+from ..membership.swim import Swim
+from ..membership.transport import SwimTransport
+from ..net.asyncloop import AsyncLoop
+from ..net.connection import parse_address
+from ..rpc.client import RpcClient
+from ..rpc.generated.ttypes import Entry
+from ..runtime.addresses import EDGE_GOSSIP_PORT, seed_gossip_addresses, seed_rpc_addresses
+from ..runtime.clients import RpcClients
+from ..runtime.tasks import Tasks
+from . import readiness
+from .demand_reports import DemandReporter
+from .expectations import Expectations
+from .proxy import Proxy
+
+log = logging.getLogger(__name__)
+FORGET_EVERY_S = 30.0
+NOTICE_S = 2.2  # for the platform to see that we are not ready: it asks each second and counts to two
+GRACE_MARGIN_S = 0.7  # of the time until SIGKILL that is kept for the end itself
+
+
+class EdgeNode:
+    """One dispatcher."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        dice = random.Random()
+        self.registry = Registry(new_origin(settings.node_name, dice))
+        self.view = RunnerView(self.registry)
+        self.expectations = Expectations(self.registry)
+        self.selector = Selector(settings.zone, dice)
+        self.clients = RpcClients()
+        self.tasks = Tasks()
+        self._dice = dice
+        self._configured = self._stopping = False
+        self.swim = self._make_swim()
+        self.puller = Puller(
+            self.registry, RpcClient, lambda: seed_rpc_addresses(self.settings),
+            PullSettings.of(settings.time_limits), dice, node_name=settings.node_name, returns=True)
+
+    async def start(self) -> None:
+        """Listens and begins its work. Raises OSError."""
+        settings = self.settings
+        self.net = AsyncLoop()
+        self.proxy = Proxy(self.net, settings, self.selector, RetryBudget(settings.time_limits, self._dice),
+                           self._dice)
+        self.proxy.runners = self.view.by_service
+        self.proxy.expected = self._expected
+        self.proxy.dispatchers = lambda: self.swim.count("edge")
+        self.demand = DemandReporter(settings.node_name, self.registry, self.clients, self.proxy.demand)
+        self.proxy.on_wanted = lambda service, model, adapter: self.demand.wanted()
+        self.registry.watch(CONFIGURATION, self._configure)
+        self.view.on_change(lambda record: self.proxy.runners_changed())
+        self.proxy.listen(parse_address(settings.listen.front))
+        self._ready_server = readiness.serve(self.is_ready, *parse_address(settings.listen.ready))
+        self._gossip = SwimTransport(self.swim, settings.ip, settings.port(EDGE_GOSSIP_PORT))
+        await self._gossip.start()
+        self.tasks.start("pull", self.puller.run)
+        self.tasks.start("demand", self.demand.run)
+        self.tasks.every("forget", FORGET_EVERY_S, self.view.forget)
+        log.info("edge: started")
+
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome: it knows a configuration and runners, and does not stop."""
+        return self._configured and len(self.view) > 0 and not self._stopping
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Takes other seeds and bounds; addresses stay."""
+        self.settings = settings
+        self.swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
+
+    async def stop(self) -> None:
+        """Lets the platform notice, answers what is open, and ends before SIGKILL."""
+        self._stopping = True
+        began = time.monotonic()
+        grace = self.settings.time_limits.grace_period_s - GRACE_MARGIN_S
+        self._gossip.leave()
+        await asyncio.sleep(min(NOTICE_S, grace / 3))
+        self.proxy.stop_accepting()
+        drained = asyncio.Event()
+        self.proxy.drain(drained.set)
+        try:
+            async with asyncio.timeout(max(grace - (time.monotonic() - began), 0.1)):
+                await drained.wait()
+        except TimeoutError:
+            log.warning("edge: ends with %d requests open", self.proxy.open_count)
+        self.tasks.stop()
+        self.clients.close()
+
+    def _make_swim(self) -> Swim:
+        settings = self.settings
+        address = f"{settings.ip}:{settings.port(EDGE_GOSSIP_PORT)}"
+        me = Member(settings.node_name, address, "edge", int(time.time() * 1000), zone=settings.zone)
+        swim = Swim(me, SwimSettings(), self._dice)
+        swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
+        return swim
+
+    def _configure(self, entry: Entry) -> None:
+        try:
+            configuration = parse(decode(entry.value))
+        except ConfigurationError as error:
+            log.error("edge: a configuration that was taken cannot be read: %s", error)
+            return
+        self.selector.configure(configuration)
+        self.proxy.configure(configuration)
+        self._configured = True
+        log.info("edge: configuration %d is in force", configuration.config_version)
+
+    def _expected(self, service: str, model: str, adapter: str) -> Mapping[str, float]:
+        known: Mapping[str, RunnerRecord] = self.view.by_service(service)
+        found = self.expectations.expected(model, adapter)
+        return {runner: at for runner, at in found.items() if runner in known}
--- a/larchgw/rpc/client.py
+++ b/larchgw/rpc/client.py
@@ -15,6 +15,7 @@
 
 log = logging.getLogger(__name__)
 CONNECT_TIMEOUT = 0.5  # seconds
+MOST_UNSENT_BYTES = 24 << 20  # of calls without an answer that wait to be sent to one peer
 USER_TIMEOUT_MS = 1500  # unacknowledged bytes end a connection after this
 
 
@@ -70,6 +71,7 @@
         self._connection: _Connection | None = None
         self._opening: asyncio.Task[_Connection] | None = None
         self._sequence = 0
+        self._posted: list[bytes] = []  # until the connection is up
 
     async def call(self, method: str, argument: Any, timeout: float) -> Any:
         """What `method` returned. `timeout` is in seconds. Raises RpcError."""
@@ -87,6 +89,31 @@
             raise RpcConnectionLost(f"{self.address}: the connection ended", sent=False)
         connection.transport.write(self._frame(method, TMessageType.ONEWAY, 0, argument))
 
+    def post(self, method: str, argument: Any) -> None:
+        """A call that has no answer, sent as soon as there is a connection; dropped if none comes up.
+
+        For protocols that bear losses: it never waits, and a peer that does not read costs bounded memory.
+        """
+        frame = self._frame(method, TMessageType.ONEWAY, 0, argument)
+        connection = self._connection
+        if connection is not None and connection.transport is not None:
+            if connection.transport.get_write_buffer_size() <= MOST_UNSENT_BYTES:
+                connection.transport.write(frame)
+            return
+        if sum(map(len, self._posted)) <= MOST_UNSENT_BYTES:
+            self._posted.append(frame)
+        if self._opening is None or self._opening.done():
+            self._opening = asyncio.ensure_future(self._open())
+            self._opening.add_done_callback(self._opened)
+
+    def _opened(self, opening: asyncio.Task[_Connection]) -> None:
+        posted, self._posted = self._posted, []
+        if opening.cancelled() or opening.exception() is not None:
+            return
+        transport = opening.result().transport
+        if transport is not None:
+            transport.writelines(posted)
+
     def close(self) -> None:
         """Ends the connection; calls that wait on it fail."""
         if self._opening is not None:
@@ -123,6 +150,7 @@
             return self._connection
         if self._opening is None or self._opening.done():
             self._opening = asyncio.ensure_future(self._open())
+            self._opening.add_done_callback(self._opened)
         return await asyncio.shield(self._opening)
 
     async def _open(self) -> _Connection:
--- /dev/null
+++ b/larchgw/runtime/clients.py
@@ -0,0 +1,28 @@
+"""One rpc client for each address that this process calls."""
+
+from __future__ import annotations
+
+from ..rpc.client import RpcClient
+
+
+class RpcClients:
+    """Clients by address ("host:port"), made when first asked for."""
+
+    def __init__(self) -> None:
+        self._clients: dict[str, RpcClient] = {}
+
+    def get(self, address: str) -> RpcClient:
+        """The client for this address."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(address)
+        return client
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Closes the clients of addresses that are no longer in use."""
+        for address in set(self._clients) - addresses:
+            self._clients.pop(address).close()
+
+    def close(self) -> None:
+        """Ends all connections."""
+        self.keep_only(set())
