--- a/larchgw/control/isolation.py
+++ b/larchgw/control/isolation.py
@@ -11,13 +11,13 @@
 class Isolation:
     """Judges by when the other witnesses last answered.
 
-    `last_heard` gives the monotonic time of a peer's last answer, or None; `electorate` the addresses of the
-    other witnesses.
+    `last_answered` gives the monotonic time of a peer's last answer, or None; `electorate` the addresses of
+    the other witnesses.
     """
 
-    def __init__(self, last_heard: Callable[[str], float | None], electorate: Callable[[], set[str]],
+    def __init__(self, last_answered: Callable[[str], float | None], electorate: Callable[[], set[str]],
                  clock: Callable[[], float] = time.monotonic) -> None:
-        self._last_heard, self._electorate, self._clock = last_heard, electorate, clock
+        self._last_answered, self._electorate, self._clock = last_answered, electorate, clock
         self._began = clock()
 
     def isolated(self) -> bool:
@@ -29,5 +29,5 @@
         return 2 * present <= 1 + len(others)
 
     def _lately(self, address: str) -> bool:
-        heard = self._last_heard(address)
+        heard = self._last_answered(address)
         return heard is not None and self._clock() - heard < HEARD_WITHIN_S
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import logging
-import random
 import time
 from pathlib import Path
 
@@ -42,6 +41,7 @@
     seed_rpc_addresses,
 )
 from ..runtime.clients import RpcClients
+from ..runtime.dice import new_dice
 from ..runtime.tasks import Tasks
 from ..storage.cell import Cell
 from ..storage.files import DiskFiles
@@ -77,7 +77,7 @@
             raise SettingsError("data_dir", "is not given", "control keeps its state on disk: name a folder")
         self.settings = settings
         self.address = rpc_address(settings)
-        self._dice = random.Random()
+        self._dice = new_dice(settings.node_name)
         self._life = int(time.time() * 1000)
         self.clients = RpcClients()
         self.tasks = Tasks()
@@ -90,7 +90,7 @@
         pull_settings = PullSettings.of(settings.time_limits)
         self.peers = PeerPullers(self.registry, RpcClient, self._peers, pull_settings, self._dice,
                                  node_name=settings.node_name)
-        self.isolation = Isolation(self.peers.last_heard, self._electorate)
+        self.isolation = Isolation(self.peers.last_answered, self._electorate)
         self.pulls = PullService(self.registry, self.isolation.isolated, self._control_addresses)
         self.handoff = Handoff(RpcClient, self._peers, node_name=settings.node_name)
         self.directory = Directory(self.registry, time.monotonic, settings.beat_ms / 1000.0, self._owner(),
--- a/larchgw/control/operator.py
+++ b/larchgw/control/operator.py
@@ -32,7 +32,7 @@
     """What this module needs of the replicated log. Both raise ReplicationUnavailable."""
 
     async def confirm(self) -> None:
-        """Returns once it is certain that, after this call began, we still were the primary of the last view."""
+        """Returns once it is certain that we were the primary of the last view after this call began."""
 
     async def propose(self, record: bytes) -> int:
         """Returns the record's index once it is committed and applied here."""
--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -86,7 +86,7 @@
 
     def _disk_failed(self, error: OSError) -> None:
         """Nothing was promised. While the disk rests the others see us silent and go on without us."""
-        log.error("the disk refuses writes (%s): taking no part in replication for %.1f s", error, DISK_RETRY_S)
+        log.error("the disk refuses writes (%s): no part in replication for %.1f s", error, DISK_RETRY_S)
         self._disk_rests_until = self._clock() + DISK_RETRY_S
 
     def _carry_out(self, effects: Effects) -> None:
--- a/larchgw/control/state.py
+++ b/larchgw/control/state.py
@@ -1,4 +1,4 @@
-"""The replicated state: the configuration in force and which orders have been taken. Pure; fed committed records."""
+"""The replicated state made of committed records: the configuration and the orders that were taken."""
 
 from __future__ import annotations
 
--- a/larchgw/distribution/peers.py
+++ b/larchgw/distribution/peers.py
@@ -50,10 +50,10 @@
             if address not in self._tasks or self._tasks[address].done():
                 self._start(address)
 
-    def last_heard(self, address: str) -> float | None:
-        """When that peer last answered and was not cut off, by the clock."""
+    def last_answered(self, address: str) -> float | None:
+        """When that peer last answered, by the clock; also if it was cut off from the majority itself."""
         puller = self._pullers.get(address)
-        return puller.last_heard if puller is not None else None
+        return puller.last_answered if puller is not None else None
 
     def _start(self, address: str) -> None:
         puller = Puller(self._registry, self._connect, lambda: [address], self._settings, self._dice,
--- a/larchgw/distribution/puller.py
+++ b/larchgw/distribution/puller.py
@@ -75,6 +75,7 @@
                  clock: Callable[[], float] = time.monotonic) -> None:
         self.registry = registry
         self.last_heard: float | None = None  # by `clock`: the last answer of a process that is not cut off
+        self.last_answered: float | None = None  # by `clock`: the last answer, also of one that is cut off
         self.changes = 0  # of the process pulled from
         self._connect = connect
         self._addresses = addresses
@@ -129,7 +130,7 @@
         return await session.caller.call("pull", request, timeout)
 
     def _take(self, session: _Session, reply: PullReply) -> None:
-        now = self._clock()
+        now = self.last_answered = self._clock()
         self.registry.merge(reply.entries or [])
         if not reply.more:
             self.registry.advance(reply.upto or {})
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import random
 import time
 from collections.abc import Mapping
 
@@ -30,6 +29,7 @@
 from ..rpc.generated.ttypes import Entry
 from ..runtime.addresses import EDGE_GOSSIP_PORT, seed_gossip_addresses, seed_rpc_addresses
 from ..runtime.clients import RpcClients
+from ..runtime.dice import new_dice
 from ..runtime.tasks import Tasks
 from . import readiness
 from .demand_reports import DemandReporter
@@ -47,7 +47,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
-        dice = random.Random()
+        dice = new_dice(settings.node_name)
         self.registry = Registry(new_origin(settings.node_name, dice))
         self.view = RunnerView(self.registry)
         self.expectations = Expectations(self.registry)
--- a/larchgw/runtime/process.py
+++ b/larchgw/runtime/process.py
@@ -50,7 +50,7 @@
 
 
 def run(make: Callable[[NodeSettings], Role]) -> int:
-    """The process's exit status: 0 after SIGTERM, 2 for settings that cannot be used, 1 for an address in use."""
+    """The exit status: 0 after SIGTERM, 2 for settings that cannot be used, 1 for an address in use."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it, it would end the process
     try:
         settings = load()
