--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -116,7 +116,7 @@
         self.tasks.start("peers", self.peers.run)
         self.tasks.start("handoff", self.handoff.run)
         self.tasks.start("placement", self.placement.run)
-        log.info("control: started as %s", self.member.identity)
+        log.info("control: started as %s", self.member.id)
 
     def reload(self, settings: NodeSettings) -> None:
         """Takes other seeds; addresses stay."""
@@ -197,7 +197,7 @@
 
     def _tell_contacts(self) -> None:
         """The member asks these to be taken in, and the election goes on among them."""
-        self.member.contacts(set(self._peers()) | set(seed_rpc_addresses(self.settings)) - {self.address})
+        self.member.set_contacts(set(self._peers()) | set(seed_rpc_addresses(self.settings)) - {self.address})
         lease = self._placer_lease()
         if lease is not None:
             self.registry.put(PLACER, json.dumps({"address": self.address}).encode(), lease.fence)
@@ -233,7 +233,8 @@
         return Member(member_settings, open_ports(folder), self.state.snapshot, self._dice)
 
     def _make_placement(self) -> PlacementService:
+        limits = self.settings.time_limits
         return PlacementService(PlacementRuntime(
             clock=time.monotonic, lease=self._placer_lease, calls=OrderClient(self.address),
-            publish=self._publish_expected, settings=PlacementSettings.of(self.settings.time_limits),
+            publish=self._publish_expected, settings=PlacementSettings(limits.ceiling_window_s, limits.origin_rate_cap),
             rng=self._dice))
--- a/larchgw/control/operator_calls.py
+++ b/larchgw/control/operator_calls.py
@@ -39,7 +39,7 @@
         if not self._member.is_primary:
             return OperatorAnswer(503, b"", "")
         answer = await self._serve(call)
-        return OperatorAnswer(answer.status, answer.body, self._member.primary)
+        return OperatorAnswer(answer.status, answer.body, self._member.id)
 
     async def _until_clear(self, call: OperatorCall, until: float) -> Answer:
         """Asks again while there is no primary: its place is filled within a second."""
@@ -58,7 +58,7 @@
         return await self._service.submit(Order(call.operation, call.built_on, call.body))
 
     async def _pass_on(self, call: OperatorCall, timeout: float) -> Answer:
-        address = self._primary_address()
+        address = self._member.primary
         if not address:
             return unclear("no primary is known here")
         try:
@@ -66,7 +66,3 @@
         except RpcError as error:
             return unclear(str(error))
         return Answer(answer.status, answer.body)
-
-    def _primary_address(self) -> str:
-        view = self._member.view
-        return view.addresses.get(self._member.primary, "") if view is not None else ""
--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from ..replication.effects import Effects, NotPrimary, Ticket
+from ..replication.effects import Effects, NotPrimary, Outgoing, Ticket
 from ..replication.lease import Lease
 from ..replication.member import Member
 from ..rpc.generated.ttypes import PeerMessage
@@ -51,7 +51,7 @@
 
     def lease(self, name: str) -> Lease | None:
         """The lease, while it is held here."""
-        return self.member.lease(name)
+        return self.member.lease(self._clock(), name)
 
     async def confirm(self) -> None:
         """See operator.Replication."""
@@ -102,10 +102,15 @@
         for failed in effects.failed:
             self._fail(failed.ticket, failed.reason)
         for outgoing in effects.messages:
-            self._clients.get(outgoing.address).post("deliver", outgoing.message)
+            self._post(outgoing)
         if effects.role is not None:
             log.info("role in the replicated log: %s, view %s", effects.role.name, self.member.view)
 
+    def _post(self, outgoing: Outgoing) -> None:
+        message = outgoing.message
+        sent = PeerMessage(message.sender, message.receiver, message.kind, message.body)
+        self._clients.get(outgoing.address).post("deliver", sent)
+
     def _settle(self, ticket: Ticket, index: int) -> None:
         future = self._waiting.get(ticket)
         if future is not None and not future.done():
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -50,7 +50,6 @@
         dice = new_dice(settings.node_name)
         self.registry = Registry(new_origin(settings.node_name, dice))
         self.view = RunnerView(self.registry)
-        self.expectations = Expectations(self.registry)
         self.selector = Selector(settings.zone, dice)
         self.clients = RpcClients()
         self.tasks = Tasks()
@@ -65,6 +64,7 @@
         """Listens and begins its work. Raises OSError."""
         settings = self.settings
         self.net = AsyncLoop()
+        self.expectations = Expectations(self.registry, self.net.clock.now)
         self.proxy = Proxy(self.net, settings, self.selector, RetryBudget(settings.time_limits, self._dice),
                            self._dice)
         self.proxy.runners = self.view.by_service
@@ -74,7 +74,7 @@
         self.proxy.on_wanted = lambda service, model, adapter: self.demand.wanted()
         self.registry.watch(CONFIGURATION, self._configure)
         self.view.on_change(lambda record: self.proxy.runners_changed())
-        self.proxy.listen(parse_address(settings.listen.front))
+        self.proxy.listen(settings.listen.front)
         self._ready_server = readiness.serve(self.is_ready, *parse_address(settings.listen.ready))
         self._gossip = SwimTransport(self.swim, settings.ip, settings.port(EDGE_GOSSIP_PORT))
         await self._gossip.start()
