--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -72,7 +72,8 @@
         future = self._waiting[ticket] = asyncio.get_running_loop().create_future()
         try:
             self._carry_out(effects)
-            return await future
+            index: int = await future
+            return index
         finally:
             self._waiting.pop(ticket, None)
 
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -63,7 +63,7 @@
     async def start(self) -> None:
         """Listens and begins its work. Raises OSError."""
         settings = self.settings
-        self.net = AsyncLoop()
+        self.net = AsyncLoop(asyncio.get_running_loop())
         self.expectations = Expectations(self.registry, self.net.clock.now)
         self.proxy = Proxy(self.net, settings, self.selector, RetryBudget(settings.time_limits, self._dice),
                            self._dice)
