--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -236,5 +236,5 @@
         limits = self.settings.time_limits
         return PlacementService(PlacementRuntime(
             clock=time.monotonic, lease=self._placer_lease, calls=OrderClient(self.address),
-            publish=self._publish_expected, settings=PlacementSettings(limits.ceiling_window_s, limits.origin_rate_cap),
-            rng=self._dice))
+            publish=self._publish_expected, rng=self._dice,
+            settings=PlacementSettings(limits.ceiling_window_s, limits.origin_rate_cap)))
