Settings of a process: empty fields count as left out, and `larchgw settings` finds what does not fit

A field that is empty and matters to nobody kept a process from starting, and errors did not name the field.

--- a/larchgw/cli/check.py
+++ b/larchgw/cli/check.py
@@ -9,7 +9,8 @@
 
 from .. import config
 from ..configuration import settings as process_settings
-from ..configuration.errors import ConfigurationError
+from ..configuration.errors import ConfigurationError, SettingsError
+from ..configuration.settings_check import settings_faults
 from ..configuration.validation import decode, examine
 from ..settings_file import Fault, read
 from .command import WRONG_CALL, Command, UsageError, textual
@@ -63,10 +64,10 @@
 
 def _settings_faults(path: Path) -> list[Fault]:
     try:
-        process_settings.load(str(path))
-    except ConfigurationError as error:
-        return [_fault(path, error)]
-    return []
+        faults = settings_faults(process_settings.load(str(path)))
+    except SettingsError as error:
+        faults = [error]
+    return [_fault(path, fault) for fault in faults]
 
 
 def _fault(path: Path, error: ConfigurationError) -> Fault:
--- a/larchgw/configuration/settings.py
+++ b/larchgw/configuration/settings.py
@@ -11,6 +11,7 @@
 import dacite
 
 from .errors import SettingsError
+from .records import UnfitValue, shown
 
 VARIABLE = "LARCHGW_NODE_FILE"
 
@@ -105,13 +106,42 @@
         return first + offset
 
 
+def _number(value: Any) -> float:
+    try:
+        return float(value)
+    except (TypeError, ValueError):
+        raise UnfitValue(f"{shown(value)} is no number", "give a number") from None
+
+
+def _integer(value: Any) -> int:
+    try:
+        return int(value)
+    except (TypeError, ValueError, OverflowError):
+        raise UnfitValue(f"{shown(value)} is no whole number", "give a whole number") from None
+
+
+# Lenient, as a process that does not start helps nobody; `settings_check` is what finds fault.
+_LENIENT = dacite.Config(type_hooks={float: _number, int: _integer})
+
+
+def _given(value: Any) -> Any:
+    """The value without the fields that are null or empty text, at any depth: these count as left out."""
+    if not isinstance(value, dict):
+        return value
+    return {name: _given(inner) for name, inner in value.items() if inner is not None and inner != ""}
+
+
 def parse(raw: dict[str, Any]) -> NodeSettings:
     """The settings in a decoded file; unknown fields are ignored. Raises SettingsError."""
-    known = {name: value for name, value in raw.items() if value is not None}
     try:
-        settings = dacite.from_dict(NodeSettings, known, dacite.Config(cast=[float, int], check_types=True))
-    except (dacite.DaciteError, ValueError, TypeError) as error:
-        raise SettingsError("settings", str(error), "see docs/operators-system.md for the fields") from error
+        settings = dacite.from_dict(NodeSettings, _given(raw), _LENIENT)
+    except UnfitValue as error:
+        raise SettingsError(str(error.field_path), error.problem, error.remedy) from None
+    except dacite.MissingValueError as error:
+        raise SettingsError(str(error.field_path), "is missing", "add it") from None
+    except dacite.WrongTypeError as error:
+        raise SettingsError(str(error.field_path), f"{shown(error.value)} has the wrong type",
+                            "see docs/operators-system.md for the fields") from None
     if len(settings.spare_ports) != 2:
         raise SettingsError("spare_ports", "is no pair of ports", "give the first and the last free port")
     return settings
