A committed configuration is read again only where it changed

An edge reads each new version while it serves streams; with 10,000 routes decode and parse held its loop for some 200 ms, more than a stream's event may be late.

parse_committed takes what a control process has checked: routes that are equal in the configuration before are kept, and repeated fields are not looked for. Normalised hosts are kept, and split routes whose services are known are no longer spelt out.

--- a/larchgw/configuration/interface.py
+++ b/larchgw/configuration/interface.py
@@ -4,6 +4,8 @@
         the JSON object, or MalformedConfiguration
     validation.parse(raw: dict) -> Configuration
         checked whole, or MalformedConfiguration / InvalidConfiguration
+    validation.parse_committed(body: bytes, known: Configuration | None) -> Configuration
+        for processes that get a checked configuration: routes that `known` holds are not read again
     validation.examine(raw: dict) -> (Configuration | None, faults)
         every faulty item, for the command line
     change.apply_change(current: dict, change: dict) -> dict
--- a/larchgw/configuration/routing.py
+++ b/larchgw/configuration/routing.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
+
 from .model import Configuration, Route
 
+HOSTS_KEPT = 512  # normalised names; clients may send any, of up to the size of a header each
+
 
+@lru_cache(HOSTS_KEPT)
 def normalised_host(host: str) -> str:
     """A `Host` value for comparison: lower case, without a port."""
     name = host.strip().lower()
--- a/larchgw/configuration/validation.py
+++ b/larchgw/configuration/validation.py
@@ -29,9 +29,13 @@
             json.dumps(raw, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise MalformedConfiguration(WHOLE, f"is not JSON ({error})", "send one whole JSON object") from None
-    if not isinstance(raw, dict):
-        raise MalformedConfiguration(WHOLE, f"{shown(raw)} is no JSON object", "send an object")
-    return raw
+    return _object(raw)
+
+
+def _object(value: object) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise MalformedConfiguration(WHOLE, f"{shown(value)} is no JSON object", "send an object")
+    return value
 
 
 def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
@@ -54,20 +58,41 @@
     Routes of `known` whose JSON objects are the very ones in `raw`, as after `change.apply_change`, are not
     read again. Raises MalformedConfiguration or InvalidConfiguration.
     """
-    configuration, faults = examine(raw, known)
+    return _whole(raw, _unless_same(known))
+
+
+def parse_committed(body: bytes, known: Configuration | None) -> Configuration:
+    """A configuration that a control process has checked already, as it comes to the other processes.
+
+    Routes that are equal in `known` are not read again, which is not enough for an operator's order: JSON's
+    true equals 1 here. Raises MalformedConfiguration or InvalidConfiguration.
+    """
+    try:
+        raw = json.loads(body)
+    except ValueError as error:
+        raise MalformedConfiguration(WHOLE, f"is not JSON ({error})", "send one whole JSON object") from None
+    return _whole(_object(raw), _unless_equal(known))
+
+
+def examine(raw: Mapping[str, Any]) -> tuple[Configuration | None, list[ConfigurationError]]:
+    """The configuration, or None and every fault that was found."""
+    return _examine(raw, read_route)
+
+
+def _whole(raw: Mapping[str, Any], read: Reader[Route]) -> Configuration:
+    configuration, faults = _examine(raw, read)
     if configuration is None:
         raise faults[0]
     return configuration
 
 
-def examine(raw: Mapping[str, Any], known: Configuration | None = None,
-            ) -> tuple[Configuration | None, list[ConfigurationError]]:
-    """The configuration, or None and every fault that was found; `known` as for `parse`."""
+def _examine(raw: Mapping[str, Any], read: Reader[Route],
+             ) -> tuple[Configuration | None, list[ConfigurationError]]:
     findings = Findings()
     version = _version(raw.get("config_version"), findings)
     services = _required(raw, "services", _service, findings)
     readable = not findings.faults  # all services are known, so routes can be held against them
-    routes = _required(raw, "routes", _reader(known), findings)
+    routes = _required(raw, "routes", read, findings)
     limits = _limits(raw.get("limits"), findings)
     _check_names("services", services, findings)
     _check_names("routes", routes, findings)
@@ -80,16 +105,36 @@
                          tuple(service for _, service in services), limits, dict(raw)), []
 
 
-def _reader(known: Configuration | None) -> Reader[Route]:
-    """Reads routes, but for those that `known` holds already."""
+def _held(known: Configuration | None) -> list[tuple[dict[str, Any], Route]]:
+    """The routes of a configuration, each with the JSON object that it was read from."""
     values = known.raw.get("routes") if known else None
     if known is None or not isinstance(values, list):
-        return read_route
-    # `known.raw` keeps the objects alive, so no other one can have the id of one of them.
-    held = {id(value): route for value, route in zip(values, known.routes, strict=True)}
+        return []
+    return list(zip(values, known.routes, strict=True))
+
+
+def _unless_same(known: Configuration | None) -> Reader[Route]:
+    """Reads routes, but for those whose very JSON objects are in `known`."""
+    # `known` keeps its objects alive, so no other one can have the id of one of them.
+    held = {id(value): route for value, route in _held(known)}
     return lambda value, path, findings: held.get(id(value)) or read_route(value, path, findings)
 
 
+def _unless_equal(known: Configuration | None) -> Reader[Route]:
+    """Reads routes, but for those whose JSON objects equal the one of that name in `known`."""
+    held = {route.name: (value, route) for value, route in _held(known)}
+    unknown: tuple[dict[str, Any], Route | None] = ({}, None)
+
+    def read(value: object, path: str, findings: Findings) -> Route | None:
+        name = value.get("name") if isinstance(value, dict) else None
+        before, route = held.get(name, unknown) if isinstance(name, str) else unknown
+        if route is not None and before == value:
+            return route
+        return read_route(value, path, findings)
+
+    return read
+
+
 def _version(value: object, findings: Findings) -> int | None:
     if value is None:
         findings.malformed("config_version", "is missing", "number the configuration")
@@ -180,7 +225,7 @@
 
 def _check_services(routes: Iterable[tuple[str, Route]], known: set[str], findings: Findings) -> None:
     for path, route in routes:
-        if not route.shares and route.service in known:
+        if (route.service in known or not route.service) and all(s.service in known for s in route.shares):
             continue
         named = [(f"{path}.service", route.service)] if route.service else []
         named += [(f"{path}.shares[{i}].service", share.service) for i, share in enumerate(route.shares)]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,7 +13,7 @@
 from larchgw.configuration.errors import ConfigurationError, MalformedConfiguration
 from larchgw.configuration.records import Findings
 from larchgw.configuration.route_reader import ordinary_route, route_by_record
-from larchgw.configuration.validation import decode, examine, parse
+from larchgw.configuration.validation import decode, examine, parse, parse_committed
 
 
 def test_every_field_of_a_valid_configuration_is_read() -> None:
@@ -127,6 +127,28 @@
         parse(with_value(EXAMPLE, "routes.0.rank", False), known)
 
 
+@pytest.mark.parametrize("spoilt", [b"{", b"\xff", body(with_value(EXAMPLE, "routes.0.name", ["r-plan"])),
+                                    body(with_value(EXAMPLE, "routes.0", "r-plan")),
+                                    body(with_value(EXAMPLE, "routes.0.tries", 0))])
+def test_a_committed_configuration_that_is_damaged_is_not_put_in_force(spoilt: bytes) -> None:
+    with pytest.raises(ConfigurationError):
+        parse_committed(spoilt, parse(EXAMPLE))
+
+
+@given(configurations(), configurations())
+def test_what_is_known_before_does_not_change_what_a_committed_configuration_says(
+        before: dict[str, Any], raw: dict[str, Any]) -> None:
+    assert parse_committed(body(raw), parse(before)) == parse(raw) == parse_committed(body(raw), None)
+
+
+def test_only_routes_that_changed_are_read_again_from_a_committed_configuration() -> None:
+    known = parse(EXAMPLE)
+    changed = parse_committed(body(with_value(EXAMPLE, "routes.1.rank", 3)), known)
+    assert [route is before for route, before in zip(changed.routes, known.routes, strict=True)] == [
+        True, False, True]
+    assert changed.routes[1].rank == 3
+
+
 @settings(max_examples=80)
 @given(configurations())
 def test_no_valid_configuration_is_refused(raw: dict[str, Any]) -> None:
