Membership: a bounded rate of news, a last ping before a death, and an experiment

With half of 300 members cut off, members sent up to 7.8 KB/s of updates, and after the cut had healed single members declared others dead again whose refutation had been crowded out of the queue. Updates now have a rate in bytes, refutations go first, and a suspect is asked once more itself before it is declared dead. The experiment larchgw.lab.membership plays fleets of 30 to 500 in virtual time.

--- a/larchgw/membership/dissemination.py
+++ b/larchgw/membership/dissemination.py
@@ -1,4 +1,4 @@
-"""Updates that still have to be passed on, each a bounded number of times."""
+"""Updates that still have to be passed on, each a bounded number of times and all at a bounded rate."""
 
 from __future__ import annotations
 
@@ -6,44 +6,63 @@
 from math import ceil, log10
 
 from .codec import Update, encode_update
+from .member import State
+from .settings import SwimSettings
 
 
 @dataclass(slots=True)
 class _Queued:
     record: bytes
+    state: State
     sends: int = 0
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """The least goes first."""
+        return (self.sends, self.state)
+
 
 class Dissemination:
-    """The newest update for each address; those sent least go first."""
+    """The newest update for each address; those sent least go first, and among them refutations."""
 
-    def __init__(self, retransmit_factor: int, limit: int) -> None:
-        self._factor = retransmit_factor
-        self._limit = limit
+    def __init__(self, settings: SwimSettings) -> None:
+        self._settings = settings
         self._queue: dict[str, _Queued] = {}
+        self._allowance = settings.news_burst
+        self._refilled_at = 0.0
 
     def __len__(self) -> int:
         return len(self._queue)
 
     def add(self, update: Update) -> None:
-        """Replaces an older update for the same address. Over the limit the most sent one is dropped."""
+        """Replaces an older update for the same address. Over the limit the last in rank is dropped."""
         self._queue.pop(update.member.address, None)
-        self._queue[update.member.address] = _Queued(encode_update(update))
-        if len(self._queue) > self._limit:
-            most_sent = max(self._queue, key=lambda address: self._queue[address].sends)
+        self._queue[update.member.address] = _Queued(encode_update(update), update.member.state)
+        if len(self._queue) > self._settings.queued_updates:
+            most_sent = max(self._queue, key=lambda address: self._queue[address].rank)
             del self._queue[most_sent]
 
+    def refill(self, now: float) -> None:
+        """Allows what the rate gives for the time since the last call."""
+        settings = self._settings
+        added = settings.news_rate * (now - self._refilled_at)
+        self._allowance = min(self._allowance + added, settings.news_burst)
+        self._refilled_at = now
+
     def take(self, room: int, members: int) -> list[bytes]:
         """Records for one datagram with so many bytes of room, among so many members."""
         if not self._queue:
             return []
         taken: list[bytes] = []
-        for address, queued in sorted(self._queue.items(), key=lambda item: item[1].sends):
+        sends = self._settings.retransmit_factor * ceil(log10(members + 1))
+        room = min(room, int(self._allowance))
+        for address, queued in sorted(self._queue.items(), key=lambda item: item[1].rank):
             if len(queued.record) > room:
                 continue
             room -= len(queued.record)
+            self._allowance -= len(queued.record)
             taken.append(queued.record)
             queued.sends += 1
-            if queued.sends >= self._factor * ceil(log10(members + 1)):
+            if queued.sends >= sends:
                 del self._queue[address]
         return taken
--- a/larchgw/membership/knowledge.py
+++ b/larchgw/membership/knowledge.py
@@ -23,12 +23,12 @@
         self.me = me
         self.table = MemberTable(random)
         self.order = RoundRobin(random)
-        self.news = Dissemination(settings.retransmit_factor, settings.queued_updates)
+        self.news = Dissemination(settings)
         self.on_change: Callable[[Member], None] | None = None
         self.reconnect: dict[str, None] = {}  # dead here, alive to another member; in the order heard
         self._settings = settings
         self._health = health
-        self._suspicions = Suspicions(settings)
+        self.suspicions = Suspicions(settings)
         self._gone_since: dict[str, float] = {}
         self.table.put(me)
 
@@ -41,7 +41,7 @@
         member = update.member
         known = self.table.get(member.address)
         if known is not None and known.present and _is_death_of(member, known) \
-                and not self._suspicions.matured(now, member.address):
+                and not self.suspicions.matured(now, member.address):
             update = Update(replace(member, state=State.SUSPECT), source)
         return self._merge(now, update, gossiped=True)
 
@@ -72,11 +72,12 @@
 
     def postpone(self, seconds: float) -> None:
         """This process did not run for so long: suspicions go on that much longer."""
-        self._suspicions.postpone(seconds)
+        self.suspicions.postpone(seconds)
 
     def tick(self, now: float) -> None:
         """Declares dead who did not refute in time, and forgets who has been gone for long."""
-        for address in self._suspicions.expired(now):
+        self.news.refill(now)
+        for address in self.suspicions.expired(now):
             known = self.table.get(address)
             if known is not None:
                 self._accept(now, known, Update(replace(known, state=State.DEAD)), gossiped=True)
@@ -127,7 +128,7 @@
         self.news.add(Update(me))
 
     def _confirm(self, update: Update) -> None:
-        if update.accuser and self._suspicions.confirm(update.member.address, update.accuser):
+        if update.accuser and self.suspicions.confirm(update.member.address, update.accuser):
             self.news.add(update)
 
     def _accept(self, now: float, known: Member | None, update: Update, gossiped: bool) -> None:
@@ -137,14 +138,14 @@
             self._report(replace(known, state=State.DEAD))
         self.table.put(member)
         self._gone_since.pop(address, None)
-        self._suspicions.clear(address)
+        self.suspicions.clear(address)
         if member.present:
             self.order.add(address)
             self.reconnect.pop(address, None)
         else:
             self._gone_since[address] = now
         if member.state is State.SUSPECT:
-            self._suspicions.start(now, address, update.accuser, self.table.present_count())
+            self.suspicions.start(now, address, update.accuser, self.table.present_count())
         if gossiped:
             self.news.add(update)
         if known is None or (known.incarnation, known.state) != (member.incarnation, member.state):
--- a/larchgw/membership/settings.py
+++ b/larchgw/membership/settings.py
@@ -17,10 +17,14 @@
     suspicion_factor: float = 4.0  # probe periods, times log10 of the members: the shortest suspicion
     suspicion_spread: float = 3.0  # the longest suspicion, in shortest ones
     suspicion_confirmations: int = 3  # independent accusers that bring it down to the shortest
+    last_call: float = 1.0  # before a suspicion ends, the member is pinged once more
+    last_call_period: float = 0.2  # between such pings
 
     retransmit_factor: int = 4  # sends of one update by one member: this times log10 of the members
     gossip_period: float = 0.25  # between datagrams that carry only updates, while there are any
     queued_updates: int = 64  # more are left to synchronisation
+    news_rate: float = 1200.0  # bytes of updates a second that a member sends, however much happens at once
+    news_burst: float = 4800.0  # bytes; four full datagrams
 
     freeze_gap: float = 0.5  # a longer pause between ticks (0.1 s) means that this process did not run
     doubt_after_freeze: float = 2.0  # for so long failed probes are held to be this process's own fault
--- a/larchgw/membership/suspicion.py
+++ b/larchgw/membership/suspicion.py
@@ -17,6 +17,7 @@
     longest: float
     wanted: int
     accusers: set[str]
+    called: bool = False
 
     @property
     def deadline(self) -> float:
@@ -65,6 +66,15 @@
         for suspicion in self._running.values():
             suspicion.started += seconds
 
+    def last_call(self, now: float) -> str | None:
+        """A member whose suspicion ends soon and that was not named here before."""
+        soon = now + self._settings.last_call
+        for address, suspicion in self._running.items():
+            if not suspicion.called and suspicion.deadline <= soon:
+                suspicion.called = True
+                return address
+        return None
+
     def expired(self, now: float) -> list[str]:
         """Addresses whose suspicion was not refuted in time."""
         return [address for address, suspicion in self._running.items() if suspicion.deadline <= now]
--- a/larchgw/membership/swim.py
+++ b/larchgw/membership/swim.py
@@ -60,6 +60,7 @@
         self._gossip_at = 0.0
         self._dead_probe_at = 0.0
         self._reconnect_at = 0.0
+        self._last_call_at = 0.0
         self._out: list[Datagram] = []
 
     @property
@@ -134,6 +135,7 @@
         self._knowledge.tick(now)
         self._tick_relays(now)
         self._tick_probe(now)
+        self._tick_last_call(now)
         self._tick_seeds(now)
         self._tick_pull(now)
         self._tick_dead(now)
@@ -222,6 +224,15 @@
         for origin, sequence in self._relays.overdue(now):
             self._send(origin, Kind.NACK, sequence)
 
+    def _tick_last_call(self, now: float) -> None:
+        """A refutation may have been lost on its way here: a ping brings the member's own word."""
+        if now < self._last_call_at:
+            return
+        address = self._knowledge.suspicions.last_call(now)
+        if address is not None:
+            self._last_call_at = now + self._settings.last_call_period
+            self._send(address, Kind.PING, self._next_sequence(), about=address)
+
     def _notice_freeze(self, now: float) -> None:
         gap = 0.0 if self._ran_at is None else now - self._ran_at
         self._ran_at = now
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -329,6 +329,21 @@
     assert confirmed < lone / 2.5
 
 
+def test_a_suspect_is_asked_itself_before_it_is_declared_dead():
+    swim = alone()
+    victim = replace(ME, address="10.0.0.9:7662")
+    for n in range(20):  # so many that the round of probes does not come to the victim by chance
+        told(swim, 0.1, *(replace(ME, address=f"10.1.{n}.{m}:7662") for m in range(10)))
+    told(swim, 0.1, replace(victim, state=State.SUSPECT), accuser=PEER.address)
+    asked = []
+    step = 2
+    while not swim.dead():
+        asked += [step / 10 for d in swim.tick(step / 10)
+                  if d.address == victim.address and decode(d.data).updates[:1]]
+        step += 1
+    assert asked and step / 10 - asked[-1] <= SETTINGS.last_call + 0.2
+
+
 def test_an_answer_to_a_frozen_probe_or_its_lack_accuses_nobody():
     swim = alone()
     told(swim, 0.1, replace(PEER, refutations=1))
--- a/tests/test_membership_codec.py
+++ b/tests/test_membership_codec.py
@@ -111,7 +111,7 @@
 
 
 def test_an_update_is_sent_a_bounded_number_of_times():
-    news = Dissemination(retransmit_factor=4, limit=64)
+    news = Dissemination(SwimSettings(retransmit_factor=4))
     news.add(Update(ME))
     sends = 0
     while news.take(1000, 500):
@@ -120,10 +120,30 @@
 
 
 def test_a_flood_of_updates_is_bounded_and_keeps_those_not_yet_sent():
-    news = Dissemination(retransmit_factor=4, limit=3)
+    news = Dissemination(SwimSettings(queued_updates=3))
     members = [replace(ME, address=f"10.0.0.{n}:1") for n in range(4)]
     for member in members[:3]:
         news.add(Update(member))
     news.take(len(encode_update(Update(members[0]))), 10)  # sends the first one only
     news.add(Update(members[3]))
     assert news.take(1000, 10) == [encode_update(Update(member)) for member in members[1:]]
+
+
+def test_many_updates_at_once_are_sent_at_a_bounded_rate():
+    news = Dissemination(SwimSettings(news_rate=100.0, news_burst=300.0))
+    for n in range(60):
+        news.add(Update(replace(ME, address=f"10.0.0.{n}:1")))
+    sent = 0
+    for tenth in range(101):
+        news.refill(tenth / 10)
+        sent += sum(len(record) for record in news.take(1000, 500))
+    assert 1000 < sent <= 300 + 10 * 100
+
+
+def test_refutations_go_before_suspicions():
+    news = Dissemination(SwimSettings())
+    suspect = Update(replace(ME, address="10.0.0.8:1", state=State.SUSPECT), "10.0.0.7:1")
+    refuted = Update(replace(ME, address="10.0.0.9:1", refutations=1))
+    news.add(suspect)
+    news.add(refuted)
+    assert news.take(1000, 10) == [encode_update(refuted), encode_update(suspect)]
