Placement keeps a holder of likely next busy models; adapters follow without a report

When demand moved to a model that nobody held, all its requests were late for the time of a load. The placer now watches how often models become busy and keeps one holder of those likely to be next. After a shift, adapters came one every 300 ms a runner, as each order waited for a report; an accepted load of an adapter now counts as done when it is due.

--- a/larchgw/placement/demand.py
+++ b/larchgw/placement/demand.py
@@ -83,6 +83,17 @@
     standing: dict[Key, _Standing] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class ModelSummary:
+    """Demand for one model and its adapters together."""
+
+    rate: float  # requests a second expected
+    worth: float  # mean worth of a request
+    waiting: int
+    in_flight: int
+    deadline: float  # of the first that waits; infinite if none does
+
+
 class Demand:
     """Requests by key, over all dispatchers."""
 
@@ -137,26 +148,38 @@
         """Requests that wait for this very key to be loaded."""
         return sum(standing.waiting for standing in self._standing(key))
 
-    def model_waiting(self, service: str, model: str) -> int:
-        """Requests that wait for the model or one of its adapters."""
-        return sum(self.waiting((service, model, name)) for name in self._adapters(service, model))
-
     def in_flight(self, key: Key) -> int:
         """Requests for this very key at runners."""
         return sum(standing.in_flight for standing in self._standing(key))
 
-    def model_in_flight(self, service: str, model: str) -> int:
-        """Requests for the model or one of its adapters at runners."""
-        return sum(self.in_flight((service, model, name)) for name in self._adapters(service, model))
-
     def deadline(self, key: Key) -> float:
         """When the first of those that wait gives up, on the clock; infinite if none waits."""
         return min((standing.deadline for standing in self._standing(key)), default=math.inf)
 
-    def model_deadline(self, service: str, model: str) -> float:
-        """The same for the model and its adapters."""
-        names = self._adapters(service, model)
-        return min((self.deadline((service, model, name)) for name in names), default=math.inf)
+    def by_model(self, service: str) -> dict[str, ModelSummary]:
+        """All that is known of each model of a service that was asked for, in one pass."""
+        now = self._clock()
+        standing = self._standing_by_model(service, now)
+        summaries = {}
+        for (owner, model), adapters in self._models.items():
+            if owner != service or not adapters:
+                continue
+            waiting, in_flight, deadline = standing.get(model, (0, 0, math.inf))
+            rate, worth = self.model_rate(service, model), self.model_worth(service, model)
+            summaries[model] = ModelSummary(rate, worth, waiting, in_flight, deadline)
+        return summaries
+
+    def _standing_by_model(self, service: str, now: float) -> dict[str, tuple[int, int, float]]:
+        totals: dict[str, tuple[int, int, float]] = {}
+        for source in self._sources.values():
+            if self._is_old(now, source):
+                continue
+            for (owner, model, _), said in source.standing.items():
+                if owner == service:
+                    waiting, in_flight, deadline = totals.get(model, (0, 0, math.inf))
+                    totals[model] = (waiting + said.waiting, in_flight + said.in_flight,
+                                     min(deadline, said.deadline))
+        return totals
 
     def adapters(self, service: str, model: str) -> list[str]:
         """Adapters of the model that were asked for."""
--- a/larchgw/placement/needs.py
+++ b/larchgw/placement/needs.py
@@ -5,8 +5,9 @@
 import math
 from dataclasses import dataclass
 
-from .demand import Demand
+from .demand import Demand, ModelSummary
 from .model import PlacementSettings, held_name
+from .shifts import ShiftEstimate
 from .state import RunnerState, Terms
 from .valuation import ModelDemand, first_holder, replica, wanted_replicas
 
@@ -15,6 +16,9 @@
 ADAPTER_WAIT_COST = 0.1  # share of its worth that a request loses when it waits for an adapter
 ADAPTER_BUSY_RATE = 2.0  # requests a second that one holder of an adapter should have at most
 
+LEAST_RISE_WORTH = 0.01  # worth a second, below which an idle model is not looked at
+NOT_ASKED = ModelSummary(0.0, 1.0, 0, 0, math.inf)
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -46,13 +50,16 @@
     """The demand of one service's models against what its runners hold and are ordered to."""
 
     def __init__(self, service: str, terms: Terms, runners: list[RunnerState], demand: Demand,
-                 settings: PlacementSettings) -> None:
+                 shifts: ShiftEstimate, settings: PlacementSettings) -> None:
         self.service, self.terms, self.runners = service, terms, runners
-        self._demand, self._settings = demand, settings
+        self._demand, self._shifts, self._settings = demand, shifts, settings
         self.holders: dict[str, int] = {}  # held_name -> runners that hold it and keep it
         self._coming: dict[str, int] = {}  # held_name -> runners where it is on its way
         self._index()
-        self.models = {name: self._model(name) for name in terms.models}
+        summaries = demand.by_model(service)
+        self.models = {name: self._model(name, summaries.get(name, NOT_ASKED)) for name in terms.models
+                       if name in summaries or self._rise_worth(name) >= LEAST_RISE_WORTH}
+        self._losses: dict[str, float] = {}
         self._share()
 
     def _index(self) -> None:
@@ -67,12 +74,12 @@
                 name = order.name if order.is_load else order.purpose
                 self._coming[name] = self._coming.get(name, 0) + 1
 
-    def _model(self, name: str) -> ModelDemand:
-        service, demand = self.service, self._demand
-        return ModelDemand(
-            name, demand.model_rate(service, name), demand.model_worth(service, name),
-            demand.model_waiting(service, name), demand.model_deadline(service, name),
-            demand.model_in_flight(service, name), self.terms.models[name].load_s)
+    def _model(self, name: str, asked: ModelSummary) -> ModelDemand:
+        return ModelDemand(name, asked.rate, asked.worth, asked.waiting, asked.deadline, asked.in_flight,
+                           self.terms.models[name].load_s, self._rise_worth(name))
+
+    def _rise_worth(self, name: str) -> float:
+        return self._shifts.worth_a_second(name, self._settings.horizon_s)
 
     def _share(self) -> None:
         """Sets each model's wanted replicas by its part of all work."""
@@ -100,8 +107,6 @@
         return sorted(wanted, key=lambda need: need.rank)
 
     def _model_needs(self, model: ModelDemand) -> list[Need]:
-        if model.rate <= 0.0 and model.waiting == 0:
-            return []
         count = self.count(model.name)
         needs = []
         if count == 0:
@@ -127,6 +132,11 @@
 
     def model_loss(self, name: str) -> float:
         """Worth lost where one holder fewer has this model; infinite for the last one while requests wait."""
+        if name not in self._losses:
+            self._losses[name] = self._model_loss(name)
+        return self._losses[name]
+
+    def _model_loss(self, name: str) -> float:
         model = self.models.get(name)
         if model is None:
             return 0.0
--- a/larchgw/placement/planner.py
+++ b/larchgw/placement/planner.py
@@ -17,7 +17,8 @@
 from .demand import Demand
 from .model import LOADING, UNLOADING, Order, PlacementSettings, held_name
 from .needs import Need, ServiceDemand
-from .state import PlacementState, RunnerState, Terms
+from .shifts import ShiftEstimate
+from .state import MEMORY_MARGIN_MB, PlacementState, RunnerState, Terms
 
 HYSTERESIS = 1.5  # a load that nobody waits for must be worth so many times its cost
 RESIDENCE_S = 2.0  # what was loaded stays at least so long, for those who waited to be sent there
@@ -26,6 +27,7 @@
 ZONE_COST = 0.1  # for a second holder in one zone
 WORK_COST = 0.1  # for a runner with as much work as all others together
 RESERVE_SHARE = 0.4  # of the store's budget, kept for models that requests wait for
+TIE_COST = 1e-3  # drawn up to this, so that equals take turns
 MAX_NEEDS = 32  # looked at in one round and service; the next round comes within 50 ms
 VICTIMS = 3  # evictions for one load at most
 
@@ -49,10 +51,11 @@
 
 
 class Planner:
-    """Chooses orders; `plan` is called again and again and keeps nothing but the random generator."""
+    """Chooses orders; between rounds it keeps only how demand has moved so far."""
 
     def __init__(self, settings: PlacementSettings, rng: random.Random) -> None:
         self._settings, self._rng = settings, rng
+        self._shifts: dict[str, ShiftEstimate] = {}
 
     def plan(self, now: float, configuration: Configuration, terms: Mapping[str, Terms], demand: Demand,
              state: PlacementState) -> list[Order]:
@@ -64,12 +67,19 @@
             if service.name not in terms:
                 continue
             runners = state.of_service(service.name)
-            wanted = ServiceDemand(service.name, terms[service.name], runners, demand, self._settings)
+            shifts = self._observed_shifts(now, service.name, terms[service.name], demand)
+            wanted = ServiceDemand(service.name, terms[service.name], runners, demand, shifts, self._settings)
             round_ = Round(now, wanted, state, self._settings, self._rng, room, parallel)
             orders.extend(round_.orders())
             room, parallel = round_.room, round_.parallel
         return orders
 
+    def _observed_shifts(self, now: float, service: str, terms: Terms, demand: Demand) -> ShiftEstimate:
+        if service not in self._shifts:
+            self._shifts[service] = ShiftEstimate(self._settings.busy_rate)
+        self._shifts[service].observe(now, terms.models, demand.by_model(service))
+        return self._shifts[service]
+
 
 class Round:
     """One service, one round."""
@@ -80,6 +90,8 @@
         self._terms = wanted.terms
         self._free = {runner.id: runner for runner in wanted.runners if runner.may_order(now)}
         self._work = self._work_by_runner()
+        self._used_mb = {runner.id: runner.used_mb(self._terms) for runner in self._free.values()}
+        self._victims: dict[str, list[Eviction]] = {}  # of models, by runner
         self._reserve = math.ceil(RESERVE_SHARE * state.ceiling.limit)
         self._unasked = math.ceil(len(wanted.runners) / 2)  # runners that may load what nobody waits for
         self._unasked -= sum(runner.under_way is not None for runner in wanted.runners)
@@ -149,11 +161,18 @@
     # ---- Runners for a load ----
 
     def _cheapest(self, need: Need) -> Candidate | None:
+        zones = self._zones_holding(need.model) if not need.adapter else frozenset()
         candidates = [candidate for runner in self._free.values()
-                      if (candidate := self._candidate(need, runner)) is not None]
+                      if (candidate := self._candidate(need, runner, zones)) is not None]
         return min(candidates, key=lambda candidate: candidate.cost, default=None)
 
-    def _candidate(self, need: Need, runner: RunnerState) -> Candidate | None:
+    def _zones_holding(self, model: str) -> frozenset[str]:
+        if not self._wanted.count(model):
+            return frozenset()
+        return frozenset(runner.record.zone for runner in self._wanted.runners
+                         if runner.holds(model) or runner.is_coming(model))
+
+    def _candidate(self, need: Need, runner: RunnerState, zones: frozenset[str]) -> Candidate | None:
         if need.adapter:
             if not runner.holds(need.model) or runner.holds(need.model, need.adapter):
                 return None
@@ -163,45 +182,38 @@
         if evictions is None:
             return None
         cost = sum(eviction.loss + self._settings.order_price for eviction in evictions)
-        cost += self._spread_cost(need, runner) + self._rng.random() * 1e-3
-        return Candidate(runner, tuple(evictions), cost)
-
-    def _spread_cost(self, need: Need, runner: RunnerState) -> float:
-        cost = WORK_COST * self._work[runner.id]
-        if not need.adapter and any(other.record.zone == runner.record.zone and other.holds(need.model)
-                                    for other in self._wanted.runners):
+        cost += WORK_COST * self._work[runner.id] + self._rng.random() * TIE_COST
+        if runner.record.zone in zones:
             cost += ZONE_COST
-        return cost
+        return Candidate(runner, tuple(evictions), cost)
 
     # ---- Evictions ----
 
     def _evictions(self, need: Need, runner: RunnerState) -> list[Eviction] | None:
         """What to give up at this runner so that the load fits; None if that can't be done now."""
-        if runner.fits(self._terms, need.model, need.adapter):
-            return []
         if need.adapter and runner.used_slots() >= self._terms.runtime.adapter_slots:
-            victims = self._adapter_victims(runner)[:1]
-            return victims or None
-        return self._model_evictions(need, runner)
-
-    def _model_evictions(self, need: Need, runner: RunnerState) -> list[Eviction] | None:
+            return self._adapter_victims(runner)[:1] or None
         required = (self._terms.adapter_mb(need.model) if need.adapter
                     else self._terms.weight_mb(need.model))
-        free = self._terms.runtime.weights_mb - runner.used_mb(self._terms)
+        free = self._terms.runtime.weights_mb - MEMORY_MARGIN_MB - self._used_mb[runner.id]
         chosen: list[Eviction] = []
-        for victim in self._model_victims(need, runner)[:VICTIMS]:
-            if free >= required:
+        for victim in self._model_victims(runner):
+            if free >= required or len(chosen) == VICTIMS:
                 break
+            if victim.model == need.model:
+                continue
             chosen.append(victim)
             free += self._terms.weight_mb(victim.model)
             free += len(runner.held[victim.model]) * self._terms.adapter_mb(victim.model)
         return chosen if free >= required else None
 
-    def _model_victims(self, need: Need, runner: RunnerState) -> list[Eviction]:
+    def _model_victims(self, runner: RunnerState) -> list[Eviction]:
         """Models here that may go, the least loss first."""
-        victims = [Eviction(name, "", self._loss(runner, name)) for name in runner.held if name != need.model]
-        return sorted((victim for victim in victims if math.isfinite(victim.loss)),
-                      key=lambda victim: victim.loss)
+        if runner.id not in self._victims:
+            victims = [Eviction(name, "", self._loss(runner, name)) for name in runner.held]
+            self._victims[runner.id] = sorted(
+                (victim for victim in victims if math.isfinite(victim.loss)), key=lambda victim: victim.loss)
+        return self._victims[runner.id]
 
     def _adapter_victims(self, runner: RunnerState) -> list[Eviction]:
         victims = [Eviction(model, adapter, self._loss(runner, model, adapter))
--- a/larchgw/placement/reconciler.py
+++ b/larchgw/placement/reconciler.py
@@ -200,6 +200,25 @@
         state.order_count = report.call_count
         self._remember(state)
 
+    def assume_adapters(self, now: float) -> None:
+        """Adapters whose loads were accepted and are due count as loaded, without a report.
+
+        They arrive within milliseconds, a report shows it a few hundred later. Were one late, the runner's
+        next order
+        would be refused for it, and its report read then.
+        """
+        for state in self._runners.values():
+            under_way = state.under_way
+            if under_way is None or not under_way.accepted or now < under_way.ready_at:
+                continue
+            order = under_way.order
+            if not order.is_load or not order.adapter or order.if_revision is None:
+                continue
+            state.under_way = None
+            state.order_count = order.if_revision + 1
+            state.held.setdefault(order.model, set()).add(order.adapter)
+            self._arrived(now, state, order)
+
     # ---- Orders ----
 
     def ordering(self, now: float, order: Order) -> None:
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -146,6 +146,7 @@
             return
         now = self._clock()
         self._demand.expire()
+        self._reconciler.assume_adapters(now)
         for state in self._reconciler.polls(now):
             self._runtime.spawn(self._poll(state))
         if self._has_learned(now) and self._configuration is not None:
--- a/larchgw/placement/valuation.py
+++ b/larchgw/placement/valuation.py
@@ -27,6 +27,7 @@
     deadline: float  # of the first that waits
     in_flight: int
     load_s: float
+    rise_worth: float = 0.0  # worth a second that it may bring if demand moves to it
     wanted: float = 1.0
 
 
@@ -34,7 +35,8 @@
     """Worth of the model being held anywhere, over the horizon."""
     asked = 1.0 - math.exp(-demand.rate * settings.horizon_s)
     late = 1.0 + demand.rate * demand.load_s  # requests that one load would make late
-    return asked * (settings.load_price + late * demand.worth * settings.late_cost)
+    now = asked * (settings.load_price + late * demand.worth * settings.late_cost)
+    return now + demand.rise_worth * demand.load_s * settings.late_cost
 
 
 def replica(demand: ModelDemand, holders: int, pressure: float, settings: PlacementSettings) -> float:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,7 +14,7 @@
 from larchgw.lab.place import Calls, HeldLease, run_at_once
 from larchgw.lab.place import Service as Driver
 from larchgw.placement.ceiling import LoadCeiling
-from larchgw.placement.demand import EXPIRY_S, Demand
+from larchgw.placement.demand import EXPIRY_S, Demand, ModelSummary
 from larchgw.placement.model import (
     LOADING,
     UNLOADING,
@@ -26,6 +26,7 @@
 from larchgw.placement.orders import decode_report, encode_order, outcome_of
 from larchgw.placement.reconciler import LAST_POLL_S, REST_S, UNANSWERED_S, Reconciler
 from larchgw.placement.service import GONE, PlacementRuntime, PlacementService
+from larchgw.placement.shifts import ShiftEstimate
 from larchgw.rpc.generated.ttypes import DemandReport, ModelDemand
 
 WINDOW_S, CAP = 5.0, 1.1
@@ -105,9 +106,10 @@
     clock = Clock()
     demand = Demand(clock)
     demand.report(DemandReport("e", 100, [line(arrivals=1, waiting=3, left_ms=4000)]))
-    assert demand.model_waiting(SERVICE, "m0") == 3 and demand.deadline((SERVICE, "m0", "")) == 104.0
+    asked = demand.by_model(SERVICE)["m0"]
+    assert (asked.waiting, asked.deadline) == (3, 104.0) == (3, demand.deadline((SERVICE, "m0", "")))
     clock.now += EXPIRY_S + 0.1
-    assert demand.model_waiting(SERVICE, "m0") == 0 and not demand.anyone_waits()
+    assert demand.by_model(SERVICE)["m0"].waiting == 0 and not demand.anyone_waits()
 
 
 def test_a_dispatcher_that_says_nothing_of_a_model_any_more_has_nobody_waiting_for_it():
@@ -218,6 +220,19 @@
     assert made.runners["r0"].holds("m1")
 
 
+def test_an_accepted_adapter_takes_its_place_before_any_report_and_the_next_order_counts_it():
+    made = learned(("m0",))
+    order = Order("r0", "10.0.0.1:80", LOADING, "m0", "a1", 0)
+    made.ordering(0.0, order)
+    made.assume_adapters(1.0)
+    assert made.runners["r0"].under_way is not None
+    made.answered(1.0, order, OrderOutcome.ACCEPTED)
+    made.assume_adapters(1.0)
+    state = made.runners["r0"]
+    assert state.may_order(1.0) and (state.order_count, state.used_slots()) == (1, 1)
+    assert made.expected(1.0) == {"r0": {"m0/a1": 1.0}}
+
+
 def test_after_a_conflict_the_runner_is_asked_before_it_is_ordered_again():
     made = learned()
     order = load("m1")
@@ -517,3 +532,27 @@
     assert any(ms == GONE for _, names in published for ms in names.values())
     assert any(names == {} for _, names in published)
     assert all(first != second for first, second in zip(published, published[1:], strict=False))
+
+
+# ---- Where demand may move ----
+
+def asked(rate):
+    return ModelSummary(rate, 1.0, 0, 0, float("inf"))
+
+
+def test_a_model_that_was_busy_is_likelier_to_rise_again_than_a_rare_one():
+    shifts = ShiftEstimate(0.5)
+    names = ("m0", "m1", "m2", "m3")
+    shifts.observe(0.0, names, {"m0": asked(10.0), "m1": asked(0.05)})
+    shifts.observe(10.0, names, {"m0": asked(0.01), "m1": asked(0.05), "m2": asked(8.0)})
+    again, rarely, never = (shifts.worth_a_second(name, 15.0) for name in ("m0", "m1", "m3"))
+    assert again > never > rarely > 0.0
+    assert shifts.worth_a_second("m2", 15.0) == 0.0
+
+
+def test_a_model_that_becomes_busy_again_is_still_held_somewhere():
+    streams = [busy(("m0",), 15.0, 0.0, 10.0), busy(("m1",), 15.0, 10.0, 20.0), busy(("m0",), 15.0, 20.0),
+               rare(names(2, 24), 0.1)]
+    world = played(deployment(streams, models=24, load_s=3.0))
+    first = [request for request in world.asked if 20.0 <= request.at < 23.0 and request.worth == 1.0]
+    assert in_time(first) > 0.9
