Edge: an uneven share of a runner's connections is borne, and requests without time left are not sent

Clients are spread unevenly over dispatchers, so that an even part of max_conns turned requests away while the runner had room: twice the part may be open, and what is beyond it is closed after its answer. A runner's connection is read with one call for each event instead of two.

--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -21,6 +21,7 @@
 DEADLINE_MARGIN_S = 0.02  # before the client gives up: our answer has to reach it
 EXTRA_SENDS = 3  # beyond the route's tries, for sends that certainly never ran
 LEAST_RETRY_AFTER_S = 0.05
+LEAST_WAIT_S = 0.005  # between two questions of one request without news
 RETRY_AFTER_S = 0.25  # where the decision names no time
 RETRY_AFTER_SHARE = 1 / 3  # of the time left: clients honour no more
 # A silent stream is taken up elsewhere, well before its client gives it up (2 s and more): after this ...
@@ -82,6 +83,9 @@
         context, traits = self._context, self.traits
         while not self._over and self._attempt is None:
             now = context.now()
+            if now >= traits.deadline_at - DEADLINE_MARGIN_S:
+                self._give_up(RETRY_AFTER_S, "deadline", late=True)
+                return True
             if self._arrivals and not context.budget.may_repeat(now, traits.service, context.dispatchers()):
                 self._give_up(RETRY_AFTER_S, "budget")
                 return True
@@ -112,7 +116,7 @@
         context, traits = self._context, self.traits
         context.waiting.add(self)
         context.loop.deadlines.drop(self._wake)
-        self._wake = context.loop.deadlines.add(max(choice.until, now), self._woken)
+        self._wake = context.loop.deadlines.add(max(choice.until, now + LEAST_WAIT_S), self._woken)
         if traits.model and not self._wanted:
             ready = [x for x in context.runners(traits.service).values() if x.stage < Stage.DRAINING]
             if not any(runner.holds(traits.model, traits.adapter) for runner in ready):
@@ -400,4 +404,5 @@
         self._wait_no_more()
         self._context.loop.deadlines.drop(self._deadline)
         self._context.loop.deadlines.drop(self._silence)
+        self._exchange.extra = self._exchange.on_drained = None  # lets its body go at once
         self._context.closed(self)
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -205,7 +205,9 @@
 
     def _max_open(self, service: str) -> int:
         described = self._configuration.service(service) if self._configuration is not None else None
-        return (described.max_conns if described is not None else 0) // max(self.dispatchers(), 1)
+        if described is None or described.max_conns <= 0:
+            return 0
+        return max(described.max_conns // max(self.dispatchers(), 1), 1)
 
     def _check_drained(self) -> None:
         self._look = None
--- a/larchgw/edge/runner_link.py
+++ b/larchgw/edge/runner_link.py
@@ -93,6 +93,7 @@
         self.connection: Connection | Ending = connect(owner.loop, address, self, WORKERS)
         if isinstance(self.connection, Connection):
             _detect_dead(self.connection.sock)
+            self.connection.reads_to_end = False  # each event would cost a second call
             self._timer = owner.loop.deadlines.add(owner.loop.clock.now() + CONNECT_S, self._never_up)
 
     @property
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -15,6 +15,7 @@
 from .runner_link import RunnerLink
 
 LEAST_CONNECTIONS = 4  # to one runner, however many dispatchers share its limit
+UNEVEN = 2  # times its part, which a dispatcher may use for a while: clients are not spread evenly
 SWEEP_S = 1.0  # between two looks for connections that have stood too long
 log = logging.getLogger(__name__)
 
@@ -31,7 +32,10 @@
 
 
 class RunnerPool:
-    """Connections by runner. `max_open(service)` tells how many this process may have to one runner."""
+    """Connections by runner.
+
+    `max_open(service)` tells this process's part of the connections that one runner accepts; 0: no limit.
+    """
 
     def __init__(self, loop: EventLoop, counters: EdgeCounters, max_open: Callable[[str], int]) -> None:
         self.loop, self._counters, self._max_open = loop, counters, max_open
@@ -87,6 +91,10 @@
             return
         if keep_s is not None:
             self._keep_time(kept.service).told(keep_s)
+        part = self._part(kept.service)
+        if part and len(kept.open) > part:
+            link.close()
+            return
         kept.idle.append(link)
         if self._sweep is None:
             self._sweep = self.loop.deadlines.add(self.loop.clock.now() + SWEEP_S, self._close_old)
@@ -114,6 +122,10 @@
     def _keep_time(self, service: str) -> KeepTime:
         return self._keep_times.setdefault(service, KeepTime())
 
+    def _part(self, service: str) -> int:
+        part = self._max_open(service)
+        return max(part, LEAST_CONNECTIONS) if part else 0
+
     def _reuse(self, kept: _Kept, once: bool) -> RunnerLink | None:
         now = self.loop.clock.now()
         trusted = self._keep_time(kept.service).limit(now, once)
@@ -133,7 +145,8 @@
         return None
 
     def _open(self, runner: RunnerRecord, kept: _Kept) -> RunnerLink | None:
-        if len(kept.open) >= max(self._max_open(runner.service), LEAST_CONNECTIONS):
+        part = self._part(runner.service)
+        if part and len(kept.open) >= UNEVEN * part:
             if not kept.idle:
                 self._counters.connections.labels("limit").inc()
                 return None
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -39,6 +39,7 @@
         self.loop, self.sock, self.owner, self.rank = loop, sock, owner, rank
         self.over = False
         self.max_unsent = MAX_UNSENT  # bytes; whoever writes more at once has to raise it
+        self.reads_to_end = True  # whether a turn also looks for the end behind a chunk that was short
         self.connecting, self.closed, self._paused = connecting, False, False
         self._finishing = False
         self._lingering: dict[Connection, float] = {}  # where it stands while it finishes
@@ -175,6 +176,8 @@
             if not data:
                 return chunks, Ending.CLOSED
             chunks.append(data)
+            if len(data) < CHUNK and not self.reads_to_end:
+                break
         return chunks, None
 
     def _read(self) -> None:
