--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -34,8 +34,14 @@
     return experiment(options)
 
 
+def _route(options: Options) -> Result:
+    from ..lab.route import experiment
+
+    return experiment(options)
+
+
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
-    "mass": _mass, "place": _place, "room": _room, "room-cost": _room_cost}
+    "mass": _mass, "place": _place, "room": _room, "room-cost": _room_cost, "route": _route}
 
 
 @textual
@@ -44,7 +50,7 @@
     """Runs an experiment against models; the last line printed is NAME: figure=value ...
 
     Args:
-        name: The experiment: mass, room or room-cost.
+        name: The experiment: mass, place, room, room-cost or route.
         seed: The first seed.
         seeds: Runs of each kind.
         seconds: Length of a run, in the time that it plays in.
--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -182,10 +182,10 @@
         if not request.parts or len(holders) == 1:
             return holders
         prefixes = self._chains(request)
+        shared = sum(part.tokens for part in request.parts[:-1])
         kept = [self._kept.kept(record.id, prefixes, request.parts) for record in holders]
-        most = max(kept)
-        if most:
-            return [record for record, tokens in zip(holders, kept, strict=True) if tokens == most]
+        if max(kept) >= max(1, shared):
+            return [record for record, tokens in zip(holders, kept, strict=True) if tokens == max(kept)]
         best = self._rendezvous.preferred(shared_prefix(request), [record.id for record in holders])
         return [record for record in holders if record.id == best]
 
