--- a/larchgw/placement/shifts.py
+++ b/larchgw/placement/shifts.py
@@ -18,6 +18,7 @@
 PRIOR_RISES, PRIOR_S = 1.0, 30.0  # of one rise in 30 s, before any was seen
 RISE_SHARE = 0.25  # weight of the newest busy rate in the average of what a model that rises brings
 WAS_BUSY, NEVER_ASKED, RARE = 1.0, 0.5, 0.02  # odds of being next, against each other
+BUSY_OVER_MEAN = 2.0  # a busy model is asked for so many times as often as models are on average
 IDLE_SHARE = 0.2  # of the busy rate, below which a model that was busy counts as idle again
 
 
@@ -40,17 +41,20 @@
         """Takes the models of a service and what is asked of them now."""
         if not asked and self._started is None:
             return
+        names = list(names)
         first = self._started is None
         self._started = now if self._started is None else self._started
+        mean = sum(model.rate for model in asked.values()) / max(len(names), 1)
+        busy_rate = max(self._busy_rate, BUSY_OVER_MEAN * mean)
         for name, model in asked.items():
             self._asked.add(name)
-            if model.rate >= self._busy_rate:
+            if model.rate >= busy_rate:
                 self._see_busy(name, model, first)
             elif model.rate < self._busy_rate * IDLE_SHARE:
                 self._busy.discard(name)
         self._rate = (PRIOR_RISES + self._rises) / (PRIOR_S + now - self._started)
-        self._odds = {name: self._odds_of(name) for name in names if name not in self._busy}
-        self._total = sum(self._odds.values())
+        self._odds = {name: self._odds_of(name) for name in names}
+        self._total = sum(odds for name, odds in self._odds.items() if name not in self._busy)
 
     def _see_busy(self, name: str, model: ModelSummary, first: bool) -> None:
         worth = model.rate * model.worth
@@ -67,11 +71,11 @@
         return RARE if name in self._asked else NEVER_ASKED
 
     def worth_a_second(self, name: str, horizon_s: float) -> float:
-        """Worth of requests a second that this idle model may bring within the horizon, times how likely that
-        is.
+        """Worth of requests a second that this model may bring by rising within the horizon, times how likely
+        that is. One whose demand has begun to fall counts as idle already: it may come back.
         """
         odds = self._odds.get(name, 0.0)
         if odds == 0.0:
             return 0.0
-        rises = min(self._rate * horizon_s, 1.0)
-        return rises * odds / self._total * self._rise_worth
+        total = self._total + (odds if name in self._busy else 0.0)
+        return min(self._rate * horizon_s, 1.0) * odds / total * self._rise_worth
