--- a/larchgw/distribution/hints.py
+++ b/larchgw/distribution/hints.py
@@ -7,14 +7,20 @@
 from ..rpc.generated.ttypes import Entry
 from .registry import rank
 
+MOST_PEERS = 32  # that hints are kept for; more than can return, since replaced ones never do
+
 
 class Hints:
-    """Per peer the newest entry of each key, oldest dropped first where there are more than `most`."""
+    """Per peer the newest entry of each key, oldest dropped first where there are more than `most`.
+
+    Of peers, those that first missed something longest ago are dropped first.
+    """
 
-    def __init__(self, most: int) -> None:
-        if most < 1:
-            raise ValueError(f"hints for {most} entries a peer; keep at least 1")
+    def __init__(self, most: int, most_peers: int = MOST_PEERS) -> None:
+        if most < 1 or most_peers < 1:
+            raise ValueError(f"hints for {most} entries of {most_peers} peers; keep at least 1 of each")
         self._most = most
+        self._most_peers = most_peers
         self._by_peer: dict[str, dict[str, Entry]] = {}
         self.dropped = 0  # hints lost to the bound, over all peers
 
@@ -34,6 +40,8 @@
             self.dropped += 1
         if not kept:
             del self._by_peer[peer]
+        while len(self._by_peer) > self._most_peers:
+            self.dropped += len(self._by_peer.pop(next(iter(self._by_peer))))
 
     def first(self, peer: str, count: int) -> list[Entry]:
         """The oldest of the peer's hints."""
@@ -48,7 +56,3 @@
                 del kept[entry.key]
         if not kept:
             self._by_peer.pop(peer, None)
-
-    def forget(self, peer: str) -> None:
-        """The peer will not come back."""
-        self._by_peer.pop(peer, None)
--- /dev/null
+++ b/tests/test_distribution_puller.py
@@ -0,0 +1,250 @@
+"""Pullers: whom they ask, when they leave, and that what they claim is what they merged."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+import testtools
+from scripted_peers import Peer, connecting, now
+
+from larchgw.configuration.settings import TimeLimits
+from larchgw.distribution.peers import PeerPullers
+from larchgw.distribution.puller import Puller
+from larchgw.distribution.registry import Registry
+from larchgw.distribution.sources import PullSettings, SourceChoice
+from larchgw.emulator.virtual_loop import run
+
+SETTINGS = PullSettings()
+
+
+def choice(near: Callable[[str], bool] | None = None, seed: int = 1) -> SourceChoice:
+    return SourceChoice(SETTINGS, random.Random(seed), near)
+
+
+class SourceChoiceTest(testtools.TestCase):
+    def test_no_address_no_source(self) -> None:
+        self.assertIsNone(choice().choose(0.0, []))
+
+    def test_it_stays_with_the_one_that_serves(self) -> None:
+        sources = choice()
+        sources.served(0.0, "b")
+        for second in range(50):
+            self.assertEqual("b", sources.choose(float(second), ["a", "b", "c"]).address)
+
+    def test_it_tries_every_other_one_before_it_comes_back(self) -> None:
+        for seed in range(20):
+            sources = choice(seed=seed)
+            asked = []
+            for _ in range(4):
+                source = sources.choose(0.0, ["a", "b", "c", "d"])
+                asked.append(source.address)
+                sources.failed(source.address)
+            self.assertEqual({"a", "b", "c", "d"}, set(asked))
+
+    def test_after_a_failure_the_next_is_asked_without_a_pause(self) -> None:
+        sources = choice()
+        sources.served(0.0, "a")
+        sources.failed("a")
+        sources.choose(0.0, ["a", "b"])
+        sources.failed("b")
+        self.assertGreater(sources.choose(0.0, ["a", "b"]).pause, 0.0)
+        sources.served(1.0, "a")
+        sources.failed("a")
+        source = sources.choose(1.0, ["a", "b"])
+        self.assertEqual((0.0, "b"), (source.pause, source.address))
+
+    def test_pauses_grow_up_to_their_bound_while_nobody_serves(self) -> None:
+        sources, pauses = choice(), []
+        for _ in range(12):
+            source = sources.choose(0.0, ["a"])
+            pauses.append(source.pause)
+            sources.failed("a")
+        self.assertLess(pauses[1], SETTINGS.first_backoff_s + 1e-9)
+        self.assertGreaterEqual(pauses[-1], SETTINGS.last_backoff_s / 2)
+        self.assertLessEqual(max(pauses), SETTINGS.last_backoff_s)
+
+    def test_processes_that_start_together_do_not_ask_together(self) -> None:
+        first = [choice(seed=seed).choose(0.0, ["a", "b", "c"]) for seed in range(100)]
+        self.assertGreater(max(source.pause for source in first), 0.8 * SETTINGS.start_spread_s)
+        self.assertGreater(min(sum(source.address == name for source in first) for name in "abc"), 15)
+
+    def test_one_in_the_own_zone_comes_first(self) -> None:
+        for seed in range(20):
+            sources = choice(lambda address: address == "c", seed)
+            self.assertEqual("c", sources.choose(0.0, ["a", "b", "c"]).address)
+            sources.failed("c")
+            self.assertNotEqual("c", sources.choose(0.0, ["a", "b", "c"]).address)
+
+    def test_it_comes_back_to_its_zone_after_a_while(self) -> None:
+        sources = choice(lambda address: address == "c")
+        sources.served(0.0, "a")
+        self.assertEqual("a", sources.choose(SETTINGS.reconsider_s / 2, ["a", "c"]).address)
+        self.assertEqual("c", sources.choose(SETTINGS.reconsider_s + 1.0, ["a", "c"]).address)
+
+    def test_seeds_are_asked_only_when_those_known_now_have_failed(self) -> None:
+        sources = choice()
+        self.assertEqual("new", sources.choose(0.0, ["new"], ["seed"]).address)
+        sources.failed("new")
+        self.assertEqual("seed", sources.choose(0.0, ["new"], ["seed"]).address)
+
+    def test_waits_follow_from_the_shorter_of_the_bounds(self) -> None:
+        settings = PullSettings.of(TimeLimits(apply_ms=2000, drain_end_ms=1000))
+        self.assertLess(settings.wait_s + settings.silence_s, 0.7)
+
+
+class PullerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = [Peer(name) for name in ("a", "b", "c")]
+        self.registry = Registry("edge.1")
+
+    def puller(self, addresses: Sequence[str] = ("a", "b", "c"), near: str = "",
+               returns: bool = False) -> Puller:
+        return Puller(self.registry, connecting(self.peers), lambda: addresses, SETTINGS, random.Random(3),
+                      node_name="edge", near=(lambda address: address == near) if near else None,
+                      returns=returns, clock=now)
+
+    def play(self, puller: Puller, seconds: float, *actions: tuple[float, Callable[[], object]]) -> None:
+        async def main() -> None:
+            task = asyncio.ensure_future(puller.run())
+            loop = asyncio.get_running_loop()
+            for at, action in actions:
+                loop.call_at(at, action)
+            await asyncio.sleep(seconds)
+            self.assertFalse(task.done(), task)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        run(main())
+
+    def peer(self, name: str) -> Peer:
+        return next(peer for peer in self.peers if peer.name == name)
+
+    def test_news_is_here_within_its_bound_though_the_source_falls_silent(self) -> None:
+        puller = self.puller(near="a")
+        seen: list[float] = []
+        self.registry.watch("configuration", lambda entry: seen.append(now()))
+
+        def change() -> None:
+            self.peer("a").hung = True
+            for peer in self.peers[1:]:
+                peer.registry.put("configuration", b"new", 7)
+
+        self.play(puller, 10.0, (3.0, change))
+        self.assertEqual(1, len(seen))
+        self.assertLess(seen[0] - 3.0, 1.3)
+
+    def test_a_source_that_is_down_is_left_at_once(self) -> None:
+        puller = self.puller(near="a")
+
+        def change() -> None:
+            self.peer("a").down = True
+            self.peer("b").registry.put("view", b"x", 1)
+            self.peer("c").registry.put("view", b"x", 1)
+
+        self.play(puller, 3.0, (2.0, change))
+        self.assertIsNotNone(self.registry.get("view"))
+        self.assertIn(puller.source, ("b", "c"))
+
+    def test_one_cut_off_from_the_majority_is_left_but_what_it_sends_is_taken(self) -> None:
+        self.peer("a").isolated = True
+        self.peer("a").registry.put("runner/x", b"x", 1)
+        puller = self.puller(near="a")
+        self.play(puller, 2.0)
+        self.assertIsNotNone(self.registry.get("runner/x"))
+        self.assertIn(puller.source, ("b", "c"))
+        self.assertEqual(1, len(self.peer("a").calls))
+
+    def test_where_all_are_cut_off_entries_come_and_calls_are_paced(self) -> None:
+        for peer in self.peers:
+            peer.isolated = True
+        puller = self.puller()
+        self.play(puller, 20.0, (10.0, lambda: self.peer("b").registry.put("runner/x", b"x", 1)))
+        self.assertIsNotNone(self.registry.get("runner/x"))
+        self.assertIsNone(puller.last_heard)
+        rounds = 20.0 / (SETTINGS.last_backoff_s / 2)
+        self.assertLess(sum(len(peer.calls) for peer in self.peers), 3 * rounds + 30)
+
+    def test_an_idle_puller_asks_about_twice_a_second(self) -> None:
+        self.play(self.puller(), 20.0)
+        self.assertLess(sum(len(peer.calls) for peer in self.peers), 45)
+
+    def test_last_heard_shows_how_old_its_knowledge_is(self) -> None:
+        puller = self.puller()
+
+        def fall() -> None:
+            for peer in self.peers:
+                peer.hung = True
+
+        self.play(puller, 8.0, (3.0, fall))
+        self.assertLessEqual(puller.last_heard, 3.0)
+        self.assertGreater(puller.last_heard, 2.0)
+
+    def test_addresses_are_learned_and_the_given_ones_are_the_last_resort(self) -> None:
+        self.peer("a").known = ["b", "c"]
+        puller = self.puller(addresses=("a",))
+        self.play(puller, 4.0, (1.0, lambda: setattr(self.peer("a"), "down", True)))
+        self.assertIn(puller.source, ("b", "c"))
+
+    def test_a_restarted_source_is_read_from_its_start(self) -> None:
+        puller = self.puller(addresses=("a",))
+        peer = self.peer("a")
+
+        def restart() -> None:
+            peer.start(2)
+            peer.registry.put("view", b"after", 2)
+
+        peer.registry.put("view", b"before", 1)
+        self.play(puller, 6.0, (2.0, restart))
+        self.assertEqual(b"after", self.registry.get("view").value)
+
+    def test_connections_that_are_left_are_closed(self) -> None:
+        puller = self.puller(near="a")
+        self.play(puller, 10.0, (2.0, lambda: setattr(self.peer("a"), "hung", True)),
+                  (5.0, lambda: setattr(self.peer("b"), "hung", True)))
+        self.assertEqual([0, 0, 0], [peer.connections for peer in self.peers])
+
+    def test_after_a_restart_of_all_control_a_runner_that_nobody_else_knows_is_given_back(self) -> None:
+        puller = self.puller(addresses=("a",), returns=True)
+        peer = self.peer("a")
+        peer.registry.put("runner/crashed", b"x", 5)
+        peer.registry.put("runner/beats", b"x", 5)
+
+        def restart() -> None:
+            peer.start(2)
+            peer.registry.put("runner/beats", b"x", 6)
+
+        self.play(puller, 20.0, (2.0, restart))
+        pushed = [argument for (_, method), argument in zip(peer.calls, peer.arguments, strict=True)
+                  if method == "push"]
+        self.assertEqual([["runner/crashed"]], [[entry.key for entry in push.entries] for push in pushed])
+        self.assertIsNotNone(peer.registry.get("runner/crashed"))
+
+
+class PeerPullersTest(testtools.TestCase):
+    def test_pullers_follow_the_list_of_peers(self) -> None:
+        peers = [Peer("a"), Peer("b")]
+        listed = ["a", "b"]
+        registry = Registry("me.1")
+        pullers = PeerPullers(registry, connecting(peers), lambda: list(listed), SETTINGS, random.Random(1),
+                              clock=now)
+
+        async def main() -> None:
+            task = asyncio.ensure_future(pullers.run())
+            await asyncio.sleep(1.0)
+            peers[0].registry.put("runner/a", b"x", 1)
+            peers[1].registry.put("runner/b", b"x", 1)
+            await asyncio.sleep(1.0)
+            listed.remove("b")
+            await asyncio.sleep(1.0)
+            peers[1].registry.put("runner/late", b"x", 1)
+            await asyncio.sleep(1.0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await asyncio.sleep(0.0)
+
+        run(main())
+        self.assertEqual(["runner/a", "runner/b"], [entry.key for entry in registry.items()])
+        self.assertEqual([0, 0], [peer.connections for peer in peers])
--- /dev/null
+++ b/tests/test_distribution_pulls.py
@@ -0,0 +1,144 @@
+"""Long polls: news comes at once, and nothing wakes a caller that it does not concern."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import testtools
+from scripted_peers import Peer, now
+
+from larchgw.distribution.pulls import GATHER_S, PullService
+from larchgw.distribution.registry import Registry
+from larchgw.emulator.virtual_loop import run
+from larchgw.rpc.generated.ttypes import Entry, PullReply, PullRequest, PushRequest
+
+
+def request(reply: PullReply | None = None, prefixes: tuple[str, ...] = ()) -> PullRequest:
+    have = dict(reply.upto) if reply else {}
+    return PullRequest(node_name="edge", have=have, wait_ms=500, prefixes=list(prefixes))
+
+
+class PullServiceTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.peer = Peer("a")
+        self.registry, self.service = self.peer.registry, self.peer.service
+
+    def play(self, main: Coroutine[Any, Any, None]) -> None:
+        run(main)
+
+    def test_a_caller_that_is_new_here_is_answered_at_once_though_there_is_nothing(self) -> None:
+        async def main() -> None:
+            reply = await self.service.pull(request())
+            self.assertEqual((0.0, []), (now(), reply.entries))
+
+        self.play(main())
+
+    def test_without_news_the_answer_comes_at_the_end_of_the_wait(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            reply = await self.service.pull(request(first))
+            self.assertEqual([], reply.entries)
+            self.assertAlmostEqual(0.5, now(), places=3)
+
+        self.play(main())
+
+    def test_a_waiting_caller_gets_news_within_the_gathering_time(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            waiting = asyncio.ensure_future(self.service.pull(request(first)))
+            await asyncio.sleep(0.2)
+            self.registry.put("view", b"x", 1)
+            reply = await waiting
+            self.assertEqual(["view"], [entry.key for entry in reply.entries])
+            self.assertLess(now(), 0.2 + 2 * GATHER_S)
+
+        self.play(main())
+
+    def test_changes_that_come_together_go_out_in_one_reply(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            waiting = asyncio.ensure_future(self.service.pull(request(first)))
+            await asyncio.sleep(0.1)
+            for number in range(5):
+                self.registry.put(f"runner/{number}", b"x", 1)
+                await asyncio.sleep(GATHER_S / 10)
+            self.assertEqual(5, len((await waiting).entries))
+
+        self.play(main())
+
+    def test_a_change_outside_the_prefixes_does_not_end_the_wait(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request(prefixes=("runner/",)))
+            waiting = asyncio.ensure_future(self.service.pull(request(first, ("runner/",))))
+            await asyncio.sleep(0.1)
+            self.registry.put("view", b"x", 1)
+            reply = await waiting
+            self.assertEqual([], reply.entries)
+            self.assertAlmostEqual(0.5, now(), places=3)
+
+        self.play(main())
+
+    def test_a_process_cut_off_from_the_majority_says_so_at_once(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            self.peer.isolated = True
+            reply = await self.service.pull(request(first))
+            self.assertTrue(reply.isolated)
+            self.assertEqual(0.0, now())
+
+        self.play(main())
+
+    def test_a_waiting_caller_learns_of_isolation_when_woken(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            waiting = asyncio.ensure_future(self.service.pull(request(first)))
+            await asyncio.sleep(0.1)
+            self.peer.isolated = True
+            self.service.wake()
+            self.assertTrue((await waiting).isolated)
+            self.assertLess(now(), 0.2)
+
+        self.play(main())
+
+    def test_a_large_registry_comes_in_parts_that_add_up(self) -> None:
+        async def main() -> None:
+            service = PullService(self.registry, lambda: False, list, limit_bytes=1000)
+            for number in range(100):
+                self.registry.put(f"runner/{number}", b"x" * 100, 1)
+            copy, have, replies = Registry("edge.1"), {}, 0
+            while True:
+                reply = await service.pull(PullRequest(have=have, wait_ms=0, prefixes=[]))
+                replies += 1
+                copy.merge(reply.entries)
+                have = reply.upto
+                if not reply.more:
+                    break
+            self.assertEqual(100, len(copy))
+            self.assertGreater(replies, 10)
+
+        self.play(main())
+
+    def test_pushed_entries_reach_waiting_callers(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            waiting = asyncio.ensure_future(self.service.pull(request(first)))
+            await asyncio.sleep(0.0)
+            pushed = Entry("runner/x", 3, 2, "b.1", 9, b"draining")
+            await self.service.push(PushRequest(node_name="b", entries=[pushed]))
+            self.assertEqual([pushed], (await waiting).entries)
+
+        self.play(main())
+
+    def test_a_caller_that_gives_up_leaves_nothing_behind(self) -> None:
+        async def main() -> None:
+            first = await self.service.pull(request())
+            waiting = asyncio.ensure_future(self.service.pull(request(first)))
+            await asyncio.sleep(0.1)
+            waiting.cancel()
+            await asyncio.sleep(0.0)
+            self.assertEqual(set(), self.service._waiting)
+
+        self.play(main())
