--- a/larchgw/__main__.py
+++ b/larchgw/__main__.py
@@ -18,7 +18,7 @@
 
     if len(arguments) == 1 and arguments[0] in ROLES:
         return run_role(arguments[0])
-    signal.signal(signal.SIGHUP, _inherited)  # the command line ends with its terminal
+    signal.signal(signal.SIGHUP, _inherited or signal.SIG_DFL)  # the command line ends with its terminal
     from .cli.main import run
 
     return run()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -156,6 +156,14 @@
     assert read.raw == raw and len(read.routes) == len(raw["routes"])
 
 
+@settings(max_examples=60)
+@given(configurations(), st.data())
+def test_a_body_that_is_cut_short_anywhere_is_refused(raw: dict[str, Any], data: st.DataObject) -> None:
+    whole = body(raw)
+    with pytest.raises(MalformedConfiguration):
+        parse(decode(whole[:data.draw(st.integers(0, len(whole) - 1))]))
+
+
 @given(configurations(), st.sampled_from(["routes", "services"]), st.data())
 def test_a_repeated_name_is_always_refused(raw: dict[str, Any], field: str, data: st.DataObject) -> None:
     items = raw[field]
