--- a/larchgw/decide/ejection.py
+++ b/larchgw/decide/ejection.py
@@ -77,6 +77,11 @@
     def __init__(self) -> None:
         self._runners: dict[str, RunnerHealth] = {}
 
+    @property
+    def untroubled(self) -> bool:
+        """Whether no runner has failed or refused: all may be sent to."""
+        return not self._runners
+
     def sent(self, now: float, runner: str) -> None:
         """A request goes there; if the runner is on trial, it is the trial."""
         health = self._runners.get(runner)
--- a/larchgw/decide/keys.py
+++ b/larchgw/decide/keys.py
@@ -21,11 +21,11 @@
 
     def holds(self, record: RunnerRecord, key: Key) -> bool:
         """Whether the runner holds the key as far as is known. True for the empty model."""
-        _, model, adapter = key
-        if model and not record.holds(model, adapter):
+        if key[1] and not record.holds(key[1], key[2]):
             return False
-        unmarked = self._unmarked.get(record.id)
-        return not unmarked or record.call_count > unmarked.get(key, -1)
+        if record.id not in self._unmarked:
+            return True
+        return record.call_count > self._unmarked[record.id].get(key, -1)
 
     def forget(self, runner: str) -> None:
         """The runner is gone."""
--- a/larchgw/decide/pace.py
+++ b/larchgw/decide/pace.py
@@ -23,7 +23,3 @@
     def rate(self, service: str) -> float:
         """Tokens a second."""
         return self._rates.get(service, PRIOR_TOKENS_PER_S)
-
-    def seconds(self, service: str, tokens: float) -> float:
-        """How long this much takes to be read."""
-        return tokens / self.rate(service)
--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -139,6 +139,8 @@
 
     def _open(self, now: float, pool: Sequence[RunnerRecord]) -> list[RunnerRecord]:
         """Those of the pool that are neither ejected nor left alone for a moment."""
+        if self._ejection.untroubled:
+            return list(pool)
         admitted = set(self._ejection.admitted(now, [record.id for record in pool]))
         return [record for record in pool
                 if record.id in admitted and self._ejection.backoff_until(record.id) <= now]
@@ -148,22 +150,27 @@
         if len(holders) == 1:
             return holders[0]
         warm = [record for record in holders if record.cold_left_ms <= 0.0] or list(holders)
-        with_room = [record for record in warm if self._has_room(now, request, record)]
+        with_room = self._with_room(now, request, warm)
         if not with_room:
             return self._spill(warm)
         near = self._near(request, with_room)
         return self._busiest(request, self._most_kept(request, near))
 
-    def _has_room(self, now: float, request: RequestTraits, record: RunnerRecord) -> bool:
-        """Whether the holder is under the threshold for this key, and can soon begin with the prompt."""
-        counts = self._pending.at(record.id)
-        slots = self._slots(record)
-        if counts.by_key.get(request.key, 0) >= max(1.0, self._settings.threshold_share * slots):
-            return False
-        if self._load.requests(now, record.id, counts.total) >= slots:
-            return False
+    def _with_room(self, now: float, request: RequestTraits,
+                   holders: Sequence[RunnerRecord]) -> list[RunnerRecord]:
+        """The holders under the threshold for this key that can soon begin to read the prompt."""
+        key, share = request.key, self._settings.threshold_share
         patience = self._settings.prefill_share * (request.target_at - request.arrived_at)
-        return self._pace.seconds(request.service, counts.unread_tokens) <= patience
+        most_unread = patience * self._pace.rate(request.service)
+        result = []
+        for record in holders:
+            counts = self._pending.at(record.id)
+            slots = self._slots(record)
+            if counts.unread_tokens > most_unread or counts.by_key.get(key, 0) >= max(1.0, share * slots):
+                continue
+            if self._load.requests(now, record.id, counts.total) < slots:
+                result.append(record)
+        return result
 
     def _spill(self, holders: Sequence[RunnerRecord]) -> RunnerRecord:
         """The holder with the fewest active keys, then the least pending."""
