Selection: a runner that answers nothing is left out before its check-ins are missed

A runner that goes dark is listed for seconds yet, and clients that gave up on it counted as no failure, so it got as much as before. Requests that wait there for a first byte are the sign; a client that gives up on a runner that said nothing else meanwhile counts as silence for the ejection.

--- a/larchgw/decide/pending.py
+++ b/larchgw/decide/pending.py
@@ -19,6 +19,11 @@
     unread: dict[tuple[int, int], tuple[int, float]] = field(default_factory=dict)
     unread_tokens: int = 0
 
+    @property
+    def waiting_since(self) -> float | None:
+        """When the oldest request was sent of those whose answers have not begun."""
+        return next((at for _, at in self.unread.values()), None)
+
     @property
     def active_keys(self) -> int:
         """Keys with at least one request pending."""
--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -22,6 +22,8 @@
 from .load import LoadTable
 from .pace import PrefillPace
 from .pending import PendingTable
+from .silence import LEAST_S as LEAST_SILENCE_S
+from .silence import Silence, limit_s
 from .terms import UNKNOWN_SLOTS, ServiceTerms, all_terms
 
 LEAST_PRIORITY = 9  # of the Priority header; 0 is the most urgent
@@ -30,6 +32,7 @@
 LEAST_RETRY_S = 0.05  # shortest Retry-After
 RETRY_SHARE = 1.0 / 3.0  # of the time left: clients honour Retry-After up to this
 HOLD_SHARE = 0.45  # of a request's time that it is held with nothing in sight; more than half is dear
+HEARD = (AttemptOutcome.DONE, AttemptOutcome.RUNNER_ERROR, AttemptOutcome.FULL, AttemptOutcome.NOT_HELD)
 PRUNE_S = 2.0  # how often runners that are gone are forgotten
 
 
@@ -64,6 +67,7 @@
         self._load = LoadTable()
         self._ejection = Ejection()
         self._pace = PrefillPace()
+        self._silence = Silence()
         self._records: dict[str, RunnerRecord] = {}
         self._pruned_at: dict[str, float] = {}
 
@@ -80,7 +84,7 @@
         pool = self._pool(holders, tried)
         if not pool:
             return self._without_holder(now, request, expected)
-        open_ones = self._open(now, pool)
+        open_ones = self._responsive(now, request, self._open(now, pool))
         if not open_ones:
             return self._while_closed(now, request, pool, expected)
         chosen = self._keyed(now, request, open_ones) if request.model else self._unkeyed(now, open_ones)
@@ -97,6 +101,7 @@
     def head(self, now: float, attempt: Attempt) -> None:
         """The answer has begun: the prompt is read, and its parts are kept there."""
         request = attempt.request
+        self._silence.heard(now, attempt.runner)
         before = self._pending.at(attempt.runner).unread_tokens
         own = self._pending.began(attempt)
         if own is None:
@@ -109,7 +114,11 @@
 
     def ended(self, now: float, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """It is over; it is pending no more."""
+        if outcome is AttemptOutcome.CANCELLED and self._unanswered(now, attempt):
+            outcome = AttemptOutcome.SILENT
         self._pending.ended(attempt)
+        if outcome in HEARD:
+            self._silence.heard(now, attempt.runner)
         self._ejection.ended(now, attempt.runner, outcome)
         record = self._records.get(attempt.runner)
         if outcome is AttemptOutcome.NOT_HELD and record is not None:
@@ -117,6 +126,7 @@
 
     def told_load(self, now: float, runner: str, running: int, waiting: int, slots: int) -> None:
         """From an X-Runner-Load header."""
+        self._silence.heard(now, runner)
         self._load.told(now, runner, running, waiting, slots, self._pending.at(runner).total)
 
     def pending(self, service: str) -> int:
@@ -145,6 +155,30 @@
         return [record for record in pool
                 if record.id in admitted and self._ejection.backoff_until(record.id) <= now]
 
+    def _responsive(self, now: float, request: RequestTraits,
+                    runners: list[RunnerRecord]) -> list[RunnerRecord]:
+        """Those that do not leave requests unanswered; all if none does."""
+        if len(runners) < 2:
+            return runners
+        return [record for record in runners if not self._unresponsive(now, request, record.id)] or runners
+
+    def _unresponsive(self, now: float, request: RequestTraits, runner: str) -> bool:
+        """Whether nothing comes of the runner though requests wait there."""
+        counts = self._pending.at(runner)
+        waiting_since = counts.waiting_since
+        if waiting_since is None or now - waiting_since <= LEAST_SILENCE_S:
+            return False
+        prefill_s = counts.unread_tokens / self._pace.rate(request.service)
+        return now - self._silence.since(runner, waiting_since) > limit_s(request, prefill_s)
+
+    def _unanswered(self, now: float, attempt: Attempt) -> bool:
+        """Whether a cancelled attempt was left without a byte by a runner that said nothing else either."""
+        counts = self._pending.at(attempt.runner)
+        if (attempt.request.number, attempt.number) not in counts.unread:
+            return False
+        return (self._silence.since(attempt.runner, attempt.at) == attempt.at
+                and self._unresponsive(now, attempt.request, attempt.runner))
+
     def _keyed(self, now: float, request: RequestTraits, holders: Sequence[RunnerRecord]) -> RunnerRecord:
         """The design's path, among holders that are better by the terms."""
         if len(holders) == 1:
@@ -257,5 +291,6 @@
                 if record.service == service and (id not in runners or runners[id].stage is Stage.GONE)]
         for id in gone:
             del self._records[id]
-            for table in (self._marks, self._kept, self._rendezvous, self._load, self._ejection):
+            for table in (self._marks, self._kept, self._rendezvous, self._load, self._ejection,
+                          self._silence):
                 table.forget(id)
--- a/tests/test_decide_selection.py
+++ b/tests/test_decide_selection.py
@@ -223,3 +223,44 @@
     w.now += 10.0
     w.choose(w.request())
     assert set(w.selector._records) == {"c"}
+
+
+def test_a_runner_that_leaves_requests_unanswered_gets_no_more_while_others_answer() -> None:
+    w = world(runner("a"), runner("b"))
+    w.send_to("a")
+    w.now += 2.5
+    assert {w.chosen(w.request()) for _ in range(10)} == {"b"}
+
+
+def test_a_runner_that_answers_others_is_not_unresponsive() -> None:
+    w = world(runner("a"), runner("b"))
+    w.send_to("a")
+    w.now += 2.4
+    w.selector.told_load(w.now, "a", 1, 0, 16)
+    w.now += 0.1
+    assert w.chosen(w.request()) == "a"
+
+
+def test_the_only_holder_is_asked_even_if_it_has_not_answered() -> None:
+    w = world(runner("a"))
+    w.send_to("a")
+    w.now += 2.5
+    assert w.chosen(w.request()) == "a"
+
+
+def test_clients_that_give_up_on_a_runner_without_a_byte_eject_it() -> None:
+    w = world(*(runner(id) for id in "abcd"))
+    attempts = [w.send_to("a"), w.send_to("a")]
+    w.now += 3.0
+    for attempt in attempts:
+        w.end(attempt, AttemptOutcome.CANCELLED)
+    assert {w.chosen(w.request()) for _ in range(40)} == {"b", "c", "d"}
+
+
+def test_clients_that_give_up_early_do_not_harm_a_runner() -> None:
+    w = world(*(runner(id) for id in "ab"))
+    for _ in range(10):
+        attempt = w.send_to("a")
+        w.now += 0.1
+        w.end(attempt, AttemptOutcome.CANCELLED)
+    assert {w.chosen(w.request()) for _ in range(40)} == {"a", "b"}
