Membership: a member reported dead is asked itself before it is suspected

After the halves of a fleet of 300 had found each other again, pages spread suspicions of each half to the other, and single members went on declaring some dead for 20 s. A death that no suspicion preceded here now raises a doubt: its member is pinged with that report, and only its silence makes it suspect.

--- a/larchgw/membership/knowledge.py
+++ b/larchgw/membership/knowledge.py
@@ -8,6 +8,7 @@
 
 from .codec import Update
 from .dissemination import Dissemination
+from .doubts import Doubts
 from .health import LocalHealth
 from .member import Member, State
 from .probing import RoundRobin
@@ -29,6 +30,7 @@
         self._settings = settings
         self._health = health
         self.suspicions = Suspicions(settings)
+        self.doubts = Doubts(settings)
         self._gone_since: dict[str, float] = {}
         self.table.put(me)
 
@@ -36,26 +38,23 @@
         """A report that came as gossip from the member `source`. Whether it is news.
 
         A death is believed only of a member that has been suspect here for a while. Where the suspicion did
-        not come well before it, its author was cut off, and the member gets the time to refute it.
+        not come well before it, its author may have been cut off.
         """
         member = update.member
-        known = self.table.get(member.address)
-        if known is not None and known.present and _is_death_of(member, known) \
-                and not self.suspicions.matured(now, member.address):
-            update = Update(replace(member, state=State.SUSPECT), source)
+        if self._is_death_of_present(member) and not self.suspicions.matured(now, member.address):
+            self.doubts.add(member, source)
+            return False
         return self._merge(now, update, gossiped=True)
 
     def compare(self, now: float, update: Update, source: str) -> bool:
         """A report out of the table of `source`. Whether it is news.
 
-        A death in it may be one that a partition made up, so it only makes the member suspect here; and it is
-        not passed on, as all members compare tables.
+        A death in it may be one that a partition made up. News are not passed on, as all members compare
+        tables.
         """
-        member = update.member
-        known = self.table.get(member.address)
-        if known is not None and known.present and _is_death_of(member, known):
-            suspect = replace(member, state=State.SUSPECT)
-            return self._merge(now, Update(suspect, source), gossiped=True)
+        if self._is_death_of_present(update.member):
+            self.doubts.add(update.member, source)
+            return False
         return self._merge(now, update, gossiped=False)
 
     def suspect(self, now: float, address: str, incarnation: int) -> None:
@@ -77,6 +76,9 @@
     def tick(self, now: float) -> None:
         """Declares dead who did not refute in time, and forgets who has been gone for long."""
         self.news.refill(now)
+        for dead, source in self.doubts.unanswered(now):
+            if self._is_death_of_present(dead):
+                self._merge(now, Update(replace(dead, state=State.SUSPECT), source), gossiped=True)
         for address in self.suspicions.expired(now):
             known = self.table.get(address)
             if known is not None:
@@ -87,11 +89,22 @@
                 break
             self._forget(address)
 
+    def death_to_ask_about(self, now: float) -> Member | None:
+        """A reported death that its member may contradict, and is to be asked about now."""
+        return self.doubts.ask(now, self._is_death_of_present)
+
     def dead(self) -> list[Member]:
         """Members that ended without leaving, as long as they are remembered."""
         gone = (self.table.get(address) for address in self._gone_since)
         return [member for member in gone if member is not None and member.state is State.DEAD]
 
+    def _is_death_of_present(self, heard: Member) -> bool:
+        """Whether it ends a life that is present here and has not contradicted it."""
+        known = self.table.get(heard.address)
+        return (heard.state is State.DEAD and known is not None and known.present
+                and known.address != self.me.address and known.incarnation == heard.incarnation
+                and known.precedence < heard.precedence)
+
     def _merge(self, now: float, update: Update, gossiped: bool) -> bool:
         heard = update.member
         if heard.address == self.me.address:
@@ -159,7 +172,3 @@
     def _report(self, member: Member) -> None:
         if self.on_change is not None:
             self.on_change(member)
-
-
-def _is_death_of(heard: Member, known: Member) -> bool:
-    return heard.state is State.DEAD and heard.incarnation == known.incarnation
--- a/larchgw/membership/settings.py
+++ b/larchgw/membership/settings.py
@@ -18,7 +18,7 @@
     suspicion_spread: float = 3.0  # the longest suspicion, in shortest ones
     suspicion_confirmations: int = 3  # independent accusers that bring it down to the shortest
     last_call: float = 1.0  # before a suspicion ends, the member is pinged once more
-    last_call_period: float = 0.2  # between such pings
+    ask_period: float = 0.25  # between such pings, and between those after reports of a death
 
     retransmit_factor: int = 4  # sends of one update by one member: this times log10 of the members
     gossip_period: float = 0.25  # between datagrams that carry only updates, while there are any
--- a/larchgw/membership/swim.py
+++ b/larchgw/membership/swim.py
@@ -136,6 +136,7 @@
         self._tick_relays(now)
         self._tick_probe(now)
         self._tick_last_call(now)
+        self._tick_doubts(now)
         self._tick_seeds(now)
         self._tick_pull(now)
         self._tick_dead(now)
@@ -144,7 +145,7 @@
 
     def _handle(self, now: float, sender: str, message: Message) -> None:
         if message.kind is Kind.PING:
-            self._send(sender, Kind.ACK, message.sequence, about=message.sender.address)
+            self._send(sender, Kind.ACK, message.sequence, about=self._table.get(message.sender.address))
         elif message.kind is Kind.ACK:
             self._receive_ack(message.sequence, now)
         elif message.kind is Kind.NACK:
@@ -179,7 +180,7 @@
         helpers_at = now + self._settings.probe_timeout * stretch
         self._probe = Probe(sequence, member.address, member.incarnation, helpers_at, now + period)
         self._probe_at = now + period * self._random.uniform(0.95, 1.05)
-        self._send(member.address, Kind.PING, sequence, about=member.address)
+        self._send(member.address, Kind.PING, sequence, about=member)
 
     def _ask_helpers(self, probe: Probe) -> None:
         probe.asked = True
@@ -218,7 +219,7 @@
         sequence = self._next_sequence()
         nack_at = now + self._settings.nack_delay
         if self._relays.add(sequence, origin, message.sequence, nack_at, now + self._settings.probe_period):
-            self._send(message.target, Kind.PING, sequence, about=message.target)
+            self._send(message.target, Kind.PING, sequence, about=self._table.get(message.target))
 
     def _tick_relays(self, now: float) -> None:
         for origin, sequence in self._relays.overdue(now):
@@ -230,8 +231,13 @@
             return
         address = self._knowledge.suspicions.last_call(now)
         if address is not None:
-            self._last_call_at = now + self._settings.last_call_period
-            self._send(address, Kind.PING, self._next_sequence(), about=address)
+            self._last_call_at = now + self._settings.ask_period
+            self._send(address, Kind.PING, self._next_sequence(), about=self._table.get(address))
+
+    def _tick_doubts(self, now: float) -> None:
+        dead = self._knowledge.death_to_ask_about(now)
+        if dead is not None:
+            self._send(dead.address, Kind.PING, self._next_sequence(), about=dead)
 
     def _notice_freeze(self, now: float) -> None:
         gap = 0.0 if self._ran_at is None else now - self._ran_at
@@ -277,13 +283,13 @@
             self._reconnect_at = now + self._settings.reconnect_period
             address = next(iter(self._knowledge.reconnect))
             del self._knowledge.reconnect[address]
-            self._send(address, Kind.PING, self._next_sequence(), about=address)
+            self._send(address, Kind.PING, self._next_sequence(), about=self._table.get(address))
         if now >= self._dead_probe_at:
             self._dead_probe_at = now + self._settings.dead_probe_period * self._random.uniform(0.5, 1.5)
             dead = self._knowledge.dead()
             if dead:
-                address = self._random.choice(dead).address
-                self._send(address, Kind.PING, self._next_sequence(), about=address)
+                chosen = self._random.choice(dead)
+                self._send(chosen.address, Kind.PING, self._next_sequence(), about=chosen)
 
     def _tick_gossip(self, now: float) -> None:
         if now < self._gossip_at or not self._knowledge.news:
@@ -294,15 +300,14 @@
 
     # Sending
 
-    def _send(self, to: str, kind: Kind, sequence: int, about: str = "", target: str = "",
+    def _send(self, to: str, kind: Kind, sequence: int, about: Member | None = None, target: str = "",
               cursor: Cursor | None = None) -> None:
-        """With what is known of `about` in front, so that it can refute it, and as many updates as fit."""
+        """With a report on the receiver in front, so that it can refute it, and as many updates as fit."""
         message = Message(kind, sequence, self.me, self._table.digest, target, cursor=cursor)
         if kind is Kind.PULL:
             message.buckets = tuple(self._table.buckets)
-        subject = self._table.get(about) if about else None
-        if subject is not None and subject.state is not State.ALIVE:
-            message.updates.append(Update(subject))
+        if about is not None and about.state is not State.ALIVE:
+            message.updates.append(Update(about))
         draft = Draft(message)
         for record in self._knowledge.news.take(draft.room, self._table.present_count()):
             draft.add(record)
