Membership: nobody is declared dead before it was asked for the last time

The rate of last calls let suspicions end uncalled when many ended at once: after the halves of a fleet of 100 had found each other again, a member whose refutation was lost on the way was declared dead by one other. A suspicion now ends only when its last call had the time of a probe to be answered.

--- a/larchgw/membership/suspicion.py
+++ b/larchgw/membership/suspicion.py
@@ -17,7 +17,7 @@
     longest: float
     wanted: int
     accusers: set[str]
-    called: bool = False
+    called_at: float | None = None
 
     @property
     def deadline(self) -> float:
@@ -65,16 +65,20 @@
         """This process did not run for so long, and could not hear a refutation."""
         for suspicion in self._running.values():
             suspicion.started += seconds
+            suspicion.called_at = None
 
     def last_call(self, now: float) -> str | None:
         """A member whose suspicion ends soon and that was not named here before."""
         soon = now + self._settings.last_call
         for address, suspicion in self._running.items():
-            if not suspicion.called and suspicion.deadline <= soon:
-                suspicion.called = True
+            if suspicion.called_at is None and suspicion.deadline <= soon:
+                suspicion.called_at = now
                 return address
         return None
 
     def expired(self, now: float) -> list[str]:
-        """Addresses whose suspicion was not refuted in time."""
-        return [address for address, suspicion in self._running.items() if suspicion.deadline <= now]
+        """Addresses whose suspicion was not refuted in time, nor the last call answered."""
+        called_before = now - self._settings.probe_timeout
+        return [address for address, suspicion in self._running.items()
+                if suspicion.called_at is not None and suspicion.called_at <= called_before
+                and suspicion.deadline <= now]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -366,6 +366,19 @@
     assert asked and step / 10 - asked[-1] <= SETTINGS.last_call + 0.2
 
 
+def test_however_many_are_suspect_none_is_declared_dead_before_it_was_asked():
+    swim = alone()
+    victims = [replace(ME, address=f"10.0.1.{n}:7662", state=State.SUSPECT) for n in range(40)]
+    for n in range(0, 40, 10):
+        told(swim, 0.1, *victims[n:n + 10], accuser=PEER.address)
+    asked = set()
+    step = 2
+    while len(swim.dead()) < 40:
+        asked |= {d.address for d in swim.tick(step / 10)}
+        assert {member.address for member in swim.dead()} <= asked
+        step += 1
+
+
 def test_an_answer_to_a_frozen_probe_or_its_lack_accuses_nobody():
     swim = alone()
     told(swim, 0.1, replace(PEER, refutations=1))
