Selection: cold runners take what the warm ones have no room for; overdue loads are not waited for

Spill looked at warm runners only, so a cold one stayed idle while others were over the threshold. A load that is long past its expected end held requests until their deadline.

--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -32,6 +32,7 @@
 LEAST_RETRY_S = 0.05  # shortest Retry-After
 RETRY_SHARE = 1.0 / 3.0  # of the time left: clients honour Retry-After up to this
 HOLD_SHARE = 0.45  # of a request's time that it is held with nothing in sight; more than half is dear
+OVERDUE_S = 2.5  # after its expected end a load is no longer waited for: two check-ins would have told of it
 HEARD = (AttemptOutcome.DONE, AttemptOutcome.RUNNER_ERROR, AttemptOutcome.FULL, AttemptOutcome.NOT_HELD)
 PRUNE_S = 2.0  # how often runners that are gone are forgotten
 
@@ -186,7 +187,7 @@
         warm = [record for record in holders if record.cold_left_ms <= 0.0] or list(holders)
         with_room = self._with_room(now, request, warm)
         if not with_room:
-            return self._spill(warm)
+            return self._spill(holders)
         near = self._near(request, with_room)
         return self._busiest(request, self._most_kept(request, near))
 
@@ -255,8 +256,9 @@
         """No runner holds the key. With a load under way it waits for that, if it ends in time."""
         held_until = request.arrived_at + HOLD_SHARE * (request.deadline_at - request.arrived_at)
         last_start = request.deadline_at - LEAST_SERVICE_S
-        if expected:
-            done = min(expected.values())
+        awaited = [at for at in expected.values() if at > now - OVERDUE_S]
+        if awaited:
+            done = min(awaited)
             if done < last_start:
                 return Wait(min(max(done, now + LEAST_SERVICE_S), now + ASK_AGAIN_S), "loading")
             return self._refuse(now, request, done, "loads_too_late")
--- a/tests/test_decide_selection.py
+++ b/tests/test_decide_selection.py
@@ -130,6 +130,15 @@
     assert isinstance(w.choose(request), Refuse)
 
 
+def test_a_load_long_overdue_is_not_waited_for_until_the_deadline() -> None:
+    w = world(runner("a", "n"))
+    request = w.request(deadline_s=10.0)
+    w.expected = {"a": w.now + 0.5}
+    assert isinstance(w.choose(request), Wait)
+    w.now += 5.0
+    assert isinstance(w.choose(request), Refuse)
+
+
 def test_a_kept_prefix_draws_requests_that_share_it() -> None:
     w = world(runner("a"), runner("b"), runner("c"))
     prompt = parts(2000, 4000, 500)
@@ -264,3 +273,10 @@
         w.now += 0.1
         w.end(attempt, AttemptOutcome.CANCELLED)
     assert {w.chosen(w.request()) for _ in range(40)} == {"a", "b"}
+
+
+def test_a_cold_runner_takes_what_the_warm_ones_have_no_room_for() -> None:
+    w = world(runner("a", cold_ms=500.0), runner("b"))
+    for _ in range(THRESHOLD):
+        w.send_to("b")
+    assert w.chosen(w.request()) == "a"
