--- a/larchgw/edge/context.py
+++ b/larchgw/edge/context.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from random import Random
 from typing import Protocol
 
 from ..core.deadlines import Deadline
@@ -31,6 +32,7 @@
     """The parts that requests use. Times are those of `loop.clock`."""
 
     loop: EventLoop
+    random: Random
     selection: Selection
     budget: Budget
     pool: RunnerPool
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -49,7 +49,7 @@
 
     def __init__(self, loop: EventLoop, settings: NodeSettings, selection: Selection, budget: Budget,
                  rng: random.Random) -> None:
-        self.loop, self._settings, self._random = loop, settings, rng
+        self.loop, self._settings = loop, settings
         self.net_counters = Counters()
         self.counters = EdgeCounters(self.net_counters.registry)
         self.runners: Callable[[str], Mapping[str, RunnerRecord]] = lambda service: {}
@@ -58,7 +58,7 @@
         self.on_wanted: Callable[[str, str, str], None] = lambda service, model, adapter: None
         self._pool = RunnerPool(loop, self.counters, self._max_open)
         self._context = ProxyContext(
-            loop, selection, budget, self._pool, self.counters, lambda service: self.runners(service),
+            loop, rng, selection, budget, self._pool, self.counters, lambda service: self.runners(service),
             lambda service, model, adapter: self.expected(service, model, adapter),
             lambda: max(self.dispatchers(), 1),
             lambda service, model, adapter: self.on_wanted(service, model, adapter), self._closed)
@@ -70,6 +70,7 @@
         self._server: HttpServer | None = None
         self._drained: Callable[[], None] | None = None
         self._look: Deadline | None = None
+        self._news: Deadline | None = None
 
     # Control
 
@@ -82,7 +83,15 @@
         self._context.waiting.all_changed()
 
     def runners_changed(self) -> None:
-        """The runners, what they hold or what is expected there changed: waiting requests are asked anew."""
+        """The runners, what they hold or what is expected there changed: waiting requests are asked anew.
+
+        All changes of one turn of the loop are applied together.
+        """
+        if self._news is None:
+            self._news = self.loop.deadlines.add(self.loop.clock.now(), self._apply_runners)
+
+    def _apply_runners(self) -> None:
+        self._news = None
         if self._configuration is not None:
             runners: dict[str, RunnerRecord] = {}
             for service in self._configuration.services:
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -49,13 +49,14 @@
 
         `once`: the request may not run twice, so that only a connection that has just been used will do.
         """
+        try:
+            address = parse_address(runner.address)
+        except ValueError:
+            log.warning("runner %s has the address %r, which is not host:port", runner.id, runner.address)
+            return None
         kept = self._kept.get(runner.id)
-        if kept is None:
-            try:
-                kept = _Kept(runner.service, parse_address(runner.address))
-            except ValueError:
-                log.warning("runner %s has the address %r, which is not host:port", runner.id, runner.address)
-                return None
+        if kept is None or kept.address != address:
+            kept = _Kept(runner.service, address)
         return self._reuse(kept, once) or self._open(runner, kept)
 
     def runners_changed(self, runners: Mapping[str, RunnerRecord]) -> None:
--- a/larchgw/net/asyncloop.py
+++ b/larchgw/net/asyncloop.py
@@ -51,7 +51,10 @@
             loop.remove_writer(self.descriptor)
 
     def _notify(self, mask: int) -> None:
-        self.owner.guard(lambda: self.ready(mask))
+        try:
+            self.ready(mask)
+        except Exception:
+            self.owner.failed()
 
 
 class AsyncLoop:
@@ -105,9 +108,13 @@
         try:
             action()
         except Exception:
-            if self.counters:
-                self.counters.faults.labels("loop").inc()
-            log.exception("a callback of the loop failed")
+            self.failed()
+
+    def failed(self) -> None:
+        """Counts and logs the error of a callback that is being handled."""
+        if self.counters:
+            self.counters.faults.labels("loop").inc()
+        log.exception("a callback of the loop failed")
 
     def _earlier(self, at: float) -> None:
         if self._closed or at >= self._due:
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -110,6 +110,7 @@
             assert await rest(client) == (events(3, 4), True)
             assert made.selection.outcomes == [AttemptOutcome.CUT, AttemptOutcome.DONE]
             assert made.budget.repeats == 1
+            assert made.proxy.net_counters.registry.get_sample_value("larchgw_edge_resumed_total") == 1
 
     run(test())
 
