--- a/larchgw/replication/effects.py
+++ b/larchgw/replication/effects.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from .messages import PeerMessage
+from .messages import Envelope
 
 
 class NotPrimary(Exception):
@@ -49,7 +49,7 @@
     """One message and the rpc address it goes to. It may be lost, doubled or late."""
 
     address: str
-    message: PeerMessage
+    message: Envelope
 
 
 @dataclass(slots=True)
--- a/larchgw/replication/explore_world.py
+++ b/larchgw/replication/explore_world.py
@@ -15,8 +15,9 @@
 from .explore_checks import Broken, Checks
 from .explore_disk import Crashed, SimulatedDisk
 from .member import Member
-from .messages import PeerMessage
+from .messages import Envelope
 from .settings import MemberSettings
+from .view import View
 
 TICK = 0.02  # seconds
 LEASE = "placer"
@@ -33,14 +34,19 @@
     member: Member | None = None
     life: int = 0
     frozen: bool = False
-    inbox: list[PeerMessage] = field(default_factory=list)  # came while it was frozen
+    inbox: list[Envelope] = field(default_factory=list)  # came while it was frozen
     version: int = 0  # index of the newest record applied
-    newest: int = 0  # of its own proposals too
     # ticket -> the version it built on, its record
     proposals: dict[int, tuple[int, bytes]] = field(default_factory=dict)
     reads: dict[int, int] = field(default_factory=dict)  # ticket -> newest acknowledged when it began
     digest: tuple[object, ...] = ()
 
+    @property
+    def id(self) -> str:
+        """The identity on its disk; empty if there is none."""
+        stored = self.disk.cells.get("identity")
+        return "" if stored is None else str(json.loads(stored)["id"])
+
     @property
     def name(self) -> str:
         """This life of the process."""
@@ -61,11 +67,14 @@
         self.states: set[int] = set()
         self.acknowledged = 0
         self.confirmed = 0
+        self.gone: set[str] = set()  # addresses of machines that were taken away
+        self.newest_view: View | None = None  # the newest in which somebody acted as primary
+        self.write_seconds = 0.001
         self.loss = 0.0
         self.double = 0.0
         self.delay = (0.0005, 0.004)
         self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
-        self._queue: list[tuple[float, int, str, PeerMessage | None]] = []
+        self._queue: list[tuple[float, int, str, Envelope | None]] = []
         self._order = 0
 
     # ---- machines ----
@@ -82,7 +91,7 @@
         machine.life += 1
         settings = MemberSettings(address, self.seeds, first_boot, f"{address}#{machine.life}", self.survive,
                                   TERM, compact_records=12, batch_bytes=200)
-        machine.version = machine.newest = 0
+        machine.version = 0
         machine.proposals.clear()
         machine.reads.clear()
         machine.inbox.clear()
@@ -91,7 +100,7 @@
             machine.member = Member(settings, machine.disk.ports(), lambda: _snapshot(machine), self.random)
             if not first_boot:
                 machine.member.set_contacts(self.machines)
-            self._carry_out(machine, machine.member.start(self._clock(machine)))
+            self._carry_out(machine, machine.member.start(self.clock(machine)))
         except Crashed:
             machine.member = None
             return
@@ -107,6 +116,11 @@
         machine.member = None
         machine.disk.lose_power(self.random)
 
+    def destroy(self, address: str) -> None:
+        """The machine and its disk are taken away for good."""
+        self.wipe(address)
+        self.gone.add(address)
+
     def wipe(self, address: str) -> None:
         """The process ends, and its disk is empty from now on."""
         machine = self.machines[address]
@@ -147,7 +161,7 @@
             self._event(self.machines[address], message)
         self.now = end
 
-    def _event(self, machine: Machine, message: PeerMessage | None) -> None:
+    def _event(self, machine: Machine, message: Envelope | None) -> None:
         if machine.member is None:
             return
         if machine.frozen:
@@ -167,11 +181,11 @@
         assert machine.member is not None
         writes = machine.disk.writes
         try:
-            effects = call(machine.member, self._clock(machine))
+            effects = call(machine.member, self.clock(machine))
         except Crashed:
             self._crash(machine)
             return
-        self._carry_out(machine, effects, 0.001 * (machine.disk.writes - writes))
+        self._carry_out(machine, effects, self.write_seconds * (machine.disk.writes - writes))
         self._observe(machine)
 
     def _crash(self, machine: Machine) -> None:
@@ -180,7 +194,8 @@
         else:
             self.kill(machine.address)
 
-    def _clock(self, machine: Machine) -> float:
+    def clock(self, machine: Machine) -> float:
+        """What the machine's monotonic clock shows."""
         return self.now + machine.clock_offset
 
     # ---- what members hand out ----
@@ -212,7 +227,9 @@
         assert member is not None
         if member.acting_epoch is not None:
             self.checks.acts(machine.name, member.acting_epoch)
-        lease = member.lease(self._clock(machine), LEASE)
+            if self.newest_view is None or member.acting_epoch > self.newest_view.epoch:
+                self.newest_view = member.view
+        lease = member.lease(self.clock(machine), LEASE)
         if lease is not None:
             self.checks.holds_lease(self.now, member.id, lease.fence)
         epoch = 0 if member.view is None else member.view.epoch
@@ -228,7 +245,7 @@
         for _ in range(copies):
             self._push(written + self.random.uniform(*self.delay), outgoing.address, outgoing.message)
 
-    def _push(self, after: float, address: str, message: PeerMessage | None) -> None:
+    def _push(self, after: float, address: str, message: Envelope | None) -> None:
         self._order += 1
         heapq.heappush(self._queue, (self.now + after, self._order, address, message))
 
@@ -240,9 +257,9 @@
         member = machine.member
         if member is None or machine.frozen or not member.is_primary:
             return False
-        built_on = max(machine.newest, machine.version)
+        built_on = member.last_index
         record = json.dumps([built_on, self.random.randrange(1 << 30)]).encode()
-        clock = self._clock(machine)
+        clock = self.clock(machine)
         try:
             ticket, effects = member.propose(clock, record)
         except (NotPrimary, OSError):
@@ -250,9 +267,8 @@
         except Crashed:
             self._crash(machine)
             return False
-        machine.newest = built_on + 1
         machine.proposals[ticket.number] = (built_on, record)
-        self._carry_out(machine, effects, 0.002)
+        self._carry_out(machine, effects, 2 * self.write_seconds)
         return True
 
     def read(self, machine: Machine) -> bool:
@@ -261,7 +277,7 @@
         if member is None or machine.frozen:
             return False
         try:
-            ticket, effects = member.confirm(self._clock(machine))
+            ticket, effects = member.confirm(self.clock(machine))
         except NotPrimary:
             return False
         machine.reads[ticket.number] = self.checks.newest_acknowledged
--- a/larchgw/replication/leadership.py
+++ b/larchgw/replication/leadership.py
@@ -136,8 +136,8 @@
         peer = self._peers[member]
         if member in self.view.in_sync or not peer.replicating:
             return False
-        if peer.match < self._replica.committed:
-            return False
+        if peer.match < max(self._replica.committed, self.takeover_index):
+            return False  # what was taken over may all be acknowledged, though this primary does not know yet
         short = sum(self._is_healthy(now, self._peers[backup]) for backup in self.view.backups) \
             < self._settings.survive
         return short or now - self._left_out_at.get(member, NEVER) >= self._timing.rejoin
--- a/larchgw/replication/lease.py
+++ b/larchgw/replication/lease.py
@@ -45,6 +45,19 @@
         """Whether a quorum has granted."""
         return self.view.has_quorum([member for member, answer in self.answers.items() if answer.granted])
 
+    def only_outdated(self) -> bool:
+        """Whether all answered, and those that refused did so for a fence or a view that is not the
+        newest."""
+        refused = [answer for answer in self.answers.values() if not answer.granted]
+        return len(self.answers) == len(self.view.electors) and all(
+            answer.remaining <= 0.0 and (answer.fence >= self.fence or answer.view is not None)
+            for answer in refused)
+
+    def refused_by_all(self) -> bool:
+        """Whether it is certain that nobody granted."""
+        refused = [answer for answer in self.answers.values() if not answer.granted]
+        return len(refused) == len(self.view.electors)
+
     def refused_until(self) -> float:
         """The longest time for which another may hold the lease."""
         return max((answer.remaining for answer in self.answers.values() if not answer.granted), default=0.0)
@@ -98,6 +111,13 @@
         if self._attempt is None and now >= self._next_at:
             self._ask(now, view)
 
+    def vacated(self, now: float, rank: int) -> None:
+        """Its holder, or a candidate without success, has given the lease up."""
+        if self._fence or self._attempt is not None or self._next_at is None:
+            return
+        stagger = (rank + self._random.random()) * self._timing.lease_round
+        self._next_at = min(self._next_at, max(now, self._paused_until) + stagger)
+
     def answer(self, now: float, sender: str, answer: LeaseAnswer, rank: int) -> None:
         """A witness has answered."""
         attempt = self._attempt
@@ -116,7 +136,8 @@
         self._attempt = _Attempt(self._attempts, self._next_fence(view), acting, view, now,
                                  now + self._timing.lease_round, {})
         self._highest_fence = max(self._highest_fence, self._attempt.fence)
-        ask = LeaseAsk(self.name, self._attempt.fence, view.epoch, self._attempts, acting)
+        renewal = self._attempt.fence == self._fence
+        ask = LeaseAsk(self.name, self._attempt.fence, renewal, view.epoch, self._attempts, acting)
         for member in view.electors:
             self._outbox.send(member, ask)
 
@@ -155,7 +176,11 @@
         if self._fence:
             self._next_at = now + self._timing.heartbeat
             return
-        self._send_release(attempt.view)
+        if not attempt.refused_by_all():
+            self._send_release(attempt.view)
+        if attempt.only_outdated():
+            self._next_at = now
+            return
         stagger = (rank + self._random.random()) * self._timing.lease_round
         self._next_at = now + attempt.refused_until() + stagger
 
--- a/larchgw/replication/lease_witness.py
+++ b/larchgw/replication/lease_witness.py
@@ -69,7 +69,7 @@
         stored = self._leases.get(ask.name, self._default)
         stale = view is not None and ask.view_epoch < view.epoch
         remaining = self._remaining(now, ask.name, sender, stored)
-        known = sender == stored.holder and ask.fence == stored.fence
+        known = ask.renewal and (sender, ask.fence) == (stored.holder, stored.fence)
         granted = not stale and remaining <= 0.0 and (known or ask.fence > stored.fence)
         if granted:
             self._record(ask, sender, stored)
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -248,7 +248,7 @@
             case LeaseAnswer():
                 self._on_lease_answer(now, sender, message)
             case LeaseRelease():
-                self._lease_witness.release(sender, message)
+                self._on_lease_release(now, sender, message)
 
     def _on_heartbeat_reply(self, now: float, sender: str, reply: HeartbeatReply) -> None:
         self._candidate.see_epoch(reply.promised)
@@ -322,6 +322,12 @@
         if holder is not None:
             holder.answer(now, sender, answer, self._rank())
 
+    def _on_lease_release(self, now: float, sender: str, message: LeaseRelease) -> None:
+        self._lease_witness.release(sender, message)
+        holder = self._holders.get(message.name)
+        if holder is not None and sender != self._me:
+            holder.vacated(now, self._rank())
+
     # ---- views ----
 
     def _accept(self, now: float, view: View) -> bool:
--- a/larchgw/replication/messages.py
+++ b/larchgw/replication/messages.py
@@ -20,17 +20,8 @@
 
 
 class Envelope(Protocol):
-    """What the transport carries; thrift's PeerMessage has this shape."""
-
-    sender: str
-    receiver: str
-    kind: str
-    body: bytes
-
-
-@dataclass(slots=True)
-class PeerMessage:
-    """A message ready for the transport. `receiver` is empty where only an address is known."""
+    """What the transport carries: thrift's PeerMessage. `receiver` is empty where only an address is
+    known."""
 
     sender: str
     receiver: str
@@ -154,10 +145,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseAsk:
-    """Asks a witness for one term. `acting`: the holder is about to act, or acts, under this fence."""
+    """Asks a witness for one term. `renewal`: the sender was elected under this fence, otherwise it is a new
+    one. `acting`: the sender is about to act, or acts, under it."""
 
     name: str
     fence: int
+    renewal: bool
     view_epoch: int
     attempt: int
     acting: bool
--- a/larchgw/replication/outbox.py
+++ b/larchgw/replication/outbox.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from ..rpc.generated.ttypes import PeerMessage
 from .effects import Outgoing
-from .messages import Message, PeerMessage, encode
+from .messages import Message, encode
 
 
 class Outbox:
--- a/larchgw/replication/replica.py
+++ b/larchgw/replication/replica.py
@@ -21,7 +21,7 @@
         self._base_epoch = 0
         self._epochs: list[int] = []  # of the records after the snapshot
         self._sizes: list[int] = []  # their bytes
-        self._synced = True
+        self._synced = False  # a process that was killed may have left records that were never synced
         self.committed = 0
         self._load()
 
--- a/larchgw/replication/witness.py
+++ b/larchgw/replication/witness.py
@@ -52,14 +52,13 @@
         return True
 
     def accept(self, view: View) -> bool:
-        """Accepts a view that no promise rules out."""
+        """Accepts a view that no promise rules out. Of one epoch there is only one view, whoever was promised
+        it here: its primary has the promises of a quorum."""
         state = self._state
         if state.view is not None and state.view.epoch == view.epoch:
             return state.promised == view.epoch
         if view.epoch < state.promised:
             return False
-        if view.epoch == state.promised and view.primary != state.promised_to:
-            return False
         self._store(WitnessState(view.epoch, view.primary, view))
         return True
 
--- /dev/null
+++ b/tests/test_replication_lease.py
@@ -0,0 +1,144 @@
+"""Leases: one holder at a time, fences that only rise, and a term between two holders."""
+
+from __future__ import annotations
+
+from larchgw.replication.explore_disk import SimulatedDisk
+from larchgw.replication.explore_world import LEASE, TERM, World
+from larchgw.replication.lease import Lease
+from larchgw.replication.lease_witness import NOBODY, UNKNOWN, LeaseWitness
+from larchgw.replication.messages import LeaseAsk, LeaseRelease
+from larchgw.replication.view import first_view
+
+VIEW = first_view(["a", "b", "c"])
+
+
+def ask(fence: int, renewal: bool = False, epoch: int = 1) -> LeaseAsk:
+    return LeaseAsk("placer", fence, renewal, epoch, 1, False)
+
+
+def witness(disk: SimulatedDisk, first_boot: bool = True) -> LeaseWitness:
+    made = LeaseWitness(disk.ports().leases, TERM)
+    if disk.ports().leases.load() is None:
+        made.reset(first_boot)
+    return made
+
+
+def test_a_granted_lease_is_refused_to_others_for_its_term() -> None:
+    held = witness(SimulatedDisk())
+    assert held.ask(0.0, "x", ask(1), VIEW).granted
+    refused = held.ask(1.0, "y", ask(2), VIEW)
+    assert not refused.granted and refused.remaining == TERM - 1.0
+    assert held.ask(TERM, "y", ask(2), VIEW).granted
+
+
+def test_a_fence_is_never_granted_twice_to_different_holders() -> None:
+    disk = SimulatedDisk()
+    witness(disk).ask(0.0, "x", ask(5), VIEW)
+    assert not witness(disk).ask(10 * TERM, "y", ask(5), VIEW).granted
+    assert not witness(disk).ask(10 * TERM, "y", ask(4), VIEW).granted
+    assert witness(disk).ask(10 * TERM, "y", ask(6), VIEW).granted
+
+
+def test_a_restarted_witness_has_forgotten_its_grants_and_waits_a_term() -> None:
+    disk = SimulatedDisk()
+    witness(disk).ask(0.0, "x", ask(1), VIEW)
+    again = witness(disk)
+    again.restarted(1.0)
+    assert not again.ask(1.5, "y", ask(2), VIEW).granted
+    assert again.ask(1.5, "x", ask(1, renewal=True), VIEW).granted
+
+
+def test_a_new_witness_grants_nothing_for_a_term_not_even_to_a_holder_of_old() -> None:
+    seated = witness(SimulatedDisk())
+    seated.ask(0.0, "x", ask(1), VIEW)
+    seated.seated(0.5)
+    assert not seated.ask(1.0, "x", ask(2), VIEW).granted
+    assert seated.ask(0.5 + TERM, "x", ask(2), VIEW).granted
+
+
+def test_an_asker_of_an_older_view_is_told_the_newer_one() -> None:
+    answer = witness(SimulatedDisk()).ask(0.0, "x", ask(1, epoch=0), VIEW)
+    assert not answer.granted and answer.view == VIEW
+
+
+def test_a_late_release_does_not_free_a_newer_grant() -> None:
+    held = witness(SimulatedDisk())
+    held.ask(0.0, "x", ask(2), VIEW)
+    held.release("x", LeaseRelease("placer", 1))
+    assert not held.ask(0.1, "y", ask(3), VIEW).granted
+    held.release("x", LeaseRelease("placer", 2))
+    assert held.ask(0.1, "y", ask(3), VIEW).granted
+
+
+def test_only_a_witness_from_the_first_boot_knows_that_nobody_acted() -> None:
+    assert witness(SimulatedDisk()).ask(0.0, "x", ask(1), VIEW).actor == NOBODY
+    assert witness(SimulatedDisk(), first_boot=False).ask(0.0, "x", ask(1), VIEW).actor == UNKNOWN
+
+
+def test_a_full_disk_grants_nothing() -> None:
+    disk = SimulatedDisk()
+    held = witness(disk)
+    disk.full = True
+    try:
+        held.ask(0.0, "x", ask(1), VIEW)
+    except OSError:
+        disk.full = False
+    assert held.ask(0.0, "y", ask(1), VIEW).granted
+
+
+# ---- with whole members ----
+
+def started() -> World:
+    world = World(3, 3, 3, 1)
+    for address in world.machines:
+        world.start(address, first_boot=True)
+    world.run(1.0)
+    return world
+
+
+def holders(world: World) -> dict[str, Lease]:
+    found = {machine.address: machine.member.lease(world.clock(machine), LEASE) for machine in world.running}
+    return {address: lease for address, lease in found.items() if lease is not None}
+
+
+def test_the_first_holder_is_the_primary_and_need_not_wait() -> None:
+    world = started()
+    assert list(holders(world)) == [machine.address for machine in world.primaries()]
+
+
+def test_a_new_holder_acts_a_term_after_the_old_one_could_last() -> None:
+    world = started()
+    (old,) = holders(world)
+    world.kill(old)
+    lost_at = world.now
+    while not holders(world):
+        world.run(0.05)
+        assert world.now < lost_at + 3 * TERM
+    assert world.now - lost_at > TERM
+
+
+def test_a_thawed_holder_knows_at_once_that_its_lease_is_over() -> None:
+    world = started()
+    (old,) = holders(world)
+    world.freeze(old)
+    world.run(TERM)
+    machine = world.machines[old]
+    world.thaw(old)
+    assert machine.member.lease(world.clock(machine), LEASE) is None
+
+
+def test_a_restarted_holder_goes_on_without_the_wait_and_with_a_higher_fence() -> None:
+    world = started()
+    ((old, lease),) = holders(world).items()
+    world.kill(old)
+    world.start(old)
+    world.run(1.0)
+    assert holders(world)[old].fence > lease.fence
+
+
+def test_a_holder_that_steps_down_gives_its_lease_up() -> None:
+    world = started()
+    (old,) = holders(world)
+    world.step_down(world.machines[old])
+    world.run(TERM + 1.0)
+    assert holders(world) and old not in holders(world)
--- /dev/null
+++ b/tests/test_replication_parts.py
@@ -0,0 +1,200 @@
+"""The parts of replication one by one: messages, witness, log, quorums and the next view."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larchgw.replication.explore_disk import Crashed, SimulatedDisk
+from larchgw.replication.messages import Accept, Append, DecodeError, Install, Promise, decode, encode
+from larchgw.replication.planning import Standing, failover_view, next_view
+from larchgw.replication.replica import Replica
+from larchgw.replication.view import View, first_view
+from larchgw.replication.witness import Witness
+
+VIEW = first_view(["a", "b", "c"])
+
+
+def view(epoch: int, primary: str, backups: str, witnesses: str = "abc", former: str = "") -> View:
+    members = {*primary, *backups, *witnesses, *former}
+    return View(epoch, primary, tuple(backups), tuple(witnesses), tuple(former or witnesses),
+                {member: member for member in members})
+
+
+def standing(healthy: str = "", ready: str = "", gone: str = "") -> Standing:
+    addresses = {member: member for member in "abcdef"}
+    return Standing(frozenset(healthy), tuple(ready), frozenset(gone), addresses)
+
+
+# ---- messages ----
+
+@given(st.lists(st.binary(max_size=20), max_size=5))
+def test_records_of_any_bytes_arrive_as_they_were_sent(records: list[bytes]) -> None:
+    append = Append(7, 3, 2, 1, tuple(range(len(records))), tuple(records))
+    assert decode(*encode(append, "x:1")) == (append, "x:1")
+
+
+def test_views_and_snapshots_arrive_as_they_were_sent() -> None:
+    promises = Promise(1, True, 1, None), Promise(1, True, 1, VIEW)
+    for message in (Accept(VIEW), Install(1, 2, 3, b"\0{"), *promises):
+        assert decode(*encode(message, "x:1"))[0] == message
+
+
+@given(st.sampled_from(["append", "accept", "promise", "unheard of"]), st.binary(max_size=60))
+def test_garbage_is_refused_as_such(kind: str, body: bytes) -> None:
+    with pytest.raises(DecodeError):
+        decode(kind, body)
+
+
+def test_an_append_that_was_cut_short_is_not_taken_for_a_shorter_one() -> None:
+    kind, body = encode(Append(1, 0, 0, 0, (1, 1), (b"one", b"two")), "x:1")
+    with pytest.raises(DecodeError):
+        decode(kind, body[:-1])
+
+
+# ---- quorums ----
+
+def test_a_change_of_witnesses_needs_majorities_of_both_sets() -> None:
+    joint = view(2, "a", "b", "abd", "abc")
+    assert joint.has_quorum("ab")
+    assert not joint.has_quorum("ad")
+    assert not joint.has_quorum("ac")
+    assert joint.has_quorum("acd")
+
+
+# ---- witness ----
+
+def witness(disk: SimulatedDisk) -> Witness:
+    return Witness(disk.ports().witness)
+
+
+def test_a_witness_promises_an_epoch_to_one_candidate_only() -> None:
+    disk = SimulatedDisk()
+    assert witness(disk).promise(3, "a")
+    assert witness(disk).promise(3, "a")
+    assert not witness(disk).promise(3, "b")
+    assert not witness(disk).promise(2, "b")
+
+
+def test_a_witness_accepts_no_view_below_its_promise_even_after_a_restart() -> None:
+    disk = SimulatedDisk()
+    witness(disk).promise(3, "a")
+    assert not witness(disk).accept(view(2, "b", "a"))
+    assert witness(disk).accept(view(3, "a", "b"))
+    assert witness(disk).view == view(3, "a", "b")
+
+
+def test_a_witness_that_promised_an_epoch_in_vain_still_accepts_its_view() -> None:
+    disk = SimulatedDisk()
+    witness(disk).promise(3, "c")
+    assert witness(disk).accept(view(3, "a", "b"))
+
+
+def test_a_witness_whose_disk_is_full_has_promised_nothing() -> None:
+    disk = SimulatedDisk()
+    full = witness(disk)
+    disk.full = True
+    with pytest.raises(OSError):
+        full.promise(3, "a")
+    assert full.promised == 0
+
+
+# ---- log ----
+
+def replica(disk: SimulatedDisk) -> Replica:
+    return Replica(disk.ports().journal)
+
+
+def test_a_divergent_tail_is_replaced_by_the_primary_s() -> None:
+    disk = SimulatedDisk()
+    log = replica(disk)
+    for record in (b"1", b"2", b"lost"):
+        log.append(1, record)
+    assert log.follow(3, 2, (2,), (b"4",)) == (False, 0)
+    assert log.follow(2, 1, (2, 2), (b"3", b"4")) == (True, 4)
+    assert [record for _, record in log.read(1, 4)] == [b"1", b"2", b"3", b"4"]
+
+
+def test_a_gap_is_never_filled_over() -> None:
+    assert replica(SimulatedDisk()).follow(5, 1, (1,), (b"6",)) == (False, 0)
+
+
+def test_records_that_come_twice_or_late_change_nothing() -> None:
+    log = replica(SimulatedDisk())
+    log.follow(0, 0, (1, 1), (b"1", b"2"))
+    assert log.follow(0, 0, (1,), (b"1",)) == (True, 1)
+    assert log.last_index == 2
+
+
+def test_what_a_killed_process_left_unsynced_is_synced_before_it_is_counted_on() -> None:
+    disk = SimulatedDisk()
+    journal = disk.ports().journal
+    journal.append(b"\0" * 7 + b"\1" + b"one")
+    assert replica(disk).follow(0, 0, (1,), (b"one",)) == (True, 1)
+    disk.lose_power(Random(1))
+    assert replica(disk).last_index == 1
+
+
+def test_a_record_that_could_not_be_synced_is_not_in_the_log() -> None:
+    disk = SimulatedDisk()
+    log = replica(disk)
+    disk.crash_after = 1
+    with pytest.raises(Crashed):
+        log.append(1, b"one")
+    disk.lose_power(Random(1))
+    assert disk.synced == len(disk.records)
+
+
+def test_compaction_keeps_what_follows_and_a_snapshot_replaces_what_is_behind() -> None:
+    disk = SimulatedDisk()
+    log = replica(disk)
+    for number in range(1, 6):
+        log.append(1, str(number).encode())
+    log.compact(3, b"state of 3")
+    assert log.snapshot() == (3, 1, b"state of 3")
+    assert replica(disk).read(4, 5) == [(4, b"4"), (5, b"5")]
+    behind = replica(SimulatedDisk())
+    assert behind.install(*log.snapshot())
+    assert not behind.install(*log.snapshot())
+    assert behind.follow(3, 1, (1,), (b"4",)) == (True, 4)
+
+
+# ---- the next view ----
+
+def test_a_candidate_keeps_those_that_answered_and_fills_up_to_the_copies_needed() -> None:
+    assert set(failover_view(2, "b", VIEW, {"b", "c"}, 2).in_sync) == {"b", "c"}
+    assert len(failover_view(2, "b", VIEW, {"b"}, 2).in_sync) == 2
+    assert set(failover_view(2, "b", VIEW, {"a", "b", "c"}, 2).in_sync) == {"a", "b", "c"}
+
+
+def test_a_silent_backup_is_left_out_only_while_enough_copies_remain() -> None:
+    changed = next_view(2, VIEW, standing(healthy="b"), 2)
+    assert changed is not None and changed.backups == ("b",)
+    assert next_view(2, VIEW, standing(healthy="b"), 3) is None
+
+
+def test_a_silent_backup_is_exchanged_for_one_that_is_ready() -> None:
+    changed = next_view(3, view(2, "a", "b"), standing(healthy="d", ready="d"), 2)
+    assert changed is not None and changed.backups == ("d",) and changed.addresses["d"] == "d"
+
+
+def test_witnesses_change_one_by_one_and_only_for_members_in_sync() -> None:
+    assert next_view(3, view(2, "a", "b"), standing(healthy="b", gone="c"), 2) is None
+    joint = next_view(3, view(2, "a", "bd"), standing(healthy="bd", gone="c"), 2)
+    assert joint is not None and set(joint.witnesses) == set("abd") and joint.is_joint
+    settled = next_view(4, joint, standing(healthy="bd"), 2)
+    assert settled is not None and not settled.is_joint and settled.witnesses == joint.witnesses
+
+
+def test_the_number_of_witnesses_stays_odd() -> None:
+    assert next_view(3, view(2, "a", "bcd"), standing(healthy="bcd"), 2) is None
+    grown = next_view(3, view(2, "a", "bcde"), standing(healthy="bcde"), 2)
+    assert grown is not None and len(grown.witnesses) == 5
+
+
+def test_a_view_reads_back_as_it_was_stored() -> None:
+    assert View.from_json(json.loads(json.dumps(VIEW.to_json()))) == VIEW
