--- /dev/null
+++ b/larchgw/emulator/system/records.py
@@ -0,0 +1,133 @@
+"""What the emulated clients, runners and operator of a trial write down. The judge reads nothing else.
+
+All times are seconds of one clock, that of the trial's event loop. Machines are named by their IP address.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass(slots=True)
+class Try:
+    """One request of a client under an attempt id of its own, and how it ended."""
+
+    id: str
+    kind: str
+    host: str
+    target: str
+    body: bytes
+    edge: str
+    sent_at: float
+    deadline_at: float
+    method: str = "POST"
+    tries: int = 1  # of its route: the most runners that it may run on
+    idempotent: bool = False
+    resumable: bool = False
+    services: tuple[str, ...] = ()  # that its route names when it is sent
+    ended_at: float = math.inf
+    status: int = 0  # 0: no head of an answer came
+    seal: str = ""
+    answer_id: str = ""
+    answer: bytes = b""
+    whole: bool = False
+    gave_up: bool = False  # the client left before the answer ended
+    read: bool = True  # the whole request was sent
+
+
+@dataclass(slots=True)
+class Arrival:
+    """One request at a runner, and what the runner did with it."""
+
+    id: str
+    runner: str
+    service: str
+    at: float
+    method: str = "POST"
+    target: str = "/"
+    body: bytes = b""
+    ran: bool = False
+    status: int = 0
+    seal: str = ""
+    answer: bytes = b""  # as far as it was written
+    whole: bool = False
+    broke_off: bool = False  # the runner ended the answer early, or sent what is none
+    last_event: int = 0  # number of the last event of a stream; 0 for another answer
+    ended_at: float = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """A runner's draining or leaving, acknowledged by a control process."""
+
+    runner: str
+    control: str
+    at: float
+
+
+@dataclass(slots=True)
+class ConfigurationCall:
+    """One configuration or change of the operator's, however often it was sent.
+
+    `configuration` is the whole configuration that it makes, None for one that must not be taken.
+    """
+
+    version: int
+    built_on: int
+    configuration: dict[str, Any] | None
+    sent_at: float
+    acknowledged_at: float = math.inf
+    refused: bool = False
+    refused_after_acknowledgement: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OrderSeen:
+    """An order that reached a runner."""
+
+    runner: str
+    owner: str  # "host:port" of the control process
+    fence: int
+    at: float
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """Something done to a machine of the system. `planned` for a SIGTERM, after which it ends in good order.
+    """
+
+    machine: str
+    at: float
+    until: float
+    planned: bool = False
+    core: bool = False  # the machine belongs to the core
+    ends_life: bool = True  # its process ended; False for a freeze
+
+
+@dataclass(slots=True)
+class Records:
+    """All that was written down in one trial."""
+
+    tries: dict[str, Try] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    acknowledgements: list[Acknowledgement] = field(default_factory=list)
+    configurations: list[ConfigurationCall] = field(default_factory=list)
+    orders: list[OrderSeen] = field(default_factory=list)
+    loads: list[float] = field(default_factory=list)  # when loads from the weight store began
+    overloads: list[tuple[str, float]] = field(default_factory=list)  # runner that fell under an order, when
+    strays: list[tuple[str, float]] = field(default_factory=list)  # edge that sent bytes without a request
+    troubles: list[Trouble] = field(default_factory=list)
+    crashed: set[str] = field(default_factory=set)  # runners
+    loads_per_s: float = 0.0
+    read_back: dict[str, Any] | None = None
+    read_back_at: float = math.inf
+
+    def arrivals_by_try(self) -> dict[str, list[Arrival]]:
+        """The arrivals of each attempt id, in order."""
+        found: dict[str, list[Arrival]] = {}
+        for arrival in self.arrivals:
+            found.setdefault(arrival.id, []).append(arrival)
+        return found
