Selection: requests that would wait far beyond their aim are refused at once under overload

With 1.6 times the prompts that the engines can read, nearly all answers began late: every request waited behind all others. A first send that would wait for more than twice its aim is refused while half of the holders' slots are taken.

--- a/larchgw/decide/pending.py
+++ b/larchgw/decide/pending.py
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         self._runners: dict[str, RunnerPending] = {}
         self._services: dict[str, int] = {}
+        self._unread: dict[str, int] = {}
 
     def at(self, runner: str) -> RunnerPending:
         """The counts at this runner; to be read only."""
@@ -48,6 +49,10 @@
         """Requests at all runners of the service."""
         return self._services.get(service, 0)
 
+    def mean_unread(self, service: str) -> float:
+        """Tokens yet to be read of each pending request at the service, on average."""
+        return self._unread.get(service, 0) / max(1, self.by_service(service))
+
     def sent(self, attempt: Attempt, unread_tokens: int) -> None:
         """An attempt is on its way; the runner has this much of its prompt to prefill."""
         request = attempt.request
@@ -58,6 +63,7 @@
         counts.unread[request.number, attempt.number] = (unread_tokens, attempt.at)
         counts.unread_tokens += unread_tokens
         self._services[request.service] = self._services.get(request.service, 0) + 1
+        self._unread[request.service] = self._unread.get(request.service, 0) + unread_tokens
 
     def began(self, attempt: Attempt) -> int | None:
         """Its answer has begun, so its prompt is read. The tokens counted for it; None if counted before."""
@@ -66,6 +72,7 @@
         if counts is None or entry is None:
             return None
         counts.unread_tokens -= entry[0]
+        self._unread[attempt.request.service] -= entry[0]
         return entry[0]
 
     def ended(self, attempt: Attempt) -> None:
--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -44,12 +44,15 @@
     `threshold_share`: of a runner's slots that this dispatcher's pending requests of one key may take before
     others are preferred. `prefill_share`: of the time until its aim that a request may wait behind prompts to
     be read. `shared_tokens`: a shared prefix of at least this many tokens is worth leaving the zone for.
-    `free_share`: of its slots up to which a runner without models counts as free.
+    `shed_aims`: a request that would wait for more than so many times its aim behind other prompts is refused
+    while half of the holders' slots are taken. `free_share`: of its slots up to which a runner without models
+    counts as free.
     """
 
     threshold_share: float = 0.125
     prefill_share: float = 0.25
     shared_tokens: int = 1024
+    shed_aims: float = 2.0
     free_share: float = 0.5
 
 
@@ -90,6 +93,10 @@
             return self._while_closed(now, request, pool, expected)
         chosen = self._keyed(now, request, open_ones) if request.model else self._unkeyed(now, open_ones)
         self._records[chosen.id] = chosen
+        if request.model and not tried:
+            wait_s = self._expected_wait_s(now, request, chosen)
+            if wait_s > self._patience_s(now, request) and self._half_taken(now, holders):
+                return self._refuse(now, request, now + wait_s, "overload")
         return Send(chosen, min(LEAST_PRIORITY, max(0, request.route.rank)))
 
     def sent(self, attempt: Attempt) -> None:
@@ -231,6 +238,24 @@
         best = self._rendezvous.preferred(shared_prefix(request), [record.id for record in holders])
         return [record for record in holders if record.id == best]
 
+    def _expected_wait_s(self, now: float, request: RequestTraits, record: RunnerRecord) -> float:
+        """How long the prompts before it will be read at the runner. Others' are taken to be like our own."""
+        counts = self._pending.at(record.id)
+        others = self._load.requests(now, record.id, counts.total) - counts.total
+        unread = counts.unread_tokens + others * self._pending.mean_unread(request.service)
+        return unread / self._pace.rate(request.service)
+
+    def _patience_s(self, now: float, request: RequestTraits) -> float:
+        """How long it may wait before its answer begins, when those behind it would be late for it."""
+        aim = request.target_at - request.arrived_at
+        return min(self._settings.shed_aims * aim, request.deadline_at - now)
+
+    def _half_taken(self, now: float, holders: Sequence[RunnerRecord]) -> bool:
+        """Whether half of the holders' slots are taken: a refusal before that is dear."""
+        taken = sum(self._load.requests(now, record.id, self._pending.at(record.id).total)
+                    for record in holders)
+        return taken >= 0.5 * sum(self._slots(record) for record in holders)
+
     def _busiest(self, request: RequestTraits, holders: Sequence[RunnerRecord]) -> RunnerRecord:
         """The holder with the most pending of the key."""
         return max(holders, key=lambda record: (self._pending.at(record.id).by_key.get(request.key, 0),
--- a/tests/test_decide_selection.py
+++ b/tests/test_decide_selection.py
@@ -280,3 +280,29 @@
     for _ in range(THRESHOLD):
         w.send_to("b")
     assert w.chosen(w.request()) == "a"
+
+
+def test_overload_is_refused_at_once_when_half_of_the_slots_are_taken_and_the_wait_is_hopeless() -> None:
+    w = world(runner("a"))
+    for _ in range(7):
+        w.send_to("a", w.request(prompt=parts(10_000, 10_000)))
+    assert w.chosen(w.request()) == "a"  # less than half of 16 slots
+    w.send_to("a", w.request(prompt=parts(10_000, 10_000)))
+    refused = w.choose(w.request())
+    assert isinstance(refused, Refuse) and refused.reason == "overload" and 0 < refused.retry_after <= 5.0 / 3
+
+
+def test_many_short_requests_are_no_overload() -> None:
+    w = world(runner("a"))
+    for _ in range(40):
+        w.selector.head(w.now, w.send_to("a"))
+    assert w.chosen(w.request()) == "a"
+
+
+def test_a_request_on_its_second_runner_is_not_shed() -> None:
+    w = world(runner("a"), runner("b"))
+    for _ in range(10):
+        w.send_to("a", w.request(prompt=parts(10_000, 10_000)))
+        w.send_to("b", w.request(prompt=parts(10_000, 10_000)))
+    assert isinstance(w.choose(w.request()), Refuse)
+    assert w.chosen(w.request(), ("a",)) == "b"
