Long silences, unacknowledged drains, and an experiment on the cost of distribution

Cause: a dispatcher out of touch for longer than tombstones are kept would keep a runner that left for ever; after 150 s of silence it now compares its registry with the whole of another and drops what is held nowhere. A draining check-in whose acknowledgement was refused or lost was not urgent when it came again at the same process; it stays urgent until Directory.replicated says that the others have it.

--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -28,6 +28,12 @@
     return experiment(options)
 
 
+def _distribution(options: Options) -> Result:
+    from ..lab.distribution import experiment
+
+    return experiment(options)
+
+
 def _place(options: Options) -> Result:
     from ..lab.place import experiment
 
@@ -41,7 +47,8 @@
 
 
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
-    "mass": _mass, "place": _place, "room": _room, "room-cost": _room_cost, "route": _route}
+    "distribution": _distribution, "mass": _mass, "place": _place, "room": _room,
+    "room-cost": _room_cost, "route": _route}
 
 
 @textual
@@ -50,7 +57,7 @@
     """Runs an experiment against models; the last line printed is NAME: figure=value ...
 
     Args:
-        name: The experiment: mass, place, room, room-cost or route.
+        name: The experiment: distribution, mass, place, room, room-cost or route.
         seed: The first seed.
         seeds: Runs of each kind.
         seconds: Length of a run, in the time that it plays in.
--- a/larchgw/directory/directory.py
+++ b/larchgw/directory/directory.py
@@ -39,17 +39,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckinOutcome:
-    """What a check-in or Leave changed. Urgent: it must be at the other control processes before it is
-    acknowledged.
+    """What a check-in or Leave changed.
+
+    Urgent: the runner drains or is gone, and nobody has said by `Directory.replicated` that the other control
+    processes have that; they must, before it is acknowledged.
     """
 
     news: bool
     urgent: bool
 
 
-NOTHING_NEW = CheckinOutcome(news=False, urgent=False)
-
-
 @dataclass(slots=True)
 class _Beat:
     """The last check-in heard here of a runner that this process watches."""
@@ -86,12 +85,14 @@
         self._changed_at: dict[str, float] = {}
         self._by_owner: dict[str, set[str]] = {}
         self._beats: dict[str, _Beat] = {}  # the one heard longest ago first
+        self._replicated: dict[str, Stage] = {}
         self._lost: dict[str, float] = {}  # owner -> since when it is known to be lost
         self._last_tick = clock()
         self._forgot_at = self._last_tick
         for entry in registry.items(RUNNER):
             self._learn(entry)
         registry.watch(RUNNER, self._learn)
+        registry.watch_removals(RUNNER, self._forgotten)
 
     @property
     def silent_after_s(self) -> float:
@@ -110,25 +111,29 @@
     def checkin(self, record: RunnerRecord) -> CheckinOutcome:
         """A check-in as `parse_checkin` read it. One that is overtaken by a later one changes nothing."""
         standing = self._records.get(record.id)
-        if standing is not None and standing.stage is Stage.GONE:
-            return NOTHING_NEW
-        if record.call_count < self._last_count(record.id):
-            return NOTHING_NEW
+        gone = standing is not None and standing.stage is Stage.GONE
+        if gone or record.call_count < self._last_count(record.id):
+            return self._outcome(record.id, news=False)
         self._heard(record)
         new = replace(record, stage=_later_stage(record, standing), owner=self.owner)
         if standing is not None and same_content(standing, new):
-            return NOTHING_NEW
-        news = self._publish(new)
-        return CheckinOutcome(news, urgent=news and new.stage >= Stage.DRAINING)
+            return self._outcome(record.id, news=False)
+        return self._outcome(record.id, self._publish(new))
 
     def leave(self, id: str) -> CheckinOutcome:
         """The runner ends. Also published for a runner that is not known here: its record may yet come."""
         standing = self._records.get(id)
         if standing is not None and standing.stage is Stage.GONE:
-            return NOTHING_NEW
+            return self._outcome(id, news=False)
         record = standing or RunnerRecord(id, service="", address="", zone="")
-        news = self._publish(replace(record, stage=Stage.GONE, models=(), owner=self.owner))
-        return CheckinOutcome(news, urgent=news)
+        gone = replace(record, stage=Stage.GONE, models=(), owner=self.owner)
+        return self._outcome(id, self._publish(gone))
+
+    def replicated(self, id: str) -> None:
+        """The other control processes have what stands for the runner; saying it again is not urgent."""
+        record = self._records.get(id)
+        if record is not None:
+            self._replicated[id] = record.stage
 
     def tick(self, now: float) -> None:
         """Publishes runners as silent and forgets old ones; to be called several times a beat."""
@@ -142,6 +147,11 @@
             self._forgot_at = now
             self._forget(now)
 
+    def _outcome(self, id: str, news: bool) -> CheckinOutcome:
+        record = self._records.get(id)
+        stage = record.stage if record is not None else Stage.READY
+        return CheckinOutcome(news, stage >= Stage.DRAINING and self._replicated.get(id) is not stage)
+
     def _last_count(self, id: str) -> int:
         """The highest call_count known of the runner."""
         beat, standing = self._beats.get(id), self._records.get(id)
@@ -219,8 +229,11 @@
         if not old:
             return
         self._registry.remove_older(RUNNER, lambda entry: entry.key.removeprefix(RUNNER) in old)
-        for id in old:
-            self._unnote(id)
+
+    def _forgotten(self, entry: Entry) -> None:
+        id = entry.key.removeprefix(RUNNER)
+        self._unnote(id)
+        self._replicated.pop(id, None)
 
 
 def _later_stage(checked_in: RunnerRecord, standing: RunnerRecord | None) -> Stage:
--- a/larchgw/directory/interface.py
+++ b/larchgw/directory/interface.py
@@ -10,6 +10,7 @@
         .tick(now)                                                      marks runners silent, forgets old ones
         .runners(service=None) -> list[RunnerRecord]                    all that are not gone
         .get(id) -> RunnerRecord | None
+        .replicated(id)     the other control processes have what stands: saying it again is not urgent
     view.RunnerView(registry)                                           at a dispatcher: records by id and
         by service
         .by_service(name) -> dict[id, RunnerRecord];  .holders(service, model, adapter) -> list[RunnerRecord]
--- a/larchgw/directory/view.py
+++ b/larchgw/directory/view.py
@@ -48,6 +48,7 @@
         for entry in registry.items(RUNNER):
             self._learn(entry)
         registry.watch(RUNNER, self._learn)
+        registry.watch_removals(RUNNER, self._forgotten)
 
     def __len__(self) -> int:
         return len(self._listed)
@@ -77,8 +78,6 @@
         if not old:
             return
         self._registry.remove_older(RUNNER, lambda entry: entry.key.removeprefix(RUNNER) in old)
-        for id in old:
-            self._drop(id)
 
     def _learn(self, entry: Entry) -> None:
         record = RunnerRecord.decode(entry.value)
@@ -98,11 +97,16 @@
             for id in self._at_address.get(old.address, []):
                 self._list(id, tell=False)
 
-    def _drop(self, id: str) -> None:
-        record = self._known.pop(id)
-        del self._changed_at[id]
-        self._unlist(id)
+    def _forgotten(self, entry: Entry) -> None:
+        record = self._known.pop(entry.key.removeprefix(RUNNER))
+        del self._changed_at[record.id]
+        listed = record.id in self._listed
+        self._unlist(record.id)
         self._leave_address(record)
+        if listed:
+            self._tell(record, gone=True)
+        for id in self._at_address.get(record.address, []):
+            self._list(id, tell=False)
 
     def _leave_address(self, record: RunnerRecord) -> None:
         ids = self._at_address.get(record.address, [])
--- a/larchgw/distribution/peers.py
+++ b/larchgw/distribution/peers.py
@@ -57,7 +57,7 @@
 
     def _start(self, address: str) -> None:
         puller = Puller(self._registry, self._connect, lambda: [address], self._settings, self._dice,
-                        node_name=self._node_name, learns=False, clock=self._clock)
+                        node_name=self._node_name, only_source=False, clock=self._clock)
         self._pullers[address] = puller
         self._tasks[address] = asyncio.get_running_loop().create_task(puller.run())
 
--- a/larchgw/distribution/puller.py
+++ b/larchgw/distribution/puller.py
@@ -18,6 +18,7 @@
 from ..rpc.generated.ttypes import PullReply, PullRequest, PushRequest
 from .interface import RUNNER
 from .registry import Registry
+from .resync import Resync
 from .sources import PullSettings, SourceChoice
 from .vectors import Vector, cursors, without_cursors
 
@@ -62,16 +63,18 @@
 class Puller:
     """Pulls entries with `prefixes` (none: all) into the registry until it is cancelled.
 
-    `connect` opens a connection to an address; `addresses` gives the control processes to start from. Later
-    ones are learned from the replies. With `returns` set, entries of runners that the process pulled from
-    turns out to lack some time after the change to it are given to it: after a restart of all control
-    processes the dispatchers are the only ones who know of a runner that crashed meanwhile.
+    `connect` opens a connection to an address; `addresses` gives the control processes to start from. Where
+    this puller is the registry's `only_source`, later ones are learned from the replies, and after a silence
+    of `stale_s` the registry is compared with the whole of another (resync.py). With `returns` set, entries
+    of runners that the process pulled from turns out to lack some time after the change to it are given to
+    it: after a restart of all control processes the dispatchers are the only ones who know of a runner that
+    crashed meanwhile.
     """
 
     def __init__(self, registry: Registry, connect: Callable[[str], Caller],
                  addresses: Callable[[], Sequence[str]], settings: PullSettings, dice: random.Random, *,
                  node_name: str = "", prefixes: Sequence[str] = (), near: Callable[[str], bool] | None = None,
-                 learns: bool = True, returns: bool = False,
+                 only_source: bool = True, returns: bool = False,
                  clock: Callable[[], float] = time.monotonic) -> None:
         self.registry = registry
         self.last_heard: float | None = None  # by `clock`: the last answer of a process that is not cut off
@@ -84,7 +87,8 @@
         self._choice = SourceChoice(settings, dice, near)
         self._node_name = node_name
         self._prefixes = list(prefixes)
-        self._learns = learns
+        self._only_source = only_source
+        self._resync = Resync(registry)
         self._returns = returns
         self._clock = clock
         self._learned: list[str] = []
@@ -131,18 +135,32 @@
 
     def _take(self, session: _Session, reply: PullReply) -> None:
         now = self.last_answered = self._clock()
-        self.registry.merge(reply.entries or [])
-        if not reply.more:
-            self.registry.advance(reply.upto or {})
+        self._merge(reply)
         if session.read(reply) and self._returns:
             session.returns_at = now + self._settings.return_after_s * self._dice.uniform(1.0, 1.5)
-        if self._learns and reply.control:
+        if self._only_source and reply.control:
             self._learned = list(reply.control)
         if reply.isolated:
             self._choice.failed(session.address)
-        else:
-            self._choice.served(now, session.address)
-            self.last_heard = now
+            return
+        self._choice.served(now, session.address)
+        if self._only_source and self._stale(now):
+            self._resync.begin()
+            session.cursors = {}
+        self.last_heard = now
+
+    def _merge(self, reply: PullReply) -> None:
+        entries = reply.entries or []
+        self.registry.merge(entries)
+        self._resync.saw(entries)
+        if reply.more:
+            return
+        self.registry.advance(reply.upto or {})
+        if self._resync.under_way and not reply.isolated:
+            self._resync.finish()
+
+    def _stale(self, now: float) -> bool:
+        return self.last_heard is not None and now - self.last_heard > self._settings.stale_s
 
     async def _return_entries(self, session: _Session) -> None:
         if session.returns_at is None or self._clock() < session.returns_at:
@@ -163,6 +181,8 @@
             self._leave()
         if self._session is None:
             self._session = _Session(address, self._connect(address))
+            if self._resync.under_way:
+                self._resync.begin()
             self.changes += 1
         return self._session
 
--- a/larchgw/distribution/registry.py
+++ b/larchgw/distribution/registry.py
@@ -74,6 +74,7 @@
         self._vector: Vector = {}
         self._by_origin: dict[str, Any] = {}  # origin -> SortedDict of sequence -> key
         self._watchers: list[tuple[str, Watcher]] = []
+        self._removal_watchers: list[tuple[str, Watcher]] = []
         self._news: deque[Entry] = deque()  # taken, and watchers not yet told
         self._telling = False
 
@@ -105,6 +106,10 @@
             if origin in self._by_origin and origin != self.origin:
                 self._vector[origin] = max(self._vector.get(origin, 0), sequence)
 
+    def disclaim(self) -> None:
+        """Claims nothing that others made, so that all of it is sent again."""
+        self._vector = {self.origin: self._sequence} if self._sequence else {}
+
     def vector(self) -> Vector:
         """What this registry holds, to be sent as `have`."""
         return dict(self._vector)
@@ -155,6 +160,10 @@
         """
         self._watchers.append((prefix, callback))
 
+    def watch_removals(self, prefix: str, callback: Watcher) -> None:
+        """Calls back for each entry under the prefix that is forgotten from now on."""
+        self._removal_watchers.append((prefix, callback))
+
     def remove_older(self, prefix: str, predicate: Callable[[Entry], bool]) -> int:
         """Forgets the entries under the prefix for which the predicate holds; how many they were.
 
@@ -165,6 +174,10 @@
         for entry in old:
             self._drop(entry)
             self._keys.remove(entry.key)
+        for entry in old:
+            for watched, callback in self._removal_watchers:
+                if entry.key.startswith(watched):
+                    callback(entry)
         return len(old)
 
     def _merge_one(self, entry: Entry) -> bool:
--- a/larchgw/distribution/sources.py
+++ b/larchgw/distribution/sources.py
@@ -24,6 +24,7 @@
     first_backoff_s: float = 0.05  # pause once every process was tried in vain; doubles
     last_backoff_s: float = 0.8  # where doubling ends
     reconsider_s: float = 60.0  # after this, one in the own zone is taken again if the current one is not
+    stale_s: float = 150.0  # out of touch for longer, tombstones may be missed: half of their time
     return_after_s: float = 5.0  # after a change, when entries that the new process lacks are given to it
 
     @classmethod
--- a/tests/test_distribution_puller.py
+++ b/tests/test_distribution_puller.py
@@ -240,6 +240,40 @@
         self.assertIsNotNone(peer.registry.get("runner/crashed"))
 
 
+    def out_of_touch(self, seconds: float, meanwhile: Callable[[], object]) -> None:
+        """Knows runners x and y, is out of touch, and in touch again for a while."""
+        peer = self.peer("a")
+        for name in "xy":
+            peer.registry.put(f"runner/{name}", b"ready", 1)
+        peer.registry.put("configuration", b"c", 1)
+        puller = self.puller(addresses=("a",))
+        self.play(puller, seconds + 20.0, (5.0, lambda: setattr(peer, "hung", True)), (6.0, meanwhile),
+                  (5.0 + seconds, lambda: setattr(peer, "hung", False)))
+
+    def test_a_runner_whose_tombstone_was_forgotten_during_a_long_silence_is_dropped(self) -> None:
+        peer = self.peer("a")
+        self.out_of_touch(200.0, lambda: peer.registry.remove_older("runner/x", lambda entry: True))
+        self.assertEqual(["configuration", "runner/y"], [entry.key for entry in self.registry.items()])
+
+    def test_nothing_is_compared_after_a_short_silence(self) -> None:
+        peer = self.peer("a")
+        self.out_of_touch(60.0, lambda: peer.registry.remove_older("runner/x", lambda entry: True))
+        self.assertIsNotNone(self.registry.get("runner/x"))
+
+    def test_an_empty_control_process_does_not_take_all_runners_away(self) -> None:
+        peer = self.peer("a")
+        self.out_of_touch(200.0, lambda: peer.start(2))
+        self.assertEqual(3, len(self.registry))
+
+    def test_after_a_comparison_pulls_go_on_with_little(self) -> None:
+        peer = self.peer("a")
+        self.out_of_touch(200.0, lambda: None)
+        last = peer.arguments[-1].have
+        self.assertIn("@a.1", last)
+        self.assertIn("a.1", last)
+        self.assertLess(len([at for at, _ in peer.calls if at > 206.0]), 45)
+
+
 class PeerPullersTest(testtools.TestCase):
     def test_pullers_follow_the_list_of_peers(self) -> None:
         peers = [Peer("a"), Peer("b")]
--- a/tests/test_runner_view.py
+++ b/tests/test_runner_view.py
@@ -91,6 +91,14 @@
         self.assertEqual(["runner/x"], [entry.key for entry in self.registry.items()])
         self.assertEqual(1, len(self.view))
 
+    def test_one_that_is_dropped_from_the_registry_is_told_as_gone(self) -> None:
+        told: list[tuple[str, Stage]] = []
+        self.publish("x", models=(HeldModel("m"),))
+        self.view.on_change(lambda record: told.append((record.id, record.stage)))
+        self.registry.remove_older("runner/", lambda entry: True)
+        self.assertEqual(([], []), (self.holders("m"), list(self.view.by_service("llm"))))
+        self.assertEqual([("x", Stage.GONE)], told)
+
 
 steps = st.lists(st.tuples(
     st.sampled_from("abcd"), st.sampled_from(list(Stage)), st.sampled_from(["h:1", "h:2"]),
