Edge: connections that runners close early are learned of, and a forced end answers what is open

Runners tell whole seconds in Keep-Alive, so one that closes sooner tells nothing: its closed connections now shorten the time for which others are trusted. Streams whose ids rise unevenly can be resumed. Proxy.abandon gives open requests their final answers before the process ends, instead of closed connections.

--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -362,10 +362,20 @@
         if self._over:
             return
         self._context.counters.gone.inc()
+        self._cancel()
+        self._finish()
+
+    def abandon(self) -> None:
+        """The process ends: it is answered with what is known of it now."""
+        if not self._over:
+            self._cancel()
+            self._give_up(RETRY_AFTER_S, "stopping")
+
+    def _cancel(self) -> None:
+        """Gives up the attempt that is under way."""
         if self._attempt is not None:
             link, self._link = self._link, None
             self._settle(link.cancel() if link is not None else AttemptOutcome.UNSENT)
-        self._finish()
 
     def _finish(self) -> None:
         self._over = True
--- a/larchgw/edge/interface.py
+++ b/larchgw/edge/interface.py
@@ -9,6 +9,7 @@
         .open_count                      requests without a final answer
         .stop_accepting()                no more connections; resting ones are closed
         .drain(done)                     `done()` once all is answered and written
+        .abandon()                       open requests get their final answers now; before a forced end
         .close()                         whatever is open is closed
         .counters, .net_counters         Prometheus metrics, in `net_counters.registry`
 
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -120,6 +120,14 @@
         self._drained = done
         self._check_drained()
 
+    def abandon(self) -> None:
+        """Gives every open request its final answer at once, shortly before the process ends.
+
+        What never ran is told to come back; of what is at a runner nothing is promised.
+        """
+        for request in list(self._open):
+            request.abandon()
+
     def close(self) -> None:
         """Closes every connection, whatever it carries."""
         self.loop.deadlines.drop(self._look)
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -117,8 +117,13 @@
         self._counters.connections.labels("died").inc()
         name = self._owner.get(link)
         kept = self._kept.get(name) if name is not None else None
-        if kept is not None and not link.idle:
-            self._keep_time(kept.service).proved_dead(self.loop.clock.now(), link.idle_for)
+        if kept is None:
+            return
+        now, keep_time = self.loop.clock.now(), self._keep_time(kept.service)
+        if link.idle:
+            keep_time.closed_idle(now, now - link.idle_since)
+        else:
+            keep_time.proved_dead(now, link.idle_for)
 
     def _keep_time(self, service: str) -> KeepTime:
         return self._keep_times.setdefault(service, KeepTime())
--- a/larchgw/edge/stream_relay.py
+++ b/larchgw/edge/stream_relay.py
@@ -25,7 +25,7 @@
         self._exchange = exchange
         self._head = AnswerHead()
         self._splitter = EventSplitter()
-        self._step = 0  # the largest distance of two ids so far; 0: not known yet
+        self._step: int | None = None  # the distance of any two ids so far; 0: it varies
         self._continues = False  # whether the present run goes on from another one
         self._in_order = True  # whether every event has told an id above the one before it
         self.started = False
@@ -89,6 +89,7 @@
             return
         rises = number is not None and (last is None or number > last)
         if self._continues and last is not None:
+            # The last event may hold fewer tokens than the others, and so be nearer.
             if number is None or not rises or (self._step and number > last + self._step):
                 raise StreamMismatch(f"event {number} follows event {last}")
         if event.version:
@@ -97,5 +98,5 @@
             self._in_order = False
             return
         if last is not None:
-            self._step = max(self._step, number - last)
+            self._step = number - last if self._step in (None, number - last) else 0
         self.last_id = number
--- a/tests/test_edge_requests.py
+++ b/tests/test_edge_requests.py
@@ -477,6 +477,25 @@
     run(test())
 
 
+def test_at_a_forced_end_each_open_request_is_told_what_is_known_of_it() -> None:
+    async def test() -> None:
+        runner = ScriptedRunner("i-1")
+        async with edge(runner) as made:
+            sent = await made.ask("/writing/x", "sent")
+            await runner.call()
+            made.selection.script = [Wait(float("inf"), "full")]
+            waits = await made.ask("/writing/x", "waits")
+            await until(lambda: len(made.selection.asked) == 2)
+            made.proxy.abandon()
+            assert (await sent.answer()).status == 502
+            answer = await waits.answer()
+            assert answer.status == 503 and float(answer.fields["retry-after"]) > 0
+            assert made.proxy.open_count == 0
+            assert made.selection.outcomes == [AttemptOutcome.CANCELLED]
+
+    run(test())
+
+
 def test_a_split_route_keeps_to_its_weights_and_a_try_to_its_service() -> None:
     split = route("writing", shares=(Share("a", 90.0), Share("none", 0.0), Share("b", 10.0)))
     names = [b"%016x" % (number * 2654435761) for number in range(4000)]
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -169,6 +169,24 @@
     run(test())
 
 
+def test_a_second_run_goes_on_where_ids_rise_unevenly() -> None:
+    async def test() -> None:
+        first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+        async with edge(first, second) as made:
+            client = await made.ask("/streaming/x")
+            call = await first.call()
+            await begun(client, call, 1, 2, 6)
+            call.reset()
+            call = await second.call()
+            assert call.headers["last-event-id"] == "6"
+            call.stream()
+            call.events(15, 16)
+            call.end()
+            assert await rest(client) == (events(15, 16), True)
+
+    run(test())
+
+
 def test_runs_of_two_versions_of_the_weights_are_never_joined() -> None:
     async def test() -> None:
         runners = [ScriptedRunner(f"i-{number}") for number in range(3)]
