A committed configuration is sent once and compressed; a role loads less at its start

The roles loaded the present program's decision module, which parse_address and larchgw.core pulled in.

Change: the primary publishes at once, the others only if it has not within half a second; the entry is zlib of the JSON; edges read only the routes that changed; an order is evaluated once on one version.

--- a/larchgw/config.py
+++ b/larchgw/config.py
@@ -11,7 +11,7 @@
 
 from .checks import check_settings
 from .interface import Settings
-from .net.connection import parse_address
+from .net.address import parse_address
 from .wire import EFFECTS, WireError, read_settings
 
 DEFAULT_SOCKETS, DEFAULT_MEMORY_MB = 1024, 128
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from ..configuration.errors import SettingsError
+from ..configuration.packing import pack
 from ..configuration.settings import NodeSettings
 from ..directory.checkins import parse_checkin
 from ..directory.directory import CheckinOutcome, Directory
@@ -23,7 +24,7 @@
 from ..membership.settings import SwimSettings
 from ..membership.swim import Swim
 from ..membership.transport import SwimTransport
-from ..net.connection import parse_address
+from ..net.address import parse_address
 from ..placement.model import PlacementSettings
 from ..placement.orders import OrderClient
 from ..placement.service import PlacementRuntime, PlacementService
@@ -59,6 +60,7 @@
 DIRECTORY_TICK_S = 0.25
 HANDOFF_TIMEOUT_S = 0.4  # a runner waits a second for its acknowledgement
 CONTACTS_TICK_S = 0.2
+PUBLISH_AFTER_S = 0.5  # after which a backup publishes a configuration that the primary has not
 HAND_OVER_S = 0.4  # after a planned end was told, for the others to take over
 
 
@@ -85,7 +87,7 @@
         self.swim = self._make_swim()
         self.state = ConfigurationState()
         self.member = self._make_member(Path(settings.data_dir))
-        self.replicated = ReplicatedLog(self.member, self.state, self.clients, self._publish_configuration)
+        self.replicated = ReplicatedLog(self.member, self.state, self.clients, self._configuration_changed)
         self.operator = OperatorCalls(self.member, OperatorService(self.state, self.replicated), self.clients)
         pull_settings = PullSettings.of(settings.time_limits)
         self.peers = PeerPullers(self.registry, RpcClient, self._peers, pull_settings, self._dice,
@@ -160,11 +162,21 @@
 
     # ---- What is published ----
 
-    def _publish_configuration(self) -> None:
+    def _configuration_changed(self) -> None:
+        """Only the primary publishes at once, or each process would send the same to all."""
         current = self.state.current
-        if current is not None:
-            self.registry.put(CONFIGURATION, json.dumps(current.raw).encode(), self.state.index)
-            self.placement.configure(current)
+        if current is None:
+            return
+        self.placement.configure(current)
+        if self.member.is_primary:
+            self._publish_configuration()
+        else:
+            asyncio.get_running_loop().call_later(PUBLISH_AFTER_S, self._publish_configuration)
+
+    def _publish_configuration(self) -> None:
+        current, held = self.state.current, self.registry.get(CONFIGURATION)
+        if current is not None and (held is None or held.major < self.state.index):
+            self.registry.put(CONFIGURATION, pack(current.raw), self.state.index)
 
     def _publish_expected(self, runner: str, names: dict[str, float]) -> None:
         lease = self._placer_lease()
--- a/larchgw/control/state.py
+++ b/larchgw/control/state.py
@@ -46,6 +46,8 @@
     def __init__(self) -> None:
         self.current: Configuration | None = None
         self.index = 0  # of the record that made `current`
+        # The last order that was evaluated, the version it was tried on, and the result.
+        self._evaluated: tuple[Order, int, Configuration] | None = None
         self._taken: dict[str, int] = {}  # digest -> version, oldest first
 
     @property
@@ -59,7 +61,11 @@
 
     def evaluate(self, order: Order) -> Configuration:
         """The configuration that the order would put in force. Raises ConfigurationError."""
-        return evaluate(self.current, order.operation, order.built_on, order.body)
+        if self._evaluated is not None and self._evaluated[:2] == (order, self.version):
+            return self._evaluated[2]
+        result = evaluate(self.current, order.operation, order.built_on, order.body)
+        self._evaluated = (order, self.version, result)
+        return result
 
     def apply(self, index: int, record: bytes) -> None:
         """Takes one committed record; every replica comes to the same state.
--- a/larchgw/core/__init__.py
+++ b/larchgw/core/__init__.py
@@ -1,7 +1,20 @@
 """Requests, attempts and outcomes, whatever wire they come over."""
 
-from .dispatch import Core
+from typing import TYPE_CHECKING, Any
+
 from .outcomes import Answer, AnswerKind, End
 from .requests import Attempt, Front, Request, Transport
 
+if TYPE_CHECKING:
+    from .dispatch import Core
+
 __all__ = ["Answer", "AnswerKind", "Attempt", "Core", "End", "Front", "Request", "Transport"]
+
+
+def __getattr__(name: str) -> Any:
+    """Loads `Core` when it is first asked for: the system's roles use the counters and deadlines alone."""
+    if name == "Core":
+        from .dispatch import Core
+
+        return Core
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -5,11 +5,14 @@
 import asyncio
 import logging
 import time
+import zlib
 from collections.abc import Mapping
 
 from ..configuration.errors import ConfigurationError
+from ..configuration.model import Configuration
+from ..configuration.packing import unpack
 from ..configuration.settings import NodeSettings
-from ..configuration.validation import decode, parse
+from ..configuration.validation import parse_committed
 from ..decide.budget import RetryBudget
 from ..decide.selection import Selector
 from ..directory.records import RunnerRecord
@@ -23,8 +26,8 @@
 from ..membership.settings import SwimSettings
 from ..membership.swim import Swim
 from ..membership.transport import SwimTransport
+from ..net.address import parse_address
 from ..net.asyncloop import AsyncLoop
-from ..net.connection import parse_address
 from ..rpc.client import RpcClient
 from ..rpc.generated.ttypes import Entry
 from ..runtime.addresses import EDGE_GOSSIP_PORT, seed_gossip_addresses, seed_rpc_addresses
@@ -54,7 +57,8 @@
         self.clients = RpcClients()
         self.tasks = Tasks()
         self._dice = dice
-        self._configured = self._stopping = False
+        self._configuration: Configuration | None = None
+        self._stopping = False
         self.swim = self._make_swim()
         self.puller = Puller(
             self.registry, RpcClient, lambda: seed_rpc_addresses(self.settings),
@@ -85,7 +89,7 @@
 
     def is_ready(self) -> bool:
         """Whether new connections are welcome: it knows a configuration and runners, and does not stop."""
-        return self._configured and len(self.view) > 0 and not self._stopping
+        return self._configuration is not None and len(self.view) > 0 and not self._stopping
 
     def reload(self, settings: NodeSettings) -> None:
         """Takes other seeds and bounds; addresses stay."""
@@ -120,13 +124,13 @@
 
     def _configure(self, entry: Entry) -> None:
         try:
-            configuration = parse(decode(entry.value))
-        except ConfigurationError as error:
+            configuration = parse_committed(unpack(entry.value), self._configuration)
+        except (ConfigurationError, zlib.error) as error:
             log.error("edge: a configuration that was taken cannot be read: %s", error)
             return
         self.selector.configure(configuration)
         self.proxy.configure(configuration)
-        self._configured = True
+        self._configuration = configuration
         log.info("edge: configuration %d is in force", configuration.config_version)
 
     def _expected(self, service: str, model: str, adapter: str) -> Mapping[str, float]:
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -15,7 +15,7 @@
 from ..core.deadlines import Deadline
 from ..decide.interface import Budget, RequestTraits, Selection
 from ..directory.records import RunnerRecord
-from ..net.connection import parse_address
+from ..net.address import parse_address
 from ..net.httpserver import Exchange, HttpServer, ServerLimits
 from ..net.loop import EventLoop
 from ..rpc.generated.ttypes import ModelDemand
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -8,7 +8,8 @@
 
 from ..core.deadlines import Deadline
 from ..directory.records import RunnerRecord, Stage
-from ..net.connection import Connection, parse_address
+from ..net.address import parse_address
+from ..net.connection import Connection
 from ..net.loop import EventLoop
 from .counters import EdgeCounters
 from .keep_time import KeepTime
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -224,11 +224,3 @@
         sock.close()
         return Ending.REFUSED if error == errno.ECONNREFUSED else Ending.NEVER_UP
     return Connection(loop, sock, owner, connecting=True, rank=rank)
-
-
-def parse_address(text: str) -> tuple[str, int]:
-    """`host:port`; ValueError if it is not."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -14,7 +14,8 @@
 from ..core import Core
 from ..core.deadlines import Deadline
 from ..interface import ListKind, Member, Presence, WorkerId
-from .connection import Connection, connect, parse_address
+from .address import parse_address
+from .connection import Connection, connect
 from .ending import Ending
 from .loop import FIRST, Loop
 
--- a/larchgw/settings_file.py
+++ b/larchgw/settings_file.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from .config import ConfigError, Fronts
-from .net.connection import parse_address
+from .net.address import parse_address
 from .room import RoomSettings
 
 
