Edge: a runner's connection that was paused for a slow client is read again

Where the end of an answer came in the turn in which its reading was paused, the connection was kept paused, and the next request on it got no answer until its deadline.

--- a/larchgw/edge/runner_link.py
+++ b/larchgw/edge/runner_link.py
@@ -278,6 +278,7 @@
         connection = self.connection
         usable = isinstance(connection, Connection) and not connection.closed and not connection.over
         if usable and self._keep and not self._surplus and not self._strangers and not connection.unsent:  # type: ignore[union-attr]
+            self.pause(False)  # the client reads slowly, but the next request may be another client's
             self.idle_since = self.owner.loop.clock.now()
             self.owner.released(self, _keep_alive_s(self._coming.headers))
         else:
--- a/tests/test_edge_parsers.py
+++ b/tests/test_edge_parsers.py
@@ -18,6 +18,7 @@
 from larchgw.edge.runner_link import AnswerHead, RunnerLink
 from larchgw.net.ending import Ending
 from larchgw.net.heads import end_to_end
+from larchgw.net.loop import READ
 
 LINES = st.lists(st.sampled_from([b"id: 3", b"id:12", b"id: x", b"data: one", b"data", b": ping",
                                   b"versions: 4", b"data: id: 9"]), min_size=1, max_size=4)
@@ -179,6 +180,24 @@
         assert pool.free == (not answer.startswith(STRANGER))
 
 
+def test_a_connection_that_was_paused_for_a_slow_client_is_read_again_for_the_next_request() -> None:
+    class Slow(Carried):
+        def on_body(self, data: bytes) -> None:
+            link.pause(True)
+
+    pool = Pool()
+    heard: list[int] = []
+    pool.watch = lambda sock, events, *more: heard.append(events)  # type: ignore[method-assign]
+    link = RunnerLink(pool, ("127.0.0.1", 9))  # type: ignore[arg-type]
+    connection = link.connection
+    assert not isinstance(connection, Ending)
+    connection.connecting = False
+    link.begin(Slow(), head_only=False)
+    link.on_data(ANSWERS[0])
+    assert pool.free == 1 and heard[-2:] == [0, READ]
+    link.close()
+
+
 @given(st.binary(min_size=1, max_size=120))
 def test_bytes_at_random_are_never_an_answer(data: bytes) -> None:
     carried, pool = carry([data], Ending.CLOSED)
