Control: a full disk ends no process; cells get a reserve

The store's errors for a full or failing disk were no OSError, which is what replication catches: a refused write ended a tick or a call with a traceback, and the member never gave up its role. They are one now. The three cells of a control process get a reserve, filled up at the start and after each compaction, so that an epoch can be stored on a full disk. A data folder that cannot be read ends the start with one line that names the remedy.

--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -6,7 +6,6 @@
 import json
 import logging
 import time
-from pathlib import Path
 
 from ..configuration.errors import SettingsError
 from ..configuration.packing import pack
@@ -30,7 +29,6 @@
 from ..placement.service import PlacementRuntime, PlacementService
 from ..replication.lease import Lease
 from ..replication.member import Member
-from ..replication.ports import Ports
 from ..replication.settings import MemberSettings
 from ..rpc.client import RpcClient
 from ..rpc.server import RpcServer
@@ -44,10 +42,9 @@
 from ..runtime.clients import RpcClients
 from ..runtime.dice import new_dice
 from ..runtime.tasks import Tasks
-from ..storage.cell import Cell
 from ..storage.files import DiskFiles
-from ..storage.log import Log
 from . import http_api
+from .disk import ControlDisk
 from .isolation import Isolation
 from .operator import Answer, OperatorService
 from .operator_calls import OperatorCalls
@@ -61,16 +58,10 @@
 HANDOFF_TIMEOUT_S = 0.4  # a runner waits a second for its acknowledgement
 CONTACTS_TICK_S = 0.2
 PUBLISH_AFTER_S = 0.5  # after which a backup publishes a configuration that the primary has not
+RESERVE_TICK_S = 1.0  # compactions are at least some seconds apart
 HAND_OVER_S = 0.4  # after a planned end was told, for the others to take over
 
 
-def open_ports(folder: Path) -> Ports:
-    """The files of a member under `folder`. Raises OSError and storage's errors."""
-    files = DiskFiles()
-    return Ports(identity=Cell(files, str(folder), "identity"), witness=Cell(files, str(folder), "witness"),
-                 leases=Cell(files, str(folder), "leases"), journal=Log.open(files, str(folder / "log")))
-
-
 class ControlNode:
     """One control process."""
 
@@ -86,7 +77,8 @@
         self.registry = Registry(new_origin(settings.node_name, self._dice))
         self.swim = self._make_swim()
         self.state = ConfigurationState()
-        self.member = self._make_member(Path(settings.data_dir))
+        self.disk = ControlDisk.open(DiskFiles(), settings.data_dir)
+        self.member = self._make_member()
         self.replicated = ReplicatedLog(self.member, self.state, self.clients, self._configuration_changed)
         self.operator = OperatorCalls(self.member, OperatorService(self.state, self.replicated), self.clients)
         pull_settings = PullSettings.of(settings.time_limits)
@@ -115,6 +107,7 @@
         self.tasks.every("replication", TICK_S, self.replicated.tick)
         self.tasks.every("directory", DIRECTORY_TICK_S, lambda: self.directory.tick(time.monotonic()))
         self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
+        self.tasks.every("reserve", RESERVE_TICK_S, self.disk.keep_reserve)
         self.tasks.start("peers", self.peers.run)
         self.tasks.start("handoff", self.handoff.run)
         self.tasks.start("placement", self.placement.run)
@@ -235,14 +228,14 @@
         swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
         return swim
 
-    def _make_member(self, folder: Path) -> Member:
+    def _make_member(self) -> Member:
         settings = self.settings
         fresh = f"{self.address}#{self._dice.getrandbits(64):016x}"
         member_settings = MemberSettings(
             address=self.address, seeds=tuple(seed_rpc_addresses(settings)), first_boot=settings.first_boot,
             fresh_identity=fresh, survive=settings.survive.computers,
             lease_term=settings.time_limits.lease_term_ms / 1000.0)
-        return Member(member_settings, open_ports(folder), self.state.snapshot, self._dice)
+        return Member(member_settings, self.disk.ports, self.state.snapshot, self._dice)
 
     def _make_placement(self) -> PlacementService:
         limits = self.settings.time_limits
--- a/larchgw/runtime/process.py
+++ b/larchgw/runtime/process.py
@@ -11,6 +11,7 @@
 
 from ..configuration.errors import SettingsError
 from ..configuration.settings import NodeSettings, load
+from ..storage.errors import StorageError
 from . import logs
 
 log = logging.getLogger(__name__)
@@ -50,7 +51,9 @@
 
 
 def run(make: Callable[[NodeSettings], Role]) -> int:
-    """The exit status: 0 after SIGTERM, 2 for settings that cannot be used, 1 for an address in use."""
+    """The exit status: 0 after SIGTERM, 2 for settings that cannot be used, 1 for an address in use or a data
+    folder that cannot be read.
+    """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop listens to it, it would end the process
     try:
         settings = load()
@@ -60,6 +63,12 @@
     logs.configure(settings.node_name)
     try:
         asyncio.run(_serve(make(settings)))
+    except SettingsError as error:
+        print(f"larchgw: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    except StorageError as error:
+        log.error("cannot start: %s", error)
+        return 1
     except OSError as error:
         log.error("cannot start: %s; free the address or change the settings", error)
         return 1
--- a/larchgw/storage/errors.py
+++ b/larchgw/storage/errors.py
@@ -15,12 +15,18 @@
         self.path, self.problem, self.remedy = path, problem, remedy
 
 
-class DiskFull(StorageError):
-    """There is no room. Nothing was promised by the call that raised it, and the store stays usable."""
+class DiskFull(StorageError, OSError):
+    """There is no room. Nothing was promised by the call that raised it, and the store stays usable.
 
+    An OSError, as the ports of larchgw/replication ask for, so that a member gives up its role and goes on.
+    """
 
-class DiskFailed(StorageError):
-    """The disk refused a call for another reason. Nothing was promised, and the call may be repeated."""
+
+class DiskFailed(StorageError, OSError):
+    """The disk refused a call for another reason. Nothing was promised, and the call may be repeated.
+
+    An OSError for the same reason as DiskFull.
+    """
 
 
 class RecordsGone(StorageError):
--- a/larchgw/storage/files.py
+++ b/larchgw/storage/files.py
@@ -13,7 +13,7 @@
 from contextlib import contextmanager
 from typing import Protocol
 
-from .errors import DiskFailed, from_os_error
+from .errors import DiskFailed, StorageError, from_os_error
 
 FOLDER_MODE = 0o750
 FILE_MODE = 0o640
@@ -60,6 +60,8 @@
 def _typed_errors(path: str) -> Iterator[None]:
     try:
         yield
+    except StorageError:
+        raise
     except OSError as error:
         raise from_os_error(path, error) from error
 
--- /dev/null
+++ b/tests/test_control_disk.py
@@ -0,0 +1,135 @@
+"""The disk of a control process: a full one stops no more than the writes, and small values find room."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+from collections.abc import Coroutine, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from faulty_files import FaultyFiles
+from testtools import TestCase
+
+from larchgw.control.disk import ControlDisk
+from larchgw.control.operator import ReplicationUnavailable
+from larchgw.control.replicated_log import ReplicatedLog
+from larchgw.control.state import ConfigurationState, Order
+from larchgw.replication.member import Member
+from larchgw.replication.settings import MemberSettings
+from larchgw.runtime import process
+from larchgw.runtime.clients import RpcClients
+from larchgw.storage.errors import DiskFailed, DiskFull
+from larchgw.storage.files import DiskFiles
+from larchgw.storage.reserve import NAME, RESERVE_BYTES
+
+ADDRESS = "10.0.0.1:7660"
+RESERVE = f"data/{NAME}"
+
+
+def order(version: int, built_on: int) -> Order:
+    body = {"config_version": version, "routes": [], "services": []}
+    return Order("replace", built_on, json.dumps(body).encode())
+
+
+class ReserveTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.files = FaultyFiles()
+        self.disk = ControlDisk.open(self.files, "data")
+
+    def test_an_epoch_finds_room_on_a_disk_that_became_full(self) -> None:
+        self.disk.keep_reserve()
+        self.files.capacity = self.files.used()
+        self.disk.ports.witness.store(b"epoch 7")
+        self.assertEqual(b"epoch 7", ControlDisk.open(self.files, "data").ports.witness.load())
+        self.assertIsNone(self.files.size(RESERVE))
+
+    def test_the_reserve_is_not_taken_back_before_a_compaction_has_freed_room(self) -> None:
+        self.disk.keep_reserve()
+        self.files.capacity = self.files.used()
+        self.disk.ports.witness.store(b"epoch 7")
+        self.disk.keep_reserve()
+        self.assertIsNone(self.files.size(RESERVE))
+        self.files.capacity += 4 * RESERVE_BYTES
+        self.disk.ports.journal.append(b"record")
+        self.disk.ports.journal.compact(1, b"snapshot")
+        self.disk.keep_reserve()
+        self.assertEqual(RESERVE_BYTES, self.files.size(RESERVE))
+
+
+class FullDiskTest(TestCase):
+    """One member alone, whose disk fills up."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.files, self.now = FaultyFiles(), 0.0
+        self.state = ConfigurationState()
+        settings = MemberSettings(ADDRESS, (ADDRESS,), True, "", 0, 3.0)
+        disk = ControlDisk.open(self.files, "data")
+        self.member = Member(settings, disk.ports, self.state.snapshot, random.Random(1))
+        self.log = ReplicatedLog(self.member, self.state, RpcClients(), lambda: None, lambda: self.now)
+        self.log.start()
+        self.pass_time(1.0)
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.02)):
+            self.now += 0.02
+            self.log.tick()
+
+    def run_call(self, call: Coroutine[Any, Any, int]) -> int:
+        return asyncio.run(call)
+
+    def test_a_full_disk_leaves_a_change_unclear_and_the_process_running(self) -> None:
+        self.run_call(self.log.propose(order(1, 0).encode()))
+        self.files.refuses_writes = True
+        self.assertRaises(ReplicationUnavailable, self.run_call, self.log.propose(order(2, 1).encode()))
+        self.pass_time(10.0)
+        self.assertEqual(1, self.state.version)
+        self.files.refuses_writes = False
+        self.pass_time(10.0)
+        self.run_call(self.log.propose(order(3, 1).encode()))
+        self.assertEqual(3, self.state.version)
+
+
+@pytest.mark.parametrize("kind", [DiskFull, DiskFailed])
+def test_what_a_disk_refuses_is_an_os_error_and_still_names_file_and_remedy(kind: type[Exception]) -> None:
+    error = kind("log/segment", "no room", "free some")
+    assert isinstance(error, OSError)
+    assert str(error) == "log/segment: no room; free some"
+
+
+def test_a_write_refused_by_the_system_is_typed(tmp_path: Path) -> None:
+    with pytest.raises(DiskFailed) as caught:
+        DiskFiles().write(str(tmp_path), 0, b"a folder is no file")
+    assert str(tmp_path) in str(caught.value)
+
+
+@pytest.fixture
+def hang_up_handler() -> Iterator[None]:
+    """Puts the handler of SIGHUP back: processes that other tests start would inherit that it is ignored."""
+    before = signal.getsignal(signal.SIGHUP)
+    yield
+    signal.signal(signal.SIGHUP, before)
+
+
+@pytest.mark.usefixtures("hang_up_handler")
+def test_a_damaged_data_folder_ends_the_start_with_one_line_that_names_the_remedy(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    settings = tmp_path / "local.json"
+    settings.write_text(json.dumps({"node_name": "c", "ip": "127.0.0.1", "zone": "a", "spare_ports": [1, 9]}))
+    monkeypatch.setenv("LARCHGW_NODE_FILE", str(settings))
+    monkeypatch.setattr(process.logs, "configure", lambda name: None)
+    (tmp_path / "data").mkdir()
+    (tmp_path / "data" / "witness-a").write_bytes(b"torn")
+    (tmp_path / "data" / "witness-b").write_bytes(b"torn")
+
+    def make(_: object) -> Any:
+        return ControlDisk.open(DiskFiles(), str(tmp_path / "data"))
+
+    assert process.run(make) == 1
+    (line,) = [record.getMessage() for record in caplog.records if record.levelname == "ERROR"]
+    assert line.startswith("cannot start: ") and "witness-a" in line and "move the data folder" in line
