Edge: a stream that goes on elsewhere is not turned away for its first event's aim

The selection refuses under overload what would wait far beyond its aim. A cut stream has had its first event, so its aim says nothing of the rest, and turning it away lost the run and the client's answer.

--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Mapping
+from dataclasses import replace
 
 from ..core.deadlines import Deadline
 from ..decide.interface import Attempt, AttemptOutcome, Refuse, RequestTraits, Send, Wait
@@ -294,7 +295,9 @@
             again = self._sends < self.traits.route.tries + EXTRA_SENDS
         else:
             again = self._may_run_again(self._runs)
-        if again and self.started and self._stream is not None:
+        if again and self.started and not outcome.never_ran:
+            # Its first event has come: being late for that is no reason to turn the rest away.
+            self.traits = replace(self.traits, target_at=self.traits.deadline_at)
             self._context.counters.resumed.inc()
         if again:
             self._relay = None
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -111,6 +111,8 @@
             assert made.selection.outcomes == [AttemptOutcome.CUT, AttemptOutcome.DONE]
             assert made.budget.repeats == 1
             assert made.proxy.net_counters.registry.get_sample_value("larchgw_edge_resumed_total") == 1
+            at_first, later = (asked[0] for asked in made.selection.asked)
+            assert at_first.target_at < later.target_at == later.deadline_at == at_first.deadline_at
 
     run(test())
 
