--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -50,7 +50,7 @@
     """
 
     threshold_share: float = 0.125
-    prefill_share: float = 0.25
+    prefill_share: float = 0.1
     shared_tokens: int = 1024
     shed_aims: float = 2.0
     free_share: float = 0.5
