--- /dev/null
+++ b/larchgw/cli/system_trial.py
@@ -0,0 +1,53 @@
+"""`larchgw try --system`: the whole system's processes on loopback under an emulated day, and its rules."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..lab.results import table
+from .command import Command, UsageError, decimal, whole
+
+SHOWN_BREACHES = 20
+
+
+@dataclass(frozen=True, slots=True)
+class SystemSizes:
+    """The options of `try` that only --system reads, as they were written."""
+
+    edges: str
+    runners: str
+    models: str
+    rate: str
+    folder: str | None
+
+
+def system_trial(seconds: float, seed: int, sizes: SystemSizes, faults: bool) -> Command:
+    """The command. Raises UsageError."""
+    from ..emulator.system.site import Site
+    from ..emulator.system.trial import SystemSpec
+
+    site = Site(edges=whole("edges", sizes.edges, 1, 30), runners=whole("runners", sizes.runners, 3, 100),
+                models=whole("models", sizes.models, 1, 200), rate=decimal("rate", sizes.rate, 0.1, 1000.0))
+    folder = Path(sizes.folder).resolve() if sizes.folder else None
+    spec = SystemSpec(seconds, seed, site, faults, folder)
+    return Command(lambda: _run(spec))
+
+
+def _run(spec: object) -> int:
+    from ..emulator.system.network import NoFreeNetwork
+    from ..emulator.system.trial import SystemSpec, TrialError, run
+
+    assert isinstance(spec, SystemSpec)
+    try:
+        outcome = asyncio.run(run(spec))
+    except (TrialError, NoFreeNetwork) as error:
+        raise UsageError(str(error)) from error
+    for line in [*table(outcome.rows()), *(f"- {event}" for event in outcome.events)]:
+        print(line)
+    for breach in outcome.broken[:SHOWN_BREACHES]:
+        print(f"RULE BROKEN: {breach.rule} at {breach.at:.3f}: {breach.what}")
+    figures = outcome.figures()
+    print("try: " + " ".join(f"{name}={value}" for name, value in figures.items()))
+    return 1 if figures["broken"] or figures["exits"] else 0
--- a/larchgw/cli/trial.py
+++ b/larchgw/cli/trial.py
@@ -10,6 +10,7 @@
 from ..emulator.trial import Outcome, Trial, TrialSpec
 from ..lab.results import table
 from .command import Command, UsageError, decimal, file, flag, textual, whole
+from .system_trial import SystemSizes, system_trial
 
 
 def _live() -> tuple[AbstractContextManager[Any], Any]:
@@ -58,22 +59,36 @@
 
 
 @textual
-def trial(*, seconds: str = "20", load: str = "0.6", boxes: str = "9", seed: str = "1", faults: str = "True",
-          no_faults: str = "False", room: str | None = None, plain: str = "False") -> Command:
+def trial(*, seconds: str = "20", load: str = "0.6", boxes: str = "9", seed: str = "1",
+          faults: str | None = None, no_faults: str = "False", room: str | None = None, plain: str = "False",
+          system: str = "False", edges: str = "3", runners: str = "6", models: str = "12", rate: str = "20",
+          folder: str | None = None) -> Command:
     """Starts an emulated fleet, one dispatcher and a mixed load on loopback, and shows what comes of it.
 
+    With --system: control processes, edges, model runners, clients and an operator instead.
+
     Args:
         seconds: How long.
         load: Share of what all cores can do.
         boxes: Boxes in the fleet, 200 at most.
         seed: Of all that is drawn.
-        faults: A slow box and a restart.
+        faults: A slow box and a restart; with --system (off there unless given), a script of troubles.
         no_faults: None of these.
         room: Hold room for large jobs, as this file says.
         plain: No live table.
+        system: The whole system, judged by its rules.
+        edges: Edges (with --system).
+        runners: Runners of all services (with --system).
+        models: Models (with --system).
+        rate: Requests a second (with --system).
+        folder: Keeps settings, disks and logs of the processes there (with --system).
     """
     length = decimal("seconds", seconds, 1.0)
-    with_faults = flag("faults", faults) and not flag("no-faults", no_faults)
+    quiet = flag("no-faults", no_faults)
+    if flag("system", system):
+        sizes = SystemSizes(edges, runners, models, rate, folder)
+        return system_trial(length, whole("seed", seed), sizes, flag("faults", faults or False) and not quiet)
+    with_faults = flag("faults", True if faults is None else faults) and not quiet
     spec = TrialSpec(whole("boxes", boxes, 1, 200), decimal("load", load, 0.05, 2.0), length,
                      min(10.0, length), whole("seed", seed), with_faults, file("room", room, exists=True))
     bare = flag("plain", plain)
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -27,10 +27,12 @@
     idempotent: bool = False
     resumable: bool = False
     services: tuple[str, ...] = ()  # that its route names when it is sent
+    first_at: float = 0.0  # when the first bytes of a body came
     ended_at: float = math.inf
     status: int = 0  # 0: no head of an answer came
     seal: str = ""
     answer_id: str = ""
+    retry_after: float = 0.0  # seconds that the answer asks the client to wait
     answer: bytes = b""
     whole: bool = False
     gave_up: bool = False  # the client left before the answer ended
--- /dev/null
+++ b/larchgw/emulator/system/trial.py
@@ -0,0 +1,176 @@
+"""One trial of the whole system: its processes on loopback, emulated surroundings, the judge's verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ...configuration.settings import TimeLimits
+from ..sockets import RealTime
+from .breach import Breach
+from .clients import ClassResult, Clients, draw
+from .ingress import Ingress
+from .judge import judge
+from .judge_configuration import services_of
+from .network import Network
+from .operator import Operator
+from .records import Records
+from .rig import Rig
+from .runners import Runners
+from .script import Script
+from .site import LOADS_PER_S, Site
+
+START_S = 60.0  # that the system may take to be ready, on a busy machine
+LOOK_S = 0.1
+FINISH_S = 20.0  # beyond the last request's due time, for what is open
+LIMITS = TimeLimits(fenced=True, grace_period_s=6.0)
+
+
+class TrialError(Exception):
+    """The system did not get as far as serving; the message says what is missing and where the logs are."""
+
+
+@dataclass(frozen=True, slots=True)
+class SystemSpec:
+    """What a trial is to be."""
+
+    seconds: float = 20.0  # during which requests come
+    seed: int = 1
+    site: Site = field(default_factory=Site)
+    faults: bool = False
+    folder: Path | None = None  # where settings, disks and logs are kept; a passing one if left out
+
+
+@dataclass(slots=True)
+class SystemOutcome:
+    """What came of it."""
+
+    results: dict[str, ClassResult]
+    broken: list[Breach]
+    events: list[str]
+    statuses: list[int]  # exit statuses after SIGTERM
+    records: Records
+
+    def total(self, name: str) -> int:
+        """One figure of ClassResult over all classes."""
+        return sum(int(getattr(result, name)) for result in self.results.values())
+
+    def rows(self) -> list[dict[str, object]]:
+        """One row a class; latencies in seconds."""
+        return [{"class": name, "asked": one.asked, "served": one.served, "in time": one.in_time,
+                 "refused": one.refused, "failed": one.failed, "tries": one.tries,
+                 "p50": one.latency.quantile(0.5), "p90": one.latency.quantile(0.9),
+                 "p99": one.latency.quantile(0.99), "most": one.latency.most}
+                for name, one in sorted(self.results.items())]
+
+    def figures(self) -> dict[str, int]:
+        """The figures of the last line."""
+        names = ("asked", "served", "in_time", "refused", "failed")
+        return {name: self.total(name) for name in names} | {
+            "loads": len(self.records.loads), "orders": len(self.records.orders),
+            "exits": sum(status != 0 for status in self.statuses), "broken": len(self.broken)}
+
+
+async def run(spec: SystemSpec) -> SystemOutcome:
+    """Plays one trial. Raises TrialError, and NoFreeNetwork where there are no addresses for it."""
+    if spec.folder is not None:
+        spec.folder.mkdir(parents=True, exist_ok=True)
+        return await _in_folder(spec, spec.folder)
+    with tempfile.TemporaryDirectory(prefix="larchgw-system-") as folder:
+        return await _in_folder(spec, Path(folder))
+
+
+async def _in_folder(spec: SystemSpec, folder: Path) -> SystemOutcome:
+    rng = random.Random(spec.seed)
+    network = Network.claim(random.Random())  # not the seed's: two trials may run beside each other
+    try:
+        trial = _Trial(spec, network, folder, rng)
+        try:
+            return await trial.play()
+        finally:
+            await trial.close()
+    finally:
+        network.close()
+
+
+class _Trial:
+    def __init__(self, spec: SystemSpec, network: Network, folder: Path, rng: random.Random) -> None:
+        self._spec, self._random, self._folder = spec, rng, folder
+        self._time, self._records = RealTime(), Records(loads_per_s=LOADS_PER_S)
+        now, site = self._time.now, spec.site
+        self._rig = Rig(network, folder, self._records, LIMITS, now, site.controls, site.edges)
+        controls = self._rig.control_addresses
+        self._runners = Runners(site, network, self._time, self._records, LIMITS, controls, rng)
+        self._operator = Operator(controls, self._records, now, rng)
+        self._ingress = Ingress(self._rig.edges, rng)
+        self._clients = Clients(self._ingress, self._records, now, rng, self._services)
+        self._asking: asyncio.Task[None] | None = None
+
+    async def play(self) -> SystemOutcome:
+        """The whole day. Raises TrialError."""
+        await self._start()
+        spec = self._spec
+        intents = draw(spec.site, spec.seconds, self._random, self._popularity)
+        script = Script(self._rig, self._runners, self._operator, LIMITS, self._random)
+        playing = asyncio.create_task(script.run()) if spec.faults else None
+        await self._clients.play(intents, self._time.now())
+        script.stop()
+        if playing is not None:
+            await playing
+        await self._operator.read(START_S)
+        statuses = await self._rig.stop()
+        return SystemOutcome(dict(self._clients.results), judge(self._records, LIMITS), script.events,
+                             statuses, self._records)
+
+    async def close(self) -> None:
+        """Ends all that may still run."""
+        if self._asking is not None:
+            self._asking.cancel()
+        self._clients.close()
+        self._ingress.close()
+        self._operator.close()
+        self._runners.close()
+        await self._rig.abandon()
+
+    async def _start(self) -> None:
+        await self._rig.start()
+        self._runners.start()
+        taken = False
+        end = self._time.now() + START_S
+        while not taken and self._time.now() < end:
+            taken = await self._operator.replace(self._spec.site.configuration(1))
+        if not taken:
+            raise TrialError(f"no configuration was taken within {START_S:.0f} s; {self._look_at_logs()}")
+        await self._until(self._runners.all_acknowledged, "check-ins are not acknowledged")
+        self._asking = asyncio.create_task(self._ingress.run())
+        await self._until(self._all_ready, "the edges do not become ready")
+
+    def _all_ready(self) -> bool:
+        return len(self._ingress.ready()) == len(self._rig.edges)
+
+    async def _until(self, condition: Callable[[], bool], missing: str) -> None:
+        end = self._time.now() + START_S
+        while not condition():
+            if self._time.now() > end:
+                raise TrialError(f"{missing} within {START_S:.0f} s; {self._look_at_logs()}")
+            await asyncio.sleep(LOOK_S)
+
+    def _look_at_logs(self) -> str:
+        last = [line for machine in self._rig.machines if machine.log.exists()
+                for line in machine.log.read_text(errors="replace").splitlines()[-2:]]
+        return "last log lines: " + " | ".join(last)
+
+    def _services(self, host: str, target: str) -> tuple[str, ...]:
+        return tuple(services_of(self._operator.current, host, target))
+
+    def _popularity(self, due: float) -> list[str]:
+        """The models, most wanted first; with faults, others are wanted in the second half."""
+        names = self._spec.site.model_names()
+        if not self._spec.faults or due < self._spec.seconds / 2:
+            return names
+        half = len(names) // 2
+        return names[half:] + names[:half]
--- /dev/null
+++ b/tests/test_system_trial.py
@@ -0,0 +1,64 @@
+"""The whole system's real processes under an emulated calm day: every rule is kept, and requests are served.
+
+Nothing here asserts a speed: on a busy machine requests may come late or be refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from pathlib import Path
+
+import pytest
+
+from larchgw.cli.command import UsageError
+from larchgw.cli.main import call
+from larchgw.emulator.system.network import PORTS, Network
+from larchgw.emulator.system.site import ENGINES, Site
+from larchgw.emulator.system.trial import SystemSpec, run
+
+
+def test_a_calm_day_breaks_no_rule_and_every_class_is_served(tmp_path: Path) -> None:
+    site = Site(edges=2, runners=4, models=6, rate=12.0)
+    outcome = asyncio.run(run(SystemSpec(seconds=4.0, site=site, folder=tmp_path)))
+    assert outcome.broken == []
+    assert outcome.statuses == [0] * (site.controls + site.edges)
+    assert set(outcome.results) == {one.name for one in site.classes}
+    assert all(result.served > 0 for result in outcome.results.values())
+    read_back = outcome.records.read_back
+    assert read_back is not None and read_back["config_version"] == 1
+
+
+def test_two_networks_never_share_an_address() -> None:
+    first, second = Network.claim(random.Random(7)), Network.claim(random.Random(7))
+    try:
+        assert (first.prefix, first.first_port) != (second.prefix, second.first_port)
+    finally:
+        first.close()
+        second.close()
+
+
+def test_a_port_that_is_taken_on_all_addresses_is_not_claimed() -> None:
+    wanted = Network.claim(random.Random(7))
+    wanted.close()
+    with socket.socket() as taken:
+        taken.bind(("0.0.0.0", wanted.first_port + 3))
+        other = Network.claim(random.Random(7))
+        other.close()
+    assert not other.first_port <= wanted.first_port + 3 < other.first_port + PORTS
+
+
+def test_every_model_is_held_at_the_start_where_there_is_room() -> None:
+    site = Site(runners=6, models=12)
+    engines = site.services().count(ENGINES)
+    held = site.initially_held(engines)
+    assert {name for names in held for name in names} == set(site.model_names())
+    assert all(len(names) == len(set(names)) for names in held)
+
+
+@pytest.mark.parametrize("option", [
+    ["--edges", "0"], ["--runners", "two"], ["--models", "0"], ["--rate", "-1"]])
+def test_sizes_that_cannot_be_played_are_refused_before_anything_starts(option: list[str]) -> None:
+    with pytest.raises(UsageError, match=option[0]):
+        call(["try", "--system", *option])
