Runners stay with one control process; edges pull in their zone; a forced end answers what is open

Need: each check-in went to any process, so its owner changed and the record was news for all of them each beat. An edge may pull from another zone, and bytes between zones are priced. At the end of the grace time open requests saw a closed connection.

Change: check-ins are answered with beat_to; the puller is told which processes are near; Proxy.abandon before the end. The membership experiment is one of larchgw lab.

--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -34,6 +34,12 @@
     return experiment(options)
 
 
+def _membership(options: Options) -> Result:
+    from ..lab.membership import experiment
+
+    return experiment(options)
+
+
 def _place(options: Options) -> Result:
     from ..lab.place import experiment
 
@@ -47,7 +53,7 @@
 
 
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
-    "distribution": _distribution, "mass": _mass, "place": _place, "room": _room,
+    "distribution": _distribution, "mass": _mass, "membership": _membership, "place": _place, "room": _room,
     "room-cost": _room_cost, "route": _route}
 
 
@@ -57,7 +63,7 @@
     """Runs an experiment against models; the last line printed is NAME: figure=value ...
 
     Args:
-        name: The experiment: distribution, mass, place, room, room-cost or route.
+        name: The experiment: distribution, mass, membership, place, room, room-cost or route.
         seed: The first seed.
         seeds: Runs of each kind.
         seconds: Length of a run, in the time that it plays in.
--- a/larchgw/control/http_api.py
+++ b/larchgw/control/http_api.py
@@ -10,11 +10,11 @@
 import tornado.web
 
 from ..directory.checkins import CheckinError
+from ..net.address import parse_address
 from .operator import Answer
 
 log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 64 << 20  # a configuration of many thousand routes
-CHECKIN_ACCEPTED = b"{}"
 
 
 class ControlService(Protocol):
@@ -31,8 +31,8 @@
 
 
 class _Handler(tornado.web.RequestHandler):
-    def initialize(self, service: ControlService) -> None:
-        self.service = service
+    def initialize(self, service: ControlService, address: str) -> None:
+        self.service, self.address = service, address
 
     def answer(self, status: int, body: bytes) -> None:
         self.set_status(status)
@@ -81,7 +81,8 @@
 
     def acknowledge(self, taken: bool) -> None:
         if taken:
-            self.answer(200, CHECKIN_ACCEPTED)
+            # A runner that stays with one process is watched there; moving about is news for all of them.
+            self.answer(200, json.dumps({"beat_to": self.address}).encode())
         else:
             self.answer(503, b'{"error": "cut off from the other control processes; call another one"}')
 
@@ -91,17 +92,22 @@
         self.acknowledge(await self.service.leave(runner))
 
 
-def serve(service: ControlService, host: str, port: int) -> tornado.httpserver.HTTPServer:
-    """Listens for the operator and for runners. Raises OSError."""
-    extra = {"service": service}
-    application = tornado.web.Application([
+def application(service: ControlService, address: str) -> tornado.web.Application:
+    """The paths; `address` is what runners are told to check in at."""
+    extra = {"service": service, "address": address}
+    return tornado.web.Application([
         (r"/Config\.Replace", _ReplaceHandler, extra),
         (r"/Config\.Change", _ChangeHandler, extra),
         (r"/Config\.Read", _ReadHandler, extra),
         (r"/Runners\.Checkin/([^/]+)", _CheckinHandler, extra),
         (r"/Runners\.Leave/([^/]+)", _LeaveHandler, extra),
     ], log_function=lambda handler: None)
-    server = tornado.httpserver.HTTPServer(application, max_body_size=MAX_BODY_BYTES,
+
+
+def serve(service: ControlService, address: str) -> tornado.httpserver.HTTPServer:
+    """Listens for the operator and for runners at "host:port". Raises OSError."""
+    server = tornado.httpserver.HTTPServer(application(service, address), max_body_size=MAX_BODY_BYTES,
                                            max_buffer_size=MAX_BODY_BYTES, idle_connection_timeout=60)
+    host, port = parse_address(address)
     server.listen(port, host, backlog=512)
     return server
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -23,7 +23,6 @@
 from ..membership.settings import SwimSettings
 from ..membership.swim import Swim
 from ..membership.transport import SwimTransport
-from ..net.address import parse_address
 from ..placement.model import PlacementSettings
 from ..placement.orders import OrderClient
 from ..placement.service import PlacementRuntime, PlacementService
@@ -103,7 +102,7 @@
         await self._rpc.start(settings.ip, settings.port(RPC_PORT))
         self._gossip = SwimTransport(self.swim, settings.ip, settings.port(CONTROL_GOSSIP_PORT))
         await self._gossip.start()
-        self._http = http_api.serve(self, *parse_address(settings.listen.control))
+        self._http = http_api.serve(self, settings.listen.control)
         self.tasks.every("replication", TICK_S, self.replicated.tick)
         self.tasks.every("directory", DIRECTORY_TICK_S, lambda: self.directory.tick(time.monotonic()))
         self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
@@ -151,6 +150,7 @@
         entry = self.registry.get(RUNNER + runner)
         if entry is not None:
             await self.handoff.replicate([entry], HANDOFF_TIMEOUT_S)
+            self.directory.replicated(runner)
         return True
 
     # ---- What is published ----
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -42,6 +42,7 @@
 log = logging.getLogger(__name__)
 FORGET_EVERY_S = 30.0
 NOTICE_S = 2.2  # for the platform to see that we are not ready: it asks each second and counts to two
+LAST_WRITES_S = 0.1  # for the last answers to be written
 GRACE_MARGIN_S = 0.7  # of the time until SIGKILL that is kept for the end itself
 
 
@@ -62,7 +63,8 @@
         self.swim = self._make_swim()
         self.puller = Puller(
             self.registry, RpcClient, lambda: seed_rpc_addresses(self.settings),
-            PullSettings.of(settings.time_limits), dice, node_name=settings.node_name, returns=True)
+            PullSettings.of(settings.time_limits), dice, node_name=settings.node_name, near=self._near,
+            returns=True)
 
     async def start(self) -> None:
         """Listens and begins its work. Raises OSError."""
@@ -111,6 +113,8 @@
                 await drained.wait()
         except TimeoutError:
             log.warning("edge: ends with %d requests open", self.proxy.open_count)
+            self.proxy.abandon()
+            await asyncio.sleep(LAST_WRITES_S)
         self.tasks.stop()
         self.clients.close()
 
@@ -122,6 +126,11 @@
         swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
         return swim
 
+    def _near(self, address: str) -> bool:
+        """Whether a control process is in this zone; bytes between zones are dear."""
+        return any(process.address_rpc == address and process.zone == self.settings.zone
+                   for process in self.swim.members("control"))
+
     def _configure(self, entry: Entry) -> None:
         try:
             configuration = parse_committed(unpack(entry.value), self._configuration)
--- a/larchgw/lab/membership.py
+++ b/larchgw/lab/membership.py
@@ -1,6 +1,6 @@
 """What membership costs and how soon it notices: processes in virtual time on a lossy network.
 
-`python -m larchgw.lab.membership` prints the table of docs/membership.md.
+`larchgw lab membership` prints the table of docs/membership.md.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from ..emulator.datagrams import DatagramNetwork, Link
 from ..membership.member import Role, State
-from .results import Result, table
+from .results import Options, Result
 
 SIZES = (30, 100, 300, 500)
 LOSS = 0.01  # of all datagrams
@@ -36,13 +36,11 @@
     deaths: int
 
 
-def main(sizes: Sequence[int] = SIZES, seed: int = 1) -> Result:
-    """Plays a fleet of each size, prints a row for each and a last line of figures."""
+def experiment(options: Options, sizes: Sequence[int] = SIZES) -> Result:
+    """Plays a fleet of each size. Of the options the seed counts."""
     result = Result("membership")
     for size in sizes:
-        _play(result, size, seed)
-    for line in [*table(result.rows), result.last_line()]:
-        print(line)
+        _play(result, size, options.seed)
     return result
 
 
@@ -115,6 +113,3 @@
     processes = network.processes.values()
     return sum(p.datagrams for p in processes), sum(p.bytes for p in processes)
 
-
-if __name__ == "__main__":
-    main()
--- /dev/null
+++ b/tests/test_control_http.py
@@ -0,0 +1,84 @@
+"""The HTTP interface of a control process, to the operator and to runners."""
+
+import json
+
+from tornado.testing import AsyncHTTPTestCase
+
+from larchgw.control.http_api import application
+from larchgw.control.operator import Answer
+from larchgw.directory.checkins import CheckinError
+
+ADDRESS = "10.0.0.1:8146"
+
+
+class ScriptedService:
+    def __init__(self):
+        self.calls = []
+        self.answer = Answer(200, b'{"config_version": 7}')
+        self.acknowledges = True
+        self.error = None
+
+    async def operator_call(self, operation, built_on, body):
+        self.calls.append((operation, built_on, body))
+        return self.answer
+
+    async def checkin(self, runner, body):
+        self.calls.append(("checkin", runner, body))
+        if self.error is not None:
+            raise self.error
+        return self.acknowledges
+
+    async def leave(self, runner):
+        self.calls.append(("leave", runner))
+        return self.acknowledges
+
+
+class ControlHttpTest(AsyncHTTPTestCase):
+    def get_app(self):
+        self.service = ScriptedService()
+        return application(self.service, ADDRESS)
+
+    def post(self, path, body=b"{}", **headers):
+        return self.fetch(path, method="POST", body=body, headers=headers)
+
+    def test_a_configuration_reaches_the_service_with_the_version_it_builds_on(self):
+        answer = self.post("/Config.Replace", b'{"config_version": 7}', **{"X-Built-On": "5"})
+        self.assertEqual((200, b'{"config_version": 7}'), (answer.code, answer.body))
+        self.assertEqual([("replace", 5, b'{"config_version": 7}')], self.service.calls)
+
+    def test_a_change_without_the_version_it_builds_on_is_told_as_such(self):
+        self.post("/Config.Change", b"{}")
+        self.assertEqual([("change", -1, b"{}")], self.service.calls)
+
+    def test_a_version_that_is_no_number_is_refused_and_not_taken(self):
+        self.assertEqual(400, self.post("/Config.Change", b"{}", **{"X-Built-On": "five"}).code)
+        self.assertEqual([], self.service.calls)
+
+    def test_what_the_service_refuses_or_leaves_unclear_is_answered_so(self):
+        for status in (400, 412, 503):
+            self.service.answer = Answer(status, b"{}")
+            self.assertEqual(status, self.post("/Config.Replace").code)
+
+    def test_the_configuration_is_read_whole(self):
+        self.service.answer = Answer(200, b'{"routes": []}')
+        self.assertEqual(b'{"routes": []}', self.fetch("/Config.Read").body)
+
+    def test_a_runner_is_acknowledged_and_told_to_stay_with_this_process(self):
+        answer = self.post("/Runners.Checkin/i-1", b'{"service": "s"}')
+        self.assertEqual({"beat_to": ADDRESS}, json.loads(answer.body))
+        self.assertEqual([("checkin", "i-1", b'{"service": "s"}')], self.service.calls)
+
+    def test_a_draining_runner_is_not_acknowledged_by_a_process_that_cannot_tell_the_others(self):
+        self.service.acknowledges = False
+        self.assertEqual(503, self.post("/Runners.Checkin/i-1").code)
+        self.assertEqual(503, self.post("/Runners.Leave/i-1").code)
+
+    def test_a_check_in_that_cannot_be_read_names_the_fault(self):
+        self.service.error = CheckinError("service", "is missing", "send it")
+        answer = self.post("/Runners.Checkin/i-1")
+        self.assertEqual(400, answer.code)
+        self.assertIn("service", json.loads(answer.body)["error"])
+
+    def test_other_paths_and_methods_are_not_there(self):
+        self.assertEqual(404, self.fetch("/Config").code)
+        self.assertEqual(405, self.fetch("/Config.Replace").code)
