--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -24,7 +24,7 @@
     RunnerReport,
 )
 from larchgw.placement.orders import decode_report, encode_order, outcome_of
-from larchgw.placement.planner import Planner
+from larchgw.placement.planner import RESIDENCE_S, Planner
 from larchgw.placement.reconciler import LAST_POLL_S, REST_S, UNANSWERED_S, Reconciler
 from larchgw.placement.service import GONE, PlacementRuntime, PlacementService
 from larchgw.placement.shifts import ShiftEstimate
@@ -591,3 +591,38 @@
     world = played(deployment(streams, models=24, load_s=3.0))
     first = [request for request in world.asked if 20.0 <= request.at < 23.0 and request.worth == 1.0]
     assert in_time(first) > 0.9
+
+
+# ---- Evictions ----
+
+def orders_for(clock, demand, made, config):
+    return Planner(PlacementSettings(), random.Random(1)).plan(clock.now, config, made.terms, demand,
+                                                               made.state())
+
+
+def full_runner(clock, waiting):
+    """One runner with three models, and requests that wait for the named ones."""
+    demand, config = Demand(clock), configuration(count=8)
+    demand.report(DemandReport("e", 100, [line(name, arrivals=1, waiting=1, left_ms=4000)
+                                          for name in waiting]))
+    made = reconciler(config)
+    made.see_runner(clock.now, record(held=("m0", "m1", "m2")))
+    made.report(clock.now, "r0", told(("m0", "m1", "m2")))
+    return demand, config, made
+
+
+def test_a_model_that_has_just_been_loaded_is_not_given_up_before_its_requests_come():
+    clock = Clock()
+    demand, config, made = full_runner(clock, ("m5",))
+    made.runners["r0"].since = dict.fromkeys(("m0", "m1", "m2"), clock.now - RESIDENCE_S + 0.1)
+    assert orders_for(clock, demand, made, config) == []
+    made.runners["r0"].since["m1"] = clock.now - RESIDENCE_S
+    assert [order.name for order in orders_for(clock, demand, made, config)] == ["m1"]
+
+
+def test_the_last_holder_of_a_model_that_requests_wait_for_is_never_given_up():
+    clock = Clock()
+    demand, config, made = full_runner(clock, ("m0", "m1", "m2", "m5"))
+    assert orders_for(clock, demand, made, config) == []
+    demand, config, made = full_runner(clock, ("m0", "m2", "m5"))
+    assert [order.name for order in orders_for(clock, demand, made, config)] == ["m1"]
