--- a/larchgw/cli/command.py
+++ b/larchgw/cli/command.py
@@ -12,11 +12,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import redirect_stderr
 from pathlib import Path
-from typing import ParamSpec
+from typing import Any, ParamSpec
 
 import fire
 from fire.core import FireExit
-from fire.decorators import SetParseFn
+from fire.decorators import FIRE_METADATA, SetParseFn
 
 Parameters = ParamSpec("Parameters")
 WRONG_CALL = 2  # exit status
@@ -92,9 +92,11 @@
     return path
 
 
-def read(commands: Mapping[str, Callable[..., Command]], arguments: Sequence[str]) -> Command | None:
+def read(commands: Mapping[str, Any], arguments: Sequence[str]) -> Command | None:
     """The command that the arguments ask for; None where they asked for help, which has been printed.
 
+    `commands` maps names to functions, or to groups: further mappings of that kind.
+
     Raises UsageError.
     """
     words = [word for word in arguments if word not in _HELP]
@@ -109,6 +111,8 @@
             raise UsageError(end.trace.elements[-1].ErrorAsStr()) from None
         sys.stdout.write(_without_groups(said.getvalue()))
         return None
+    if isinstance(found, dict):
+        raise UsageError(f"{' '.join(arguments)}: name one of {', '.join(found)}")
     if not isinstance(found, Command):
         raise UsageError(f"{' '.join(arguments)}: is no command")
     return found
@@ -116,7 +120,10 @@
 
 def _without_groups(text: str) -> str:
     """A help text without the mark that `textual` leaves on a function, which Fire lists as a group."""
-    return text.partition("\nGROUPS\n")[0].replace("GROUP | ", "").rstrip() + "\n"
+    before, _, groups = text.partition("\nGROUPS\n")
+    if FIRE_METADATA not in groups:
+        return text.rstrip() + "\n"
+    return before.replace("GROUP | ", "").rstrip() + "\n"
 
 
 def act(command: Command) -> int:
--- a/larchgw/cli/main.py
+++ b/larchgw/cli/main.py
@@ -1,10 +1,11 @@
-"""The command line, on Fire: `larchgw [serve|edge|control|check|settings|try|lab]`."""
+"""The command line, on Fire: `larchgw [serve|edge|control|check|settings|try|lab|system]`."""
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from .. import __version__
 from ..config import ConfigError
@@ -12,6 +13,7 @@
 from .check import check, settings
 from .command import INTERRUPTED, WRONG_CALL, Command, UsageError, act, file, read, textual
 from .lab import lab
+from .system import SYSTEM
 from .trial import trial
 
 
@@ -46,9 +48,9 @@
     return Command(lambda: run_role("control"))
 
 
-COMMANDS: dict[str, Callable[..., Command]] = {
+COMMANDS: dict[str, Any] = {
     "serve": serve, "edge": edge, "control": control, "check": check, "settings": settings, "try": trial,
-    "lab": lab}
+    "lab": lab, "system": SYSTEM}
 
 
 def _for_serve(arguments: Sequence[str]) -> list[str]:
--- /dev/null
+++ b/larchgw/cli/system_config.py
@@ -0,0 +1,127 @@
+"""`larchgw system config read|replace|change`: the operator's API from the command line."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from ..configuration.settings import NodeSettings
+from .command import Command, UsageError, decimal, file, textual, whole
+from .operator_client import Call, OperatorClient, Reply, Transport, Unclear, Waiting
+from .system_common import Ending, addresses, fail
+
+DEFAULT_PATIENCE_S = "30"  # a failover takes some seconds, a restart of all machines some more
+OK = 200
+
+
+@textual
+def read(*, at: str | None = None, seconds: str = DEFAULT_PATIENCE_S) -> Command:
+    """Prints the newest configuration that was acknowledged, as JSON.
+
+    Args:
+        at: Control processes to ask, HOST:PORT of their control ports, separated by commas; the seeds in
+            LARCHGW_NODE_FILE if left out.
+        seconds: How long to try.
+    """
+    client = _client(at, seconds)
+    return Command(lambda: _read(client()))
+
+
+@textual
+def replace(file: str, *, built_on: str | None = None, at: str | None = None,
+            seconds: str = DEFAULT_PATIENCE_S) -> Command:
+    """Replaces the configuration by a whole one; status 1 if it was refused, 3 if no clear answer came.
+
+    Args:
+        file: The configuration (JSON).
+        built_on: The version that it builds on; 0 for the first.
+        at: As for read.
+        seconds: How long to try; the same call is sent again until there is a clear answer.
+    """
+    return _order("/Config.Replace", file, built_on, at, seconds)
+
+
+@textual
+def change(file: str, *, built_on: str | None = None, at: str | None = None,
+           seconds: str = DEFAULT_PATIENCE_S) -> Command:
+    """Adds, replaces and removes named items; ends as replace does.
+
+    Args:
+        file: The change (JSON): config_version, add, remove.
+        built_on: The version that it builds on.
+        at: As for read.
+        seconds: As for replace.
+    """
+    return _order("/Config.Change", file, built_on, at, seconds)
+
+
+def _order(path: str, name: str, built_on: str | None, at: str | None, seconds: str) -> Command:
+    if built_on is None:
+        raise UsageError("--built-on: give the version that this builds on; `larchgw system config read` "
+                         "prints the current one as config_version, 0 is for the first")
+    version = whole("built-on", built_on, 0)
+    source = file("file", name, exists=True)
+    assert source is not None
+    client = _client(at, seconds)
+    return Command(lambda: _send(client(), path, source, version))
+
+
+def _control_addresses(settings: NodeSettings) -> list[str]:
+    return settings.seed_list
+
+
+def _client(at: str | None, seconds: str) -> Callable[[], OperatorClient]:
+    """Makes the client only once it is used: curl is loaded by then."""
+    asked = addresses(at, _control_addresses)
+    waiting = Waiting(time.monotonic, time.sleep, random.Random(), decimal("seconds", seconds, 0.1))
+    return lambda: OperatorClient(asked, _transport(), waiting)
+
+
+def _transport() -> Transport:
+    from .curl_transport import CurlTransport
+
+    return CurlTransport()
+
+
+def _read(client: OperatorClient) -> int:
+    try:
+        reply = client.call(Call("GET", "/Config.Read"))
+    except Unclear as error:
+        return fail(str(error), Ending.UNCLEAR)
+    if reply.status != OK:
+        return fail(refusal(reply), Ending.REFUSED)
+    print(json.dumps(json.loads(reply.body), indent=1))
+    return Ending.DONE
+
+
+def _send(client: OperatorClient, path: str, source: Path, built_on: int) -> int:
+    try:
+        reply = client.call(Call("POST", path, {"X-Built-On": str(built_on)}, source.read_bytes()))
+    except Unclear as error:
+        return fail(f"{error}. It may have been taken: send the same file again, or read the configuration",
+                    Ending.UNCLEAR)
+    if reply.status != OK:
+        return fail(refusal(reply), Ending.REFUSED)
+    print(f"acknowledged; the current version is {_answer(reply).get('config_version')}")
+    return Ending.DONE
+
+
+def refusal(reply: Reply) -> str:
+    """The answer's reason: field, problem and remedy, as the control process gives them."""
+    answer = _answer(reply)
+    reason = answer.get("error") or reply.body[:200].decode("utf-8", "backslashreplace")
+    current = answer.get("config_version")
+    known = "" if current is None else f" (the current version is {current})"
+    return f"refused with {reply.status}: {reason}{known}"
+
+
+def _answer(reply: Reply) -> dict[str, Any]:
+    try:
+        answer = json.loads(reply.body)
+    except ValueError:
+        return {}
+    return answer if isinstance(answer, dict) else {}
--- /dev/null
+++ b/larchgw/cli/system_status.py
@@ -0,0 +1,184 @@
+"""`larchgw system view|runners|placement`: asks control processes over rpc."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+
+from ..directory.records import RunnerRecord
+from ..distribution.interface import EXPECTED, RUNNER
+from ..rpc.client import RpcClient
+from ..rpc.errors import RpcError
+from ..rpc.generated.ttypes import ControlStatus, Entry, PlacementStatus, PullRequest, StatusRequest
+from ..runtime.addresses import seed_rpc_addresses
+from .command import Command, textual
+from .system_common import Ending, addresses, columns, fail
+
+ANSWER_TIMEOUT_S = 3.0
+CALLER = "larchgw-system"  # the node_name that these calls carry
+
+
+@textual
+def view(*, at: str | None = None) -> Command:
+    """Shows what each control process knows: view, configuration, processes, placer, runners, disk.
+
+    Args:
+        at: Control processes to ask, HOST:PORT of their rpc (the first spare port), separated by commas; the
+            seeds in LARCHGW_NODE_FILE if left out.
+    """
+    asked = addresses(at, seed_rpc_addresses)
+    return Command(lambda: asyncio.run(_view(asked)))
+
+
+@textual
+def runners(*, at: str | None = None) -> Command:
+    """Lists the runners with what they hold and what is expected there.
+
+    Args:
+        at: As for view; the first that answers is taken.
+    """
+    asked = addresses(at, seed_rpc_addresses)
+    return Command(lambda: asyncio.run(_first(asked, _runners)))
+
+
+@textual
+def placement(*, at: str | None = None) -> Command:
+    """Shows models with demand and holders, orders under way, and how many loads may begin; asks the placer.
+
+    Args:
+        at: As for view; the first that answers names the placer.
+    """
+    asked = addresses(at, seed_rpc_addresses)
+    return Command(lambda: asyncio.run(_first(asked, _placement)))
+
+
+async def status_of(address: str, placement: bool = False) -> ControlStatus:
+    """The status of the process at this rpc address. Raises RpcError."""
+    client = RpcClient(address)
+    try:
+        status: ControlStatus = await client.call("status", StatusRequest(placement), ANSWER_TIMEOUT_S)
+    finally:
+        client.close()
+    return status
+
+
+async def entries_of(address: str, prefixes: list[str]) -> list[Entry]:
+    """The registry's entries under these prefixes at the process at this rpc address. Raises RpcError."""
+    client = RpcClient(address)
+    have: dict[str, int] = {}
+    entries: dict[str, Entry] = {}
+    try:
+        while True:
+            reply = await client.call("pull", PullRequest(CALLER, have, 0, prefixes), ANSWER_TIMEOUT_S)
+            entries.update({entry.key: entry for entry in reply.entries})
+            if not reply.more:
+                return list(entries.values())
+            have = reply.upto
+    finally:
+        client.close()
+
+
+async def _view(asked: Sequence[str]) -> int:
+    replies = await asyncio.gather(*(status_of(address) for address in asked), return_exceptions=True)
+    answered = 0
+    for address, reply in zip(asked, replies, strict=True):
+        if isinstance(reply, ControlStatus):
+            answered += 1
+            print("\n".join(view_lines(address, reply)))
+        elif isinstance(reply, RpcError):
+            print(f"{address}: no answer: {reply}")
+        else:
+            raise reply
+    return Ending.DONE if answered else fail("no process answered; check the addresses", Ending.UNCLEAR)
+
+
+async def _first(asked: Sequence[str], show: Callable[[str], Awaitable[int]]) -> int:
+    """Shows what the first process that answers tells."""
+    problem = ""
+    for address in asked:
+        try:
+            return await show(address)
+        except RpcError as error:
+            problem = str(error)
+    return fail(f"no process answered: {problem}; check the addresses", Ending.UNCLEAR)
+
+
+async def _runners(address: str) -> int:
+    print("\n".join(runner_lines(await entries_of(address, [RUNNER, EXPECTED]))))
+    return Ending.DONE
+
+
+async def _placement(address: str) -> int:
+    status = await status_of(address, placement=True)
+    if status.placement is None and status.placer:
+        status = await status_of(status.placer, placement=True)
+    if status.placement is None:
+        return fail("no process places models now; ask again after a lease term", Ending.UNCLEAR)
+    print("\n".join(placement_lines(status.node_name, status.placement)))
+    return Ending.DONE
+
+
+def view_lines(address: str, status: ControlStatus) -> list[str]:
+    """One process's status, for reading."""
+    disk = status.disk
+    isolated = ", cut off from the majority" if status.isolated else ""
+    lines = [f"{status.node_name} at {address}: {status.role}{isolated}",
+             f"  identity       {status.identity}"]
+    if status.view is None:
+        lines.append("  view           none yet")
+    else:
+        lines += [f"  view           epoch {status.view.epoch}, primary {status.view.primary}",
+                  f"  backups        {', '.join(status.view.backups) or 'none'}",
+                  f"  witnesses      {', '.join(status.view.witnesses)}"]
+    stages = ", ".join(f"{count} {stage}" for stage, count in sorted(status.runners.items()))
+    free = f"{disk.free_bytes >> 20} MiB free" if disk.free_bytes >= 0 else "free space not told"
+    version = status.config_version or "none"
+    lines += [f"  configuration  {version}, record {status.committed_index} committed",
+              f"  placer         {status.placer or 'nobody known'}, fence {status.placer_fence}",
+              f"  runners        {stages or 'none'}",
+              f"  disk           log {disk.log_bytes} bytes, records {disk.first_index} to {disk.last_index} "
+              f"(durable up to {disk.durable_index}), {free}, "
+              f"{'with' if disk.has_reserve else 'without'} reserve",
+              "  processes"]
+    table = columns(("name", "role", "address", "zone", "state"),
+                    [(process.name, process.role, process.address, process.zone, process.state)
+                     for process in status.processes])
+    return lines + [f"    {line}" for line in table]
+
+
+def runner_lines(entries: Sequence[Entry]) -> list[str]:
+    """A table of the runners in these registry entries, and their number by stage."""
+    records = [RunnerRecord.decode(entry.value) for entry in entries if entry.key.startswith(RUNNER)]
+    expected = {entry.key.removeprefix(EXPECTED): json.loads(entry.value)
+                for entry in entries if entry.key.startswith(EXPECTED)}
+    records.sort(key=lambda record: (record.service, record.stage, record.id))
+    rows = [(record.id, record.service, record.address, record.zone, record.stage.name.lower(),
+             _models(record), _expected(expected.get(record.id, {}))) for record in records]
+    stages = Counter(record.stage.name.lower() for record in records)
+    counted = ", ".join(f"{count} {stage}" for stage, count in sorted(stages.items()))
+    return [*columns(("id", "service", "address", "zone", "stage", "models", "expected"), rows),
+            f"runners: {counted or 'none'}"]
+
+
+def _models(record: RunnerRecord) -> str:
+    return " ".join("+".join((held.name, *held.adapters)) for held in record.models) or "-"
+
+
+def _expected(names: dict[str, float]) -> str:
+    told = [f"{name}:unloading" if ms < 0 else f"{name}:{ms:.0f}ms" for name, ms in sorted(names.items())]
+    return " ".join(told) or "-"
+
+
+def placement_lines(node_name: str, status: PlacementStatus) -> list[str]:
+    """What the placer holds, wants and has ordered."""
+    models = [(model.service_name, model.model, round(model.rate, 2), model.waiting, model.in_flight,
+               " ".join(model.holders) or "-", " ".join(model.coming) or "-") for model in status.models]
+    orders = [(order.runner, order.action, order.name, order.age_ms, "yes" if order.accepted else "not yet")
+              for order in status.orders]
+    return [f"placer {node_name}, fence {status.fence}: {status.load_room} of {status.load_limit} loads may "
+            "begin now",
+            *columns(("service", "model", "req/s", "waiting", "running", "holders", "loading"), models),
+            f"orders under way: {len(orders)}",
+            *(columns(("runner", "order", "name", "age ms", "accepted"), orders) if orders else [])]
--- a/larchgw/control/disk.py
+++ b/larchgw/control/disk.py
@@ -5,6 +5,7 @@
 import os
 
 from ..replication.ports import Ports
+from ..rpc.generated.ttypes import DiskStatus
 from ..storage.cell import Cell
 from ..storage.files import FilePort
 from ..storage.log import Log
@@ -12,6 +13,7 @@
 
 LOG_FOLDER = "log"
 NEVER_KEPT = -1
+NOT_TOLD = -1  # free bytes where the file system gives no figure
 
 
 class ControlDisk:
@@ -20,7 +22,7 @@
     def __init__(self, folder: str, log: Log, reserve: Reserve, ports: Ports) -> None:
         """Use ControlDisk.open."""
         self.folder, self.log, self.ports = folder, log, ports
-        self._reserve = reserve
+        self.reserve = reserve
         self._kept_at = NEVER_KEPT  # first index of the log when the reserve was last filled up
 
     @classmethod
@@ -43,4 +45,18 @@
         """
         if self.log.first_index != self._kept_at:
             self._kept_at = self.log.first_index
-            self._reserve.refill()
+            self.reserve.refill()
+
+    def status(self) -> DiskStatus:
+        """Figures for people to look at."""
+        return DiskStatus(log_bytes=self.log.size_bytes, first_index=self.log.first_index,
+                          last_index=self.log.last_index, durable_index=self.log.durable_index,
+                          free_bytes=_free_bytes(self.folder), has_reserve=self.reserve.is_kept())
+
+
+def _free_bytes(folder: str) -> int:
+    try:
+        figures = os.statvfs(folder)
+    except OSError:
+        return NOT_TOLD
+    return figures.f_bavail * figures.f_frsize
--- a/larchgw/control/http_api.py
+++ b/larchgw/control/http_api.py
@@ -4,7 +4,8 @@
 
 import json
 import logging
-from typing import Protocol
+from collections.abc import Sequence
+from typing import Any, Protocol
 
 import tornado.httpserver
 import tornado.web
@@ -92,8 +93,9 @@
         self.acknowledge(await self.service.leave(runner))
 
 
-def application(service: ControlService, address: str) -> tornado.web.Application:
-    """The paths; `address` is what runners are told to check in at."""
+def application(service: ControlService, address: str,
+                further: Sequence[Any] = ()) -> tornado.web.Application:
+    """The paths; `address` is what runners are told to check in at. `further`: rules of Tornado's."""
     extra = {"service": service, "address": address}
     return tornado.web.Application([
         (r"/Config\.Replace", _ReplaceHandler, extra),
@@ -101,13 +103,16 @@
         (r"/Config\.Read", _ReadHandler, extra),
         (r"/Runners\.Checkin/([^/]+)", _CheckinHandler, extra),
         (r"/Runners\.Leave/([^/]+)", _LeaveHandler, extra),
+        *further,
     ], log_function=lambda handler: None)
 
 
-def serve(service: ControlService, address: str) -> tornado.httpserver.HTTPServer:
-    """Listens for the operator and for runners at "host:port". Raises OSError."""
-    server = tornado.httpserver.HTTPServer(application(service, address), max_body_size=MAX_BODY_BYTES,
-                                           max_buffer_size=MAX_BODY_BYTES, idle_connection_timeout=60)
+def serve(service: ControlService, address: str,
+          further: Sequence[Any] = ()) -> tornado.httpserver.HTTPServer:
+    """Listens for the operator and for runners at "host:port", and for `further` rules. Raises OSError."""
+    server = tornado.httpserver.HTTPServer(
+        application(service, address, further), max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES,
+        idle_connection_timeout=60)
     host, port = parse_address(address)
     server.listen(port, host, backlog=512)
     return server
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -31,6 +31,7 @@
 from ..replication.settings import MemberSettings
 from ..rpc.client import RpcClient
 from ..rpc.server import RpcServer
+from ..runtime import http_status
 from ..runtime.addresses import (
     CONTROL_GOSSIP_PORT,
     RPC_PORT,
@@ -42,7 +43,7 @@
 from ..runtime.dice import new_dice
 from ..runtime.tasks import Tasks
 from ..storage.files import DiskFiles
-from . import http_api
+from . import http_api, metrics
 from .disk import ControlDisk
 from .isolation import Isolation
 from .operator import Answer, OperatorService
@@ -50,6 +51,7 @@
 from .replicated_log import TICK_S, ReplicatedLog
 from .rpc_service import RpcService
 from .state import ConfigurationState
+from .status import StatusService, StatusSources
 
 log = logging.getLogger(__name__)
 PLACER_LEASE = "placer"
@@ -98,11 +100,13 @@
         self.placement = self._make_placement()
         self.registry.watch(RUNNER, lambda entry: self._runner_changed(entry.key.removeprefix(RUNNER)))
         self.replicated.start()
-        self._rpc = RpcServer(RpcService(self.pulls, self.replicated, self.placement, self.operator))
+        status = self._make_status()
+        self._rpc = RpcServer(RpcService(self.pulls, self.replicated, self.placement, self.operator, status))
         await self._rpc.start(settings.ip, settings.port(RPC_PORT))
         self._gossip = SwimTransport(self.swim, settings.ip, settings.port(CONTROL_GOSSIP_PORT))
         await self._gossip.start()
-        self._http = http_api.serve(self, settings.listen.control)
+        self._http = http_api.serve(self, settings.listen.control,
+                                    http_status.rules(status.as_json, metrics.new_registry(status.read)))
         self.tasks.every("replication", TICK_S, self.replicated.tick)
         self.tasks.every("directory", DIRECTORY_TICK_S, lambda: self.directory.tick(time.monotonic()))
         self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
@@ -243,3 +247,9 @@
             clock=time.monotonic, lease=self._placer_lease, calls=OrderClient(self.address),
             publish=self._publish_expected, rng=self._dice,
             settings=PlacementSettings(limits.ceiling_window_s, limits.origin_rate_cap)))
+
+    def _make_status(self) -> StatusService:
+        return StatusService(StatusSources(
+            node_name=self.settings.node_name, member=self.member, state=self.state, swim=self.swim,
+            registry=self.registry, directory=self.directory, disk=self.disk, isolation=self.isolation,
+            placement=self.placement.summary))
--- /dev/null
+++ b/larchgw/control/restore.py
@@ -0,0 +1,119 @@
+"""Restoring the configuration after more was lost than `survive` allows.
+
+docs/operators-system.md has the steps.
+From what is left (a data folder, its log, a snapshot's file, or a configuration as JSON) the state is read,
+and a data folder is written with which one control process begins anew; see replication/refound.py.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..configuration.errors import ConfigurationError
+from ..configuration.model import Configuration
+from ..configuration.validation import decode, parse
+from ..replication.refound import Beginning, refound
+from ..replication.replica import unframed
+from ..storage.errors import StorageError
+from ..storage.files import DiskFiles, FilePort
+from ..storage.inspect import Contents, contents, snapshot_file
+from .disk import LOG_FOLDER, ControlDisk
+from .state import ConfigurationState
+
+
+class RestoreError(Exception):
+    """Nothing was written. The message names the path, the problem and the remedy."""
+
+    def __init__(self, path: Path, problem: str, remedy: str) -> None:
+        super().__init__(f"{path}: {problem}; {remedy}")
+
+
+@dataclass(frozen=True, slots=True)
+class Restorable:
+    """What was found: the state, and the highest epoch and index in the log that it came from (0: none).
+
+    Of several copies the one with the highest (last_epoch, last_index) is the newest.
+    """
+
+    state: ConfigurationState
+    configuration: Configuration
+    last_epoch: int
+    last_index: int
+
+
+def read_source(source: Path) -> Restorable:
+    """The state in a data folder, a log's folder, a snapshot's file or a JSON configuration.
+
+    All records of a log are taken, also those whose acknowledgement is not known: an operator who got no
+    clear answer expects either. Raises RestoreError; only reads.
+    """
+    try:
+        if source.is_dir():
+            return _from_log(source, contents(str(_log_folder(source))))
+        if source.suffix == ".json":
+            return _from_json(source)
+        return _from_log(source, snapshot_file(str(source)))
+    except StorageError as error:
+        raise RestoreError(source, f"cannot be read: {error.path}: {error.problem}",
+                           "restore from another copy") from error
+
+
+def check_empty(folder: Path) -> None:
+    """Raises RestoreError unless the folder is empty or not there."""
+    if folder.exists() and (not folder.is_dir() or any(folder.iterdir())):
+        raise RestoreError(folder, "is not empty", "move what it holds aside; it may still be needed")
+
+
+def write_folder(folder: Path, found: Restorable, begin: Beginning, files: FilePort | None = None) -> None:
+    """Writes the data folder of the process that begins anew. Raises StorageError; remove the folder then."""
+    state = ConfigurationState()
+    state.restore(found.state.snapshot())
+    state.index = begin.index
+    disk = ControlDisk.open(files or DiskFiles(), str(folder))
+    refound(disk.ports, begin, state.snapshot())
+    disk.keep_reserve()
+
+
+def _log_folder(source: Path) -> Path:
+    inner = source / LOG_FOLDER
+    return inner if inner.is_dir() else source
+
+
+def _from_log(source: Path, held: Contents) -> Restorable:
+    state, epoch, index = ConfigurationState(), 0, held.snapshot_index
+    if held.snapshot is not None:
+        epoch, snapshot = unframed(held.snapshot)
+        state.restore(snapshot)
+    for index, framed in held.records:
+        epoch, record = unframed(framed)
+        state.apply(index, record)
+    if state.current is None:
+        raise RestoreError(source, "holds no configuration", "restore from another copy")
+    return Restorable(state, state.current, epoch, index)
+
+
+def _from_json(source: Path) -> Restorable:
+    state = ConfigurationState()
+    try:
+        state.current = parse(decode(source.read_bytes()))
+    except (OSError, ConfigurationError) as error:
+        raise RestoreError(source, f"is no valid configuration: {error}",
+                           "mend it or restore from another copy") from error
+    return Restorable(state, state.current, 0, 0)
+
+
+def describe(found: Restorable) -> str:
+    """One line on what would be restored."""
+    configuration = found.configuration
+    size = len(json.dumps(configuration.raw))
+    return (f"configuration {configuration.config_version}: {len(configuration.routes)} routes, "
+            f"{len(configuration.services)} services, {size} bytes; last epoch {found.last_epoch}, "
+            f"last record {found.last_index}")
+
+
+def fresh_identity(address: str) -> str:
+    """An identity that no process has had."""
+    return f"{address}#{os.urandom(8).hex()}"
--- a/larchgw/control/rpc_service.py
+++ b/larchgw/control/rpc_service.py
@@ -7,6 +7,7 @@
 from ..distribution.pulls import PullService
 from ..placement.service import PlacementService
 from ..rpc.generated.ttypes import (
+    ControlStatus,
     DemandReport,
     OperatorAnswer,
     OperatorCall,
@@ -15,8 +16,10 @@
     PullRequest,
     PushReply,
     PushRequest,
+    StatusRequest,
 )
 from .replicated_log import ReplicatedLog
+from .status import StatusService
 
 
 class OperatorCalls(Protocol):
@@ -30,9 +33,9 @@
     """The coroutines are the methods of the thrift service."""
 
     def __init__(self, pulls: PullService, replicated: ReplicatedLog, placement: PlacementService,
-                 operator: OperatorCalls) -> None:
+                 operator: OperatorCalls, status: StatusService) -> None:
         self._pulls, self._replicated, self._placement = pulls, replicated, placement
-        self._operator = operator
+        self._operator, self._status = operator, status
 
     async def pull(self, request: PullRequest) -> PullReply:
         """Entries that the caller lacks."""
@@ -53,3 +56,7 @@
     async def deliver(self, message: PeerMessage) -> None:
         """A message of the replication protocol."""
         self._replicated.receive(message)
+
+    async def status(self, request: StatusRequest) -> ControlStatus:
+        """What this process tells of itself."""
+        return await self._status.status(request)
--- /dev/null
+++ b/larchgw/control/status.py
@@ -0,0 +1,121 @@
+"""What a control process tells of itself to people and their programs: over rpc, and as JSON."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from ..directory.directory import Directory
+from ..distribution.interface import PLACER
+from ..distribution.registry import Registry
+from ..membership.member import Member as Process
+from ..membership.swim import Swim
+from ..placement.summary import PlacementSummary
+from ..replication.effects import Role
+from ..replication.member import Member
+from ..replication.view import View
+from ..rpc.generated import ttypes
+from .disk import ControlDisk
+from .isolation import Isolation
+from .state import ConfigurationState
+
+
+@dataclass(frozen=True, slots=True)
+class StatusSources:
+    """The parts of a control process that a status is read from. `placement` gives None unless it places."""
+
+    node_name: str
+    member: Member
+    state: ConfigurationState
+    swim: Swim
+    registry: Registry
+    directory: Directory
+    disk: ControlDisk
+    isolation: Isolation
+    placement: Callable[[], PlacementSummary | None]
+
+
+class StatusService:
+    """Reads the status anew at each call; nothing is kept."""
+
+    def __init__(self, sources: StatusSources) -> None:
+        self._from = sources
+
+    async def status(self, request: ttypes.StatusRequest) -> ttypes.ControlStatus:
+        """The rpc method."""
+        status = self.read()
+        summary = self._from.placement() if request.placement else None
+        if summary is not None:
+            status.placement = _placement(summary)
+        return status
+
+    def read(self) -> ttypes.ControlStatus:
+        """All but what is placed."""
+        sources = self._from
+        view = sources.member.view
+        placer, fence = self._placer()
+        stages = Counter(record.stage.name.lower() for record in sources.directory.runners())
+        return ttypes.ControlStatus(
+            node_name=sources.node_name, identity=sources.member.id, role=_role(sources.member, view),
+            view=_view(view), config_version=sources.state.version,
+            committed_index=sources.member.committed_index, isolated=sources.isolation.isolated(),
+            processes=[_process(process) for process in self._processes()], placer=placer,
+            placer_fence=fence, runners=dict(stages), disk=sources.disk.status())
+
+    def as_json(self) -> dict[str, Any]:
+        """The same as `read`, as an object for JSON."""
+        status: dict[str, Any] = as_object(self.read())
+        return status
+
+    def _processes(self) -> list[Process]:
+        """All that are there, and those that ended without leaving."""
+        found = [*self._from.swim.members(), *self._from.swim.dead()]
+        return sorted(found, key=lambda process: (process.role, process.name))
+
+    def _placer(self) -> tuple[str, int]:
+        entry = self._from.registry.get(PLACER)
+        if entry is None:
+            return "", 0
+        return str(json.loads(entry.value)["address"]), entry.major
+
+
+def as_object(value: Any) -> Any:
+    """A thrift struct with all that it holds as dicts and lists; fields that are not set are left out."""
+    if isinstance(value, list):
+        return [as_object(item) for item in value]
+    if isinstance(value, dict):
+        return {key: as_object(item) for key, item in value.items()}
+    if not hasattr(value, "thrift_spec"):
+        return value
+    fields = {name: getattr(value, name) for name in value.__slots__}
+    return {name: as_object(field) for name, field in fields.items() if field is not None}
+
+
+def _role(member: Member, view: View | None) -> str:
+    if member.acting_epoch is not None:
+        return Role.PRIMARY.name.lower()
+    in_sync = view is not None and member.id in view.in_sync
+    return (Role.BACKUP if in_sync else Role.LEARNER).name.lower()
+
+
+def _view(view: View | None) -> ttypes.View | None:
+    if view is None:
+        return None
+    return ttypes.View(view.epoch, view.primary, list(view.backups), list(view.witnesses),
+                       dict(view.addresses))
+
+
+def _process(process: Process) -> ttypes.ProcessStatus:
+    return ttypes.ProcessStatus(process.name, process.role, process.address, process.zone,
+                                process.state.name.lower())
+
+
+def _placement(summary: PlacementSummary) -> ttypes.PlacementStatus:
+    models = [ttypes.ModelStatus(model.service, model.model, model.rate, model.waiting, model.in_flight,
+                                 list(model.holders), list(model.coming)) for model in summary.models]
+    orders = [ttypes.OrderStatus(order.runner, order.action, order.name, round(order.age_s * 1000.0),
+                                 order.accepted) for order in summary.orders]
+    return ttypes.PlacementStatus(summary.fence, summary.load_limit, summary.load_room, models, orders)
--- a/larchgw/decide/budget.py
+++ b/larchgw/decide/budget.py
@@ -79,6 +79,10 @@
 
     def may_repeat(self, now: float, service: str, dispatchers: int) -> bool:
         """Whether one more repeat now is within this dispatcher's part."""
+        return self.left(now, service, dispatchers) > 0
+
+    def left(self, now: float, service: str, dispatchers: int) -> int:
+        """How many repeats are within this dispatcher's part now; below 0 where its part has shrunk."""
         traffic = self._traffic(now, service)
         traffic.trim(now - 2.0 * self._window, now - self._window)
         among = self._dispatchers(now, dispatchers)
@@ -88,7 +92,11 @@
         if of_extra < 1.0:
             rounded = (MARGIN * self._extra - math.sqrt(among)) / among
             allowed = math.floor(by_ratio + rounded + self._turn(now)) if rounded > 0.0 else int(by_ratio)
-        return len(traffic.repeats) + 1 <= allowed
+        return allowed - len(traffic.repeats)
+
+    def remaining(self, now: float, dispatchers: int) -> dict[str, int]:
+        """`left` of each service that was asked for, to be shown; changes nothing that is decided."""
+        return {service: self.left(now, service, dispatchers) for service in self._services}
 
     def _traffic(self, now: float, service: str) -> _Traffic:
         if self._started is None:
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -30,6 +30,7 @@
 from ..net.asyncloop import AsyncLoop
 from ..rpc.client import RpcClient
 from ..rpc.generated.ttypes import Entry
+from ..runtime import http_status
 from ..runtime.addresses import EDGE_GOSSIP_PORT, seed_gossip_addresses, seed_rpc_addresses
 from ..runtime.clients import RpcClients
 from ..runtime.dice import new_dice
@@ -38,6 +39,7 @@
 from .demand_reports import DemandReporter
 from .expectations import Expectations
 from .proxy import Proxy
+from .status import EdgeStatus
 
 log = logging.getLogger(__name__)
 FORGET_EVERY_S = 30.0
@@ -71,8 +73,8 @@
         settings = self.settings
         self.net = AsyncLoop(asyncio.get_running_loop())
         self.expectations = Expectations(self.registry, self.net.clock.now)
-        self.proxy = Proxy(self.net, settings, self.selector, RetryBudget(settings.time_limits, self._dice),
-                           self._dice)
+        self.budget = RetryBudget(settings.time_limits, self._dice)
+        self.proxy = Proxy(self.net, settings, self.selector, self.budget, self._dice)
         self.proxy.runners = self.view.by_service
         self.proxy.expected = self._expected
         self.proxy.dispatchers = lambda: self.swim.count("edge")
@@ -81,7 +83,9 @@
         self.registry.watch(CONFIGURATION, self._configure)
         self.view.on_change(lambda record: self.proxy.runners_changed())
         self.proxy.listen(settings.listen.front)
-        self._ready_server = readiness.serve(self.is_ready, *parse_address(settings.listen.ready))
+        self._ready_server = readiness.serve(
+            self.is_ready, *parse_address(settings.listen.ready),
+            http_status.rules(self._status().read, self.proxy.net_counters.registry))
         self._gossip = SwimTransport(self.swim, settings.ip, settings.port(EDGE_GOSSIP_PORT))
         await self._gossip.start()
         self.tasks.start("pull", self.puller.run)
@@ -146,3 +150,7 @@
         known: Mapping[str, RunnerRecord] = self.view.by_service(service)
         found = self.expectations.expected(model, adapter)
         return {runner: at for runner, at in found.items() if runner in known}
+
+    def _status(self) -> EdgeStatus:
+        return EdgeStatus(self.settings.node_name, self.is_ready, lambda: self._configuration, self.puller,
+                          self.view, self.swim, self.proxy, self.budget)
--- a/larchgw/edge/readiness.py
+++ b/larchgw/edge/readiness.py
@@ -1,8 +1,9 @@
-"""The readiness endpoint that the platform asks each second, on Tornado."""
+"""The port that the platform asks for readiness each second, on Tornado; people ask it for the status."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any
 
 import tornado.httpserver
 import tornado.web
@@ -20,9 +21,10 @@
         return None
 
 
-def serve(is_ready: Callable[[], bool], host: str, port: int) -> tornado.httpserver.HTTPServer:
-    """Answers GET /ready with 200 or 503. Raises OSError."""
-    application = tornado.web.Application([(r"/ready", _ReadyHandler, {"is_ready": is_ready})],
+def serve(is_ready: Callable[[], bool], host: str, port: int,
+          further: Sequence[Any] = ()) -> tornado.httpserver.HTTPServer:
+    """Answers GET /ready with 200 or 503, and `further` rules of Tornado's. Raises OSError."""
+    application = tornado.web.Application([(r"/ready", _ReadyHandler, {"is_ready": is_ready}), *further],
                                           log_function=lambda handler: None)
     server = tornado.httpserver.HTTPServer(application)
     server.listen(port, host)
--- a/larchgw/placement/interface.py
+++ b/larchgw/placement/interface.py
@@ -2,6 +2,7 @@
 
     service.PlacementService(service.PlacementRuntime(clock, lease, calls, publish, settings))
         .configure(Configuration), .see_runner(RunnerRecord), .demand(DemandReport)     news, at any time
+        .summary() -> PlacementSummary | None     for people to look at (summary.py); None: others place
         .run()                                    the loop; orders only while `lease()` gives a Lease
         `publish(runner_id, {"model" or "model/adapter": ms})` is called with what expected/<runner_id>
         should say:
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -29,6 +29,7 @@
 from .planner import Planner
 from .reconciler import Reconciler
 from .state import RunnerState
+from .summary import PlacementSummary, summarise
 
 logger = logging.getLogger(__name__)
 
@@ -138,6 +139,12 @@
         if any(line.waiting > 0 for line in report.models):
             self._wake.set()
 
+    def summary(self) -> PlacementSummary | None:
+        """What is held, wanted and ordered; None while another process places models."""
+        if self._fence is None:
+            return None
+        return summarise(self._clock(), self._fence, self._demand, self._reconciler)
+
     # ---- The loop ----
 
     async def run(self) -> None:
--- a/larchgw/replication/identity.py
+++ b/larchgw/replication/identity.py
@@ -31,5 +31,10 @@
     witness.reset(first_view(settings.seeds) if is_founder else None)
     leases.reset(from_first_boot=is_founder)
     identity = settings.address if is_founder else settings.fresh_identity
-    cell.store(json.dumps({"id": identity}).encode())
+    store_identity(cell, identity)
     return Identity(identity, True)
+
+
+def store_identity(cell: Cell, identity: str) -> None:
+    """Makes this the identity on the disk."""
+    cell.store(json.dumps({"id": identity}).encode())
--- /dev/null
+++ b/larchgw/replication/refound.py
@@ -0,0 +1,53 @@
+"""A new beginning after more was lost than the replicated state survives: one member that holds a snapshot.
+
+The member written here is the only witness and the only one in sync of its view, so it becomes primary as
+soon as it runs, and takes the others in as it does any empty disk: they have new identities. Records are
+acknowledged again once `survive` of them are in sync.
+
+Nothing of the former members may run beside it. Should one come back all the same, it stays without effect:
+its view names witnesses that no longer run, and its epochs and fences are below those written here, which
+count from the time of day. For the same reason dispatchers that went on running take what comes from the new
+members for newer than all they have.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .identity import store_identity
+from .lease_witness import LeaseWitness
+from .ports import Ports
+from .replica import Replica
+from .view import View
+from .witness import Witness
+
+ANY_TERM = 0.0  # the lease term plays no part in what is stored
+
+
+@dataclass(frozen=True, slots=True)
+class Beginning:
+    """The first member, the epoch of its view, and the index that the snapshot stands for."""
+
+    identity: str
+    address: str
+    epoch: int
+    index: int
+
+
+def beginning(identity: str, address: str, time_of_day: float, last_epoch: int, last_index: int) -> Beginning:
+    """Epoch and index above all that the former members can have reached: these count changes one by one,
+    never as many as seconds have passed since 1970. `last_epoch` and `last_index` are the highest known."""
+    seconds = int(time_of_day)
+    return Beginning(identity, address, max(seconds, last_epoch + 1), max(seconds, last_index + 1))
+
+
+def refound(ports: Ports, begin: Beginning, snapshot: bytes) -> View:
+    """Writes the first member into empty files, its identity last: until that stands, nothing counts.
+    Raises OSError."""
+    me = begin.identity
+    view = View(begin.epoch, me, (), (me,), (me,), {me: begin.address})
+    Replica(ports.journal).install(begin.index, begin.epoch, snapshot)
+    LeaseWitness(ports.leases, ANY_TERM).reset(from_first_boot=False)
+    Witness(ports.witness).reset(view)
+    store_identity(ports.identity, me)
+    return view
--- a/larchgw/replication/replica.py
+++ b/larchgw/replication/replica.py
@@ -160,5 +160,10 @@
         return index
 
 
+def unframed(framed: bytes) -> tuple[int, bytes]:
+    """The epoch and the record, or snapshot, that a journal holds as `framed`."""
+    return _epoch(framed), framed[_EPOCH.size:]
+
+
 def _epoch(framed: bytes) -> int:
     return int(_EPOCH.unpack_from(framed)[0])
--- a/larchgw/rpc/larchgw.thrift
+++ b/larchgw/rpc/larchgw.thrift
@@ -94,6 +94,75 @@
   3: string primary         // who answered; empty: not known here
 }
 
+// ---- Status, for people ----
+
+// One process as membership sees it.
+struct ProcessStatus {
+  1: string name
+  2: string role            // "edge" or "control"
+  3: string address         // of its membership socket
+  4: string zone
+  5: string state           // "alive", "suspect", "dead", "left"
+}
+
+// The data folder of the process that answers.
+struct DiskStatus {
+  1: i64 log_bytes          // segments and snapshot
+  2: i64 first_index        // lowest record after the snapshot
+  3: i64 last_index
+  4: i64 durable_index      // records up to this one survive a loss of power
+  5: i64 free_bytes         // that the file system has left; -1: it does not tell
+  6: bool has_reserve       // room is set aside for epochs and views
+}
+
+// Demand for one model with its adapters, and where it is.
+struct ModelStatus {
+  1: string service_name
+  2: string model
+  3: double rate            // requests a second
+  4: i32 waiting            // requests that wait for a load
+  5: i32 in_flight          // requests at runners
+  6: list<string> holders   // runners
+  7: list<string> coming    // runners that are loading it
+}
+
+// One order that is under way.
+struct OrderStatus {
+  1: string runner
+  2: string action          // "loading", "unloading"
+  3: string name            // model or model/adapter
+  4: i32 age_ms             // since it was sent
+  5: bool accepted          // the runner has said so
+}
+
+struct PlacementStatus {
+  1: i64 fence
+  2: i32 load_limit         // loads from the weight store that may begin in one window
+  3: i32 load_room          // of these, how many may begin now
+  4: list<ModelStatus> models
+  5: list<OrderStatus> orders
+}
+
+struct ControlStatus {
+  1: string node_name
+  2: string identity        // of its replication member; another one after the disk was lost
+  3: string role            // in the replicated log: "learner", "backup", "primary"
+  4: optional View view
+  5: i64 config_version     // committed and applied here; 0: none
+  6: i64 committed_index
+  7: bool isolated          // cut off from the majority of the control processes
+  8: list<ProcessStatus> processes
+  9: string placer          // rpc address of who places models; empty: nobody known
+  10: i64 placer_fence
+  11: map<string, i32> runners  // stage -> how many are known here
+  12: DiskStatus disk
+  13: optional PlacementStatus placement  // only at the placer, where it was asked for
+}
+
+struct StatusRequest {
+  1: bool placement         // tell also what is placed
+}
+
 exception Unavailable {
   1: string reason
   2: string remedy
@@ -105,4 +174,5 @@
   void demand(1: DemandReport report) throws (1: Unavailable unavailable)
   OperatorAnswer submit(1: OperatorCall call) throws (1: Unavailable unavailable)
   oneway void deliver(1: PeerMessage message)
+  ControlStatus status(1: StatusRequest request)
 }
--- a/larchgw/storage/inspect.py
+++ b/larchgw/storage/inspect.py
@@ -4,13 +4,15 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from . import segments
 from .errors import CorruptLog, StorageError
 from .files import DiskFiles, FilePort
-from .recovery import NO_SNAPSHOT, read_snapshot, recover
+from .recovery import NO_SNAPSHOT, Recovery, read_snapshot, recover
+from .snapshots import parse_snapshot_name
 
 PREVIEW_BYTES = 60
 
@@ -44,6 +46,15 @@
         )
 
 
+@dataclass(frozen=True)
+class Contents:
+    """A snapshot, which stands for the records up to its index, and the records after it."""
+
+    snapshot_index: int
+    snapshot: bytes | None
+    records: list[tuple[int, bytes]]
+
+
 def verify(folder: str, port: FilePort | None = None) -> Verification:
     """Reads every record and the snapshot."""
     try:
@@ -64,13 +75,37 @@
     if found.snapshot != NO_SNAPSHOT:
         payload = read_snapshot(port, folder, found.snapshot)
         yield f"snapshot up to {found.snapshot.index}: {_describe(payload)}"
+    for index, record in _records(port, found):
+        yield f"record {index} (durable up to {record.durable}): {_describe(record.payload)}"
+
+
+def contents(folder: str, port: FilePort | None = None) -> Contents:
+    """All that the log of a folder holds. Raises CorruptLog, DiskFailed."""
+    port = port or DiskFiles()
+    found = recover(port, folder)
+    snapshot = None if found.snapshot == NO_SNAPSHOT else read_snapshot(port, folder, found.snapshot)
+    records = [(index, record.payload) for index, record in _records(port, found)
+               if index > found.snapshot.index]
+    return Contents(found.snapshot.index, snapshot, records)
+
+
+def snapshot_file(path: str, port: FilePort | None = None) -> Contents:
+    """What a snapshot's file alone holds. Raises CorruptLog, DiskFailed."""
+    folder, name = os.path.split(path)
+    identity = parse_snapshot_name(name)
+    if identity is None:
+        raise CorruptLog(path, 0, "its name is not that of a snapshot", "give the file its name back")
+    return Contents(identity.index, read_snapshot(port or DiskFiles(), folder, identity), [])
+
+
+def _records(port: FilePort, found: Recovery) -> Iterator[tuple[int, segments.Record]]:
     for segment in found.live:
         for index in range(segment.first_index, segment.last_index + 1):
             start, size = segment.place(index)
             record = segments.decode(segment.first_index, port.read(segment.path, start, size), 0, start)
             if record is None:
                 raise CorruptLog(segment.path, start, f"record {index} is damaged")
-            yield f"record {index} (durable up to {record.durable}): {_describe(record.payload)}"
+            yield index, record
 
 
 def _describe(payload: bytes) -> str:
--- a/larchgw/storage/interface.py
+++ b/larchgw/storage/interface.py
@@ -20,10 +20,11 @@
         .load() -> bytes | None
         .store(bytes)                   durable once it returns
     reserve.Reserve(port, folder)       room that a cell gives back when it finds the disk full
-        .refill() -> bool, .release() -> bool
+        .refill() -> bool, .release() -> bool, .is_kept() -> bool
 
     inspect.verify(folder) -> Verification          `str()` of it is a line for the command line; `.ok`
-    inspect.dump(folder) -> iterator of lines       both only read
+    inspect.dump(folder) -> iterator of lines
+    inspect.contents(folder), .snapshot_file(path) -> Contents      all of them only read
 
 Errors (errors.py), each with path, problem and remedy: DiskFull, DiskFailed, RecordsGone, CorruptLog,
 CorruptCell. DiskFull and DiskFailed promise nothing and leave the log and the cell usable.
--- a/larchgw/storage/reserve.py
+++ b/larchgw/storage/reserve.py
@@ -34,6 +34,13 @@
             return False
         return True
 
+    def is_kept(self) -> bool:
+        """Whether the room is set aside now."""
+        try:
+            return self._port.size(self._path) == self._size
+        except StorageError:
+            return False
+
     def release(self) -> bool:
         """Gives the room back; False if there is none or the disk refuses even that."""
         try:
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,187 @@
+"""What processes tell of themselves: a status must be true of a process in any state, and change nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import tempfile
+from typing import Any
+
+import tornado.web
+from configurations import example
+from edge_stand_ins import Edge, run
+from prometheus_client import generate_latest
+from testtools import TestCase
+from tornado.testing import AsyncHTTPTestCase
+
+from larchgw.configuration.settings import NodeSettings, TimeLimits
+from larchgw.configuration.validation import parse
+from larchgw.control import metrics, node
+from larchgw.control.node import ControlNode
+from larchgw.control.status import StatusService, as_object
+from larchgw.decide.budget import START_DISPATCHERS, RetryBudget
+from larchgw.directory.records import HeldModel, RunnerRecord
+from larchgw.directory.view import RunnerView
+from larchgw.distribution.interface import PLACER
+from larchgw.distribution.puller import Puller
+from larchgw.distribution.registry import Registry
+from larchgw.distribution.sources import PullSettings
+from larchgw.edge.status import EdgeStatus
+from larchgw.membership.member import Member
+from larchgw.membership.settings import SwimSettings
+from larchgw.membership.swim import Swim
+from larchgw.placement.ceiling import LoadCeiling
+from larchgw.placement.demand import Demand
+from larchgw.placement.model import Order, PlacementSettings
+from larchgw.placement.reconciler import Reconciler
+from larchgw.placement.service import PlacementRuntime, PlacementService
+from larchgw.placement.summary import summarise
+from larchgw.rpc.generated import ttypes
+from larchgw.runtime import http_status
+
+ADDRESS = "127.0.0.1:7660"
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def models_configuration() -> Any:
+    raw = example()
+    service = next(service for service in raw["services"] if service.get("runtime"))
+    return parse(raw), service["name"], service["runtime"]["models"][0]["name"]
+
+
+class ControlStatusTest(TestCase):
+    """A control process that was made and not started."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        settings = NodeSettings("core-1", "127.0.0.1", "a", spare_ports=[7660, 7675], first_boot=True,
+                                seed_list=["127.0.0.1:8146"], data_dir=folder.name)
+        self.node = ControlNode(settings)
+        self.placed: Any = None
+        self.service = StatusService(node.StatusSources(
+            "core-1", self.node.member, self.node.state, self.node.swim, self.node.registry,
+            self.node.directory, self.node.disk, self.node.isolation, lambda: self.placed))
+
+    def test_a_process_that_knows_nothing_yet_says_so(self) -> None:
+        status = self.service.read()
+        self.assertEqual(("core-1", "backup", 0, "", 0, {}), (
+            status.node_name, status.role, status.config_version, status.placer, status.placer_fence,
+            status.runners))
+        self.assertEqual(["core-1"], [process.name for process in status.processes])
+        self.assertEqual((1, 0), (status.disk.first_index, status.disk.last_index))
+
+    def test_the_placer_and_the_runners_are_those_of_the_registry(self) -> None:
+        self.node.registry.put(PLACER, json.dumps({"address": "10.0.0.3:7660"}).encode(), 70_001)
+        self.node.directory.checkin(RunnerRecord("i-1", "s", "10.0.0.9:1", "a", call_count=1))
+        status = self.service.read()
+        self.assertEqual(("10.0.0.3:7660", 70_001), (status.placer, status.placer_fence))
+        self.assertEqual({"ready": 1}, status.runners)
+
+    def test_the_reserve_is_told_only_while_it_is_there(self) -> None:
+        self.assertFalse(self.service.read().disk.has_reserve)
+        self.node.disk.keep_reserve()
+        self.assertTrue(self.service.read().disk.has_reserve)
+
+    def test_what_is_placed_is_told_only_to_who_asks_and_only_by_the_placer(self) -> None:
+        ask = ttypes.StatusRequest(placement=True)
+        self.assertIsNone(asyncio.run(self.service.status(ask)).placement)
+        service = PlacementService(PlacementRuntime(Clock(), lambda: None, None))  # type: ignore[arg-type]
+        self.assertIsNone(service.summary())
+        demand, reconciler = Demand(Clock()), Reconciler(PlacementSettings(), LoadCeiling(2.0, 5.0, 1.1))
+        self.placed = summarise(1000.0, 7, demand, reconciler)
+        self.assertEqual(7, asyncio.run(self.service.status(ask)).placement.fence)
+        self.assertIsNone(asyncio.run(self.service.status(ttypes.StatusRequest(False))).placement)
+
+    def test_the_status_is_json_and_its_figures_are_metrics(self) -> None:
+        self.assertEqual("core-1", json.loads(json.dumps(self.service.as_json()))["node_name"])
+        text = generate_latest(metrics.new_registry(self.service.read)).decode()
+        for line in ("larchgw_control_config_version 0.0", "larchgw_control_is_primary 0.0",
+                     'larchgw_control_processes{role="control"} 1.0'):
+            self.assertIn(line, text)
+
+
+def test_fields_that_are_not_set_are_left_out_of_the_json() -> None:
+    status = ttypes.ControlStatus(node_name="a", processes=[ttypes.ProcessStatus(name="b")])
+    assert as_object(status) == {"node_name": "a", "processes": [{"name": "b"}]}
+
+
+def test_a_summary_tells_holders_loads_under_way_and_what_the_store_allows() -> None:
+    configuration, service, model = models_configuration()
+    clock = Clock()
+    demand, reconciler = Demand(clock), Reconciler(PlacementSettings(), LoadCeiling(2.0, 5.0, 1.1))
+    reconciler.configure(configuration)
+    held = (HeldModel(model),)
+    reconciler.see_runner(clock(), RunnerRecord("i-1", service, "10.0.0.1:1", "z", models=held))
+    reconciler.see_runner(clock(), RunnerRecord("i-2", service, "10.0.0.2:1", "z"))
+    line = ttypes.ModelDemand(service, model, "", arrivals=5, waiting=2, in_flight=1, urgency_ms=900)
+    line.worth = 5.0
+    demand.report(ttypes.DemandReport("edge-1", 250, [line]))
+    reconciler.ordering(clock(), Order("i-2", "10.0.0.2:1", "loading", model))
+    found = summarise(clock() + 0.5, 9, demand, reconciler)
+    (placed,) = [line for line in found.models if line.model == model]
+    assert (placed.holders, placed.coming, placed.waiting, placed.in_flight) == (("i-1",), ("i-2",), 2, 1)
+    assert placed.rate > 0.0 and len(found.models) == len(reconciler.terms[service].models)
+    (order,) = found.orders
+    assert (order.runner, order.name, order.age_s, order.accepted) == ("i-2", model, 0.5, False)
+    assert found.load_room == found.load_limit - 1
+
+
+def test_an_edge_tells_its_configuration_source_runners_and_what_is_left_of_its_retries() -> None:
+    async def test() -> None:
+        edge = Edge()
+        registry = Registry("edge-1/1")
+        configuration, service, _ = models_configuration()
+        registry.put("runner/i-1", RunnerRecord("i-1", service, "10.0.0.1:1", "z").encode(), 1)
+        puller = Puller(registry, lambda address: None, list,  # type: ignore[arg-type, return-value]
+                        PullSettings.of(TimeLimits()), random.Random(1))
+        budget = RetryBudget(TimeLimits(), random.Random(1))
+        swim = Swim(Member("edge-1", "10.0.0.1:7662", "edge", 1), SwimSettings(), random.Random(1))
+        status = EdgeStatus("edge-1", lambda: False, lambda: configuration, puller, RunnerView(registry),
+                            swim, edge.proxy, budget)
+        told = json.loads(json.dumps(status.read()))
+        assert told["config_version"] == configuration.config_version and not told["ready"]
+        assert told["runners"][service] == {"ready": 1}
+        assert told["control"] == {"source": "", "changes": 0, "silent_s": None}
+        assert (told["dispatchers"], told["open_requests"], told["retries_left"]) == (1, 0, {})
+        budget.request(edge.loop.clock.now(), service)
+        assert status.read()["retries_left"][service] > 0
+
+    run(test())
+
+
+def test_reading_what_is_left_of_the_retries_does_not_begin_the_time_in_which_more_dispatchers_are_assumed(
+        ) -> None:
+    read, unread = (RetryBudget(TimeLimits(retry_extra=START_DISPATCHERS * 2), random.Random(1))
+                    for _ in range(2))
+    read.remaining(0.0, 1)
+    for budget in (read, unread):
+        budget.request(100.0, "s")
+    assert read.left(100.1, "s", 1) == unread.left(100.1, "s", 1)
+    assert read.may_repeat(100.1, "s", 1) == (read.left(100.1, "s", 1) > 0)
+
+
+class StatusPagesTest(AsyncHTTPTestCase):
+    """`/status` and `/metrics` beside the pages of a role."""
+
+    def get_app(self) -> tornado.web.Application:
+        registry = metrics.new_registry(lambda: ttypes.ControlStatus(
+            role="primary", config_version=7, committed_index=1, isolated=False, processes=[], runners={},
+            disk=ttypes.DiskStatus(0, 1, 0, 0, 0, True)))
+        return tornado.web.Application(http_status.rules(lambda: {"node_name": "core-1"}, registry))
+
+    def test_the_status_is_json_and_the_metrics_are_text(self) -> None:
+        status = self.fetch("/status")
+        assert json.loads(status.body) == {"node_name": "core-1"}
+        assert status.headers["Content-Type"].startswith("application/json")
+        assert b"larchgw_control_config_version 7.0" in self.fetch("/metrics").body
+        assert self.fetch("/status/x").code == 404
