--- a/larchgw/emulator/system/script.py
+++ b/larchgw/emulator/system/script.py
@@ -50,6 +50,15 @@
             group.create_task(self._lane([self._release_runner, self._crash_runner, self._darken_runner,
                                           self._misbehaviour], 0.0))
 
+    async def final(self) -> None:
+        """The last fault: every control process is killed right after it has acknowledged a change."""
+        change = self._added()
+        taken = await self._operator.change(change)
+        down = self._random.uniform(*DOWN_S)
+        await self._rig.kill_all(self._rig.controls, down)
+        self.events.append(f"version {change['config_version']}: {_verdict(taken)}; "
+                           f"all control processes killed, back after {down:.1f} s")
+
     def stop(self) -> None:
         """No further troubles."""
         self._stopping.set()
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -120,6 +120,7 @@
         script.stop()
         if playing is not None:
             await playing
+            await script.final()
             await self._until(self._settled, "not all processes are back after the last trouble")
         await self._operator.read(START_S)
         statuses = await self._rig.stop()
