--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -156,7 +156,7 @@
         try:
             message, address = decode(envelope.kind, envelope.body)
         except DecodeError as error:
-            log.warning("%s", error)
+            log.warning("dropping a message: %s", error)
             return self._finish(now)
         self._meet(envelope.sender, address)
         return self._guarded(now, lambda: self._handle(now, envelope.sender, message))
