Edge: debug lines that follow one request from its waits over its attempts to its answer

At level DEBUG each new reason to wait, each attempt's end (with the times of the send and of the first event, key and tokens) and each answer of the dispatcher's own is one line. At other levels a request has no trace.

--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -18,6 +18,7 @@
 from .runner_link import AnswerHead, RunnerLink
 from .silence import SilenceWatch, silence_limit
 from .stream_relay import StreamMismatch, StreamRelay
+from .trace import RequestTrace
 
 DEADLINE_MARGIN_S = 0.02  # before the client gives up: our answer has to reach it
 EXTRA_SENDS = 3  # beyond the route's tries, for sends that certainly never ran
@@ -48,6 +49,7 @@
         self._stream: StreamRelay | None = None
         self._streaming = False  # whether the present answer goes to `_stream`
         self._wake: Deadline | None = None
+        self._trace = RequestTrace.of(traits, name)
         self._silence: SilenceWatch | None = None
         self._deadline = context.loop.deadlines.add(
             max(traits.deadline_at - DEADLINE_MARGIN_S, traits.arrived_at), self._expired)
@@ -111,6 +113,8 @@
 
     def _wait(self, now: float, choice: Wait) -> None:
         context, traits = self._context, self.traits
+        if self._trace is not None:
+            self._trace.waits(now, choice.reason)
         context.waiting.add(self)
         context.loop.deadlines.drop(self._wake)
         self._wake = context.loop.deadlines.add(max(choice.until, now + LEAST_WAIT_S), self._woken)
@@ -138,6 +142,8 @@
         self._attempt, self._send, self._verdict, self._head = attempt, choice, None, None
         self._heard(now)
         context.selection.sent(attempt)
+        if self._trace is not None:
+            self._trace.sent(now)
         if self._arrivals:
             context.budget.repeat(now, self.traits.service)
         link = context.pool.acquire(runner, once=not self.traits.route.idempotent)
@@ -176,7 +182,7 @@
             self._verdict = AttemptOutcome.RUNNER_ERROR  # the client has the head of a stream already
         elif verdict is Verdict.ANSWER:
             self._relay = WholeRelay(self._exchange, head)
-            self._context.selection.head(self._context.now(), attempt)
+            self._began(attempt)
         elif verdict is Verdict.NO_ANSWER:
             self._break_off(AttemptOutcome.GARBLED)
         else:
@@ -249,7 +255,14 @@
             self._mismatch(error)
             return
         if stream.started and not started:
-            self._context.selection.head(now, attempt)
+            self._began(attempt)
+
+    def _began(self, attempt: Attempt) -> None:
+        """The runner's answer has begun: its head, or a stream's first event, has come."""
+        now = self._context.now()
+        if self._trace is not None:
+            self._trace.began(now)
+        self._context.selection.head(now, attempt)
 
     def _heard(self, now: float) -> None:
         if self._silence is not None:
@@ -280,7 +293,10 @@
         """Records the end of the attempt."""
         attempt, self._attempt = self._attempt, None
         assert attempt is not None
-        self._context.selection.ended(self._context.now(), attempt, outcome)
+        now = self._context.now()
+        if self._trace is not None:
+            self._trace.ended(now, attempt.runner, outcome)
+        self._context.selection.ended(now, attempt, outcome)
         self._context.counters.attempts.labels(outcome.name.lower()).inc()
         if outcome not in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.UNSENT):
             self._arrivals += 1
@@ -350,6 +366,8 @@
 
     def _reply(self, status: int, reason: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
         self._context.counters.answers.labels(str(status), "edge").inc()
+        if self._trace is not None:
+            self._trace.answered(self._context.now(), status, reason)
         self._exchange.reply(status, reason.encode() + b"\n", headers)
         self._finish()
 
