--- a/larchgw/replication/ballot.py
+++ b/larchgw/replication/ballot.py
@@ -68,6 +68,11 @@
         answered = self._promised if self.proposal is None else self._accepted
         return tuple(member for member in self.participants if member not in answered)
 
+    def progress(self) -> tuple[object, ...]:
+        """Everything that answers have changed; equal for ballots that will go on alike."""
+        return (self.epoch, self.base.epoch, self.proposal is not None, frozenset(self._promised),
+                frozenset(self._accepted))
+
     @property
     def participants(self) -> tuple[str, ...]:
         """All that are asked: the members of the view before, and of the proposal."""
--- /dev/null
+++ b/larchgw/replication/explore.py
@@ -0,0 +1,127 @@
+"""Explores the protocol: every interleaving of a few steps, random walks, courses of faults in time, and
+mutants.
+
+The same seed plays the same runs; how many of them depends on the time given."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import partial
+
+from .explore_checks import Broken
+from .explore_exhaustive import Exhaustive
+from .explore_faults import Course
+from .explore_mutants import MUTANTS, Mutant
+from .explore_walk import Walk
+from .explore_world import World
+
+# machines, seeds among them, machines that may be lost
+SHAPES = ((3, 3, 1), (5, 3, 2), (4, 3, 1), (5, 5, 2))
+WALK_SHAPES = ((3, 3, 1), (5, 3, 2), (4, 3, 1), (3, 3, 1))
+CALM_BETWEEN = (0.4, 1.0, 2.5)  # seconds between two faults, on average
+COURSE_SECONDS = 10.0
+WALK_STEPS = 2000
+EXHAUSTIVE_SHARE = 0.25  # of the time
+MOST_STATES = 200_000
+
+
+@dataclass
+class Found:
+    """What an exploration has seen."""
+
+    states: int = 0
+    runs: int = 0
+    acknowledged: int = 0
+    confirmed: int = 0
+    broken: list[str] = field(default_factory=list)
+
+
+def course(seed: int, recover: bool = True) -> World:
+    """One course of faults, and the recovery from it."""
+    world = World(seed, *SHAPES[seed % len(SHAPES)])
+    played = Course(world)
+    played.play(COURSE_SECONDS, CALM_BETWEEN[seed % len(CALM_BETWEEN)])
+    if recover:
+        played.recover()
+    return world
+
+
+def walk(seed: int) -> World:
+    """One random walk."""
+    world = Walk(seed, *WALK_SHAPES[seed % len(WALK_SHAPES)])
+    world.walk(WALK_STEPS)
+    return world
+
+
+def explore(seconds: float, seed: int) -> Found:
+    """Explores for about so many seconds."""
+    found = Found()
+    began = time.monotonic()
+    exhaustive = Exhaustive()
+    _note(found, "exhaustive", lambda: exhaustive.explore(MOST_STATES, began + EXHAUSTIVE_SHARE * seconds))
+    found.states += len(exhaustive.states)
+    for name, run in _runs(seed):
+        if time.monotonic() - began >= seconds:
+            return found
+        world = _note(found, name, run)
+        if isinstance(world, World):
+            _add(found, world)
+    return found
+
+
+def caught(mutant: Mutant) -> bool:
+    """Whether the run that is meant to catch the mutant does."""
+    with mutant.active():
+        try:
+            if mutant.by == "walk":
+                walk(mutant.seed)
+            else:
+                course(mutant.seed)
+        except (Broken, AssertionError, IndexError):
+            return True
+    return False
+
+
+def main(seconds: float, seed: int) -> int:
+    """Explores, tries the mutants and prints what came of it; 0 if nothing is broken and every mutant is
+    caught."""
+    logging.disable(logging.CRITICAL)
+    try:
+        found = explore(seconds, seed)
+        missed = [mutant.name for mutant in MUTANTS if not caught(mutant)]
+    finally:
+        logging.disable(logging.NOTSET)
+    print(f"runs={found.runs} acknowledged={found.acknowledged} confirmed={found.confirmed}")
+    for reason in found.broken:
+        print(f"broken: {reason}")
+    for name in missed:
+        print(f"mutant not caught: {name}")
+    count = len(MUTANTS)
+    print(f"explore: states={found.states} broken={len(found.broken)} mutants={count - len(missed)}/{count}")
+    return 1 if found.broken or missed else 0
+
+
+def _runs(seed: int) -> Iterator[tuple[str, Callable[[], World]]]:
+    number = seed * 100_000
+    while True:
+        yield f"walk {number}", partial(walk, number)
+        yield f"course {number}", partial(course, number)
+        number += 1
+
+
+def _note(found: Found, name: str, run: Callable[[], object]) -> object:
+    found.runs += 1
+    try:
+        return run()
+    except (Broken, AssertionError) as error:
+        found.broken.append(f"{name}: {error}")
+        return None
+
+
+def _add(found: Found, world: World) -> None:
+    found.states += len(world.states)
+    found.acknowledged += world.acknowledged
+    found.confirmed += world.confirmed
--- a/larchgw/replication/explore_faults.py
+++ b/larchgw/replication/explore_faults.py
@@ -28,7 +28,7 @@
         ]
 
     def play(self, seconds: float, calm_between: float) -> None:
-        """Plays faults, on average one in `calm_between` seconds, and then checks that all is well."""
+        """Plays faults, on average one in `calm_between` seconds."""
         self._first_boot()
         end = self._world.now + seconds
         while self._world.now < end - seconds + FIRST_BOOT:
@@ -37,11 +37,14 @@
             self._step()
             if self._random.random() < STEP / calm_between:
                 self._random.choice(self._faults)()
+
+    def recover(self) -> None:
+        """Ends all faults and checks that everything works again."""
         self._end_faults()
         self._check_recovery()
 
     def _first_boot(self) -> None:
-        late_left = self._world.survive
+        late_left = min(self._world.survive, (len(self._world.seeds) - 1) // 2)
         for address in list(self._world.machines):
             late = self._random.random() < 0.1 and late_left > 0
             late_left -= late
@@ -53,7 +56,7 @@
     def _step(self) -> None:
         """Time passes, faults end, and the operator sends a few calls to whoever may be primary."""
         world = self._world
-        world.run(STEP)
+        world.run(self._random.uniform(0.1, 1.9) * STEP)
         ended = [end for at, end in self._due if at <= world.now]
         self._due = [(at, end) for at, end in self._due if at > world.now]
         for end in ended:
@@ -75,7 +78,10 @@
         self._after(self._random.choice((0.05, 0.3, 1.0, 3.0)), partial(self._start, address))
 
     def _any(self) -> Machine | None:
-        return self._random.choice(self._world.running) if self._world.running else None
+        """A running machine; the primary half of the time."""
+        candidates = self._world.primaries() if self._random.random() < 0.5 else []
+        candidates = candidates or self._world.running
+        return self._random.choice(candidates) if candidates else None
 
     # ---- faults ----
 
@@ -99,12 +105,18 @@
             self._after(self._random.choice((0.3, 0.8, 2.0, 5.0)), partial(self._world.thaw, machine.address))
 
     def _cut(self) -> None:
-        side = {address for address in self._world.machines if self._random.random() < 0.5}
+        side = self._side()
         self._world.cut = lambda sender, receiver: (sender in side) != (receiver in side)
         self._after(self._random.choice((0.3, 1.0, 4.0)), self._heal)
 
+    def _side(self) -> set[str]:
+        """One machine alone, or about half of them."""
+        if self._random.random() < 0.5 and (machine := self._any()) is not None:
+            return {machine.address}
+        return {address for address in self._world.machines if self._random.random() < 0.5}
+
     def _cut_one_way(self) -> None:
-        side = {address for address in self._world.machines if self._random.random() < 0.5}
+        side = self._side()
         self._world.cut = lambda sender, receiver: sender in side and receiver not in side
         self._after(self._random.choice((0.3, 1.0, 4.0)), self._heal)
 
@@ -151,32 +163,21 @@
 
     # ---- losses of disks, no more than the system promises to survive ----
 
-    def _may_lose_a_disk(self) -> bool:
-        """Machines that are not yet, or not any more, in sync and witnesses count as lost."""
-        view = self._world.newest_view
-        if view is None:
-            return False
-        seated = [machine for machine in self._world.machines.values()
-                  if machine.id in view.in_sync and machine.id in view.witnesses
-                  and machine.id in view.former_witnesses]
-        present = len(self._world.machines) - len(self._world.gone)
-        return present - len(seated) < self._world.survive
-
     def _wipe(self) -> None:
         machine = self._any()
-        if machine is not None and self._may_lose_a_disk():
+        if machine is not None and self._world.may_lose_a_disk():
             self._world.wipe(machine.address)
             self._restart_later(machine.address)
 
     def _wipe_one_and_power_off(self) -> None:
         machine = self._any()
-        if machine is not None and self._may_lose_a_disk():
+        if machine is not None and self._world.may_lose_a_disk():
             self._power_off_all()
             self._world.wipe(machine.address)
 
     def _replace(self) -> None:
         machine = self._any()
-        if machine is not None and self._may_lose_a_disk():
+        if machine is not None and self._world.may_lose_a_disk():
             self._world.destroy(machine.address)
             self._restart_later(self._world.new_machine().address)
 
--- /dev/null
+++ b/larchgw/replication/explore_walk.py
@@ -0,0 +1,124 @@
+"""Random walks over single steps, without regard to time: any message may come next, late, twice or never;
+any clock may run ahead; any process may end between two steps or within a write.
+
+Nothing here may depend on timing, so leases, which do, are left to the courses of `explore_faults`."""
+
+from __future__ import annotations
+
+from .explore_world import Machine, World
+from .messages import Envelope
+
+LEAPS = (0.02, 0.02, 0.05, 0.12, 0.12, 0.55, 0.7)  # seconds by which a clock runs ahead of a tick
+MOST_PENDING = 60  # messages under way; beyond this the oldest are lost
+
+
+class Walk(World):
+    """A world without a common time: every machine's clock goes on only when the walk says so."""
+
+    def __init__(self, seed: int, machines: int, seeds: int, survive: int) -> None:
+        super().__init__(seed, machines, seeds, survive)
+        self.has_leases = False
+        self.pending: list[tuple[str, Envelope]] = []
+        for address in self.machines:
+            self.start(address, first_boot=True)
+
+    def _push(self, after: float, address: str, message: Envelope | None) -> None:
+        if message is None:
+            return
+        self.pending.append((address, message))
+        if len(self.pending) > MOST_PENDING:
+            del self.pending[0]
+
+    def walk(self, steps: int) -> None:
+        """Takes so many random steps."""
+        for _ in range(steps):
+            self._step()
+
+    def _step(self) -> None:
+        choice = self.random.random()
+        if choice < 0.86 and self.pending:
+            self._deliver()
+        elif choice < 0.92:
+            self._tick()
+        elif choice < 0.985:
+            self._operate()
+        elif choice < 0.996:
+            self._disturb()
+        elif choice < 0.9985:
+            self._cut_or_heal()
+        else:
+            self._lose_a_disk()
+
+    def deliver(self, number: int) -> None:
+        """The message under way with this number arrives."""
+        address, message = self.pending.pop(number)
+        self._event(self.machines[address], message)
+
+    def tick(self, machine: Machine, leap: float) -> None:
+        """The machine's clock goes on by `leap` seconds, and its process looks at it."""
+        machine.clock_offset += leap
+        self._event(machine, None)
+
+    def _deliver(self) -> None:
+        number = self.random.randrange(len(self.pending))
+        if self.random.random() < 0.6:
+            number = min(number, 2)
+        address, message = self.pending[number]
+        fate = self.random.random()
+        if fate < 0.97:
+            del self.pending[number]
+        if fate > 0.04:
+            self._event(self.machines[address], message)
+
+    def _tick(self) -> None:
+        if self.running:
+            self.tick(self.random.choice(self.running), self.random.choice(LEAPS))
+
+    def _operate(self) -> None:
+        for machine in self.primaries():
+            if self.random.random() < 0.5:
+                self.change(machine)
+            else:
+                self.read(machine)
+
+    def _disturb(self) -> None:
+        machine = self.random.choice(list(self.machines.values()))
+        if machine.address in self.gone:
+            return
+        if machine.member is None:
+            self.start(machine.address)
+        else:
+            self._stop(machine)
+
+    def _stop(self, machine: Machine) -> None:
+        fate = self.random.randrange(5)
+        if fate == 0:
+            self.kill(machine.address)
+        elif fate == 1:
+            self.lose_power(machine.address)
+        elif fate == 2:
+            machine.disk.crash_after = self.random.randrange(4)
+        elif fate == 3:
+            self.step_down(machine)
+        else:
+            self.kill(machine.address)
+            self.start(machine.address)
+
+    def _cut_or_heal(self) -> None:
+        """Cuts one machine off, the primary most of the time, or ends all cuts."""
+        candidates = self.primaries() or self.running
+        if self.random.random() < 0.5 or not candidates:
+            self.cut = lambda sender, receiver: False
+            return
+        alone = self.random.choice(candidates).address
+        self.cut = lambda sender, receiver: alone in (sender, receiver)
+
+    def _lose_a_disk(self) -> None:
+        machine = self.random.choice(list(self.machines.values()))
+        if machine.address in self.gone or not self.may_lose_a_disk():
+            return
+        if self.random.random() < 0.5:
+            self.wipe(machine.address)
+        else:
+            self.destroy(machine.address)
+            self.start(self.new_machine().address)
--- a/larchgw/replication/explore_world.py
+++ b/larchgw/replication/explore_world.py
@@ -9,6 +9,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 
 from .effects import Effects, NotPrimary, Outgoing
@@ -70,6 +71,7 @@
         self.gone: set[str] = set()  # addresses of machines that were taken away
         self.newest_view: View | None = None  # the newest in which somebody acted as primary
         self.write_seconds = 0.001
+        self.has_leases = True
         self.loss = 0.0
         self.double = 0.0
         self.delay = (0.0005, 0.004)
@@ -97,7 +99,7 @@
         machine.inbox.clear()
         machine.frozen = False
         try:
-            machine.member = Member(settings, machine.disk.ports(), lambda: _snapshot(machine), self.random)
+            machine.member = Member(settings, machine.disk.ports(), partial(_snapshot, machine), self.random)
             if not first_boot:
                 machine.member.set_contacts(self.machines)
             self._carry_out(machine, machine.member.start(self.clock(machine)))
@@ -135,10 +137,24 @@
         """The process goes on and finds what came meanwhile."""
         machine = self.machines[address]
         machine.frozen = False
+        if machine.member is not None:
+            self._check_lease(machine, machine.member)
         inbox, machine.inbox = machine.inbox, []
         for message in inbox:
             self._push(0.0, address, message)
 
+    def may_lose_a_disk(self) -> bool:
+        """Whether one more disk may be lost within what the system survives. Machines that are not yet, or
+        not any more, in sync and witnesses count as lost."""
+        view = self.newest_view
+        if view is None:
+            return False
+        seated = [machine for machine in self.machines.values()
+                  if machine.id in view.in_sync and machine.id in view.witnesses
+                  and machine.id in view.former_witnesses]
+        present = len(self.machines) - len(self.gone)
+        return present - len(seated) < self.survive
+
     @property
     def running(self) -> list[Machine]:
         """Machines whose process runs and is not frozen."""
@@ -229,13 +245,16 @@
             self.checks.acts(machine.name, member.acting_epoch)
             if self.newest_view is None or member.acting_epoch > self.newest_view.epoch:
                 self.newest_view = member.view
-        lease = member.lease(self.clock(machine), LEASE)
-        if lease is not None:
-            self.checks.holds_lease(self.now, member.id, lease.fence)
+        self._check_lease(machine, member)
         epoch = 0 if member.view is None else member.view.epoch
         machine.digest = (member.id, epoch, member.acting_epoch, member.committed_index, member.last_index)
         self.states.add(hash(tuple(other.digest for other in self.machines.values())))
 
+    def _check_lease(self, machine: Machine, member: Member) -> None:
+        lease = member.lease(self.clock(machine), LEASE) if self.has_leases else None
+        if lease is not None:
+            self.checks.holds_lease(self.now, member.id, lease.fence)
+
     def _transmit(self, machine: Machine, outgoing: Outgoing, written: float) -> None:
         if self.cut(machine.address, outgoing.address) or self.random.random() < self.loss:
             return
--- a/larchgw/replication/leadership.py
+++ b/larchgw/replication/leadership.py
@@ -88,7 +88,7 @@
         copies = [self._peers[member].match for member in required if member in self._peers]
         if len(copies) < len(required):
             return self._replica.committed
-        return min([self._replica.last_index, *copies])
+        return max(self._replica.committed, min([self._replica.last_index, *copies]))
 
     def proven_round(self, self_granted: bool) -> int:
         """The newest heartbeat that a quorum has granted: the view stood when it was sent."""
@@ -255,6 +255,12 @@
         peer.in_flight = False
         self._replicate_to(now, sender, peer)
 
+    def progress(self) -> tuple[object, ...]:
+        """Everything that answers have changed, times left out."""
+        peers = tuple((member, peer.match, peer.next_index, peer.round, peer.in_flight, peer.replicating)
+                      for member, peer in sorted(self._peers.items()))
+        return (self.view.epoch, self.round, self.takeover_index, frozenset(self._proposed_backups), peers)
+
     def successor(self, now: float) -> str | None:
         """The backup that would lose the least by becoming primary now."""
         healthy = [member for member in self.view.backups if self._is_healthy(now, self._peers[member])]
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -129,6 +129,13 @@
         """The epoch in which this member acts as primary; None if it does not."""
         return None if self._leading is None else self._leading.view.epoch
 
+    def progress(self) -> tuple[object, ...]:
+        """What is kept in memory only, times left out; for explorations that compare states."""
+        ballot = self._candidate.ballot
+        return (self._replica.committed, self._candidate.highest_epoch,
+                None if ballot is None else ballot.progress(),
+                None if self._leading is None else self._leading.progress())
+
     # ---- calls ----
 
     def start(self, now: float) -> Effects:
@@ -525,7 +532,8 @@
         return effects
 
     def _disk_trouble(self, now: float, error: OSError) -> None:
-        log.error("the disk refuses writes (%s): free space in data_dir or replace the disk", error)
+        if now >= self._rests_until:
+            log.error("the disk refuses writes (%s): free space in data_dir or replace the disk", error)
         self.disk_error = error
         self._outbox.drain_own()
         self._rest(now)
--- /dev/null
+++ b/tests/test_replication_explore.py
@@ -0,0 +1,66 @@
+"""The exploration itself: a bounded run finds nothing broken; every mistake put in on purpose is caught."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from larchgw.replication import explore
+from larchgw.replication.explore_checks import Broken, Checks
+from larchgw.replication.explore_exhaustive import Exhaustive
+from larchgw.replication.explore_mutants import MUTANTS, Mutant
+
+
+def test_no_interleaving_of_a_few_steps_breaks_a_property() -> None:
+    exhaustive = Exhaustive()
+    exhaustive.explore(most_states=400, until=time.monotonic() + 60.0)
+    assert len(exhaustive.states) >= 400
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_walk_breaks_a_property(seed: int) -> None:
+    assert explore.walk(seed).events > 1000
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_no_course_of_faults_breaks_a_property_and_everything_recovers(seed: int) -> None:
+    world = explore.course(seed)
+    assert world.acknowledged and world.confirmed
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_a_mistake_put_in_on_purpose_is_caught(mutant: Mutant) -> None:
+    assert explore.caught(mutant)
+
+
+def test_a_run_is_repeated_by_its_seed() -> None:
+    first, second = explore.course(5), explore.course(5)
+    assert first.events == second.events
+    assert (first.acknowledged, first.states) == (second.acknowledged, second.states)
+
+
+def test_the_checks_see_each_kind_of_break() -> None:
+    checks = Checks(lease_term=3.0)
+    checks.committed("a", 1, b"one")
+    checks.acknowledged(1, 0, b"one")
+    checks.acts("a/1", 4)
+    checks.holds_lease(0.0, "a", 2)
+    for broken in (
+        lambda: checks.committed("b", 1, b"other"),
+        lambda: checks.acknowledged(2, 1, b"never handed out"),
+        lambda: checks.read("b", checks.newest_acknowledged, 0),
+        lambda: checks.acts("b/1", 4),
+        lambda: checks.holds_lease(9.0, "b", 1),
+        lambda: checks.holds_lease(9.0, "b", 2),
+        lambda: checks.holds_lease(2.9, "b", 3),
+    ):
+        with pytest.raises(Broken):
+            broken()
+
+
+def test_the_last_line_tells_what_was_explored(capsys: pytest.CaptureFixture[str],
+                                               monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(explore, "MUTANTS", ())
+    assert explore.main(0.5, 1) == 0
+    assert capsys.readouterr().out.splitlines()[-1].startswith("explore: states=")
--- a/tests/test_replication_parts.py
+++ b/tests/test_replication_parts.py
@@ -10,9 +10,21 @@
 from hypothesis import strategies as st
 
 from larchgw.replication.explore_disk import Crashed, SimulatedDisk
-from larchgw.replication.messages import Accept, Append, DecodeError, Install, Promise, decode, encode
+from larchgw.replication.leadership import Leadership
+from larchgw.replication.messages import (
+    Accept,
+    Append,
+    AppendReply,
+    DecodeError,
+    Install,
+    Promise,
+    decode,
+    encode,
+)
+from larchgw.replication.outbox import Outbox
 from larchgw.replication.planning import Standing, failover_view, next_view
 from larchgw.replication.replica import Replica
+from larchgw.replication.settings import MemberSettings
 from larchgw.replication.view import View, first_view
 from larchgw.replication.witness import Witness
 
@@ -198,3 +210,41 @@
 
 def test_a_view_reads_back_as_it_was_stored() -> None:
     assert View.from_json(json.loads(json.dumps(VIEW.to_json()))) == VIEW
+
+
+# ---- acknowledgement ----
+
+def leadership(log: Replica, before: Leadership | None = None) -> Leadership:
+    settings = MemberSettings("a", ("a", "b", "c"), True, "", 1, 3.0)
+    return Leadership("a", VIEW, log, Outbox("a", "a"), settings, 0.0, before)
+
+
+def test_a_record_counts_only_once_every_backup_has_it() -> None:
+    log = replica(SimulatedDisk())
+    log.append(1, b"one")
+    leading = leadership(log)
+    leading.append_reply(0.0, "b", AppendReply(1, True, 1))
+    assert leading.commit_index() == 0
+    leading.append_reply(0.0, "c", AppendReply(1, True, 1))
+    assert leading.commit_index() == 1
+
+
+def test_the_backups_of_an_undecided_view_must_have_a_record_too() -> None:
+    log = replica(SimulatedDisk())
+    log.append(1, b"one")
+    leading = leadership(log)
+    leading.propose(view(2, "a", "bcd"))
+    for backup in "bc":
+        leading.append_reply(0.0, backup, AppendReply(1, True, 1))
+    assert leading.commit_index() == 0
+
+
+def test_a_member_that_lacks_what_was_taken_over_is_not_ready_to_enter() -> None:
+    log = replica(SimulatedDisk())
+    log.append(1, b"one")
+    leading = leadership(log)
+    leading.join(0.0, "d")
+    leading.append_reply(0.0, "d", AppendReply(1, True, 0))
+    assert leading.standing(0.0, frozenset()).ready == ()
+    leading.append_reply(0.0, "d", AppendReply(1, True, 1))
+    assert leading.standing(0.0, frozenset()).ready == ("d",)
