--- a/larchgw/control/operator.py
+++ b/larchgw/control/operator.py
@@ -12,7 +12,8 @@
 from .state import ConfigurationState, Order
 
 log = logging.getLogger(__name__)
-OK, NOT_FOUND, UNCLEAR = 200, 404, 503
+OK, NOT_FOUND, TOO_LARGE, UNCLEAR = 200, 404, 413, 503
+MAX_ORDER_BYTES = 7 << 20  # an order with its head is one record of the log, which takes 8 MiB
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +29,12 @@
     return Answer(UNCLEAR, json.dumps({"error": reason, "remedy": "send the same call again"}).encode())
 
 
+def too_large(size: int) -> Answer:
+    """An order that no record of the log can hold."""
+    reason = f"body: {size} bytes are over {MAX_ORDER_BYTES}; send it as several changes"
+    return Answer(TOO_LARGE, json.dumps({"error": reason, "field": "body"}).encode())
+
+
 class Replication(Protocol):
     """What this module needs of the replicated log. Both raise ReplicationUnavailable."""
 
--- a/larchgw/control/operator_calls.py
+++ b/larchgw/control/operator_calls.py
@@ -9,7 +9,7 @@
 from ..rpc.errors import RpcError
 from ..rpc.generated.ttypes import OperatorAnswer, OperatorCall
 from ..runtime.clients import RpcClients
-from .operator import Answer, OperatorService, unclear
+from .operator import MAX_ORDER_BYTES, Answer, OperatorService, too_large, unclear
 from .state import Order
 
 PATIENCE_S = 0.85  # an operator goes to another process after a second of silence
@@ -26,6 +26,8 @@
 
     async def operator_call(self, operation: str, built_on: int, body: bytes) -> Answer:
         """One call; 503 where no primary gave a clear answer in time."""
+        if len(body) > MAX_ORDER_BYTES:
+            return too_large(len(body))
         patience = LARGE_PATIENCE_S if len(body) > LARGE_BYTES else PATIENCE_S
         until = time.monotonic() + patience
         try:
--- a/tests/test_control_disk.py
+++ b/tests/test_control_disk.py
@@ -15,7 +15,8 @@
 from testtools import TestCase
 
 from larchgw.control.disk import ControlDisk
-from larchgw.control.operator import ReplicationUnavailable
+from larchgw.control.operator import MAX_ORDER_BYTES, ReplicationUnavailable
+from larchgw.control.operator_calls import OperatorCalls
 from larchgw.control.replicated_log import ReplicatedLog
 from larchgw.control.state import ConfigurationState, Order
 from larchgw.replication.member import Member
@@ -95,6 +96,18 @@
         self.assertEqual(3, self.state.version)
 
 
+def test_the_largest_order_that_is_taken_fits_into_a_record_of_the_log() -> None:
+    log = ControlDisk.open(FaultyFiles(), "data").log
+    log.append(bytes(64) + Order("replace", 2 ** 62, bytes(MAX_ORDER_BYTES)).encode())
+    assert log.last_index == 1
+
+
+def test_an_order_that_no_record_can_hold_is_refused_before_it_is_passed_on() -> None:
+    calls = OperatorCalls(None, None, None)  # type: ignore[arg-type]
+    answer = asyncio.run(calls.operator_call("replace", 1, bytes(MAX_ORDER_BYTES + 1)))
+    assert answer.status == 413 and b"several changes" in answer.body
+
+
 @pytest.mark.parametrize("kind", [DiskFull, DiskFailed])
 def test_what_a_disk_refuses_is_an_os_error_and_still_names_file_and_remedy(kind: type[Exception]) -> None:
     error = kind("log/segment", "no room", "free some")
