System trial: SIGTERM ends it with all its processes; clients' retries are tested

A trial that was ended by SIGTERM left the processes that it had started behind. It is now cancelled, kills them by pid and ends with 143. The clients are tested on what they try again, on latency from the time a request was due and on giving up; the rig's settings files are checked by the system's own checker.

--- a/larchgw/cli/system_trial.py
+++ b/larchgw/cli/system_trial.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any, TypeVar
 
 from ..lab.results import table
 from .command import Command, UsageError, decimal, whole
 
 SHOWN_BREACHES = 20
+TERMINATED = 143  # exit status, 128 + SIGTERM
+Result = TypeVar("Result")
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,13 +40,22 @@
     return Command(lambda: _run(spec))
 
 
+async def _until_told(work: Coroutine[Any, Any, Result]) -> Result:
+    """The work's result. After SIGTERM it is cancelled, so that it can end the processes that it started."""
+    task = asyncio.ensure_future(work)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 def _run(spec: object) -> int:
     from ..emulator.system.network import NoFreeNetwork
     from ..emulator.system.trial import SystemSpec, TrialError, run
 
     assert isinstance(spec, SystemSpec)
     try:
-        outcome = asyncio.run(run(spec))
+        outcome = asyncio.run(_until_told(run(spec)))
+    except asyncio.CancelledError:
+        return TERMINATED
     except (TrialError, NoFreeNetwork) as error:
         raise UsageError(str(error)) from error
     for line in [*table(outcome.rows()), *(f"- {event}" for event in outcome.events)]:
--- a/tests/test_system_clients.py
+++ b/tests/test_system_clients.py
@@ -1,4 +1,4 @@
-"""The emulated clients: what a user waited, what was whole, and what nobody had asked for."""
+"""The emulated clients: what a user waited, what is tried again, what was whole or never asked for."""
 
 from __future__ import annotations
 
@@ -6,16 +6,17 @@
 import random
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
 from system_runners import PATIENCE
 
 from larchgw.emulator.system.clientlink import ClientLink
-from larchgw.emulator.system.clients import draw
+from larchgw.emulator.system.clients import Clients, Intent, draw
 from larchgw.emulator.system.histogram import PRECISION, Histogram
-from larchgw.emulator.system.records import Try
-from larchgw.emulator.system.site import Site
+from larchgw.emulator.system.records import Records, Try
+from larchgw.emulator.system.site import CLASSES, Site
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Seal: s1\r\n"
 
@@ -108,3 +109,89 @@
         exact = values[int(share * 1000) - 1]
         assert exact * (1 - PRECISION) <= histogram.quantile(share) <= exact * (1 + PRECISION)
     assert histogram.most == 1.0 and Histogram().quantile(0.5) == 0.0
+
+
+@dataclass(slots=True)
+class ScriptedEdge:
+    """Stands for the ingress and the one edge behind it: gives its answers in turn, 200 behind them."""
+
+    answers: list[bytes]
+    front: str = ""
+    ip: str = "127.0.0.1"
+    connections: int = 0
+
+    def pick(self, zone: str) -> ScriptedEdge:
+        """The ingress's choice."""
+        return self
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection."""
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(line.split(": ", 1) for line in head.strip().split("\r\n")[1:])
+                await reader.readexactly(int(fields["Content-Length"]))
+                served = b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 4\r\n\r\ndone"
+                writer.write(self.answers.pop(0) if self.answers else served)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def refusal(status: int, **fields: str) -> bytes:
+    """An answer of the edge's own."""
+    lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in fields.items())
+    return f"HTTP/1.1 {status} No\r\nContent-Length: 0\r\n{lines}\r\n".encode()
+
+
+async def play(edge: ScriptedEdge, name: str, late_s: float = 0.0) -> tuple[Clients, Records]:
+    """One request of this class, which was due so long ago."""
+    server = await asyncio.start_server(edge.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()[:2]
+    edge.front = f"{host}:{port}"
+    records, now = Records(), asyncio.get_running_loop().time
+    clients = Clients(edge, records, now, random.Random(1), lambda host, target: ("lookup",))  # type: ignore
+    wanted = next(one for one in CLASSES if one.name == name)
+    await clients.play([Intent(1, wanted, 0.0, "hall-a")], now() - late_s)
+    clients.close()
+    server.close()
+    return clients, records
+
+
+@pytest.mark.parametrize(("name", "answer", "tries"), [
+    ("ticket", refusal(503, Retry_After="0.01"), 2),
+    ("ticket", refusal(429), 2),
+    ("ticket", refusal(502), 1),
+    ("ticket", refusal(504), 1),
+    ("level", refusal(502), 2),
+    ("level", refusal(504), 2),
+    ("level", refusal(404), 1),
+    ("level", refusal(400), 1),
+])
+def test_a_request_is_tried_again_as_the_protocol_allows(name: str, answer: bytes, tries: int) -> None:
+    async def test() -> None:
+        edge = ScriptedEdge([answer])
+        clients, records = await play(edge, name)
+        result = clients.results[name]
+        assert (result.asked, result.tries, result.served) == (1, tries, tries - 1)
+        assert len(records.tries) == tries == edge.connections  # each with an id and a connection of its own
+
+    run(test())
+
+
+def test_latency_counts_from_when_a_request_was_due() -> None:
+    async def test() -> None:
+        clients, _ = await play(ScriptedEdge([]), "ticket", late_s=2.0)
+        result = clients.results["ticket"]
+        assert result.served == 1 and result.in_time == 0 and result.latency.most >= 2.0
+
+    run(test())
+
+
+def test_a_request_that_is_never_answered_is_given_up_at_its_deadline() -> None:
+    async def test() -> None:
+        clients, records = await play(ScriptedEdge([b""]), "ticket", late_s=3.9)
+        (one,) = records.tries.values()
+        assert one.gave_up and one.status == 0 and clients.results["ticket"].failed == 1
+
+    run(test())
--- a/tests/test_system_trial.py
+++ b/tests/test_system_trial.py
@@ -6,15 +6,24 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
+from stand_ins import PATIENCE, ROOT, until
 
 from larchgw.cli.command import UsageError
 from larchgw.cli.main import call
+from larchgw.cli.system_trial import TERMINATED
+from larchgw.configuration.settings import TimeLimits, parse
+from larchgw.configuration.settings_check import settings_faults
 from larchgw.emulator.system.network import PORTS, Network
+from larchgw.emulator.system.records import Records
+from larchgw.emulator.system.rig import Rig
 from larchgw.emulator.system.site import ENGINES, Site
 from larchgw.emulator.system.trial import SystemSpec, run
 
@@ -30,6 +39,39 @@
     assert read_back is not None and read_back["config_version"] == 1
 
 
+def refused(address: str) -> bool:
+    """Whether nobody listens there."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        return probe.connect_ex((host, int(port))) != 0
+
+
+def test_a_trial_that_is_told_to_end_leaves_no_process_behind(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "larchgw", "try", "--system", "--edges", "1", "--folder", str(tmp_path)]
+    trial = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
+    try:
+        log = tmp_path / "control-3" / "log"
+        until(lambda: log.exists() and "control: started" in log.read_text())
+        trial.terminate()
+        assert trial.wait(3 * PATIENCE) == TERMINATED
+    finally:
+        trial.kill()
+        trial.wait()
+    addresses = [json.loads(file.read_text())["listen"]["control"]
+                 for file in tmp_path.glob("control-*/local.json")]
+    assert len(addresses) == 3 and all(refused(address) for address in addresses)
+
+
+def test_the_settings_of_every_process_are_without_fault(tmp_path: Path) -> None:
+    network = Network.claim(random.Random(7))
+    network.close()
+    rig = Rig(network, tmp_path, Records(), TimeLimits(), lambda: 0.0, controls=3, edges=4)
+    for machine in rig.machines:
+        settings = parse(machine.settings(rig.control_addresses(), TimeLimits(fenced=True), first_boot=True))
+        assert settings_faults(settings) == [] and settings.time_limits.fenced
+    assert len({machine.ip for machine in rig.machines}) == 7
+
+
 def test_two_networks_never_share_an_address() -> None:
     first, second = Network.claim(random.Random(7)), Network.claim(random.Random(7))
     try:
