--- a/larchgw/cli/main.py
+++ b/larchgw/cli/main.py
@@ -12,6 +12,7 @@
 from ..roles import run_role
 from .check import check, settings
 from .command import INTERRUPTED, WRONG_CALL, Command, UsageError, act, file, read, textual
+from .explore import explore
 from .lab import lab
 from .system import SYSTEM
 from .trial import trial
@@ -50,7 +51,7 @@
 
 COMMANDS: dict[str, Any] = {
     "serve": serve, "edge": edge, "control": control, "check": check, "settings": settings, "try": trial,
-    "lab": lab, "system": SYSTEM}
+    "lab": lab, "explore": explore, "system": SYSTEM}
 
 
 def _for_serve(arguments: Sequence[str]) -> list[str]:
--- a/tests/test_cli_system.py
+++ b/tests/test_cli_system.py
@@ -158,3 +158,15 @@
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
     monkeypatch.chdir(tmp_path)
     assert call(["check", "1e3"]) == 2 and capsys.readouterr().out.startswith("1e3: ")
+
+
+def test_an_unknown_part_to_explore_is_named_with_those_there_are():
+    with pytest.raises(UsageError, match="no part 'nothing'; there are replication"):
+        call(["explore", "nothing"])
+
+
+def test_an_exploration_that_finds_a_fault_ends_with_a_status_that_says_so(monkeypatch):
+    asked = []
+    monkeypatch.setattr("larchgw.replication.explore.main", lambda *called: asked.append(called) or 1)
+    assert call(["explore", "replication", "--seconds", "5", "--seed", "7"]) == 1
+    assert asked == [(5.0, 7)]
