--- a/larchgw/control/metrics.py
+++ b/larchgw/control/metrics.py
@@ -1,11 +1,11 @@
-"""A control process's status as Prometheus metrics, read when they are asked for."""
+"""A control process's status as Prometheus metrics."""
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
-from prometheus_client import CollectorRegistry
+from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
@@ -13,12 +13,12 @@
 
 
 class _StatusCollector(Collector):
-    def __init__(self, status: Callable[[], ControlStatus]) -> None:
+    def __init__(self, status: ControlStatus) -> None:
         self._status = status
 
     def collect(self) -> Iterator[GaugeMetricFamily]:
         """The gauges of one status."""
-        status = self._status()
+        status = self._status
         yield _gauge("view_epoch", "Epoch of the last view accepted",
                      status.view.epoch if status.view is not None else 0)
         yield _gauge("is_primary", "1 at the primary of the replicated log", status.role == "primary")
@@ -45,8 +45,8 @@
     return family
 
 
-def new_registry(status: Callable[[], ControlStatus]) -> CollectorRegistry:
-    """A registry whose metrics are read from `status` at each collection."""
+def text(status: ControlStatus) -> bytes:
+    """The metrics in Prometheus's text format."""
     registry = CollectorRegistry(auto_describe=False)
     registry.register(_StatusCollector(status))
-    return registry
+    return generate_latest(registry)
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -43,7 +43,7 @@
 from ..runtime.dice import new_dice
 from ..runtime.tasks import Tasks
 from ..storage.files import DiskFiles
-from . import http_api, metrics
+from . import http_api
 from .disk import ControlDisk
 from .isolation import Isolation
 from .operator import Answer, OperatorService
@@ -106,7 +106,7 @@
         self._gossip = SwimTransport(self.swim, settings.ip, settings.port(CONTROL_GOSSIP_PORT))
         await self._gossip.start()
         self._http = http_api.serve(self, settings.listen.control,
-                                    http_status.rules(status.as_json, metrics.new_registry(status.read)))
+                                    http_status.rules(status.as_json, status.metrics))
         self.tasks.every("replication", TICK_S, self.replicated.tick)
         self.tasks.every("directory", DIRECTORY_TICK_S, lambda: self.directory.tick(time.monotonic()))
         self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
--- a/larchgw/control/status.py
+++ b/larchgw/control/status.py
@@ -70,6 +70,12 @@
         status: dict[str, Any] = as_object(self.read())
         return status
 
+    def metrics(self) -> bytes:
+        """The figures of `read` as Prometheus text. The library is loaded only where it is asked for."""
+        from .metrics import text
+
+        return text(self.read())
+
     def _processes(self) -> list[Process]:
         """All that are there, and those that ended without leaving."""
         found = [*self._from.swim.members(), *self._from.swim.dead()]
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -85,7 +85,7 @@
         self.proxy.listen(settings.listen.front)
         self._ready_server = readiness.serve(
             self.is_ready, *parse_address(settings.listen.ready),
-            http_status.rules(self._status().read, self.proxy.net_counters.registry))
+            http_status.rules(self._status().read, self.proxy.net_counters.text))
         self._gossip = SwimTransport(self.swim, settings.ip, settings.port(EDGE_GOSSIP_PORT))
         await self._gossip.start()
         self.tasks.start("pull", self.puller.run)
--- a/larchgw/runtime/http_status.py
+++ b/larchgw/runtime/http_status.py
@@ -7,8 +7,6 @@
 from typing import Any
 
 import tornado.web
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 
 class _StatusHandler(tornado.web.RequestHandler):
@@ -21,15 +19,20 @@
 
 
 class _MetricsHandler(tornado.web.RequestHandler):
-    def initialize(self, registry: CollectorRegistry) -> None:
-        self.registry = registry
+    def initialize(self, metrics: Callable[[], bytes]) -> None:
+        self.metrics = metrics
 
     def get(self) -> None:
+        # Here, so that a role that nobody asks goes without the library.
+        from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
         self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.finish(generate_latest(self.registry))
+        self.finish(self.metrics())
 
 
-def rules(status: Callable[[], dict[str, Any]], registry: CollectorRegistry) -> list[Any]:
-    """Rules for a Tornado application. `status` gives an object for JSON, anew at each call."""
+def rules(status: Callable[[], dict[str, Any]], metrics: Callable[[], bytes]) -> list[Any]:
+    """Rules for a Tornado application. `status` gives an object for JSON, `metrics` Prometheus text, both
+    anew at each call.
+    """
     return [(r"/status", _StatusHandler, {"status": status}),
-            (r"/metrics", _MetricsHandler, {"registry": registry})]
+            (r"/metrics", _MetricsHandler, {"metrics": metrics})]
