--- a/larchgw/control/operator.py
+++ b/larchgw/control/operator.py
@@ -78,22 +78,21 @@
         await self.replication.confirm()  # or a new primary may have taken it, and we do not know
         if self.state.taken(order):
             return self._accepted()
-        refusal = self._refusal(order)
-        if refusal is not None:
-            return refusal
+        fits = self.state.evaluate(order)
+        if fits.is_error():
+            return self._refused(fits.error)
         await self.replication.propose(order.encode())
         if self.state.taken(order):
             return self._accepted()
-        return self._refusal(order) or unclear("the order was overtaken by another one")
-
-    def _refusal(self, order: Order) -> Answer | None:
-        try:
-            self.state.evaluate(order)
-        except ConfigurationError as error:
-            log.info("refused an order of the operator: %s", error)
-            detail = {"error": str(error), "field": error.field, "config_version": self.state.version}
-            return Answer(error.status, json.dumps(detail).encode())
-        return None
+        overtaken = self.state.evaluate(order)
+        if overtaken.is_error():
+            return self._refused(overtaken.error)
+        return unclear("the order was overtaken by another one")
+
+    def _refused(self, error: ConfigurationError) -> Answer:
+        log.info("refused an order of the operator: %s", error)
+        detail = {"error": str(error), "field": error.field, "config_version": self.state.version}
+        return Answer(error.status, json.dumps(detail).encode())
 
     def _accepted(self) -> Answer:
         return Answer(OK, json.dumps({"config_version": self.state.version}).encode())
--- a/larchgw/control/state.py
+++ b/larchgw/control/state.py
@@ -6,6 +6,8 @@
 import logging
 from dataclasses import dataclass
 
+from expression import Error, Ok, Result
+
 from ..configuration.change import digest, evaluate
 from ..configuration.errors import ConfigurationError
 from ..configuration.model import Configuration
@@ -59,13 +61,16 @@
         """Whether this very order is part of the state."""
         return order.digest() in self._taken
 
-    def evaluate(self, order: Order) -> Configuration:
-        """The configuration that the order would put in force. Raises ConfigurationError."""
+    def evaluate(self, order: Order) -> Result[Configuration, ConfigurationError]:
+        """The configuration that the order would put in force, or why it cannot."""
         if self._evaluated is not None and self._evaluated[:2] == (order, self.version):
-            return self._evaluated[2]
-        result = evaluate(self.current, order.operation, order.built_on, order.body)
-        self._evaluated = (order, self.version, result)
-        return result
+            return Ok(self._evaluated[2])
+        try:
+            changed = evaluate(self.current, order.operation, order.built_on, order.body)
+        except ConfigurationError as error:
+            return Error(error)
+        self._evaluated = (order, self.version, changed)
+        return Ok(changed)
 
     def apply(self, index: int, record: bytes) -> None:
         """Takes one committed record; every replica comes to the same state.
@@ -74,12 +79,11 @@
         before it was not known.
         """
         order = Order.decode(record)
-        try:
-            changed = self.evaluate(order)
-        except ConfigurationError as error:
-            log.warning("record %d is without effect: %s", index, error)
+        result = self.evaluate(order)
+        if result.is_error():
+            log.warning("record %d is without effect: %s", index, result.error)
             return
-        self.current, self.index = changed, index
+        self.current, self.index = result.ok, index
         self._taken[order.digest()] = self.current.config_version
         while len(self._taken) > MOST_TAKEN:
             del self._taken[next(iter(self._taken))]
