--- /dev/null
+++ b/tests/test_operator_calls.py
@@ -0,0 +1,116 @@
+"""An operator's call reaches the primary from whichever process it comes to, or is left unclear in time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from testtools import TestCase
+
+from larchgw.control.operator import Answer
+from larchgw.control.operator_calls import PATIENCE_S, OperatorCalls
+from larchgw.emulator.virtual_loop import run
+from larchgw.rpc.errors import RpcConnectionLost
+from larchgw.rpc.generated.ttypes import OperatorAnswer, OperatorCall
+
+PRIMARY, OTHER = "10.0.0.1:7660", "10.0.0.2:7660"
+
+
+class ScriptedMember:
+    id = "me"
+
+    def __init__(self, *primaries: str | None) -> None:
+        """Who is primary at each look; the last one stays."""
+        self.primaries = list(primaries)
+        self.is_primary = False
+
+    @property
+    def primary(self) -> str | None:
+        return self.primaries.pop(0) if len(self.primaries) > 1 else self.primaries[0]
+
+
+class ScriptedService:
+    """Answers in turn as the primary's own service; counts what it was given."""
+
+    def __init__(self, *answers: Answer) -> None:
+        self.answers = list(answers)
+        self.orders: list[Any] = []
+
+    async def submit(self, order: Any) -> Answer:
+        self.orders.append(order)
+        return self.answers.pop(0)
+
+    async def read(self) -> Answer:
+        return self.answers.pop(0)
+
+
+class ScriptedPeers:
+    """Rpc clients by address; a peer that has no answers left cannot be reached."""
+
+    def __init__(self, **answers: list[int]) -> None:
+        self.answers = {PRIMARY: answers.get("primary", []), OTHER: answers.get("other", [])}
+        self.called: list[str] = []
+
+    def get(self, address: str) -> Any:
+        peers = self
+
+        class Client:
+            async def call(self, method: str, call: OperatorCall, timeout: float) -> OperatorAnswer:
+                peers.called.append(address)
+                if not peers.answers[address]:
+                    raise RpcConnectionLost("gone")
+                return OperatorAnswer(peers.answers[address].pop(0), call.body, address)
+
+        return Client()
+
+
+def calls(member: Any, service: Any, peers: Any) -> OperatorCalls:
+    return OperatorCalls(member, service, peers)
+
+
+class OperatorCallsTest(TestCase):
+    def test_a_backup_passes_a_call_on_and_gives_the_primarys_answer(self) -> None:
+        for status in (200, 412, 400):
+            peers = ScriptedPeers(primary=[status])
+            answer = run(calls(ScriptedMember(PRIMARY), None, peers).operator_call("replace", 1, b"x"))
+            self.assertEqual((status, b"x", [PRIMARY]), (answer.status, answer.body, peers.called))
+
+    def test_a_call_waits_for_the_next_primary_and_is_sent_there(self) -> None:
+        peers = ScriptedPeers(other=[503, 200])
+        member = ScriptedMember(PRIMARY, None, None, OTHER)
+        answer = run(calls(member, None, peers).operator_call("change", 1, b"x"))
+        self.assertEqual((200, [PRIMARY, OTHER, OTHER]), (answer.status, peers.called))
+
+    def test_one_that_becomes_primary_meanwhile_serves_the_call_itself(self) -> None:
+        member, service = ScriptedMember(PRIMARY), ScriptedService(Answer(200, b"mine"))
+
+        class Deposed(ScriptedPeers):
+            def get(self, address: str) -> Any:
+                member.is_primary = True
+                return super().get(address)
+
+        answer = run(calls(member, service, Deposed()).operator_call("replace", 4, b"x"))
+        self.assertEqual((200, b"mine"), (answer.status, answer.body))
+        self.assertEqual([("replace", 4, b"x")],
+                         [(order.operation, order.built_on, order.body) for order in service.orders])
+
+    def test_without_a_primary_the_call_is_left_unclear_before_the_operator_goes_on(self) -> None:
+        async def timed() -> tuple[int, float]:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await calls(ScriptedMember(None), None, ScriptedPeers()).operator_call("read", -1, b"")
+            return answer.status, loop.time() - began
+
+        status, seconds = run(timed())
+        self.assertEqual(503, status)
+        self.assertLessEqual(seconds, PATIENCE_S + 0.001)
+        self.assertLess(PATIENCE_S, 1.0)
+
+    def test_a_call_passed_on_to_one_that_is_not_primary_comes_back_unclear_and_is_not_taken(self) -> None:
+        service = ScriptedService(Answer(200))
+        member = ScriptedMember(PRIMARY)
+        answer = run(calls(member, service, None).passed_on(OperatorCall("replace", 1, b"x")))
+        self.assertEqual((503, []), (answer.status, service.orders))
+        member.is_primary = True
+        answer = run(calls(member, service, None).passed_on(OperatorCall("replace", 1, b"x")))
+        self.assertEqual((200, "me", 1), (answer.status, answer.primary, len(service.orders)))
