--- a/larchgw/configuration/validation.py
+++ b/larchgw/configuration/validation.py
@@ -55,44 +55,45 @@
 def parse(raw: Mapping[str, Any], known: Configuration | None = None) -> Configuration:
     """The configuration in a decoded body.
 
-    Routes of `known` whose JSON objects are the very ones in `raw`, as after `change.apply_change`, are not
-    read again. Raises MalformedConfiguration or InvalidConfiguration.
+    Routes and services of `known` whose JSON objects are the very ones in `raw`, as after
+    `change.apply_change`, are not read again. Raises MalformedConfiguration or InvalidConfiguration.
     """
-    return _whole(raw, _unless_same(known))
+    return _whole(raw, _unless_same(known, "routes", read_route), _unless_same(known, "services", _service))
 
 
 def parse_committed(body: bytes, known: Configuration | None) -> Configuration:
     """A configuration that a control process has checked already, as it comes to the other processes.
 
-    Routes that are equal in `known` are not read again, which is not enough for an operator's order: JSON's
-    true equals 1 here. Raises MalformedConfiguration or InvalidConfiguration.
+    Routes and services that are equal in `known` are not read again, which is not enough for an operator's
+    order: JSON's true equals 1 here. Raises MalformedConfiguration or InvalidConfiguration.
     """
     try:
         raw = json.loads(body)
     except ValueError as error:
         raise MalformedConfiguration(WHOLE, f"is not JSON ({error})", "send one whole JSON object") from None
-    return _whole(_object(raw), _unless_equal(known))
+    return _whole(_object(raw), _unless_equal(known, "routes", read_route),
+                  _unless_equal(known, "services", _service))
 
 
 def examine(raw: Mapping[str, Any]) -> tuple[Configuration | None, list[ConfigurationError]]:
     """The configuration, or None and every fault that was found."""
-    return _examine(raw, read_route)
+    return _examine(raw, read_route, _service)
 
 
-def _whole(raw: Mapping[str, Any], read: Reader[Route]) -> Configuration:
-    configuration, faults = _examine(raw, read)
+def _whole(raw: Mapping[str, Any], route: Reader[Route], service: Reader[Service]) -> Configuration:
+    configuration, faults = _examine(raw, route, service)
     if configuration is None:
         raise faults[0]
     return configuration
 
 
-def _examine(raw: Mapping[str, Any], read: Reader[Route],
+def _examine(raw: Mapping[str, Any], route: Reader[Route], service: Reader[Service],
              ) -> tuple[Configuration | None, list[ConfigurationError]]:
     findings = Findings()
     version = _version(raw.get("config_version"), findings)
-    services = _required(raw, "services", _service, findings)
+    services = _required(raw, "services", service, findings)
     readable = not findings.faults  # all services are known, so routes can be held against them
-    routes = _required(raw, "routes", read, findings)
+    routes = _required(raw, "routes", route, findings)
     limits = _limits(raw.get("limits"), findings)
     _check_names("services", services, findings)
     _check_names("routes", routes, findings)
@@ -105,34 +106,34 @@
                          tuple(service for _, service in services), limits, dict(raw)), []
 
 
-def _held(known: Configuration | None) -> list[tuple[dict[str, Any], Route]]:
-    """The routes of a configuration, each with the JSON object that it was read from."""
-    values = known.raw.get("routes") if known else None
+def _held(known: Configuration | None, field: str) -> list[tuple[dict[str, Any], Any]]:
+    """The routes or services of a configuration, each with the JSON object that it was read from."""
+    values = known.raw.get(field) if known else None
     if known is None or not isinstance(values, list):
         return []
-    return list(zip(values, known.routes, strict=True))
+    return list(zip(values, getattr(known, field), strict=True))
 
 
-def _unless_same(known: Configuration | None) -> Reader[Route]:
-    """Reads routes, but for those whose very JSON objects are in `known`."""
+def _unless_same(known: Configuration | None, field: str, read: Reader[Named]) -> Reader[Named]:
+    """Reads routes or services, but for those whose very JSON objects are in `known`."""
     # `known` keeps its objects alive, so no other one can have the id of one of them.
-    held = {id(value): route for value, route in _held(known)}
-    return lambda value, path, findings: held.get(id(value)) or read_route(value, path, findings)
+    held: dict[int, Named] = {id(value): item for value, item in _held(known, field)}
+    return lambda value, path, findings: held.get(id(value)) or read(value, path, findings)
 
 
-def _unless_equal(known: Configuration | None) -> Reader[Route]:
-    """Reads routes, but for those whose JSON objects equal the one of that name in `known`."""
-    held = {route.name: (value, route) for value, route in _held(known)}
-    unknown: tuple[dict[str, Any], Route | None] = ({}, None)
+def _unless_equal(known: Configuration | None, field: str, read: Reader[Named]) -> Reader[Named]:
+    """Reads routes or services, but for those whose JSON objects equal the one of that name in `known`."""
+    held: dict[str, tuple[dict[str, Any], Named]] = {
+        item.name: (value, item) for value, item in _held(known, field)}
 
-    def read(value: object, path: str, findings: Findings) -> Route | None:
+    def read_changed(value: object, path: str, findings: Findings) -> Named | None:
         name = value.get("name") if isinstance(value, dict) else None
-        before, route = held.get(name, unknown) if isinstance(name, str) else unknown
-        if route is not None and before == value:
-            return route
-        return read_route(value, path, findings)
+        before = held.get(name) if isinstance(name, str) else None
+        if before is not None and before[0] == value:
+            return before[1]
+        return read(value, path, findings)
 
-    return read
+    return read_changed
 
 
 def _version(value: object, findings: Findings) -> int | None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -149,6 +149,14 @@
     assert changed.routes[1].rank == 3
 
 
+def test_a_service_that_changed_is_read_again_from_a_committed_configuration_and_no_other() -> None:
+    known = parse(EXAMPLE)
+    changed = parse_committed(body(with_value(EXAMPLE, "services.0.max_conns", 7)), known)
+    assert changed.services[0].max_conns == 7
+    assert changed.services[1:] and all(
+        service is before for service, before in zip(changed.services[1:], known.services[1:], strict=True))
+
+
 @settings(max_examples=80)
 @given(configurations())
 def test_no_valid_configuration_is_refused(raw: dict[str, Any]) -> None:
