--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -40,6 +40,12 @@
     return experiment(options)
 
 
+def _fleet(options: Options) -> Result:
+    from ..lab.fleet import experiment
+
+    return experiment(options)
+
+
 def _place(options: Options) -> Result:
     from ..lab.place import experiment
 
@@ -53,8 +59,8 @@
 
 
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
-    "distribution": _distribution, "mass": _mass, "membership": _membership, "place": _place, "room": _room,
-    "room-cost": _room_cost, "route": _route}
+    "distribution": _distribution, "fleet": _fleet, "mass": _mass, "membership": _membership, "place": _place,
+    "room": _room, "room-cost": _room_cost, "route": _route}
 
 
 @textual
--- a/larchgw/edge/demand_reports.py
+++ b/larchgw/edge/demand_reports.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from random import Random
 
 from ..distribution.interface import PLACER
 from ..distribution.registry import Registry
@@ -15,17 +16,32 @@
 
 log = logging.getLogger(__name__)
 INTERVAL_S = 0.5  # between reports; demand changes within seconds
+# That all dispatchers together send to the one placer: each takes it some milliseconds, and many dispatchers
+# show a change of demand together as soon as few do that report more often.
+MOST_REPORTS_PER_S = 200.0
+JITTER = 0.1  # of the interval: dispatchers that started together do not report together
 URGENT_INTERVAL_S = 0.02  # at least so long between two reports that something waits
 TIMEOUT_S = 0.5
 
 
+def report_interval_s(dispatchers: int, waits: bool) -> float:
+    """Seconds from one report to the next. Where something waited, that it no longer does is told soon."""
+    return INTERVAL_S if waits else max(INTERVAL_S, dispatchers / MOST_REPORTS_PER_S)
+
+
 class DemandReporter:
-    """Sends what `demand` gives to the process that the registry names as placer."""
+    """Sends what `demand` gives to the process that the registry names as placer.
+
+    `dispatchers` tells how many share that placer.
+    """
 
     def __init__(self, node_name: str, registry: Registry, clients: RpcClients,
-                 demand: Callable[[], list[ModelDemand]]) -> None:
+                 demand: Callable[[], list[ModelDemand]], dispatchers: Callable[[], int],
+                 dice: Random) -> None:
         self._node_name, self._registry, self._clients, self._demand = node_name, registry, clients, demand
+        self._dispatchers, self._dice = dispatchers, dice
         self._urgent = asyncio.Event()
+        self._waits = False  # as of the last report
 
     def wanted(self) -> None:
         """A request waits for a model that nobody holds: report now."""
@@ -37,7 +53,7 @@
         last = loop.time()
         while True:
             try:
-                async with asyncio.timeout(INTERVAL_S):
+                async with asyncio.timeout(self._interval_s()):
                     await self._urgent.wait()
             except TimeoutError:
                 pass
@@ -47,11 +63,16 @@
             last = now
             await asyncio.sleep(URGENT_INTERVAL_S)
 
+    def _interval_s(self) -> float:
+        interval = report_interval_s(self._dispatchers(), self._waits)
+        return interval * self._dice.uniform(1.0 - JITTER, 1.0)
+
     async def _report(self, interval_ms: int) -> None:
         address = self._placer()
         if not address:
             return
         models = self._demand()
+        self._waits = any(line.waiting > 0 for line in models)
         if not models:
             return
         report = DemandReport(node_name=self._node_name, interval_ms=interval_ms, models=models)
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -78,7 +78,8 @@
         self.proxy.runners = self.view.by_service
         self.proxy.expected = self._expected
         self.proxy.dispatchers = lambda: self.swim.count("edge")
-        self.demand = DemandReporter(settings.node_name, self.registry, self.clients, self.proxy.demand)
+        self.demand = DemandReporter(settings.node_name, self.registry, self.clients, self.proxy.demand,
+                                     lambda: self.swim.count("edge"), self._dice)
         self.proxy.on_wanted = lambda service, model, adapter: self.demand.wanted()
         self.registry.watch(CONFIGURATION, self._configure)
         self.view.on_change(lambda record: self.proxy.runners_changed())
--- a/larchgw/placement/demand.py
+++ b/larchgw/placement/demand.py
@@ -17,7 +17,8 @@
 
 FAST_S = 3.0  # time constant: a shift is half seen after two seconds
 SLOW_S = 20.0  # time constant: a model asked for every 25 s is still told apart from an idle one
-EXPIRY_S = 2.0  # a dispatcher that has reported nothing for so long has nobody waiting as far as we know
+EXPIRY_S = 2.0  # a dispatcher that has reported nothing for so long has nobody waiting as far as we know ...
+EXPIRY_INTERVALS = 3.0  # ... and for so many of the longer of its last two intervals
 SETTLED_REQUESTS = 1.0  # requests in the fast window from which the fast rate outweighs the slow one
 FORGET_RATE = 1e-4  # requests a second below which an idle key is forgotten
 
@@ -79,7 +80,8 @@
 
 @dataclass(slots=True)
 class _Source:
-    heard_at: float
+    interval_s: float  # since its report before
+    silent_at: float  # from then on it counts as silent
     standing: dict[Key, _Standing] = field(default_factory=dict)
 
 
@@ -109,7 +111,10 @@
         now = self._clock()
         if self._started is None:
             self._started = now - max(report.interval_ms, 0) / 1000.0
-        source = _Source(now)
+        interval = max(report.interval_ms, 0) / 1000.0
+        before = self._sources.get(report.node_name)
+        longest = max(interval, before.interval_s if before else 0.0)
+        source = _Source(interval, now + max(self._expiry, EXPIRY_INTERVALS * longest))
         for line in report.models:
             key = (line.service_name, line.model, line.adapter or "")
             self._count(now, key, line)
@@ -203,7 +208,7 @@
                 self._models[key[:2]].discard(key[2])
 
     def _is_old(self, now: float, source: _Source) -> bool:
-        return now - source.heard_at > self._expiry
+        return now > source.silent_at
 
     def _adapters(self, service: str, model: str) -> set[str]:
         return self._models.get((service, model), set())
--- a/larchgw/placement/reconciler.py
+++ b/larchgw/placement/reconciler.py
@@ -12,6 +12,7 @@
 
 import logging
 import math
+from collections.abc import Container
 
 from ..configuration.model import Configuration
 from ..directory.records import RunnerRecord, Stage
@@ -23,6 +24,7 @@
 
 FIRST_POLL_S = 0.15  # between polls of a runner whose order should be done, growing to the next
 LAST_POLL_S = 0.4
+MOST_POLLS = 64  # at once: calls that wait for a free connection would time out there, and be made again
 SILENT_POLL_S = 1.0  # between polls of a runner that does not answer
 UNANSWERED_S = 1.5  # after a send without an answer, by then a report would show it, had it been taken
 REST_S = 1.0  # without orders after one was refused for no known reason or a load failed
@@ -107,22 +109,26 @@
 
     # ---- Polls ----
 
-    def polls(self, now: float) -> list[RunnerState]:
-        """Runners whose report is wanted now. Each is asked again only after its backoff."""
-        due = []
-        for state in self._runners.values():
-            under_way = state.under_way
-            if under_way is not None:
-                if now >= under_way.poll_at:
-                    under_way.polls += 1
-                    under_way.poll_at = now + _backoff(under_way.polls)
-                    due.append(state)
-            elif not state.is_known and state.is_ready and now >= state.poll_at:
-                state.polls += 1
-                state.poll_at = now + _backoff(state.polls)
-                due.append(state)
+    def polls(self, now: float, asked: Container[str] = (), most: int = MOST_POLLS) -> list[RunnerState]:
+        """Runners whose report is wanted now, those with an order under way first; at most `most`, and none
+        of `asked`, whose answers are awaited. Each is asked again only after its backoff.
+        """
+        due = [state for state in self._runners.values()
+               if state.id not in asked and self._is_due(now, state)]
+        due.sort(key=lambda state: state.under_way is None)
+        del due[max(most, 0):]
+        for state in due:
+            polled = state.under_way or state
+            polled.polls += 1
+            polled.poll_at = now + _backoff(polled.polls)
         return due
 
+    @staticmethod
+    def _is_due(now: float, state: RunnerState) -> bool:
+        if state.under_way is not None:
+            return now >= state.under_way.poll_at
+        return not state.is_known and state.is_ready and now >= state.poll_at
+
     def report(self, now: float, runner: str, report: RunnerReport) -> None:
         """A report has come. It is some hundred milliseconds old."""
         state = self._runners.get(runner)
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -27,7 +27,7 @@
 from .demand import Demand, DemandReportLike
 from .model import Order, OrderOutcome, PlacementSettings, RunnerReport
 from .planner import Planner
-from .reconciler import Reconciler
+from .reconciler import MOST_POLLS, Reconciler
 from .state import RunnerState
 from .summary import PlacementSummary, summarise
 
@@ -114,6 +114,7 @@
         self._wake = asyncio.Event()  # set when requests wait
         self._held_since = math.inf
         self._published: dict[str, dict[str, float]] = {}
+        self._asked: set[str] = set()  # runners whose reports are awaited
 
     # ---- News ----
 
@@ -163,7 +164,8 @@
             return
         now = self._clock()
         self._reconciler.assume_adapters(now)
-        for state in self._reconciler.polls(now):
+        for state in self._reconciler.polls(now, self._asked, MOST_POLLS - len(self._asked)):
+            self._asked.add(state.id)
             self._runtime.spawn(self._poll(state))
         if now >= self._plan_at and self._has_learned(now):
             self._plan(now, lease.fence)
@@ -222,7 +224,10 @@
 
     async def _poll(self, state: RunnerState) -> None:
         fence = self._fence
-        report = await self._runtime.calls.report(state.id, state.record.address)
+        try:
+            report = await self._runtime.calls.report(state.id, state.record.address)
+        finally:
+            self._asked.discard(state.id)
         if fence != self._fence:
             return
         if report is None:
--- a/larchgw/rpc/client.py
+++ b/larchgw/rpc/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+from dataclasses import dataclass
 from typing import Any
 
 from thrift.Thrift import TApplicationException, TMessageType
@@ -19,11 +20,20 @@
 USER_TIMEOUT_MS = 1500  # unacknowledged bytes end a connection after this
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Bytes of the messages of one client, since its start."""
+
+    sent: int = 0
+    received: int = 0
+
+
 class _Connection(asyncio.Protocol):
     """A connection and the calls that wait on it."""
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: Traffic) -> None:
         self.transport: asyncio.Transport | None = None
+        self._traffic = traffic
         self.waiting: dict[int, asyncio.Future[Any]] = {}
         self._frames = FrameReader()
 
@@ -33,6 +43,7 @@
         tune(transport)
 
     def data_received(self, data: bytes) -> None:
+        self._traffic.received += len(data)
         try:
             for frame in self._frames.feed(data):
                 message = decode_message(frame)
@@ -68,6 +79,7 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.traffic = Traffic()
         self._connection: _Connection | None = None
         self._opening: asyncio.Task[_Connection] | None = None
         self._sequence = 0
@@ -143,7 +155,9 @@
 
     def _frame(self, method: str, kind: int, sequence: int, argument: Any) -> bytes:
         arguments = getattr(Control, method + "_args")
-        return encode_message(method, kind, sequence, arguments(argument))
+        frame = encode_message(method, kind, sequence, arguments(argument))
+        self.traffic.sent += len(frame)
+        return frame
 
     async def _connect(self) -> _Connection:
         if self._connection is not None and self._connection.transport is not None:
@@ -158,7 +172,8 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                _, connection = await loop.create_connection(_Connection, host, int(port))
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self.traffic), host, int(port))
         except (OSError, TimeoutError) as error:
             raise RpcConnectionLost(f"{self.address}: {error or 'no answer'}", sent=False) from error
         self._connection = connection
--- a/larchgw/runtime/clients.py
+++ b/larchgw/runtime/clients.py
@@ -18,6 +18,10 @@
             client = self._clients[address] = RpcClient(address)
         return client
 
+    def all(self) -> list[RpcClient]:
+        """Those that are in use."""
+        return list(self._clients.values())
+
     def keep_only(self, addresses: set[str]) -> None:
         """Closes the clients of addresses that are no longer in use."""
         for address in set(self._clients) - addresses:
--- /dev/null
+++ b/tests/test_edge_demand_reports.py
@@ -0,0 +1,20 @@
+"""How often a dispatcher reports demand: one placer must bear the reports of all dispatchers."""
+
+from __future__ import annotations
+
+import pytest
+
+from larchgw.edge.demand_reports import INTERVAL_S, MOST_REPORTS_PER_S, report_interval_s
+
+
+@pytest.mark.parametrize("dispatchers", [1, 8, 100, 490, 2000])
+def test_many_dispatchers_do_not_overrun_the_placer(dispatchers: int) -> None:
+    assert dispatchers / report_interval_s(dispatchers, waits=False) <= MOST_REPORTS_PER_S
+
+
+def test_few_dispatchers_report_as_often_as_demand_changes() -> None:
+    assert report_interval_s(8, waits=False) == INTERVAL_S
+
+
+def test_the_end_of_a_wait_is_told_soon_also_among_many_dispatchers() -> None:
+    assert report_interval_s(2000, waits=True) == INTERVAL_S
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -113,6 +113,18 @@
     assert demand.by_model(SERVICE)["m0"].waiting == 0 and not demand.anyone_waits()
 
 
+def test_a_dispatcher_that_reports_seldom_does_not_count_as_silent_between_two_reports():
+    clock = Clock()
+    demand = Demand(clock)
+    for _ in range(4):
+        demand.report(DemandReport("d1", 2450, [line(in_flight=3)]))
+        clock.now += 2.45
+        assert demand.in_flight((SERVICE, "m0", "")) == 3
+    demand.report(DemandReport("d1", 20, [line(in_flight=3)]))  # an urgent one in between
+    clock.now += 2.45
+    assert demand.in_flight((SERVICE, "m0", "")) == 3
+
+
 def test_a_dispatcher_that_says_nothing_of_a_model_any_more_has_nobody_waiting_for_it():
     clock = Clock()
     demand = Demand(clock)
@@ -290,6 +302,24 @@
     assert [state.id for state in made.polls(1.0)] == ["r0"]
 
 
+def test_a_large_deployment_is_not_polled_faster_than_it_answers():
+    made = reconciler()
+    for number in range(300):
+        made.see_runner(0.0, record(f"r{number}"))
+    asked = {state.id for state in made.polls(0.0, most=64)}
+    assert len(asked) == 64
+    assert made.polls(10.0, asked, most=0) == []
+    assert not asked & {state.id for state in made.polls(10.0, asked, most=300)}
+
+
+def test_a_runner_with_an_order_under_way_is_polled_before_those_that_are_not_known():
+    made = learned()
+    for number in range(1, 100):
+        made.see_runner(0.0, record(f"r{number}"))
+    made.ordering(0.0, load("m1"))
+    assert [state.id for state in made.polls(10.0, most=1)] == ["r0"]
+
+
 def test_polls_of_a_late_order_are_spaced():
     made = learned()
     made.ordering(0.0, load("m1"))
