System trial: a seed gives the same requests and the same order of troubles

All parts drew from one generator, so how often a runner was called changed which requests came. A folder that holds something is refused instead of ending in a traceback.

--- a/larchgw/cli/system_trial.py
+++ b/larchgw/cli/system_trial.py
@@ -13,6 +13,7 @@
 from .command import Command, UsageError, decimal, whole
 
 SHOWN_BREACHES = 20
+NO_VALUE = "True"  # what Fire hands over for an option that has no value behind it
 TERMINATED = 143  # exit status, 128 + SIGTERM
 Result = TypeVar("Result")
 
@@ -35,6 +36,8 @@
 
     site = Site(edges=whole("edges", sizes.edges, 1, 30), runners=whole("runners", sizes.runners, 3, 100),
                 models=whole("models", sizes.models, 1, 200), rate=decimal("rate", sizes.rate, 0.1, 1000.0))
+    if sizes.folder == NO_VALUE:
+        raise UsageError("--folder: needs the name of a new folder")
     folder = Path(sizes.folder).resolve() if sizes.folder else None
     spec = SystemSpec(seconds, seed, site, faults, folder)
     return Command(lambda: _run(spec))
--- a/larchgw/emulator/system/script.py
+++ b/larchgw/emulator/system/script.py
@@ -8,7 +8,7 @@
 import asyncio
 import copy
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 from ...configuration.settings import TimeLimits
@@ -29,26 +29,26 @@
     """Plays troubles until it is told to stop. `events` says what was done."""
 
     def __init__(self, rig: Rig, runners: Runners, operator: Operator, limits: TimeLimits,
-                 rng: random.Random, now: Callable[[], float]) -> None:
+                 dice: Callable[[str], random.Random], now: Callable[[], float]) -> None:
         self._now = now
         self._started = now()
         self._rig, self._runners, self._operator, self._limits = rig, runners, operator, limits
-        self._random = rng
+        self._dice = dice
+        self._random = dice("script")
         self.events: list[str] = []
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
         """Plays all lanes; returns once each has ended its last trouble after `stop`."""
-        catch_up = self._limits.catch_up_s
+        core = [self._kill_primary, self._kill_control, self._wipe_control, self._freeze_control,
+                self._restart_control, self._replace_control]
+        edges = [self._kill_edge, self._freeze_edge, self._restart_edge]
+        operator = [self._move_route, self._race, self._invalid, self._lost_answers, self._add_route]
+        runners = [self._release_runner, self._crash_runner, self._darken_runner, self._misbehaviour]
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._lane([self._kill_primary, self._kill_control, self._wipe_control,
-                                          self._freeze_control, self._restart_control,
-                                          self._replace_control], catch_up))
-            group.create_task(self._lane([self._kill_edge, self._freeze_edge, self._restart_edge], 0.0))
-            group.create_task(self._lane([self._move_route, self._race, self._invalid, self._lost_answers,
-                                          self._add_route], 0.0))
-            group.create_task(self._lane([self._release_runner, self._crash_runner, self._darken_runner,
-                                          self._misbehaviour], 0.0))
+            group.create_task(self._lane("core", core, self._limits.catch_up_s))
+            for name, troubles in (("edges", edges), ("operator", operator), ("runners", runners)):
+                group.create_task(self._lane(name, troubles, 0.0))
 
     async def final(self) -> None:
         """The last fault: every control process is killed right after it has acknowledged a change."""
@@ -63,13 +63,13 @@
         """No further troubles."""
         self._stopping.set()
 
-    async def _lane(self, troubles: list[Trouble], rest_s: float) -> None:
-        """One trouble of each kind in a drawn order, then in another one."""
+    async def _lane(self, name: str, troubles: Sequence[Trouble], rest_s: float) -> None:
+        """One trouble of each kind in the order that the seed gives, then in another one."""
+        rng = self._dice(name)
         await self._pause(FIRST_S)
         while True:
-            order = self._random.sample(troubles, len(troubles))
-            for trouble in order:
-                await self._pause(self._random.uniform(*PAUSE_S))
+            for trouble in rng.sample(troubles, len(troubles)):
+                await self._pause(rng.uniform(*PAUSE_S))
                 if self._stopping.is_set():
                     return
                 began = self._now()
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -78,16 +78,17 @@
     """Plays one trial. Raises TrialError, and NoFreeNetwork where there are no addresses for it."""
     if spec.folder is not None:
         spec.folder.mkdir(parents=True, exist_ok=True)
+        if any(spec.folder.iterdir()):
+            raise TrialError(f"{spec.folder} is not empty; name a new folder")
         return await _in_folder(spec, spec.folder)
     with tempfile.TemporaryDirectory(prefix="larchgw-system-") as folder:
         return await _in_folder(spec, Path(folder))
 
 
 async def _in_folder(spec: SystemSpec, folder: Path) -> SystemOutcome:
-    rng = random.Random(spec.seed)
     network = Network.claim(random.Random())  # not the seed's: two trials may run beside each other
     try:
-        trial = _Trial(spec, network, folder, rng)
+        trial = _Trial(spec, network, folder)
         try:
             return await trial.play()
         finally:
@@ -97,24 +98,29 @@
 
 
 class _Trial:
-    def __init__(self, spec: SystemSpec, network: Network, folder: Path, rng: random.Random) -> None:
-        self._spec, self._random, self._folder = spec, rng, folder
+    def __init__(self, spec: SystemSpec, network: Network, folder: Path) -> None:
+        self._spec = spec
         self._time, self._records = RealTime(), Records(loads_per_s=LOADS_PER_S)
         now, site = self._time.now, spec.site
         self._rig = Rig(network, folder, self._records, LIMITS, now, site.controls, site.edges)
         controls = self._rig.control_addresses
-        self._runners = Runners(site, network, self._time, self._records, LIMITS, controls, rng)
-        self._operator = Operator(controls, self._records, now, rng)
-        self._ingress = Ingress(self._rig.edges, rng)
-        self._clients = Clients(self._ingress, self._records, now, rng, self._services)
+        self._runners = Runners(site, network, self._time, self._records, LIMITS, controls,
+                                self._dice("runners"))
+        self._operator = Operator(controls, self._records, now, self._dice("operator"))
+        self._ingress = Ingress(self._rig.edges, self._dice("ingress"))
+        self._clients = Clients(self._ingress, self._records, now, self._dice("clients"), self._services)
         self._asking: asyncio.Task[None] | None = None
 
+    def _dice(self, part: str) -> random.Random:
+        """Random choices of one part: how often another part draws does not change them."""
+        return random.Random(f"{self._spec.seed}/{part}")
+
     async def play(self) -> SystemOutcome:
         """The whole day. Raises TrialError."""
         await self._start()
         spec = self._spec
-        intents = draw(spec.site, spec.seconds, self._random, self._popularity)
-        script = Script(self._rig, self._runners, self._operator, LIMITS, self._random, self._time.now)
+        intents = draw(spec.site, spec.seconds, self._dice("requests"), self._popularity)
+        script = Script(self._rig, self._runners, self._operator, LIMITS, self._dice, self._time.now)
         playing = asyncio.create_task(script.run()) if spec.faults else None
         await self._clients.play(intents, self._time.now())
         script.stop()
--- a/tests/test_system_trial.py
+++ b/tests/test_system_trial.py
@@ -100,7 +100,13 @@
 
 
 @pytest.mark.parametrize("option", [
-    ["--edges", "0"], ["--runners", "two"], ["--models", "0"], ["--rate", "-1"]])
+    ["--edges", "0"], ["--runners", "two"], ["--models", "0"], ["--rate", "-1"], ["--folder"]])
 def test_sizes_that_cannot_be_played_are_refused_before_anything_starts(option: list[str]) -> None:
     with pytest.raises(UsageError, match=option[0]):
         call(["try", "--system", *option])
+
+
+def test_a_folder_that_holds_something_is_not_played_over(tmp_path: Path) -> None:
+    (tmp_path / "kept").write_text("from an earlier trial")
+    with pytest.raises(UsageError, match="not empty"):
+        call(["try", "--system", "--folder", str(tmp_path)])
