Retry budget: a large herd that starts at once stays within the bound

Cause: in its first 5 s a dispatcher divides retry_extra by 32 at least, since membership may not have found the others. 91 dispatchers of a deployment with 180 extra repeats, each alone at first, could make 364 together (the new test without the change).

Change: in that time one takes at most one repeat of the extra. Deployments of up to 32 dispatchers are as before, where their part was one or less.

--- a/larchgw/decide/budget.py
+++ b/larchgw/decide/budget.py
@@ -30,7 +30,8 @@
 STEPS = 16  # pieces of a window in which the fewest requests are looked for
 PHASE_WINDOWS = 50.0  # windows in which the phase goes round once
 START_S = 5.0  # until then membership may not have found the others
-START_DISPATCHERS = 32  # assumed until then
+START_DISPATCHERS = 32  # assumed until then, and ...
+START_PART = 1.0  # ... the most of `retry_extra` that one takes: a herd that starts at once may be larger
 RECENT_WINDOWS = 3.0  # windows for which a higher number of dispatchers is remembered
 
 
@@ -88,6 +89,8 @@
         among = self._dispatchers(now, dispatchers)
         by_ratio = MARGIN * self._ratio * self._fewest(now, traffic)
         of_extra = MARGIN * self._extra / among
+        if self._starting(now):
+            of_extra = min(of_extra, START_PART)
         allowed = math.floor(by_ratio + of_extra)
         if of_extra < 1.0:
             rounded = (MARGIN * self._extra - math.sqrt(among)) / among
@@ -112,8 +115,11 @@
         if seen >= self._most or now >= self._most_until:
             self._most = seen
             self._most_until = now + RECENT_WINDOWS * self._window
-        starting = self._started is None or now < self._started + START_S
-        return max(1, self._most, START_DISPATCHERS if starting else 0)
+        return max(1, self._most, START_DISPATCHERS if self._starting(now) else 0)
+
+    def _starting(self, now: float) -> bool:
+        """Whether membership may not have found the others yet."""
+        return self._started is None or now < self._started + START_S
 
     def _fewest(self, now: float, traffic: _Traffic) -> int:
         """The fewest requests that count in any window which ends in [now, now + W].
--- a/tests/test_decide_budget.py
+++ b/tests/test_decide_budget.py
@@ -123,6 +123,17 @@
     assert made <= 2
 
 
+def test_many_dispatchers_that_start_at_once_each_alone_stay_within_the_bound() -> None:
+    limits = TimeLimits(retry_ratio=0.2, retry_window_s=10.0, retry_extra=180.0)
+    budgets = [RetryBudget(limits, Random(number)) for number in range(91)]
+    made = 0
+    for budget in budgets:
+        while budget.may_repeat(0.0, SERVICE, 1):
+            budget.repeat(0.0, SERVICE)
+            made += 1
+    assert made <= limits.retry_extra
+
+
 def test_services_do_not_share_a_budget() -> None:
     budget = RetryBudget(TimeLimits(retry_extra=2.0), Random(1))
     budget.may_repeat(0.0, "a", 1)
