--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -39,6 +39,7 @@
 from larchgw.placement.reconciler import Reconciler
 from larchgw.placement.service import PlacementRuntime, PlacementService
 from larchgw.placement.summary import summarise
+from larchgw.rpc.codec import decode_struct, encode_struct
 from larchgw.rpc.generated import ttypes
 from larchgw.runtime import http_status
 
@@ -117,6 +118,16 @@
     assert as_object(status) == {"node_name": "a", "processes": [{"name": "b"}]}
 
 
+def test_a_status_arrives_as_it_was_sent_with_and_without_what_is_optional() -> None:
+    bare = ttypes.ControlStatus("a", "a#1", "learner", None, 0, 0, True, [], "", 0, {"ready": 2},
+                                ttypes.DiskStatus(1, 2, 3, 4, -1, False))
+    full = ttypes.ControlStatus("a", view=ttypes.View(1, "a", [], ["a"], {"a": "10.0.0.1:1"}))
+    full.placement = ttypes.PlacementStatus(9, 13, 12, [ttypes.ModelStatus("s", "m", 0.5, 1, 2, ["i"], [])], [
+        ttypes.OrderStatus("i", "loading", "m", 40, True)])
+    for status in (bare, full):
+        assert decode_struct(ttypes.ControlStatus, encode_struct(status)) == status
+
+
 def test_a_summary_tells_holders_loads_under_way_and_what_the_store_allows() -> None:
     configuration, service, model = models_configuration()
     clock = Clock()
