--- a/larchgw/daemon.py
+++ b/larchgw/daemon.py
@@ -9,17 +9,18 @@
 
 import structlog
 
-from . import __version__, config, moving
+from . import __version__, config
 from .bans import BanFile
 from .fronts.admin import Admin
 from .fronts.agentcheck import AgentCheck, Ops
 from .fronts.gearman import GearmanFront
 from .fronts.platform import PlatformFront
-from .handover import Handover
 from .interface import WorkerId
 from .net.listener import Listener
 from .node import Node, wake_on_signals
 from .room import RoomSettings
+from .upgrade import moving
+from .upgrade.handover import Handover
 
 # After SIGTERM clients still come for a while, and use the connections that they have: the other dispatchers
 # may be down just then. Whoever is let in must be answered before SIGKILL. That comes no sooner than the
--- a/larchgw/handover.py
+++ b/larchgw/upgrade/handover.py
@@ -17,14 +17,14 @@
 
 import structlog
 
+from ..core import Core
+from ..core.deadlines import Deadline
+from ..interface import WorkerId
+from ..net.connection import Connection
+from ..net.ending import Ending
+from ..net.loop import READ, Loop
 from . import learned
-from .core import Core
-from .core.deadlines import Deadline
-from .interface import WorkerId
 from .moving import MAX_FDS, MAX_PACKET
-from .net.connection import Connection
-from .net.ending import Ending
-from .net.loop import READ, Loop
 
 HELLO_TIME = 3.0  # for the other process to say what it knows; it may be stuck
 STEP = 0.02  # between looks whether we can serve
--- a/larchgw/moving.py
+++ b/larchgw/upgrade/moving.py
@@ -11,11 +11,11 @@
 from base64 import b64decode, b64encode
 from typing import Any
 
-from .core import Attempt, Core, Request
-from .fronts.platform import PlatformFront
-from .interface import Status
-from .net.httpserver import Exchange
-from .net.runners import RunnerLink, Runners
+from ..core import Attempt, Core, Request
+from ..fronts.platform import PlatformFront
+from ..interface import Status
+from ..net.httpserver import Exchange
+from ..net.runners import RunnerLink, Runners
 
 MAX_PACKET = 192 << 10
 MAX_FDS = 2
