--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -13,12 +13,12 @@
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import islice
 
-from .checks import check_settings
 from .estimates import Fleet
 from .estimates.mixing import MASK, mix
 from .interface import Actions, ListKind, Member, Note, Outcome, Presence, Request, Settings, Status, WorkerId
 from .records import MAYBE_RAN, NEVER_RAN, OUT, Attempt, Job, Mean, Pair, Worker
 from .room.interface import NOTHING_HELD, Room
+from .simwire.checks import check_settings
 
 Try = tuple[WorkerId, float, float, int | None]  # worker, when sent and begun, how it ended if it has
 PROOFS = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)  # outcomes that prove an attempt never ran
--- a/larchgw/checks.py
+++ b/larchgw/simwire/checks.py
@@ -1,6 +1,6 @@
 """Says which start-up setting cannot be."""
 
-from .interface import Settings
+from ..interface import Settings
 
 
 def check_settings(s: Settings) -> None:
--- a/larchgw/wire.py
+++ b/larchgw/simwire/wire.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from .interface import JobClass, Member, Note, Outcome, Request, Settings, Status, Tenant
+from ..interface import JobClass, Member, Note, Outcome, Request, Settings, Status, Tenant
 
 
 class WireError(ValueError):
--- a/larchgw/wirehost.py
+++ b/larchgw/simwire/wirehost.py
@@ -1,4 +1,4 @@
-"""`python -m larchgw.wirehost`: hosts dispatchers on the simulator's wire, over standard input and output."""
+"""`python -m larchgw.simwire.wirehost`: dispatchers on the simulator's wire, over stdin and stdout."""
 
 from __future__ import annotations
 
@@ -6,9 +6,9 @@
 import sys
 from typing import Any, BinaryIO
 
+from ..choice import Dispatcher
+from ..interface import Member
 from . import wire
-from .choice import Dispatcher
-from .interface import Member
 
 
 class Host:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from larchgw import wire
 from larchgw.interface import Status
-from larchgw.wirehost import Host, serve
+from larchgw.simwire import wire
+from larchgw.simwire.wirehost import Host, serve
 
 CLASS = {"name": "a", "aim": 0.4, "deadline": 6.0, "effect": "deduplicated", "group": "zone"}
 SETTINGS = {
@@ -127,7 +127,7 @@
 
 def test_end_of_input_is_a_clean_exit():
     root = Path(__file__).parent.parent
-    host = [sys.executable, "-m", "larchgw.wirehost"]
+    host = [sys.executable, "-m", "larchgw.simwire.wirehost"]
     done = subprocess.run(host, input=b"", cwd=root, capture_output=True)
     assert (done.returncode, done.stdout) == (0, b"")
     cut = subprocess.run(host, input=b"\x10", cwd=root, capture_output=True)
