--- a/larchgw/cli/check.py
+++ b/larchgw/cli/check.py
@@ -7,12 +7,12 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from .. import config
+from ..config import startup
+from ..config.settings_file import Fault, read
 from ..configuration import settings as process_settings
 from ..configuration.errors import ConfigurationError, SettingsError
 from ..configuration.settings_check import settings_faults
 from ..configuration.validation import decode, examine
-from ..settings_file import Fault, read
 from .command import WRONG_CALL, Command, UsageError, textual
 
 # Fields that a configuration of the operator's has and PROXY_CONFIG's file has not.
@@ -45,8 +45,8 @@
 
 def _proxy_faults(path: Path) -> list[Fault]:
     try:
-        config.load({**os.environ, "PROXY_CONFIG": str(path)})
-    except config.ConfigError as error:
+        startup.load({**os.environ, "PROXY_CONFIG": str(path)})
+    except startup.ConfigError as error:
         field, _, wrong = str(error).partition(": ")
         return [Fault(str(path), "" if field == "PROXY_CONFIG" else field, wrong)]
     return []
--- a/larchgw/settings_file.py
+++ b/larchgw/config/settings_file.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from .config import ConfigError, Fronts
-from .net.address import parse_address
-from .room import RoomSettings
+from ..net.address import parse_address
+from ..room import RoomSettings
+from .startup import ConfigError, Fronts
 
 
 @dataclass(frozen=True, slots=True)
--- a/larchgw/daemon.py
+++ b/larchgw/daemon.py
@@ -9,8 +9,9 @@
 
 import structlog
 
-from . import __version__, config
+from . import __version__
 from .bans import BanFile
+from .config import startup
 from .fronts.admin import Admin
 from .fronts.agentcheck import AgentCheck, Ops
 from .fronts.gearman import GearmanFront
@@ -36,7 +37,7 @@
 class Daemon:
     """One node behind its fronts."""
 
-    def __init__(self, settings: config.Config, fronts: config.Fronts,
+    def __init__(self, settings: startup.Config, fronts: startup.Fronts,
                  room: RoomSettings | None = None) -> None:
         self.node = node = Node(settings, room)
         loop, core = node.loop, node.core
@@ -110,8 +111,8 @@
     def _reload(self) -> None:
         """Takes the configuration file as it is now. One that is wrong changes nothing."""
         try:
-            self.node.reload(config.load(os.environ))
-        except config.ConfigError as error:
+            self.node.reload(startup.load(os.environ))
+        except startup.ConfigError as error:
             log.error("reload.refused", error=str(error))
             return
         self._resize()
@@ -147,7 +148,7 @@
 
     def run(self) -> None:
         log.info("start", name=self.node.config.name, version=__version__, pid=os.getpid())
-        if unread := config.unread(self.node.config.raw):
+        if unread := startup.unread(self.node.config.raw):
             log.info("settings.unread", fields=",".join(unread))
         self.node.loop.run()
         self.handover.close()
@@ -208,7 +209,7 @@
             log.info("upgrade.moved", jobs=moved, left=core.open_requests())
 
 
-def serve(fronts: config.Fronts | None = None, room: RoomSettings | None = None) -> int:
+def serve(fronts: startup.Fronts | None = None, room: RoomSettings | None = None) -> int:
     """Runs until SIGTERM and returns the exit status; a mistake in what it is told is one line and 2."""
     structlog.configure(
         processors=[
@@ -223,8 +224,8 @@
     missed: list[int] = []  # a SIGHUP between reading the configuration and being ready to read it again
     signal.signal(signal.SIGHUP, lambda number, frame: missed.append(number))
     try:
-        daemon = Daemon(config.load(os.environ), fronts or config.Fronts(), room)
-    except config.ConfigError as error:
+        daemon = Daemon(startup.load(os.environ), fronts or startup.Fronts(), room)
+    except startup.ConfigError as error:
         print(f"larchgw: {error}", file=sys.stderr)
         return 2
     except OSError as error:
--- a/larchgw/node.py
+++ b/larchgw/node.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from .config import Config, ConfigError, check_reload
+from .config.startup import Config, ConfigError, check_reload
 from .core import Core
 from .core.deadlines import Clock, Deadlines
 from .interface import ListKind
--- a/larchgw/wsgi.py
+++ b/larchgw/wsgi.py
@@ -17,7 +17,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from .config import read
+from .config.startup import read
 from .core import Answer, AnswerKind, Request
 from .core.requests import News
 from .fronts.jobheaders import ONCE, http_answer, key_number, read_job
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 import pytest
 from stand_ins import PATIENCE, ROOT, settings
 
-from larchgw.settings_file import load_room, read
+from larchgw.config.settings_file import load_room, read
 
 
 def larchgw(*arguments: str) -> subprocess.CompletedProcess[str]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -450,15 +450,15 @@
 
 EARLY = """
 import os, signal, sys
-from larchgw import config
-whole = config.load
+from larchgw.config import startup
+whole = startup.load
 def load(environ):
     told = whole(environ)
     if not os.environ.pop("hup", None):
         os.environ["hup"] = "1"
         os.kill(os.getpid(), signal.SIGHUP)
     return told
-config.load = load
+startup.load = load
 """
 
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -18,7 +18,8 @@
 import pytest
 from stand_ins import PATIENCE, ROOT, Discovery, Program, Runner, job_class, running, settings, until
 
-from larchgw.config import ConfigError
+from larchgw.config.settings_file import load_fronts
+from larchgw.config.startup import ConfigError
 from larchgw.core import Core
 from larchgw.core.deadlines import Clock, Deadlines
 from larchgw.fronts.platform import PlatformFront
@@ -26,7 +27,6 @@
 from larchgw.net import discovery as net_discovery
 from larchgw.net.loop import Loop
 from larchgw.net.runners import Runners
-from larchgw.settings_file import load_fronts
 
 
 def raw(program: Program, *parts: bytes) -> bytes:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -11,7 +11,7 @@
 import pytest
 from stand_ins import delivered, settings, until
 
-from larchgw.config import Config, read
+from larchgw.config.startup import Config, read
 from larchgw.core import Core
 from larchgw.core.deadlines import Clock, Deadlines
 from larchgw.interface import JobClass, Settings, Status
