Directory: runners of a control process restarted with its clock set back are not called silent

Cause: a control process names itself in its runners' records by the time of day at its start. If an earlier life had a clock that ran ahead, membership gives the new life another incarnation when it hears of the earlier one; the other processes then no longer found the name that the records bear and published its runners as silent after each of their check-ins.

Change: a process that is present answers for all records that name its address, and one that has started again answers for its own earlier lives.

--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -48,6 +48,7 @@
 from .isolation import Isolation
 from .operator import Answer, OperatorService
 from .operator_calls import OperatorCalls
+from .owners import is_watched, owner_name
 from .replicated_log import TICK_S, ReplicatedLog
 from .rpc_service import RpcService
 from .state import ConfigurationState
@@ -212,12 +213,12 @@
             self.registry.put(PLACER, json.dumps({"address": self.address}).encode(), lease.fence)
 
     def _owner(self) -> str:
-        return f"{self.address}/{self._life}"
+        return owner_name(self.address, self._life)
 
     def _owner_lives(self, owner: str) -> bool:
         if self.isolation.isolated():
             return True
-        return any(f"{process.address_rpc}/{process.incarnation}" == owner for process in self._processes())
+        return is_watched(owner, self.address, self._processes())
 
     # ---- Parts ----
 
--- a/larchgw/directory/directory.py
+++ b/larchgw/directory/directory.py
@@ -69,9 +69,9 @@
 class Directory:
     """The runners that this control process knows, and those that it watches.
 
-    `owner` names this life of the process. `alive` tells whether the life of a process that a record names as
-    its owner still runs; while this process is itself cut off from the majority it must answer True, since it
-    cannot know.
+    `owner` names this life of the process. `alive` tells whether a process still answers for the runners of
+    the life that a record names as its owner; while this process is itself cut off from the majority it must
+    answer True, since it cannot know.
     """
 
     def __init__(self, registry: Registry, clock: Callable[[], float], beat_s: float, owner: str,
--- /dev/null
+++ b/tests/test_control_owners.py
@@ -0,0 +1,41 @@
+"""Who answers for the runners of a control process that has started again."""
+
+from __future__ import annotations
+
+from larchgw.control.owners import is_watched, owner_name
+from larchgw.directory.directory import Directory
+from larchgw.directory.records import RunnerRecord, Stage
+from larchgw.distribution.registry import Registry
+from larchgw.membership.member import Member
+
+HERE, THERE = "10.0.0.1:7660", "10.0.0.2:7660"
+BEAT_S = 1.0
+EARLIER, LATER = 1_000_000, 400_000  # the second life's clock is ten minutes behind the first one's
+
+
+def process(incarnation: int, address_rpc: str = THERE) -> Member:
+    return Member("core-2", "10.0.0.2:7661", "control", incarnation, "a", address_rpc)
+
+
+def test_runners_of_a_process_restarted_with_its_clock_set_back_are_not_called_silent() -> None:
+    now = 0.0
+    present = [process(EARLIER + 1)]  # the incarnation that it took when it heard of its earlier life
+    registry = Registry("here#1")
+    directory = Directory(registry, lambda: now, BEAT_S, owner_name(HERE, 5),
+                          lambda owner: is_watched(owner, HERE, present))
+    record = RunnerRecord("i-1", "service", "10.1.0.1:80", "a", call_count=3, owner=owner_name(THERE, LATER))
+    registry.put("runner/i-1", record.encode(), 3, int(Stage.READY))
+    for _ in range(40):
+        now += BEAT_S / 4
+        directory.tick(now)
+    standing = directory.get("i-1")
+    assert standing is not None and standing.stage is Stage.READY
+
+
+def test_a_process_that_started_again_answers_for_runners_that_went_silent_while_it_was_down() -> None:
+    assert not is_watched(owner_name(HERE, EARLIER), HERE, [process(EARLIER, HERE)])
+
+
+def test_runners_of_a_lost_process_are_taken_for_unwatched() -> None:
+    others = [process(EARLIER, "10.0.0.3:7660")]
+    assert not is_watched(owner_name(THERE, EARLIER), HERE, others)
