Reports of demand: a bounded number of lines, and half as many of them in large fleets

Where more than 100 keys run, adapters that nobody asked for since the last report are told with their model, and all dispatchers together send 100 reports a second, from 50 dispatchers on.

--- a/larchgw/edge/demand.py
+++ b/larchgw/edge/demand.py
@@ -9,6 +9,7 @@
 from ..rpc.generated.ttypes import ModelDemand
 
 Key = tuple[str, str, str]
+MOST_LINES = 100  # of a report, as far as that can be kept: from there on only what the placer needs most
 
 
 class DemandTally:
@@ -34,10 +35,19 @@
             urgency[traits.key] = min(urgency.get(traits.key, left), left)
         arrivals, worth = self._arrivals, self._worth
         self._arrivals, self._worth = Counter(), {}
+        running = at_runners if len(at_runners) <= MOST_LINES else _folded(at_runners, {*arrivals, *waits})
         return [
             ModelDemand(service_name=key[0], model=key[1], adapter=key[2], arrivals=arrivals[key],
-                        waiting=waits[key], in_flight=at_runners.get(key, 0),
+                        waiting=waits[key], in_flight=running.get(key, 0),
                         urgency_ms=max(int(1000 * urgency[key]), 1) if key in urgency else 0,
                         worth=worth.get(key, 0.0))
-            for key in sorted({*arrivals, *waits, *at_runners}) if key[1]
+            for key in sorted({*arrivals, *waits, *running}) if key[1]
         ]
+
+
+def _folded(running: Mapping[Key, int], asked: set[Key]) -> dict[Key, int]:
+    """What runs, by model alone for the adapters that nobody asked for since the last report."""
+    folded: Counter[Key] = Counter()
+    for key, count in running.items():
+        folded[key if key in asked else (key[0], key[1], "")] += count
+    return folded
--- a/larchgw/edge/demand_reports.py
+++ b/larchgw/edge/demand_reports.py
@@ -18,7 +18,7 @@
 INTERVAL_S = 0.5  # between reports; demand changes within seconds
 # That all dispatchers together send to the one placer: each takes it some milliseconds, and many dispatchers
 # show a change of demand together as soon as few do that report more often.
-MOST_REPORTS_PER_S = 200.0
+MOST_REPORTS_PER_S = 100.0
 JITTER = 0.1  # of the interval: dispatchers that started together do not report together
 URGENT_INTERVAL_S = 0.02  # at least so long between two reports that something waits
 TIMEOUT_S = 0.5
--- a/tests/test_edge_demand_reports.py
+++ b/tests/test_edge_demand_reports.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from larchgw.edge.demand import MOST_LINES, DemandTally
 from larchgw.edge.demand_reports import INTERVAL_S, MOST_REPORTS_PER_S, report_interval_s
 
 
@@ -18,3 +19,15 @@
 
 def test_the_end_of_a_wait_is_told_soon_also_among_many_dispatchers() -> None:
     assert report_interval_s(2000, waits=True) == INTERVAL_S
+
+
+def test_a_report_does_not_grow_with_each_adapter_that_runs_and_loses_no_run() -> None:
+    running = {("llm", f"m{number % 20}", f"a{number}"): 2 for number in range(5 * MOST_LINES)}
+    lines = DemandTally().take(0.0, (), running)
+    assert len(lines) == 20
+    assert sum(line.in_flight for line in lines) == sum(running.values())
+
+
+def test_adapters_that_run_are_told_one_by_one_where_they_are_few() -> None:
+    running = {("llm", "m", f"a{number}"): 2 for number in range(MOST_LINES)}
+    assert {line.adapter for line in DemandTally().take(0.0, (), running)} == {key[2] for key in running}
