--- a/larchgw/decide/selection.py
+++ b/larchgw/decide/selection.py
@@ -83,8 +83,9 @@
                tried: Sequence[str], expected: Mapping[str, float]) -> Choice:
         """Where the request goes; see `interface.Selection`."""
         self._prune(now, request.service, runners)
+        key = request.key
         holders = [record for record in runners.values()
-                   if record.stage < Stage.DRAINING and self._marks.holds(record, request.key)]
+                   if self._marks.holds(record, key) and record.stage < Stage.DRAINING]
         pool = self._pool(holders, tried)
         if not pool:
             return self._without_holder(now, request, expected)
--- a/larchgw/directory/records.py
+++ b/larchgw/directory/records.py
@@ -51,7 +51,10 @@
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Whether it holds the model and, if one is named, the adapter."""
-        return any(held.name == model and (not adapter or adapter in held.adapters) for held in self.models)
+        for held in self.models:
+            if held.name == model and (not adapter or adapter in held.adapters):
+                return True
+        return False
 
     def encode(self) -> bytes:
         """JSON for the registry."""
