--- a/larchgw/replication/follower.py
+++ b/larchgw/replication/follower.py
@@ -16,19 +16,24 @@
     """Follows the primary of the last accepted view. `heard_at` is when a primary was last heard."""
 
     def __init__(self, me: str, address: str, witness: Witness, replica: Replica, outbox: Outbox,
-                 timing: Timing, started_at: float) -> None:
+                 timing: Timing) -> None:
         self._me = me
         self._address = address
         self._witness = witness
         self._replica = replica
         self._outbox = outbox
         self._timing = timing
-        self._started_at = started_at
-        self._join_at = started_at
+        self._started_at = 0.0
+        self._join_at = 0.0
         self._matched_epoch = 0
         self._matched = 0  # the log is the primary's up to here, in `_matched_epoch`
         self.heard_at: float | None = None
 
+    def start(self, now: float) -> None:
+        """Once, before any other call. A primary has as long to be heard as if it had just been."""
+        self._started_at = now
+        self._join_at = now
+
     def hears_primary(self, now: float) -> bool:
         """Whether a primary was heard so lately that nobody should try to replace it."""
         return self.heard_at is not None and now - self.heard_at < self._timing.primary_silence * 0.8
--- /dev/null
+++ b/larchgw/replication/view_changes.py
@@ -0,0 +1,250 @@
+"""How the view of one member changes: its votes, its own attempts, and the primary's role won or lost."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from .ballot import Ballot
+from .candidate import Candidate
+from .follower import Follower
+from .leadership import Leadership
+from .lease_witness import LeaseWitness
+from .messages import Accept, Accepted, HeartbeatReply, Prepare, Probe, ProbeReply, Promise, TakeOver
+from .outbox import Outbox
+from .planning import failover_view, next_view, same_view
+from .replica import Replica
+from .roster import Roster
+from .settings import MemberSettings
+from .view import View
+from .witness import Witness
+
+log = logging.getLogger(__name__)
+
+REVIEW_SECONDS = 0.05  # between two looks of the primary at whether the view should change
+
+
+class ViewChanges:
+    """Times are seconds of the member's clock. What must be durable raises OSError where the disk refuses.
+
+    `on_resign` is called with the reason when this member stops acting as primary."""
+
+    def __init__(self, me: str, settings: MemberSettings, witness: Witness, lease_witness: LeaseWitness,
+                 replica: Replica, outbox: Outbox, roster: Roster, follower: Follower, candidate: Candidate,
+                 on_resign: Callable[[str], None]) -> None:
+        self._me = me
+        self._settings = settings
+        self._timing = settings.timing
+        self._witness = witness
+        self._lease_witness = lease_witness
+        self._replica = replica
+        self._outbox = outbox
+        self._roster = roster
+        self._follower = follower
+        self._candidate = candidate
+        self._on_resign = on_resign
+        self._review_at = 0.0
+        self.leading: Leadership | None = None  # while this member acts as primary
+        self.rests_until = 0.0  # it does not stand before
+
+    @property
+    def view(self) -> View | None:
+        """The view that this member acts in, or else the last that it has accepted."""
+        return self.leading.view if self.leading is not None else self._witness.view
+
+    def progress(self) -> tuple[object, ...]:
+        """What is kept in memory only, times left out; for explorations that compare states."""
+        ballot = self._candidate.ballot
+        return (self._candidate.highest_epoch,
+                None if ballot is None else ballot.progress(),
+                None if self.leading is None else self.leading.progress())
+
+    # ---- messages ----
+
+    def heartbeat_reply(self, now: float, sender: str, reply: HeartbeatReply) -> None:
+        """A member has answered a heartbeat; it may know of a later view."""
+        self._candidate.see_epoch(reply.promised)
+        if reply.view is not None:
+            self.adopt(now, reply.view)
+        if self.leading is not None:
+            self.leading.heartbeat_reply(now, sender, reply)
+
+    def probe(self, now: float, sender: str, probe: Probe) -> None:
+        """A member asks whether it may try to become primary."""
+        view = self._witness.view
+        granted = view is None or view.primary == sender or not self._follower.hears_primary(now)
+        if self.leading is not None and sender != self._me and self.leading.has_contact(now):
+            granted = False
+        self._outbox.send(sender, ProbeReply(probe.round, granted, self._witness.promised, view))
+
+    def probe_reply(self, now: float, sender: str, reply: ProbeReply) -> None:
+        """A member has answered whether this one may try."""
+        self._candidate.see_epoch(reply.promised)
+        if reply.view is not None:
+            self.adopt(now, reply.view)
+        if reply.granted and self.leading is None:
+            self._candidate.probe_granted(now, sender, reply.round)
+
+    def prepare(self, sender: str, prepare: Prepare) -> None:
+        """A candidate asks for a promise of its epoch."""
+        granted = self._witness.promise(prepare.epoch, sender)
+        self._candidate.see_epoch(self._witness.promised)
+        self._outbox.send(sender, Promise(prepare.epoch, granted, self._witness.promised, self._witness.view))
+
+    def promise(self, now: float, sender: str, promise: Promise) -> None:
+        """A witness has answered this member's ballot."""
+        self._candidate.see_epoch(promise.promised)
+        ballot = self._candidate.ballot
+        if ballot is None or ballot.epoch != promise.epoch:
+            return
+        if promise.granted:
+            ballot.promise(now, sender, promise)
+        elif promise.promised > ballot.epoch:
+            self._candidate.abandon(now)
+
+    def accept(self, now: float, sender: str, message: Accept) -> None:
+        """A candidate, or the primary, asks for the acceptance of a view."""
+        granted = self._accept(now, message.view)
+        self._outbox.send(sender, Accepted(message.view.epoch, granted, self._witness.promised))
+
+    def accepted(self, sender: str, reply: Accepted) -> None:
+        """A witness has answered this member's proposed view."""
+        self._candidate.see_epoch(reply.promised)
+        ballot = self._candidate.ballot
+        if ballot is not None and ballot.epoch == reply.epoch and reply.granted:
+            ballot.accept(sender)
+
+    def take_over(self, now: float, message: TakeOver) -> None:
+        """The primary steps down and names this member as its successor."""
+        view = self._witness.view
+        if view is not None and view.epoch == message.epoch and self._may_stand(now, view):
+            self._candidate.start(now, view)
+
+    # ---- views ----
+
+    def adopt(self, now: float, view: View) -> None:
+        """A view that another member has accepted."""
+        self._candidate.see_epoch(view.epoch)
+        if self._witness.view is None or view.epoch > self._witness.view.epoch:
+            self._accept(now, view)
+
+    def lead(self, now: float, view: View) -> None:
+        """A quorum has accepted this view, in which this member is primary."""
+        self._candidate.ballot = None
+        self.leading = Leadership(self._me, view, self._replica, self._outbox, self._settings, now,
+                                  self.leading)
+        log.info("primary of view %d with backups %s, witnesses %s", view.epoch, view.backups, view.witnesses)
+        self.leading.heartbeat(now)
+        self.leading.replicate(now)
+
+    def rest(self, now: float) -> None:
+        """Hands the primary's role to a backup, and does not stand for a while."""
+        self.rests_until = now + self._timing.rest
+        if self.leading is None:
+            return
+        successor = self.leading.successor(now)
+        if successor is not None:
+            self._outbox.send(successor, TakeOver(self.leading.view.epoch))
+        self._resign(now, "stepped down")
+
+    def _accept(self, now: float, view: View) -> bool:
+        before = self._witness.view
+        if not self._witness.accept(view):
+            return False
+        self._roster.learn(view)
+        if before is not None and before.epoch == view.epoch:
+            return True
+        if self._me in view.witnesses and (before is None or self._me not in before.former_witnesses):
+            self._lease_witness.seated(now)
+        if view.primary != self._me:
+            self._resign(now, f"{view.primary} formed view {view.epoch}")
+        return True
+
+    def _resign(self, now: float, reason: str) -> None:
+        if self.leading is None:
+            return
+        log.info("no longer primary of view %d: %s", self.leading.view.epoch, reason)
+        self.leading = None
+        self._candidate.abandon(now)
+        self._on_resign(reason)
+        self._follower.heard_at = now
+
+    def _may_stand(self, now: float, view: View) -> bool:
+        return self._me in view.in_sync and now >= self.rests_until and self.leading is None \
+            and self._candidate.ballot is None
+
+    # ---- time ----
+
+    def tick(self, now: float, contacts: tuple[str, ...]) -> None:
+        """Repeats what may have been lost, and looks whether the view should change. `contacts`: addresses
+        to ask for admission besides those of the view."""
+        self._candidate.tick(now)
+        view = self._witness.view
+        if self.leading is not None:
+            self._tick_leading(now, self.leading)
+        elif view is None or self._me not in view.in_sync:
+            self._follower.ask_to_join(now, contacts)
+        elif self._may_stand(now, view) and now >= self._follower.suspects_at(view):
+            self._candidate.see_epoch(self._witness.promised)
+            self._candidate.probe(now, view)
+
+    def forgive_silence(self, now: float) -> None:
+        """This process itself did not run: silence of the others in that time means nothing."""
+        if self.leading is not None:
+            self.leading.forgive_silence(now)
+        if self._follower.heard_at is not None:
+            self._follower.heard_at = now
+
+    def _tick_leading(self, now: float, leading: Leadership) -> None:
+        if not leading.has_contact(now):
+            self._resign(now, "a quorum of the witnesses has not answered for long")
+            return
+        leading.tick(now)
+        if self._candidate.ballot is None and now >= self._review_at:
+            self._review_at = now + REVIEW_SECONDS
+            self._review(now, leading)
+
+    def _review(self, now: float, leading: Leadership) -> None:
+        """Begins a ballot if the view should change, or if another's promise stands in its way."""
+        overruled = leading.refused_since is not None and now - leading.refused_since >= self._timing.refused
+        standing = leading.standing(now, self._roster.replaced)
+        change = next_view(leading.view.epoch + 1, leading.view, standing, self._settings.survive + 1)
+        if change is None and not overruled:
+            return
+        self._candidate.see_epoch(self._witness.promised)
+        self._candidate.start(now, leading.view)
+
+    # ---- the ballot ----
+
+    def progress_ballot(self, now: float) -> bool:
+        """Takes this member's ballot one step further; whether there was one to take."""
+        ballot = self._candidate.ballot
+        if ballot is None:
+            return False
+        if ballot.may_propose(now):
+            self._propose(now, ballot)
+            return True
+        if ballot.is_chosen and ballot.proposal is not None:
+            self.lead(now, ballot.proposal)
+            return True
+        return False
+
+    def _propose(self, now: float, ballot: Ballot) -> None:
+        base = ballot.base
+        if self._me not in base.in_sync:
+            self._candidate.abandon(now)
+            self._resign(now, f"view {base.epoch} was formed without this member")
+            return
+        view = self._compose(now, ballot)
+        if self.leading is not None:
+            self.leading.propose(view)
+        self._candidate.propose(view)
+
+    def _compose(self, now: float, ballot: Ballot) -> View:
+        minimum = self._settings.survive + 1
+        leading = self.leading
+        if leading is None or ballot.base.epoch != leading.view.epoch:
+            return failover_view(ballot.epoch, self._me, ballot.base, ballot.promised, minimum)
+        standing = leading.standing(now, self._roster.replaced)
+        change = next_view(ballot.epoch, leading.view, standing, minimum)
+        return change if change is not None else same_view(ballot.epoch, leading.view)
