--- a/larchgw/lab/charts.py
+++ b/larchgw/lab/charts.py
@@ -102,8 +102,10 @@
 
 
 def main(result: Path, folder: Path) -> None:
-    """Draws all charts of the result into the folder."""
+    """Draws all charts of the result into the folder, from the rows with the fewest runners."""
     rows = json.loads(result.read_text())["rows"]
+    fewest = min(row["runners"] for row in rows)
+    rows = [row for row in rows if row["runners"] == fewest]
     folder.mkdir(parents=True, exist_ok=True)
     for chart in CHARTS:
         (folder / chart.file).write_text(draw(chart, rows))
--- a/larchgw/lab/fleet.py
+++ b/larchgw/lab/fleet.py
@@ -14,7 +14,7 @@
 import tempfile
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from multiprocessing import get_context
 from multiprocessing.connection import Connection
 from pathlib import Path
@@ -28,7 +28,9 @@
 from .fleet_size import FleetSize, configuration
 from .results import Options, Result
 
-SIZES = (30, 60, 120)  # dispatchers; slopes are taken from the smallest and the largest
+# Dispatchers and runners: what one more of either costs is taken from the differences.
+SIZES = ((30, 400), (60, 400), (120, 400), (30, 1200))
+CONTROL = 3  # control processes: few, as all processes share this machine
 FIRST_HOST, HOSTS = 50, 200  # numbers of machines in the network
 GOSSIP_OFFSET, RUNNER_OFFSET = 10, 14  # of ports; both go on as many ports as hosts do not suffice for
 RPC_OFFSET, CONTROL_GOSSIP_OFFSET = 8, 9
@@ -237,13 +239,13 @@
             f"{name} most s": known[-1]}
 
 
-def experiment(options: Options, size: FleetSize | None = None, sizes: Sequence[int] = SIZES) -> Result:
-    """A row for each size, by columns; `options.seconds` is the length of a measured stretch."""
-    size = size or FleetSize()
+def experiment(options: Options, sizes: Sequence[tuple[int, int]] = SIZES) -> Result:
+    """A row for each size; `options.seconds` is the length of a measured stretch."""
     result = Result("fleet")
-    for number in sizes:
-        row = asyncio.run(play_size(replace(size, dispatchers=number), options.seed, options.seconds))
+    for dispatchers, runners in sizes:
+        size = FleetSize(dispatchers=dispatchers, control=CONTROL, runners=runners)
+        row = asyncio.run(play_size(size, options.seed, options.seconds))
         result.rows.append(row)
-        result.figures |= {f"{name.replace(' ', '_')}_{number}": value for name, value in row.items()
-                           if isinstance(value, float)}
+        result.figures |= {f"{name.replace(' ', '_')}_{dispatchers}_{runners}": value
+                           for name, value in row.items() if isinstance(value, float)}
     return result
