--- a/tests/edge_stand_ins.py
+++ b/tests/edge_stand_ins.py
@@ -6,10 +6,12 @@
 import random
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Coroutine, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
 
+from asyncio_tests import PATIENCE
+
 from larchgw.configuration.model import Configuration, Limits, Model, Route, Runtime, Service
 from larchgw.configuration.settings import NodeSettings
 from larchgw.core.deadlines import Clock
@@ -26,16 +28,10 @@
 from larchgw.edge.proxy import Proxy
 from larchgw.net.asyncloop import AsyncLoop
 
-PATIENCE = 20.0  # seconds for a condition; nothing is measured by it
 HOST = "desk.example"
 SEAL = "3e1b.07"
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    """Runs a test on a loop of its own."""
-    asyncio.run(asyncio.wait_for(test, 3 * PATIENCE))
-
-
 async def soon(awaitable: Any) -> Any:
     """What it gives, within PATIENCE."""
     return await asyncio.wait_for(awaitable, PATIENCE)
--- a/tests/system_runners.py
+++ b/tests/system_runners.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from asyncio_tests import PATIENCE
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
@@ -23,7 +24,6 @@
 from larchgw.emulator.system.records import Records
 from larchgw.emulator.system.runner import Described, Runner
 
-PATIENCE = 20.0  # seconds for a condition; nothing is measured by it
 MODELS = {name: Model(name, 100.0, 0.01, 2, 1.0) for name in ("m1", "m2", "m3")}
 
 
--- a/tests/test_edge_connections.py
+++ b/tests/test_edge_connections.py
@@ -6,6 +6,7 @@
 import socket
 
 import pytest
+from asyncio_tests import on_loop
 from edge_stand_ins import (
     HOST,
     PINNED,
@@ -17,7 +18,6 @@
     configuration,
     edge,
     route,
-    run,
     soon,
     until,
 )
@@ -34,300 +34,264 @@
     return value or 0.0
 
 
-def test_the_time_that_a_runner_keeps_connections_is_heeded() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner, clock=FakeClock()) as made:
-            client = await made.client()
-            for pause, opened in ((0.0, 1), (1.5, 1), (3.0, 1), (3.5, 2)):
-                made.move(pause)
-                client.ask(name=f"id{pause}")
-                (await runner.call()).answer(Keep_Alive="timeout=4")
-                assert (await client.answer()).status == 200
-                assert runner.opened == opened
-
-    run(test())
-
-
-def test_a_request_that_may_run_once_gets_a_connection_that_was_just_used_or_a_new_one() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner, clock=FakeClock()) as made:
-            client = await made.client()
-            for pause, opened in ((1.0, 1), (3.0, 1), (0.0, 2)):
-                client.ask("/writing/x", name=f"id{pause}")
-                (await runner.call()).answer(Keep_Alive="timeout=5")
-                assert (await client.answer()).status == 200
-                assert runner.opened == opened
-                made.move(pause)
-
-    run(test())
-
-
-def test_a_runner_that_says_close_is_not_asked_on_that_connection_again() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            client = await made.client()
-            for number in range(2):
-                client.ask(name=f"id{number}")
-                (await runner.call()).answer(Connection="close")
-                assert (await client.answer()).status == 200
-            assert runner.opened == 2
-
-    run(test())
-
-
-def test_no_more_connections_than_its_part_are_opened_to_a_runner() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        config = configuration(services=(Service("lm", max_conns=8),))
-        async with edge(runner, config=config) as made:
-            made.proxy.dispatchers = lambda: 100
-            most = UNEVEN * LEAST_CONNECTIONS
-            clients = [await made.ask(name=f"id{number}") for number in range(most)]
-            calls = [await runner.call() for _ in range(most)]
-            late = await made.ask("/writing/x", name="late")
-            answer = await late.answer()
-            assert answer.status == 503 and runner.opened == most
-            assert made.selection.outcomes == [AttemptOutcome.UNSENT]
-            for call in calls:
-                call.answer()
-            for client in clients:
-                assert (await client.answer()).status == 200
-            for _ in range(most - LEAST_CONNECTIONS):
-                await soon(runner.closed.get())
-
-    run(test())
-
-
-def test_idle_connections_to_a_runner_that_drains_are_closed_and_nothing_more_is_sent_there() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            client = await made.ask()
-            (await runner.call()).answer()
+@on_loop
+async def test_the_time_that_a_runner_keeps_connections_is_heeded() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner, clock=FakeClock()) as made:
+        client = await made.client()
+        for pause, opened in ((0.0, 1), (1.5, 1), (3.0, 1), (3.5, 2)):
+            made.move(pause)
+            client.ask(name=f"id{pause}")
+            (await runner.call()).answer(Keep_Alive="timeout=4")
             assert (await client.answer()).status == 200
-            made.records["i-1"] = dataclasses.replace(made.records["i-1"], stage=Stage.DRAINING)
-            made.proxy.runners_changed()
-            await soon(runner.closed.get())
-            client.ask(name="id2")
-            assert (await client.answer()).status == 503
-
-    run(test())
-
-
-def test_a_connection_that_does_not_come_up_is_given_up_early_and_never_ran() -> None:
-    async def test() -> None:
-        deaf = socket.create_server(("127.0.0.1", 0), backlog=0)
-        fillers = [socket.socket() for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(deaf.getsockname())
-        runner = ScriptedRunner("i-2")
-        async with edge(runner, clock=FakeClock()) as made:
-            host, port = deaf.getsockname()
-            made.records = {"i-1": RunnerRecord("i-1", "lm", f"{host}:{port}", "z")} | made.records
-            client = await made.ask("/writing/x")
-            await until(lambda: made.selection.sends)
-            made.move(0.29)
-            assert made.selection.outcomes == []
-            made.move(0.02)
-            (await runner.call()).answer()
-            assert (await client.answer()).status == 200
-            assert made.selection.outcomes == [AttemptOutcome.CONNECT_FAILED, AttemptOutcome.DONE]
-        for sock in (deaf, *fillers):
-            sock.close()
-
-    run(test())
-
-
-def test_a_client_that_leaves_in_the_middle_of_a_stream_frees_its_runner() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            client = await made.ask("/once/x")
-            call = await runner.call()
-            call.stream()
-            call.events(1)
-            assert (await client.head())[0] == 200
-            client.close()
-            await soon(runner.closed.get())
-            await until(lambda: made.proxy.open_count == 0)
-            assert made.selection.outcomes == [AttemptOutcome.CANCELLED]
+            assert runner.opened == opened
 
-    run(test())
 
-
-@pytest.mark.parametrize("framing", ["length", "chunks"])
-def test_a_large_answer_that_is_cut_does_not_look_whole(framing: str) -> None:
-    async def test() -> None:
-        first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
-        async with edge(first, second) as made:
-            client = await made.ask("/read_only/x")
-            call = await first.call()
-            data = b"x" * 200_000
-            if framing == "length":
-                call.head(Transfer_Encoding="", Content_Length="300000")
-                call.say(data)
-            else:
-                call.head()
-                call.chunk(data)
-            await call.writer.drain()
-            assert (await client.head())[0] == 200
-            call.close()
-            body = await client.ended()
-            assert not body.endswith(b"0\r\n\r\n") and len(body) < 300_000
-            assert second.unread == 0
-
-    run(test())
-
-
-def test_a_short_answer_that_is_cut_is_fetched_anew_unseen_where_it_may_be() -> None:
-    async def test() -> None:
-        first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
-        async with edge(first, second) as made:
-            client = await made.ask("/read_only/x")
-            call = await first.call()
-            call.head(Transfer_Encoding="", Content_Length="6")
-            call.say(b"ser")
-            await call.writer.drain()
-            call.close()
-            (await second.call()).answer(b"second")
-            answer = await client.answer()
-            assert (answer.body, answer.whole) == (b"second", True)
-
-    run(test())
-
-
-def test_an_old_client_is_told_to_speak_the_present_protocol() -> None:
-    async def test() -> None:
-        async with edge() as made:
-            client = await made.client()
-            client.writer.write(f"GET /read_only/x HTTP/1.0\r\nHost: {HOST}\r\n\r\n".encode())
-            assert (await client.head())[0] == 505
-
-    run(test())
-
-
-def test_a_request_that_can_not_be_answered_in_time_any_more_is_not_sent() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            client = await made.ask("/writing/x", X_Time_Left_Ms="15")
-            assert (await client.answer()).status == 503
-            assert made.selection.sends == []
-
-    run(test())
-
-
-def test_a_smuggled_request_inside_a_body_stays_a_body() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            inner = f"POST /writing/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: inner\r\n\r\n".encode()
-            client = await made.ask("/read_only/x", "outer", body=inner)
-            call = await runner.call()
-            assert (call.id, call.body) == ("outer", inner)
+@on_loop
+async def test_a_request_that_may_run_once_gets_a_connection_that_was_just_used_or_a_new_one() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner, clock=FakeClock()) as made:
+        client = await made.client()
+        for pause, opened in ((1.0, 1), (3.0, 1), (0.0, 2)):
+            client.ask("/writing/x", name=f"id{pause}")
+            (await runner.call()).answer(Keep_Alive="timeout=5")
+            assert (await client.answer()).status == 200
+            assert runner.opened == opened
+            made.move(pause)
+
+
+@on_loop
+async def test_a_runner_that_says_close_is_not_asked_on_that_connection_again() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.client()
+        for number in range(2):
+            client.ask(name=f"id{number}")
+            (await runner.call()).answer(Connection="close")
+            assert (await client.answer()).status == 200
+        assert runner.opened == 2
+
+
+@on_loop
+async def test_no_more_connections_than_its_part_are_opened_to_a_runner() -> None:
+    runner = ScriptedRunner("i-1")
+    config = configuration(services=(Service("lm", max_conns=8),))
+    async with edge(runner, config=config) as made:
+        made.proxy.dispatchers = lambda: 100
+        most = UNEVEN * LEAST_CONNECTIONS
+        clients = [await made.ask(name=f"id{number}") for number in range(most)]
+        calls = [await runner.call() for _ in range(most)]
+        late = await made.ask("/writing/x", name="late")
+        answer = await late.answer()
+        assert answer.status == 503 and runner.opened == most
+        assert made.selection.outcomes == [AttemptOutcome.UNSENT]
+        for call in calls:
             call.answer()
+        for client in clients:
             assert (await client.answer()).status == 200
-            assert len(made.selection.sends) == 1 and runner.unread == 0
-
-    run(test())
-
-
-def test_requests_sent_ahead_are_answered_in_their_order() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            client = await made.client()
-            for number in range(3):
-                client.ask(name=f"id{number}")
-            for number in range(3):
-                call = await runner.call()
-                assert call.id == f"id{number}"
-                call.answer(call.id.encode())
-                assert (await client.answer()).body == b"id%d" % number
-
-    run(test())
+        for _ in range(most - LEAST_CONNECTIONS):
+            await soon(runner.closed.get())
 
 
-# What the control side asks
+@on_loop
+async def test_idle_connections_to_a_runner_that_drains_are_closed_and_nothing_more_is_sent_there() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.ask()
+        (await runner.call()).answer()
+        assert (await client.answer()).status == 200
+        made.records["i-1"] = dataclasses.replace(made.records["i-1"], stage=Stage.DRAINING)
+        made.proxy.runners_changed()
+        await soon(runner.closed.get())
+        client.ask(name="id2")
+        assert (await client.answer()).status == 503
+
+
+@on_loop
+async def test_a_connection_that_does_not_come_up_is_given_up_early_and_never_ran() -> None:
+    deaf = socket.create_server(("127.0.0.1", 0), backlog=0)
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(deaf.getsockname())
+    runner = ScriptedRunner("i-2")
+    async with edge(runner, clock=FakeClock()) as made:
+        host, port = deaf.getsockname()
+        made.records = {"i-1": RunnerRecord("i-1", "lm", f"{host}:{port}", "z")} | made.records
+        client = await made.ask("/writing/x")
+        await until(lambda: made.selection.sends)
+        made.move(0.29)
+        assert made.selection.outcomes == []
+        made.move(0.02)
+        (await runner.call()).answer()
+        assert (await client.answer()).status == 200
+        assert made.selection.outcomes == [AttemptOutcome.CONNECT_FAILED, AttemptOutcome.DONE]
+    for sock in (deaf, *fillers):
+        sock.close()
+
+
+@on_loop
+async def test_a_client_that_leaves_in_the_middle_of_a_stream_frees_its_runner() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.ask("/once/x")
+        call = await runner.call()
+        call.stream()
+        call.events(1)
+        assert (await client.head())[0] == 200
+        client.close()
+        await soon(runner.closed.get())
+        await until(lambda: made.proxy.open_count == 0)
+        assert made.selection.outcomes == [AttemptOutcome.CANCELLED]
 
 
-def test_demand_counts_arrivals_once_and_what_waits_and_runs_now() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        config = configuration(dataclasses.replace(READING, pinned=True, rank=1),
-                               dataclasses.replace(WRITING, pinned=True), services=(PINNED,))
-        async with edge(runner, config=config, clock=FakeClock()) as made:
-            running = await made.ask(X_Model="m1/a1", X_Token_Count="10,20", X_Prompt_Start="ab:4,cd:6")
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@on_loop
+async def test_a_large_answer_that_is_cut_does_not_look_whole(framing: str) -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask("/read_only/x")
+        call = await first.call()
+        data = b"x" * 200_000
+        if framing == "length":
+            call.head(Transfer_Encoding="", Content_Length="300000")
+            call.say(data)
+        else:
+            call.head()
+            call.chunk(data)
+        await call.writer.drain()
+        assert (await client.head())[0] == 200
+        call.close()
+        body = await client.ended()
+        assert not body.endswith(b"0\r\n\r\n") and len(body) < 300_000
+        assert second.unread == 0
+
+
+@on_loop
+async def test_a_short_answer_that_is_cut_is_fetched_anew_unseen_where_it_may_be() -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask("/read_only/x")
+        call = await first.call()
+        call.head(Transfer_Encoding="", Content_Length="6")
+        call.say(b"ser")
+        await call.writer.drain()
+        call.close()
+        (await second.call()).answer(b"second")
+        answer = await client.answer()
+        assert (answer.body, answer.whole) == (b"second", True)
+
+
+@on_loop
+async def test_an_old_client_is_told_to_speak_the_present_protocol() -> None:
+    async with edge() as made:
+        client = await made.client()
+        client.writer.write(f"GET /read_only/x HTTP/1.0\r\nHost: {HOST}\r\n\r\n".encode())
+        assert (await client.head())[0] == 505
+
+
+@on_loop
+async def test_a_request_that_can_not_be_answered_in_time_any_more_is_not_sent() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.ask("/writing/x", X_Time_Left_Ms="15")
+        assert (await client.answer()).status == 503
+        assert made.selection.sends == []
+
+
+@on_loop
+async def test_a_smuggled_request_inside_a_body_stays_a_body() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        inner = f"POST /writing/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: inner\r\n\r\n".encode()
+        client = await made.ask("/read_only/x", "outer", body=inner)
+        call = await runner.call()
+        assert (call.id, call.body) == ("outer", inner)
+        call.answer()
+        assert (await client.answer()).status == 200
+        assert len(made.selection.sends) == 1 and runner.unread == 0
+
+
+@on_loop
+async def test_requests_sent_ahead_are_answered_in_their_order() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.client()
+        for number in range(3):
+            client.ask(name=f"id{number}")
+        for number in range(3):
             call = await runner.call()
-            traits = made.selection.asked[0][0]
-            assert (traits.model, traits.adapter, traits.prompt_tokens, traits.output_tokens) == (
-                "m1", "a1", 10, 20)
-            assert [part.tokens for part in traits.parts] == [4, 6]
-            made.selection.script = [Wait(float("inf"), "no_holder"), Wait(float("inf"), "no_holder")]
-            for number in range(2):
-                await made.ask("/writing/x", f"w{number}", X_Model="m2", X_Time_Left_Ms=f"{3000 + number}")
-            await until(lambda: len(made.selection.asked) == 3)
-            assert made.wanted == [("lm", "m2", ""), ("lm", "m2", "")]
-            report = {(x.model, x.adapter): x for x in made.proxy.demand()}
-            held, wanted = report["m1", "a1"], report["m2", ""]
-            assert (held.arrivals, held.waiting, held.in_flight, held.worth) == (1, 0, 1, 0.5)
-            assert (wanted.arrivals, wanted.waiting, wanted.in_flight, wanted.urgency_ms) == (2, 2, 0, 3000)
-            assert [x.arrivals for x in made.proxy.demand()] == [0, 0]
-            call.answer()
-            assert (await running.answer()).status == 200
+            assert call.id == f"id{number}"
+            call.answer(call.id.encode())
+            assert (await client.answer()).body == b"id%d" % number
 
-    run(test())
-
-
-def test_a_service_without_models_is_asked_without_one() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        split = route("read_only", service="", pinned=True, shares=(Share("lm", 1.0),))
-        async with edge(runner, config=configuration(split)) as made:
-            client = await made.ask(X_Model="m1")
-            (await runner.call()).answer()
-            assert (await client.answer()).status == 200
-            assert made.selection.asked[0][0].model == "" and made.proxy.demand() == []
 
-    run(test())
-
-
-def test_without_a_configuration_clients_are_told_when_to_come_back() -> None:
-    async def test() -> None:
-        async with edge(configured=False) as made:
-            answer = await (await made.ask()).answer()
-            assert answer.status == 503 and float(answer.fields["retry-after"]) > 0
-
-    run(test())
+# What the control side asks
 
 
-def test_what_is_expected_at_runners_reaches_the_decision() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        config = configuration(dataclasses.replace(READING, pinned=True), services=(PINNED,))
-        async with edge(runner, config=config) as made:
-            made.proxy.expected = lambda service, model, adapter: {f"{service}/{model}/{adapter}": 4.0}
-            client = await made.ask(X_Model="m1/a1")
+@on_loop
+async def test_demand_counts_arrivals_once_and_what_waits_and_runs_now() -> None:
+    runner = ScriptedRunner("i-1")
+    config = configuration(dataclasses.replace(READING, pinned=True, rank=1),
+                           dataclasses.replace(WRITING, pinned=True), services=(PINNED,))
+    async with edge(runner, config=config, clock=FakeClock()) as made:
+        running = await made.ask(X_Model="m1/a1", X_Token_Count="10,20", X_Prompt_Start="ab:4,cd:6")
+        call = await runner.call()
+        traits = made.selection.asked[0][0]
+        assert (traits.model, traits.adapter, traits.prompt_tokens, traits.output_tokens) == (
+            "m1", "a1", 10, 20)
+        assert [part.tokens for part in traits.parts] == [4, 6]
+        made.selection.script = [Wait(float("inf"), "no_holder"), Wait(float("inf"), "no_holder")]
+        for number in range(2):
+            await made.ask("/writing/x", f"w{number}", X_Model="m2", X_Time_Left_Ms=f"{3000 + number}")
+        await until(lambda: len(made.selection.asked) == 3)
+        assert made.wanted == [("lm", "m2", ""), ("lm", "m2", "")]
+        report = {(x.model, x.adapter): x for x in made.proxy.demand()}
+        held, wanted = report["m1", "a1"], report["m2", ""]
+        assert (held.arrivals, held.waiting, held.in_flight, held.worth) == (1, 0, 1, 0.5)
+        assert (wanted.arrivals, wanted.waiting, wanted.in_flight, wanted.urgency_ms) == (2, 2, 0, 3000)
+        assert [x.arrivals for x in made.proxy.demand()] == [0, 0]
+        call.answer()
+        assert (await running.answer()).status == 200
+
+
+@on_loop
+async def test_a_service_without_models_is_asked_without_one() -> None:
+    runner = ScriptedRunner("i-1")
+    split = route("read_only", service="", pinned=True, shares=(Share("lm", 1.0),))
+    async with edge(runner, config=configuration(split)) as made:
+        client = await made.ask(X_Model="m1")
+        (await runner.call()).answer()
+        assert (await client.answer()).status == 200
+        assert made.selection.asked[0][0].model == "" and made.proxy.demand() == []
+
+
+@on_loop
+async def test_without_a_configuration_clients_are_told_when_to_come_back() -> None:
+    async with edge(configured=False) as made:
+        answer = await (await made.ask()).answer()
+        assert answer.status == 503 and float(answer.fields["retry-after"]) > 0
+
+
+@on_loop
+async def test_what_is_expected_at_runners_reaches_the_decision() -> None:
+    runner = ScriptedRunner("i-1")
+    config = configuration(dataclasses.replace(READING, pinned=True), services=(PINNED,))
+    async with edge(runner, config=config) as made:
+        made.proxy.expected = lambda service, model, adapter: {f"{service}/{model}/{adapter}": 4.0}
+        client = await made.ask(X_Model="m1/a1")
+        (await runner.call()).answer()
+        assert (await client.answer()).status == 200
+        assert made.selection.asked[0][2] == {"lm/m1/a1": 4.0}
+
+
+@on_loop
+async def test_counters_tell_kept_connections_from_new_ones() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.client()
+        for number in range(3):
+            client.ask(name=f"id{number}")
             (await runner.call()).answer()
             assert (await client.answer()).status == 200
-            assert made.selection.asked[0][2] == {"lm/m1/a1": 4.0}
-
-    run(test())
-
-
-def test_counters_tell_kept_connections_from_new_ones() -> None:
-    async def test() -> None:
-        runner = ScriptedRunner("i-1")
-        async with edge(runner) as made:
-            client = await made.client()
-            for number in range(3):
-                client.ask(name=f"id{number}")
-                (await runner.call()).answer()
-                assert (await client.answer()).status == 200
-            assert (counted(made, "opened"), counted(made, "reused")) == (1, 2)
-
-    run(test())
+        assert (counted(made, "opened"), counted(made, "reused")) == (1, 2)
--- a/tests/test_edge_fuzz.py
+++ b/tests/test_edge_fuzz.py
@@ -11,7 +11,8 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from edge_stand_ins import HOST, Answer, Call, Client, Edge, ScriptedRunner, edge, run, soon
+from asyncio_tests import on_loop
+from edge_stand_ins import HOST, Answer, Call, Client, Edge, ScriptedRunner, edge, soon
 
 MUTANTS = 400
 VICTIM_BODY = b"the victim's own"
@@ -67,25 +68,23 @@
         await asyncio.sleep(0)
 
 
-def test_a_request_cut_anywhere_is_the_same_request() -> None:
-    async def test() -> None:
-        async with serving() as (made, seen):
-            client = await made.client()
-            for chunked in (False, True):
-                length = len(request("id0000", chunked=chunked))
-                for cut in range(1, length):
-                    id = f"id{cut:04d}"
-                    data = request(id, chunked=chunked)
-                    client.writer.write(data[:cut])
-                    await turns()
-                    client.writer.write(data[cut:])
-                    answer = await client.answer()
-                    assert (answer.status, answer.body) == (200, id.encode()), (chunked, cut)
-                bodies = {call.body for call in seen.calls}
-                assert bodies == {b"ask"} and len(seen.calls) == length - 1
-                seen.calls.clear()
-
-    run(test())
+@on_loop
+async def test_a_request_cut_anywhere_is_the_same_request() -> None:
+    async with serving() as (made, seen):
+        client = await made.client()
+        for chunked in (False, True):
+            length = len(request("id0000", chunked=chunked))
+            for cut in range(1, length):
+                id = f"id{cut:04d}"
+                data = request(id, chunked=chunked)
+                client.writer.write(data[:cut])
+                await turns()
+                client.writer.write(data[cut:])
+                answer = await client.answer()
+                assert (answer.status, answer.body) == (200, id.encode()), (chunked, cut)
+            bodies = {call.body for call in seen.calls}
+            assert bodies == {b"ask"} and len(seen.calls) == length - 1
+            seen.calls.clear()
 
 
 def pieces(data: bytes, rng: random.Random) -> Iterator[bytes]:
@@ -97,29 +96,27 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_requests_sent_ahead_in_any_pieces_keep_their_order_and_bodies(seed: int) -> None:
-    async def test() -> None:
-        rng = random.Random(seed)
-        sent = {f"id{number}": rng.randbytes(rng.choice((0, 1, 300, 3000))) for number in range(25)}
-        async with serving() as (made, seen):
-            client = await made.client()
-            data = b"".join(request(id, body, chunked=bool(body) and rng.random() < 0.5)
-                            for id, body in sent.items())
-
-            async def write() -> None:
-                for piece in pieces(data, rng):
-                    client.writer.write(piece)
-                    await asyncio.sleep(0)
-
-            writing = asyncio.create_task(write())
-            for id in sent:
-                answer = await client.answer()
-                assert (answer.status, answer.body) == (200, id.encode())
-                assert answer.fields["x-attempt-id"] == id
-            await writing
-            assert {call.id: call.body for call in seen.calls} == sent
-
-    run(test())
+@on_loop
+async def test_requests_sent_ahead_in_any_pieces_keep_their_order_and_bodies(seed: int) -> None:
+    rng = random.Random(seed)
+    sent = {f"id{number}": rng.randbytes(rng.choice((0, 1, 300, 3000))) for number in range(25)}
+    async with serving() as (made, seen):
+        client = await made.client()
+        data = b"".join(request(id, body, chunked=bool(body) and rng.random() < 0.5)
+                        for id, body in sent.items())
+
+        async def write() -> None:
+            for piece in pieces(data, rng):
+                client.writer.write(piece)
+                await asyncio.sleep(0)
+
+        writing = asyncio.create_task(write())
+        for id in sent:
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (200, id.encode())
+            assert answer.fields["x-attempt-id"] == id
+        await writing
+        assert {call.id: call.body for call in seen.calls} == sent
 
 
 def mutant(data: bytes, rng: random.Random) -> bytes:
@@ -153,32 +150,30 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_a_spoilt_request_never_changes_the_one_behind_it(seed: int) -> None:
-    async def test() -> None:
-        rng = random.Random(seed)
-        async with serving() as (made, seen):
-            for number in range(MUTANTS // 4):
-                seen.calls.clear()
-                body, chunked = rng.choice((b"", b"ask" * 9)), rng.random() < 0.4
-                data = mutant(request(f"m{number}", body, chunked=chunked), rng)
-                client = await made.client()
-                client.writer.write(data + request("victim", VICTIM_BODY))
-                client.writer.write_eof()
-                answers = await all_answers(client)
-                assert all(answer.whole for answer in answers), data
-                victims = seen.named("victim")
-                assert [call.body for call in victims] in ([], [VICTIM_BODY]), data
-                assert all(call.line == "POST /writing/x HTTP/1.1" for call in victims), data
-                served = [answer for answer in answers if answer.status == 200]
-                assert [answer.fields["x-attempt-id"] for answer in served] == [
-                    call.id for call in seen.calls], data
-                for call in seen.calls:
-                    assert call.line.split(" ")[1].encode() in data + request("victim"), data
-                    assert [name for name, _ in call.fields].count("x-attempt-id") == 1, data
-            client = await made.ask("/writing/x", "after")
-            assert (await client.answer()).status == 200 and made.proxy.open_count == 0
-
-    run(test())
+@on_loop
+async def test_a_spoilt_request_never_changes_the_one_behind_it(seed: int) -> None:
+    rng = random.Random(seed)
+    async with serving() as (made, seen):
+        for number in range(MUTANTS // 4):
+            seen.calls.clear()
+            body, chunked = rng.choice((b"", b"ask" * 9)), rng.random() < 0.4
+            data = mutant(request(f"m{number}", body, chunked=chunked), rng)
+            client = await made.client()
+            client.writer.write(data + request("victim", VICTIM_BODY))
+            client.writer.write_eof()
+            answers = await all_answers(client)
+            assert all(answer.whole for answer in answers), data
+            victims = seen.named("victim")
+            assert [call.body for call in victims] in ([], [VICTIM_BODY]), data
+            assert all(call.line == "POST /writing/x HTTP/1.1" for call in victims), data
+            served = [answer for answer in answers if answer.status == 200]
+            assert [answer.fields["x-attempt-id"] for answer in served] == [
+                call.id for call in seen.calls], data
+            for call in seen.calls:
+                assert call.line.split(" ")[1].encode() in data + request("victim"), data
+                assert [name for name, _ in call.fields].count("x-attempt-id") == 1, data
+        client = await made.ask("/writing/x", "after")
+        assert (await client.answer()).status == 200 and made.proxy.open_count == 0
 
 
 SMUGGLED = request("inner", b"", "/writing/smuggled")
@@ -199,19 +194,17 @@
     b"X: y\rContent-Length: %d",
     b"X: y\nContent-Length: %d",
 ])
-def test_two_readings_of_a_length_never_make_two_requests(framing: bytes) -> None:
-    async def test() -> None:
-        async with serving() as (made, seen):
-            body = b"0\r\n\r\n" + SMUGGLED
-            head = f"POST /writing/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: outer\r\n".encode()
-            client = await made.client()
-            client.writer.write(head + framing % len(body) + b"\r\n\r\n" + body)
-            client.writer.write_eof()
-            await all_answers(client)
-            assert seen.named("inner") == []
-            assert all(call.body == body for call in seen.calls)
-
-    run(test())
+@on_loop
+async def test_two_readings_of_a_length_never_make_two_requests(framing: bytes) -> None:
+    async with serving() as (made, seen):
+        body = b"0\r\n\r\n" + SMUGGLED
+        head = f"POST /writing/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: outer\r\n".encode()
+        client = await made.client()
+        client.writer.write(head + framing % len(body) + b"\r\n\r\n" + body)
+        client.writer.write_eof()
+        await all_answers(client)
+        assert seen.named("inner") == []
+        assert all(call.body == body for call in seen.calls)
 
 
 @pytest.mark.parametrize("head", [
@@ -223,19 +216,17 @@
     b"POST /writing/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"0" * 2 * HEAD_LIMIT,
     b"POST /writing/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;" + b"e" * 2 * HEAD_LIMIT,
 ])
-def test_a_head_without_end_is_cut_short_and_others_are_served(head: bytes) -> None:
-    async def test() -> None:
-        async with serving() as (made, seen):
-            client = await made.client()
-            client.writer.write(head)
-            client.writer.write_eof()
-            try:
-                said = await soon(client.reader.read())
-            except ConnectionError:
-                said = b""  # closed with bytes unread
-            assert said == b"" or said.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5")), said[:80]
-            assert seen.calls == []
-            good = await made.ask("/writing/x", "good")
-            assert (await good.answer()).status == 200
-
-    run(test())
+@on_loop
+async def test_a_head_without_end_is_cut_short_and_others_are_served(head: bytes) -> None:
+    async with serving() as (made, seen):
+        client = await made.client()
+        client.writer.write(head)
+        client.writer.write_eof()
+        try:
+            said = await soon(client.reader.read())
+        except ConnectionError:
+            said = b""  # closed with bytes unread
+        assert said == b"" or said.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5")), said[:80]
+        assert seen.calls == []
+        good = await made.ask("/writing/x", "good")
+        assert (await good.answer()).status == 200
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -11,8 +11,9 @@
 from typing import Any
 
 import tornado.web
+from asyncio_tests import on_loop
 from configurations import example
-from edge_stand_ins import Edge, run
+from edge_stand_ins import Edge
 from stand_ins import ROOT
 from testtools import TestCase
 from tornado.testing import AsyncHTTPTestCase
@@ -149,27 +150,25 @@
     assert found.load_room == found.load_limit - 1
 
 
-def test_an_edge_tells_its_configuration_source_runners_and_what_is_left_of_its_retries() -> None:
-    async def test() -> None:
-        edge = Edge()
-        registry = Registry("edge-1/1")
-        configuration, service, _ = models_configuration()
-        registry.put("runner/i-1", RunnerRecord("i-1", service, "10.0.0.1:1", "z").encode(), 1)
-        puller = Puller(registry, lambda address: None, list,  # type: ignore[arg-type, return-value]
-                        PullSettings.of(TimeLimits()), random.Random(1))
-        budget = RetryBudget(TimeLimits(), random.Random(1))
-        swim = Swim(Member("edge-1", "10.0.0.1:7662", "edge", 1), SwimSettings(), random.Random(1))
-        status = EdgeStatus("edge-1", lambda: False, lambda: configuration, puller, RunnerView(registry),
-                            swim, edge.proxy, budget)
-        told = json.loads(json.dumps(status.read()))
-        assert told["config_version"] == configuration.config_version and not told["ready"]
-        assert told["runners"][service] == {"ready": 1}
-        assert told["control"] == {"source": "", "changes": 0, "silent_s": None}
-        assert (told["dispatchers"], told["open_requests"], told["retries_left"]) == (1, 0, {})
-        budget.request(edge.loop.clock.now(), service)
-        assert status.read()["retries_left"][service] > 0
-
-    run(test())
+@on_loop
+async def test_an_edge_tells_its_configuration_source_runners_and_what_is_left_of_its_retries() -> None:
+    edge = Edge()
+    registry = Registry("edge-1/1")
+    configuration, service, _ = models_configuration()
+    registry.put("runner/i-1", RunnerRecord("i-1", service, "10.0.0.1:1", "z").encode(), 1)
+    puller = Puller(registry, lambda address: None, list,  # type: ignore[arg-type, return-value]
+                    PullSettings.of(TimeLimits()), random.Random(1))
+    budget = RetryBudget(TimeLimits(), random.Random(1))
+    swim = Swim(Member("edge-1", "10.0.0.1:7662", "edge", 1), SwimSettings(), random.Random(1))
+    status = EdgeStatus("edge-1", lambda: False, lambda: configuration, puller, RunnerView(registry),
+                        swim, edge.proxy, budget)
+    told = json.loads(json.dumps(status.read()))
+    assert told["config_version"] == configuration.config_version and not told["ready"]
+    assert told["runners"][service] == {"ready": 1}
+    assert told["control"] == {"source": "", "changes": 0, "silent_s": None}
+    assert (told["dispatchers"], told["open_requests"], told["retries_left"]) == (1, 0, {})
+    budget.request(edge.loop.clock.now(), service)
+    assert status.read()["retries_left"][service] > 0
 
 
 def test_reading_what_is_left_of_the_retries_does_not_begin_the_time_in_which_more_dispatchers_are_assumed(
--- a/tests/test_system_clients.py
+++ b/tests/test_system_clients.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 
 import pytest
-from system_runners import PATIENCE
+from asyncio_tests import on_loop
 
 from larchgw.emulator.system.clientlink import ClientLink
 from larchgw.emulator.system.clients import Clients, Intent, draw
@@ -21,11 +21,6 @@
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id1\r\nX-Server-Seal: s1\r\n"
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    """Runs a test on a loop of its own."""
-    asyncio.run(asyncio.wait_for(test, 3 * PATIENCE))
-
-
 @asynccontextmanager
 async def linked(strays: list[float]) -> AsyncIterator[
         tuple[ClientLink, asyncio.StreamReader, asyncio.StreamWriter]]:
@@ -56,37 +51,34 @@
     (HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", True, False),
     (HEAD + b"\r\ndone", True, True),
 ])
-def test_only_an_answer_that_ended_by_its_framing_is_whole(answer: bytes, closes: bool, whole: bool) -> None:
-    async def test() -> None:
-        strays: list[float] = []
-        async with linked(strays) as (link, requests, edge):
-            one = attempt()
-            over = link.ask(b"POST /ask/1 HTTP/1.1\r\n\r\n", one)
-            await requests.readuntil(b"\r\n\r\n")  # a close with unread bytes would be a reset
-            edge.write(answer)
-            if closes:
-                edge.close()
-            await over
-            assert one.whole is whole and (one.status, one.seal, one.answer_id) == (200, "s1", "id1")
-            assert one.answer in (b"done", b"do") and strays == [] and link.usable is not closes
-
-    run(test())
+@on_loop
+async def test_only_an_answer_that_ended_by_its_framing_is_whole(
+        answer: bytes, closes: bool, whole: bool) -> None:
+    strays: list[float] = []
+    async with linked(strays) as (link, requests, edge):
+        one = attempt()
+        over = link.ask(b"POST /ask/1 HTTP/1.1\r\n\r\n", one)
+        await requests.readuntil(b"\r\n\r\n")  # a close with unread bytes would be a reset
+        edge.write(answer)
+        if closes:
+            edge.close()
+        await over
+        assert one.whole is whole and (one.status, one.seal, one.answer_id) == (200, "s1", "id1")
+        assert one.answer in (b"done", b"do") and strays == [] and link.usable is not closes
 
 
 @pytest.mark.parametrize("surplus", [HEAD + b"Content-Length: 0\r\n\r\n", b"\x00 no answer"])
-def test_bytes_that_nobody_asked_for_are_noticed(surplus: bytes) -> None:
-    async def test() -> None:
-        strays: list[float] = []
-        async with linked(strays) as (link, _, edge):
-            over = link.ask(b"POST /ask/1 HTTP/1.1\r\n\r\n", attempt())
-            edge.write(HEAD + b"Content-Length: 0\r\n\r\n")
-            await over
-            edge.write(surplus)
-            while not strays:
-                await asyncio.sleep(0.002)
-            assert not link.usable
-
-    run(test())
+@on_loop
+async def test_bytes_that_nobody_asked_for_are_noticed(surplus: bytes) -> None:
+    strays: list[float] = []
+    async with linked(strays) as (link, _, edge):
+        over = link.ask(b"POST /ask/1 HTTP/1.1\r\n\r\n", attempt())
+        edge.write(HEAD + b"Content-Length: 0\r\n\r\n")
+        await over
+        edge.write(surplus)
+        while not strays:
+            await asyncio.sleep(0.002)
+        assert not link.usable
 
 
 def test_the_same_seed_asks_for_the_same() -> None:
@@ -168,30 +160,24 @@
     ("level", refusal(404), 1),
     ("level", refusal(400), 1),
 ])
-def test_a_request_is_tried_again_as_the_protocol_allows(name: str, answer: bytes, tries: int) -> None:
-    async def test() -> None:
-        edge = ScriptedEdge([answer])
-        clients, records = await play(edge, name)
-        result = clients.results[name]
-        assert (result.asked, result.tries, result.served) == (1, tries, tries - 1)
-        assert len(records.tries) == tries == edge.connections  # each with an id and a connection of its own
-
-    run(test())
-
-
-def test_latency_counts_from_when_a_request_was_due() -> None:
-    async def test() -> None:
-        clients, _ = await play(ScriptedEdge([]), "ticket", late_s=2.0)
-        result = clients.results["ticket"]
-        assert result.served == 1 and result.in_time == 0 and result.latency.most >= 2.0
-
-    run(test())
-
-
-def test_a_request_that_is_never_answered_is_given_up_at_its_deadline() -> None:
-    async def test() -> None:
-        clients, records = await play(ScriptedEdge([b""]), "ticket", late_s=3.9)
-        (one,) = records.tries.values()
-        assert one.gave_up and one.status == 0 and clients.results["ticket"].failed == 1
-
-    run(test())
+@on_loop
+async def test_a_request_is_tried_again_as_the_protocol_allows(name: str, answer: bytes, tries: int) -> None:
+    edge = ScriptedEdge([answer])
+    clients, records = await play(edge, name)
+    result = clients.results[name]
+    assert (result.asked, result.tries, result.served) == (1, tries, tries - 1)
+    assert len(records.tries) == tries == edge.connections  # each with an id and a connection of its own
+
+
+@on_loop
+async def test_latency_counts_from_when_a_request_was_due() -> None:
+    clients, _ = await play(ScriptedEdge([]), "ticket", late_s=2.0)
+    result = clients.results["ticket"]
+    assert result.served == 1 and result.in_time == 0 and result.latency.most >= 2.0
+
+
+@on_loop
+async def test_a_request_that_is_never_answered_is_given_up_at_its_deadline() -> None:
+    clients, records = await play(ScriptedEdge([b""]), "ticket", late_s=3.9)
+    (one,) = records.tries.values()
+    assert one.gave_up and one.status == 0 and clients.results["ticket"].failed == 1
--- a/tests/test_system_operator.py
+++ b/tests/test_system_operator.py
@@ -6,11 +6,10 @@
 import json
 import math
 import random
-from collections.abc import Coroutine
-from typing import Any
 
 import pytest
-from system_runners import PATIENCE, control
+from asyncio_tests import PATIENCE, on_loop
+from system_runners import control
 
 from larchgw.configuration.change import apply_change
 from larchgw.emulator.system.operator import Operator, canonical, changed
@@ -18,54 +17,43 @@
 from larchgw.emulator.system.site import Site
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
-    """Runs a test on a loop of its own."""
-    asyncio.run(asyncio.wait_for(test, 3 * PATIENCE))
-
-
 def operator(records: Records, *addresses: str, lost_share: float = 0.0) -> Operator:
     """An operator that knows these."""
     now = asyncio.get_running_loop().time
     return Operator(lambda: list(addresses), records, now, random.Random(1), lost_share)
 
 
-def test_a_call_without_a_clear_answer_is_sent_again_unchanged() -> None:
-    async def test() -> None:
-        records = Records()
-        async with control() as server:
-            server.will_answer(503)
-            server.will_answer(429)
-            assert await operator(records, server.address).replace(Site().configuration(3))
-        assert len({(call.path, call.body) for call in server.calls}) == 1 and len(server.calls) == 3
-        assert server.calls[0].headers["X-Built-On"] == "0"
-        (call,) = records.configurations
-        assert call.acknowledged_at < math.inf and not call.refused
-
-    run(test())
+@on_loop
+async def test_a_call_without_a_clear_answer_is_sent_again_unchanged() -> None:
+    records = Records()
+    async with control() as server:
+        server.will_answer(503)
+        server.will_answer(429)
+        assert await operator(records, server.address).replace(Site().configuration(3))
+    assert len({(call.path, call.body) for call in server.calls}) == 1 and len(server.calls) == 3
+    assert server.calls[0].headers["X-Built-On"] == "0"
+    (call,) = records.configurations
+    assert call.acknowledged_at < math.inf and not call.refused
 
 
-def test_it_follows_where_it_is_sent_but_only_twice() -> None:
-    async def test() -> None:
-        async with control() as first, control() as second:
-            for server, other in ((first, second), (second, first)) * 2:
-                server.will_answer(307, Location=f"http://{other.address}/Config.Replace")
-            assert await operator(Records(), first.address).replace(Site().configuration(1))
-        # The first send ends at its third call; the second one begins where the operator knows to begin.
-        assert (len(first.calls), len(second.calls)) == (3, 1)
-
-    run(test())
+@on_loop
+async def test_it_follows_where_it_is_sent_but_only_twice() -> None:
+    async with control() as first, control() as second:
+        for server, other in ((first, second), (second, first)) * 2:
+            server.will_answer(307, Location=f"http://{other.address}/Config.Replace")
+        assert await operator(Records(), first.address).replace(Site().configuration(1))
+    # The first send ends at its third call; the second one begins where the operator knows to begin.
+    assert (len(first.calls), len(second.calls)) == (3, 1)
 
 
 @pytest.mark.parametrize("status", [400, 409, 412, 413, 422])
-def test_a_refusal_ends_a_call_at_once(status: int) -> None:
-    async def test() -> None:
-        records = Records()
-        async with control() as server:
-            server.will_answer(status)
-            assert not await operator(records, server.address).replace(Site().configuration(1))
-        assert len(server.calls) == 1 and records.configurations[0].refused
-
-    run(test())
+@on_loop
+async def test_a_refusal_ends_a_call_at_once(status: int) -> None:
+    records = Records()
+    async with control() as server:
+        server.will_answer(status)
+        assert not await operator(records, server.address).replace(Site().configuration(1))
+    assert len(server.calls) == 1 and records.configurations[0].refused
 
 
 class FirstIsLost(random.Random):
@@ -85,47 +73,41 @@
         return 0
 
 
-def test_a_refusal_of_what_was_taken_unheard_is_written_down() -> None:
-    async def test() -> None:
-        records = Records()
-        async with control() as server:
-            server.will_answer(200)
-            server.will_answer(412)
-            now = asyncio.get_running_loop().time
-            caller = Operator(lambda: [server.address], records, now, FirstIsLost(), lost_share=0.5)
-            assert not await caller.replace(Site().configuration(1))
-        (call,) = records.configurations
-        assert len(server.calls) == 2 and call.refused_after_acknowledgement and not call.refused
-
-    run(test())
-
-
-def test_what_was_acknowledged_is_sent_again_and_a_refusal_is_written_down() -> None:
-    async def test() -> None:
-        records = Records()
-        async with control() as server:
-            caller = operator(records, server.address)
-            await caller.replace(Site().configuration(1))
-            await caller.send_again()
-            assert not records.configurations[0].refused_after_acknowledgement
-            server.will_answer(412)
-            await caller.send_again()
-        assert records.configurations[0].refused_after_acknowledgement
-        assert len({call.body for call in server.calls}) == 1
-
-    run(test())
-
-
-def test_what_is_read_back_is_kept_for_the_judge() -> None:
-    async def test() -> None:
-        records, whole = Records(), Site().configuration(1)
-        async with control() as server:
-            server.will_answer(503)
-            server.will_answer(200, json.dumps(whole).encode())
-            await operator(records, server.address).read(PATIENCE)
-        assert records.read_back == canonical(whole)
-
-    run(test())
+@on_loop
+async def test_a_refusal_of_what_was_taken_unheard_is_written_down() -> None:
+    records = Records()
+    async with control() as server:
+        server.will_answer(200)
+        server.will_answer(412)
+        now = asyncio.get_running_loop().time
+        caller = Operator(lambda: [server.address], records, now, FirstIsLost(), lost_share=0.5)
+        assert not await caller.replace(Site().configuration(1))
+    (call,) = records.configurations
+    assert len(server.calls) == 2 and call.refused_after_acknowledgement and not call.refused
+
+
+@on_loop
+async def test_what_was_acknowledged_is_sent_again_and_a_refusal_is_written_down() -> None:
+    records = Records()
+    async with control() as server:
+        caller = operator(records, server.address)
+        await caller.replace(Site().configuration(1))
+        await caller.send_again()
+        assert not records.configurations[0].refused_after_acknowledgement
+        server.will_answer(412)
+        await caller.send_again()
+    assert records.configurations[0].refused_after_acknowledgement
+    assert len({call.body for call in server.calls}) == 1
+
+
+@on_loop
+async def test_what_is_read_back_is_kept_for_the_judge() -> None:
+    records, whole = Records(), Site().configuration(1)
+    async with control() as server:
+        server.will_answer(503)
+        server.will_answer(200, json.dumps(whole).encode())
+        await operator(records, server.address).read(PATIENCE)
+    assert records.read_back == canonical(whole)
 
 
 def test_a_change_makes_the_same_whole_as_the_systems_own() -> None:
