Docstrings of replication, membership and distribution

The pages of their interfaces had lines run together by a reformatting; the public items without a docstring have one, with units and errors.

--- a/larchgw/membership/codec.py
+++ b/larchgw/membership/codec.py
@@ -38,6 +38,8 @@
 
 
 class Kind(IntEnum):
+    """What a datagram is for, as its fourth byte says."""
+
     PING = 1
     ACK = 2
     PING_REQUEST = 3
--- a/larchgw/membership/health.py
+++ b/larchgw/membership/health.py
@@ -13,6 +13,7 @@
 
     @property
     def multiplier(self) -> int:
+        """What probe times are multiplied by: 1 while healthy."""
         return self.score + 1
 
     def improve(self) -> None:
@@ -29,4 +30,5 @@
         self._doubt_until = now + doubt
 
     def in_doubt(self, now: float) -> bool:
+        """Whether it is too soon after a freeze to accuse others. `now`: seconds, monotonic."""
         return now < self._doubt_until
--- a/larchgw/membership/probing.py
+++ b/larchgw/membership/probing.py
@@ -19,6 +19,7 @@
         self._next = 0
 
     def add(self, address: str) -> None:
+        """Takes its turn at a place drawn at random among those still to come in this round."""
         if address in self._known:
             return
         self._known.add(address)
@@ -93,4 +94,5 @@
         return told
 
     def clear(self) -> None:
+        """Forgets all that is under way."""
         self._relays.clear()
--- a/larchgw/membership/suspicion.py
+++ b/larchgw/membership/suspicion.py
@@ -59,6 +59,7 @@
         return suspicion is not None and now - suspicion.started >= suspicion.shortest * MATURE_SHARE
 
     def clear(self, address: str) -> None:
+        """The suspicion is refuted or confirmed."""
         self._running.pop(address, None)
 
     def postpone(self, seconds: float) -> None:
--- a/larchgw/membership/table.py
+++ b/larchgw/membership/table.py
@@ -35,6 +35,7 @@
         self._counts: Counter[str] = Counter()
 
     def get(self, address: str) -> Member | None:
+        """What is known of the address, ended lives included."""
         return self._members.get(address)
 
     def put(self, member: Member) -> None:
@@ -49,6 +50,7 @@
             self._present.append(member.address)
 
     def forget(self, address: str) -> None:
+        """Drops the record of the address, if there is one."""
         self._withdraw(address)
         if self._members.pop(address, None) is not None:
             key = (bucket_of(address), address)
@@ -60,9 +62,11 @@
         return [member for member in members if role is None or member.role == role]
 
     def present_count(self) -> int:
+        """How many members are alive or suspect."""
         return len(self._present)
 
     def count(self, role: Role) -> int:
+        """How many members of the role are alive or suspect."""
         return self._counts[role]
 
     def sample(self, number: int, without: frozenset[str]) -> list[str]:
--- a/larchgw/membership/transport.py
+++ b/larchgw/membership/transport.py
@@ -46,9 +46,11 @@
             self._transport = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The socket is bound (asyncio's call)."""
         self._transport = cast(asyncio.DatagramTransport, transport)  # asyncio's own is no subclass of it
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """A datagram has come (asyncio's call); what it is answered with is sent at once."""
         self._send(self.swim.receive(monotonic(), f"{addr[0]}:{addr[1]}", data))
 
     def error_received(self, exc: Exception) -> None:
--- a/larchgw/replication/interface.py
+++ b/larchgw/replication/interface.py
@@ -1,20 +1,22 @@
-"""Pure state machines: fed messages and time, giving messages to send and facts to act on. No socket, no
-file, no clock.
+"""Pure state machines: fed messages and time, giving messages to send and facts to act on.
 
-    witness.Witness           durable: highest epoch promised, last view accepted; of leases, the highest
-        epoch of each
-    replica.Replica           durable through a `Journal` port: the log of records; roles: learner, backup,
-        primary
+No socket, no file, no clock. Times are seconds on a monotonic clock that counts time spent frozen.
+
+    witness.Witness           durable: highest epoch promised, last view accepted
+    lease_witness.LeaseWitness    durable: the highest epoch of each lease
+    replica.Replica           durable through a `Journal` port: the log of records
+    view_changes.ViewChanges  votes, own ballots, the primary's role won and lost
     lease.LeaseHolder         elects and renews the holder of a singleton role over the witnesses
-    member.Member             one process: a witness, a replica and the leases behind one interface:
+    member.Member             one process: all of these behind one interface:
         .start(now) -> Effects
         .receive(now, message: PeerMessage) -> Effects
         .tick(now) -> Effects                       at least every 20 ms
-        .propose(now, record: bytes) -> (Ticket, Effects)     only at the primary; else raises NotPrimary
-        .confirm(now) -> (Ticket, Effects)          for reads: done once the view is proven to stand after
-            this call
+        .propose(now, record: bytes) -> (Ticket, Effects)
+            only at the primary, else NotPrimary; OSError where the disk refuses
+        .confirm(now) -> (Ticket, Effects)
+            for reads: done once the view is proven to stand after this call; NotPrimary
         .step_down(now) -> Effects                  before a planned end, or when the disk does not serve
-        .is_primary, .primary, .view, .committed_index
+        .is_primary, .primary, .view, .committed_index, .disk_error
         .lease(now, name) -> Lease | None           held now: `fence`, `until`; asks for it if it is not held
         .set_contacts(addresses)                    rpc addresses of other members, known from membership
     Effects: messages to send, each with its address; tickets done (index) or failed (reason; whether it may
@@ -23,12 +25,10 @@
 
 Rules (docs/design-system.md has the argument):
   - A record is acknowledged once it is durable at the primary and at every backup of the view, survive + 1
-  copies at least.
+    copies at least.
   - A view is formed by a majority of the witnesses of the view before it and of its own, and its primary is
-  from the
-    in-sync set (primary and backups) of the last accepted view.
-  - An empty disk that is not a first boot is a new identity: no vote, no data, until a view has taken it in.
+    from the in-sync set (primary and backups) of the last accepted view.
+  - An empty disk that is not a first boot is a new identity: no vote, no data, until a view has added it.
   - A lease's fence is an epoch that a majority of witnesses has stored. A holder other than the last one
-  waits out a
-    whole lease term before it acts. Time spent frozen counts.
+    waits out a whole lease term before it acts. Time spent frozen counts.
 """
--- a/larchgw/replication/messages.py
+++ b/larchgw/replication/messages.py
@@ -38,6 +38,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeReply:
+    """Whether the sender would let the prober try, and the highest epoch and last view that it knows."""
+
     round: int
     granted: bool
     promised: int
@@ -70,6 +72,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    """Whether the sender has accepted the view of `epoch`; `promised` is the highest epoch it promised."""
+
     epoch: int
     granted: bool
     promised: int
--- a/larchgw/replication/ports.py
+++ b/larchgw/replication/ports.py
@@ -11,9 +11,11 @@
 class Cell(Protocol):
     """One small value, replaced atomically and durable once `store` returns."""
 
-    def load(self) -> bytes | None: ...
+    def load(self) -> bytes | None:
+        """What was stored last; None if nothing was."""
 
-    def store(self, value: bytes) -> None: ...
+    def store(self, value: bytes) -> None:
+        """Durable once it returns; after an OSError the old or the new value stands."""
 
 
 class Journal(Protocol):
