net: a client's connection and its requests are modules of their own

Moved without change: exchange.py has a request and its answer, clientlink.py the connection with its parsing, limits and times; httpserver.py keeps the listener and which connections it closes.

--- /dev/null
+++ b/larchgw/net/exchange.py
@@ -0,0 +1,75 @@
+"""One request of a client and its answer, and what takes requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
+
+from .heads import Fields
+
+if TYPE_CHECKING:
+    from .clientlink import Link
+
+
+class Exchange:
+    """One request and its answer: either `reply`, or `start`, any number of `send`, and `end`.
+
+    `headers` holds each name once, in lower case; `fields` is what came. `on_drained` is called once all that
+    was sent has been written, where it is set.
+    """
+
+    __slots__ = ("link", "method", "target", "path", "headers", "fields", "body", "arrived", "keep", "error",
+                 "extra", "done", "old", "on_drained")
+
+    def __init__(self, link: Link, method: bytes = b"", target: bytes = b"") -> None:
+        self.link, self.method, self.target = link, method, target
+        self.path = target.partition(b"?")[0]
+        self.headers: dict[bytes, bytes] = {}
+        self.fields: Fields = []
+        self.body = b""
+        self.arrived = link.server.loop.clock.now()
+        self.keep = True
+        self.error: tuple[int, str] | None = None
+        self.extra: Any = None
+        self.done = False
+        self.old = False  # whether its client speaks a version before HTTP/1.1
+        self.on_drained: Callable[[], None] | None = None
+
+    def reply(self, status: int, body: bytes = b"", headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """The whole answer at once. After an answer, as below, nothing happens."""
+        if not self.done:
+            self.done = True
+            self.link.reply(self, status, body, headers)
+
+    def start(self, status: int, reason: bytes, fields: Fields, length: int | None) -> None:
+        """Begins an answer of `length` bytes, or in chunks where that is None."""
+        if not self.done:
+            self.link.start(self, status, reason, fields, length)
+
+    def send(self, data: bytes) -> None:
+        """The next bytes of the answer that was begun."""
+        if not self.done:
+            self.link.send(self, data)
+
+    def end(self, complete: bool) -> None:
+        """Ends the answer that was begun; one that is not complete is seen as such by the client."""
+        if not self.done:
+            self.done = True
+            self.link.end(self, complete)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers on its connection that the kernel has not taken yet."""
+        return self.link.connection.unsent
+
+
+class Handler(Protocol):
+    """Takes the requests of one listener; `name` is its name in counters and logs."""
+
+    name: str
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        """A request has come in whole."""
+
+    def on_client_gone(self, exchange: Exchange) -> None:
+        """Its client left before the answer."""
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -15,8 +15,8 @@
 from larchgw.core import Core
 from larchgw.core.deadlines import Clock, Deadlines
 from larchgw.interface import JobClass, Settings, Status
+from larchgw.net import clientlink
 from larchgw.net import discovery as net_discovery
-from larchgw.net import httpserver
 from larchgw.net.ending import Ending
 from larchgw.net.httpserver import Exchange, HttpServer
 from larchgw.net.listener import Listener
@@ -232,7 +232,7 @@
 
 
 def test_a_client_that_is_not_read_is_looked_at_for_its_end_every_tenth_of_a_second() -> None:
-    assert httpserver.LOOK <= 0.15  # what waits on its connection may be sent on up to 0.3 s after its end
+    assert clientlink.LOOK <= 0.15  # what waits on its connection may be sent on up to 0.3 s after its end
 
 
 # A probe that hears what was meant for a job
