Settings: a file that changes without a signal is read again

Seeds were then taken only at the next start, so that a process whose known control processes had all been replaced could not find the new ones.

Change: the file is read again every 5 s, and the role is told when its content has changed; SIGHUP checks at once.

--- a/larchgw/runtime/process.py
+++ b/larchgw/runtime/process.py
@@ -13,9 +13,11 @@
 from ..configuration.settings import NodeSettings, load
 from ..storage.errors import StorageError
 from . import logs
+from .tasks import Tasks
 
 log = logging.getLogger(__name__)
 EXIT_USAGE = 2
+SETTINGS_CHECK_S = 5.0  # the file may change without a signal; only seeds do, and are needed seldom
 
 
 class Role(Protocol):
@@ -31,25 +33,40 @@
         """Ends in good order; returns when the process may exit."""
 
 
-async def _serve(role: Role) -> None:
+class SettingsWatch:
+    """Hands changed settings to the role; `settings` are those that it began with."""
+
+    def __init__(self, role: Role, settings: NodeSettings, read: Callable[[], NodeSettings] = load) -> None:
+        self._role, self._settings, self._read = role, settings, read
+
+    def check(self) -> None:
+        """Reads the file again. One that cannot be used changes nothing."""
+        try:
+            settings = self._read()
+        except SettingsError as error:
+            log.warning("settings stay as they were: %s", error)
+            return
+        if settings != self._settings:
+            self._settings = settings
+            self._role.reload(settings)
+
+
+async def _serve(role: Role, settings: NodeSettings) -> None:
     loop = asyncio.get_running_loop()
     ending = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, ending.set)
     loop.add_signal_handler(signal.SIGINT, ending.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(role))
+    watch = SettingsWatch(role, settings)
+    loop.add_signal_handler(signal.SIGHUP, watch.check)
     await role.start()
+    tasks = Tasks()
+    tasks.every("settings", SETTINGS_CHECK_S, watch.check)
     await ending.wait()
     log.info("stopping")
+    tasks.stop()
     await role.stop()
 
 
-def _reload(role: Role) -> None:
-    try:
-        role.reload(load())
-    except SettingsError as error:
-        log.warning("settings stay as they were: %s", error)
-
-
 def run(make: Callable[[NodeSettings], Role]) -> int:
     """The exit status: 0 after SIGTERM, 2 for settings that cannot be used, 1 for an address in use or a data
     folder that cannot be read.
@@ -62,7 +79,7 @@
         return EXIT_USAGE
     logs.configure(settings.node_name)
     try:
-        asyncio.run(_serve(make(settings)))
+        asyncio.run(_serve(make(settings), settings))
     except SettingsError as error:
         print(f"larchgw: {error}", file=sys.stderr)
         return EXIT_USAGE
