Placement: an address that belongs to another runner is neither ordered nor asked for its runner

Change: a load or unload of a model that is answered 421 ends the runner's part in placement; its check-ins come from a new incarnation or not at all. For an adapter 421 may mean that the model isn't there, and the runner is asked again as before.

--- a/larchgw/placement/reconciler.py
+++ b/larchgw/placement/reconciler.py
@@ -275,6 +275,15 @@
             under_way.poll_at = now + self._settings.report_lag_s
             return
         self._refused(now, state, outcome)
+        if outcome is OrderOutcome.OTHER_RUNNER and not order.adapter:
+            self._ended(state)
+
+    def _ended(self, state: RunnerState) -> None:
+        """Its address belongs to another runner, whose report would be taken for this one's.
+
+        For an adapter the answer may also mean that its model isn't there.
+        """
+        state.rest_until = state.poll_at = math.inf
 
     def _refused(self, now: float, state: RunnerState, outcome: OrderOutcome) -> None:
         """It was not taken: what the runner holds must be learned anew."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -267,6 +267,22 @@
     assert not made.runners["r0"].may_order(0.3) and made.runners["r0"].may_order(REST_S + 0.1)
 
 
+def test_what_another_runner_at_a_reused_address_holds_is_not_taken_for_this_ones():
+    made = learned()
+    order = load("m1")
+    made.ordering(0.0, order)
+    made.answered(0.01, order, OrderOutcome.OTHER_RUNNER)
+    assert made.polls(60.0) == [] and not made.runners["r0"].may_order(60.0)
+
+
+def test_a_missing_model_for_an_adapter_is_no_other_runner():
+    made = learned(("m0",))
+    order = Order("r0", "10.0.0.1:80", LOADING, "m0", "a1", 0)
+    made.ordering(0.0, order)
+    made.answered(0.01, order, OrderOutcome.OTHER_RUNNER)
+    assert [state.id for state in made.polls(5.0)] == ["r0"]
+
+
 def test_a_runner_still_occupied_by_a_predecessors_order_gets_none():
     made = reconciler()
     made.see_runner(0.0, record(held=("m0",)))
