--- a/larchgw/core/dispatch.py
+++ b/larchgw/core/dispatch.py
@@ -16,7 +16,7 @@
 from .figures import Figures
 from .outcomes import Answer, AnswerKind, End
 from .requests import Attempt, News, Request, Transport
-from .stages import Admit, Book, Relay, Route, Send, TakeIn
+from .stages import Admit, Receive, Record, Relay, Route, Send
 
 BACKSTOP = 0.02  # after a request's time, for the module to have answered it
 log = structlog.get_logger()
@@ -48,12 +48,12 @@
         self.figures = Figures(self.counters, classes, {
             "current": self.current, "cluster_size": lambda: len(self.boxes.listed),
             "cluster_unhealthy": self.avoided})
-        self.take_in = TakeIn(self.counters, classes)
-        self.admit = Admit(self.counters, self.take_in, max_open, max_body_bytes)
+        self.receive = Receive(self.counters, classes)
+        self.admit = Admit(self.counters, self.receive, max_open, max_body_bytes)
         self.route = Route(self.dispatcher)
         self.sender = Send(self.counters, deadlines, self.expire)
         self.relay = Relay(self.counters, deadlines, classes)
-        self.book = Book(self.counters, deadlines, self.dispatcher, self.take_in)
+        self.record = Record(self.counters, deadlines, self.dispatcher, self.receive)
 
     def reload(self, settings: Settings) -> None:
         """Takes other settings; they count from the next decision on."""
@@ -69,11 +69,11 @@
         self.sender.transports.append(transport)
 
     def open_requests(self) -> int:
-        return len(self.take_in.open)
+        return len(self.receive.open)
 
     def current(self) -> int:
         """Requests that are owed an answer."""
-        return sum(not request.over() for request in self.take_in.open.values())
+        return sum(not request.over() for request in self.receive.open.values())
 
     def avoided(self) -> int:
         """Listed boxes that get no work, or hardly any: taken out by hand, or by the module's choice."""
@@ -85,11 +85,11 @@
     def take(self, request: Request) -> None:
         """A request has come in whole; its front hears the answer, perhaps at once."""
         now = self.clock.now()
-        self.take_in.run(now, request)
+        self.receive.run(now, request)
         answer = self.admit.run(request)
         if answer is not None:
             self.relay.run(request, answer)
-            self.book.settle(request)
+            self.record.settle(request)
             return
         request.deadline = self.deadlines.add(request.give_up_at + BACKSTOP, lambda: self._overdue(request))
         self._feed(lambda: self.route.run(self.clock.now(), request), request)
@@ -109,7 +109,7 @@
     def adopt(self, request: Request, taken_at: float, give_up_at: float) -> None:
         """Goes on with a request and its attempts, all of which but the last have ended."""
         self.counters.moved.labels("in").inc()
-        self.take_in.enter(request, taken_at, give_up_at)
+        self.receive.enter(request, taken_at, give_up_at)
         request.deadline = self.deadlines.add(give_up_at + BACKSTOP, lambda: self._overdue(request))
         for attempt in request.attempts:
             if not attempt.ended:
@@ -169,11 +169,11 @@
 
     def ended(self, attempt: Attempt, end: End) -> None:
         """An attempt has ended. Only the first end of an attempt counts."""
-        if not self.book.close(attempt, end):
+        if not self.record.close(attempt, end):
             return
         if end.status == Status.OK:
             self.relay.run(attempt.request, Answer(AnswerKind.SERVED, end.result))
-        self._feed(lambda: self.book.run(self.clock.now(), attempt, end), attempt.request)
+        self._feed(lambda: self.record.run(self.clock.now(), attempt, end), attempt.request)
 
     def probed(self, worker: WorkerId, status: Status, latency: float, report: Sequence[float]) -> None:
         self._feed(lambda: self.dispatcher.on_probed(self.clock.now(), worker, status, latency, report))
@@ -202,7 +202,7 @@
     # The module's actions
 
     def send(self, request: int, worker: WorkerId, timeout: float) -> None:
-        found = self.take_in.open.get(request)
+        found = self.receive.open.get(request)
         if found is None:
             log.error("send.unknown", request=request)
             return
@@ -220,7 +220,7 @@
         self._answer(request, Answer(AnswerKind.FAILED, reason="it may have run, and gave no answer"))
 
     def cancel(self, request: int, attempt: int) -> None:
-        found = self.take_in.open.get(request)
+        found = self.receive.open.get(request)
         if found is not None and attempt < len(found.attempts):
             self._give_up(found.attempts[attempt], late=False)
 
@@ -259,7 +259,7 @@
             self._busy = False
         unsettled, self._unsettled = self._unsettled, []
         for request_ in unsettled:
-            self.book.settle(request_)
+            self.record.settle(request_)
 
     def _note(self, attempt: Attempt, started: bool, share: float) -> None:
         if attempt.ended:
@@ -274,7 +274,7 @@
             self._give_up(attempt, late=False)
 
     def _answer(self, request: int, answer: Answer) -> None:
-        found = self.take_in.open.get(request)
+        found = self.receive.open.get(request)
         if found is not None:
             self.relay.run(found, answer)
             self._unsettled.append(found)
--- a/larchgw/core/stages/__init__.py
+++ b/larchgw/core/stages/__init__.py
@@ -1,10 +1,10 @@
-"""The stages that a request passes: take in, admit, route, send, relay, book."""
+"""The stages that a request passes: receive, admit, route, send, relay, record."""
 
 from .admit import Admit
-from .book import Book
+from .receive import Receive
+from .record import Record
 from .relay import Relay
 from .route import Route
 from .send import Send
-from .take_in import TakeIn
 
-__all__ = ["Admit", "Book", "Relay", "Route", "Send", "TakeIn"]
+__all__ = ["Admit", "Receive", "Record", "Relay", "Route", "Send"]
--- a/larchgw/core/stages/take_in.py
+++ b/larchgw/core/stages/receive.py
@@ -1,4 +1,4 @@
-"""Take in: a request gets its number, its times and its place among the open ones."""
+"""Receive: a request gets its number, its times and its place among the open ones."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 MARGIN, MARGIN_SHARE = 0.1, 0.2
 
 
-class TakeIn:
+class Receive:
     def __init__(self, counters: Counters, classes: list[str]) -> None:
         self.open: dict[int, Request] = {}
         self.names: dict[bytes, Request] = {}  # by its client's id, the first of the open ones
--- a/larchgw/core/stages/book.py
+++ b/larchgw/core/stages/record.py
@@ -1,4 +1,4 @@
-"""Book: tells the module how an attempt ended, once, and lets go of what is over."""
+"""Record: tells the module how an attempt ended, once, and lets go of what is over."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 from ..deadlines import Deadlines
 from ..outcomes import End
 from ..requests import Attempt, Request
-from .take_in import TakeIn
+from .receive import Receive
 
 
-class Book:
+class Record:
     def __init__(self, counters: Counters, deadlines: Deadlines, dispatcher: Dispatcher,
-                 take_in: TakeIn) -> None:
+                 receive: Receive) -> None:
         self._counters, self._deadlines = counters, deadlines
-        self._dispatcher, self._take_in = dispatcher, take_in
+        self._dispatcher, self._receive = dispatcher, receive
 
     def close(self, attempt: Attempt, end: End) -> bool:
         """Marks the attempt ended; False if it had ended before, and the event is dropped and counted."""
@@ -38,4 +38,4 @@
         """Forgets a request that is over and has no attempt out."""
         if request.over() and all(a.ended for a in request.attempts):
             self._deadlines.drop(request.deadline)
-            self._take_in.release(request)
+            self._receive.release(request)
--- a/larchgw/daemon.py
+++ b/larchgw/daemon.py
@@ -166,14 +166,14 @@
             longest = max(c.deadline for c in self.node.config.settings.classes)
             grace = min(longest, LONGEST_GRACE) + GRACE_MORE
             if not self.handover.succeeded():  # else open jobs are moved, and have their whole time
-                self.node.core.take_in.until = self._stop_at + grace - END_MARGIN
+                self.node.core.receive.until = self._stop_at + grace - END_MARGIN
             log.info("stop.begin", open=self.node.core.open_requests())
             self._stopping()
 
     def _stopping(self) -> None:
         """Lets the last clients in, then answers what is open, then ends."""
         now, server, gearman = self.node.loop.clock.now(), self.platform.server, self.gearman
-        quiet = now - max(server.listener.last_accept, self.node.core.take_in.last, self._stop_at)
+        quiet = now - max(server.listener.last_accept, self.node.core.receive.last, self._stop_at)
         succeeded = self.handover.succeeded()
         if server.listener.open and not succeeded and now - self._stop_at >= ACCEPT_AT_LEAST and (
                 quiet >= ACCEPT_QUIET or now - self._stop_at >= ACCEPT_AT_MOST):
@@ -199,7 +199,7 @@
     def _move(self) -> None:
         """Gives the open jobs to the process that has taken over: they may run longer than we live."""
         core, moved = self.node.core, 0
-        for request in list(core.take_in.open.values()):
+        for request in list(core.receive.open.values()):
             packed = moving.pack(request, core)
             if packed is not None and self.handover.move(*packed):
                 request.extra.link.detach()
--- a/larchgw/fronts/gearman.py
+++ b/larchgw/fronts/gearman.py
@@ -284,7 +284,7 @@
 
     def _function_lines(self) -> list[bytes]:
         """Function, jobs not ended, jobs at work, connections that can do it."""
-        requests = self.core.take_in.open.values()
+        requests = self.core.receive.open.values()
         lines = []
         for function, number in self._classes.items():
             mine = [r for r in requests if r.job_class == number and not r.over()]
--- a/larchgw/upgrade/handover.py
+++ b/larchgw/upgrade/handover.py
@@ -124,7 +124,7 @@
         self.serving = False
         self._until = 0.0
         self._timer: Deadline | None = None
-        core.take_in.watch = self._job
+        core.receive.watch = self._job
 
     def share(self, name: str, topic: Topic) -> None:
         """Something that a part of the program tells its like in the other process."""
@@ -236,7 +236,7 @@
         peer.tell(hello=os.getpid(), moves=self._moves_name if self._moves else "",
                   listed=[w.decode("latin-1") for w in boxes.ever],
                   out={w.decode("latin-1"): at for w, at in boxes.banned.items()},
-                  open=[name.decode("latin-1") for name in self.core.take_in.names],
+                  open=[name.decode("latin-1") for name in self.core.receive.names],
                   pending=learned.pending(self.core.dispatcher),
                 learned=learned.tell(self.core.dispatcher) if self.serving else None)
         peer.later = chain(({"topic": name, "item": item} for name, topic in self._topics.items()
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -123,7 +123,7 @@
     front = PlatformFront(loop, core, ("127.0.0.1", 0), 8, 1 << 20, lambda: True)
     heard: dict[bytes, int] = {}
     core.dispatcher.on_request = (  # type: ignore[method-assign]
-        lambda now, request, *rest: heard.update({core.take_in.open[request.id].name: request.tenant}))
+        lambda now, request, *rest: heard.update({core.receive.open[request.id].name: request.tenant}))
     core.reload(Settings(core.settings.classes, tenants))
     for name, more in ((b"1", {b"x-tenant": b"b"}), (b"2", {b"x-tenant": b"a"}),
                        (b"3", {b"x-tenant": b"nobody"}), (b"4", {})):
