--- a/larchgw/edge/demand_reports.py
+++ b/larchgw/edge/demand_reports.py
@@ -19,14 +19,19 @@
 # That all dispatchers together send to the one placer: each takes it some milliseconds, and many dispatchers
 # show a change of demand together as soon as few do that report more often.
 MOST_REPORTS_PER_S = 100.0
+MOST_LINES_PER_S = 150.0  # of one dispatcher, about 80 bytes each: 12 of the 15 KB/s that control may take
 JITTER = 0.1  # of the interval: dispatchers that started together do not report together
 URGENT_INTERVAL_S = 0.02  # at least so long between two reports that something waits
 TIMEOUT_S = 0.5
 
 
-def report_interval_s(dispatchers: int, waits: bool) -> float:
-    """Seconds from one report to the next. Where something waited, that it no longer does is told soon."""
-    return INTERVAL_S if waits else max(INTERVAL_S, dispatchers / MOST_REPORTS_PER_S)
+def report_interval_s(dispatchers: int, waits: bool, lines: int = 0) -> float:
+    """Seconds from a report of so many lines to the next. Where something waited, that it no longer does is
+    told soon.
+    """
+    if waits:
+        return INTERVAL_S
+    return max(INTERVAL_S, dispatchers / MOST_REPORTS_PER_S, lines / MOST_LINES_PER_S)
 
 
 class DemandReporter:
@@ -41,7 +46,7 @@
         self._node_name, self._registry, self._clients, self._demand = node_name, registry, clients, demand
         self._dispatchers, self._dice = dispatchers, dice
         self._urgent = asyncio.Event()
-        self._waits = False  # as of the last report
+        self._waits, self._lines = False, 0  # of the last report: whether something waits, and its lines
 
     def wanted(self) -> None:
         """A request waits for a model that nobody holds: report now."""
@@ -64,7 +69,7 @@
             await asyncio.sleep(URGENT_INTERVAL_S)
 
     def _interval_s(self) -> float:
-        interval = report_interval_s(self._dispatchers(), self._waits)
+        interval = report_interval_s(self._dispatchers(), self._waits, self._lines)
         return interval * self._dice.uniform(1.0 - JITTER, 1.0)
 
     async def _report(self, interval_ms: int) -> None:
@@ -72,7 +77,7 @@
         if not address:
             return
         models = self._demand()
-        self._waits = any(line.waiting > 0 for line in models)
+        self._waits, self._lines = any(line.waiting > 0 for line in models), len(models)
         if not models:
             return
         report = DemandReport(node_name=self._node_name, interval_ms=interval_ms, models=models)
--- a/tests/test_edge_demand_reports.py
+++ b/tests/test_edge_demand_reports.py
@@ -5,7 +5,12 @@
 import pytest
 
 from larchgw.edge.demand import MOST_LINES, DemandTally
-from larchgw.edge.demand_reports import INTERVAL_S, MOST_REPORTS_PER_S, report_interval_s
+from larchgw.edge.demand_reports import (
+    INTERVAL_S,
+    MOST_LINES_PER_S,
+    MOST_REPORTS_PER_S,
+    report_interval_s,
+)
 
 
 @pytest.mark.parametrize("dispatchers", [1, 8, 100, 490, 2000])
@@ -17,6 +22,11 @@
     assert report_interval_s(8, waits=False) == INTERVAL_S
 
 
+def test_long_reports_come_seldom_enough_for_the_link_also_among_few_dispatchers() -> None:
+    assert 300 / report_interval_s(8, waits=False, lines=300) <= MOST_LINES_PER_S
+    assert report_interval_s(8, waits=False, lines=70) == INTERVAL_S
+
+
 def test_the_end_of_a_wait_is_told_soon_also_among_many_dispatchers() -> None:
     assert report_interval_s(2000, waits=True) == INTERVAL_S
 
