--- a/larchgw/edge/runner_link.py
+++ b/larchgw/edge/runner_link.py
@@ -12,7 +12,7 @@
 from ..core.deadlines import Deadline
 from ..decide.interface import AttemptOutcome
 from ..net.connection import Connection, connect
-from ..net.ending import Ending
+from ..net.connection_outcome import ConnectionOutcome
 from ..net.heads import Fields
 from ..net.loop import WORKERS, EventLoop
 from .requesthead import ATTEMPT_ID
@@ -90,7 +90,7 @@
         self._coming = AnswerHead()
         self._head_told = self._has_head = self._whole = self._keep = self._surplus = False
         self._body: list[bytes] = []
-        self.connection: Connection | Ending = connect(owner.loop, address, self, WORKERS)
+        self.connection: Connection | ConnectionOutcome = connect(owner.loop, address, self, WORKERS)
         if isinstance(self.connection, Connection):
             _detect_dead(self.connection.sock)
             self.connection.reads_to_end = False  # each event would cost a second call
@@ -168,14 +168,14 @@
     def on_written(self) -> None:
         """All of the request is with the kernel."""
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         """It broke, was closed or never came up."""
         if self._carried is None:
             self.owner.died(self)
             self.close()
         elif not self._sent():
             self._lose(AttemptOutcome.CONNECT_FAILED)
-        elif ending is Ending.CLOSED and self._has_head and self._until_close():
+        elif ending is ConnectionOutcome.CLOSED and self._has_head and self._until_close():
             self._whole, self._keep = True, False
             self._tell(garbled=False)
         else:
--- a/larchgw/fronts/agentcheck.py
+++ b/larchgw/fronts/agentcheck.py
@@ -8,7 +8,7 @@
 from ..core import Core
 from ..core.counters import Counters
 from ..net.connection import Connection
-from ..net.ending import Ending
+from ..net.connection_outcome import ConnectionOutcome
 from ..net.httpserver import MAX_BODY, Exchange, HttpServer
 from ..net.listener import Listener
 from ..net.loop import Loop
@@ -58,7 +58,7 @@
 
     def on_written(self) -> None: ...
 
-    def on_end(self, ending: Ending) -> None: ...
+    def on_end(self, ending: ConnectionOutcome) -> None: ...
 
 
 class Ops:
--- a/larchgw/fronts/gearman.py
+++ b/larchgw/fronts/gearman.py
@@ -13,7 +13,7 @@
 from ..core.deadlines import Deadline
 from ..core.requests import News
 from ..net.connection import Connection
-from ..net.ending import Ending
+from ..net.connection_outcome import ConnectionOutcome
 from ..net.listener import Listener
 from ..net.loop import Loop
 from .gearman_jobs import Job, Jobs, full_unique
@@ -60,7 +60,7 @@
     def hang_up(self) -> None:
         if not self._ended:
             self.connection.close()
-            self.on_end(Ending.GIVEN_UP)
+            self.on_end(ConnectionOutcome.GIVEN_UP)
 
     # From the connection
 
@@ -89,7 +89,7 @@
         elif self._timer is None:
             self._timer = deadlines.add(self.front.loop.clock.now() + MESSAGE_TIME, self._too_slow)
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         if self._ended:
             return
         self._ended = True
@@ -109,7 +109,7 @@
         self.front.core.counters.bad.labels(self.front.name, bad.code.lower()).inc()
         self.write(encode(Type.ERROR, bad.code.encode(), bad.text.encode()))
         self.connection.finish()
-        self.on_end(Ending.GARBLED)
+        self.on_end(ConnectionOutcome.GARBLED)
 
     # As a waiter
 
@@ -158,7 +158,7 @@
         """Closes what neither waits for an end nor is a box; boxes go last."""
         for link in [x for x in self.links if x.idle() and x.slot.box is None]:
             link.connection.finish()
-            link.on_end(Ending.STOPPED)
+            link.on_end(ConnectionOutcome.STOPPED)
 
     # From connections
 
--- a/larchgw/fronts/gearman_workers.py
+++ b/larchgw/fronts/gearman_workers.py
@@ -15,7 +15,7 @@
 from ..core.deadlines import Deadline
 from ..core.requests import News, Reach
 from ..interface import Status, WorkerId
-from ..net.ending import Ending, status_of
+from ..net.connection_outcome import ConnectionOutcome, status_of
 from ..net.loop import Loop
 from .gearman_packets import Packet, Type, encode
 
@@ -113,7 +113,8 @@
         attempt.carrier = task
         if task.slots > len(box.able(function)):
             # It would wait for connections that the box does not have.
-            self.core.ended(attempt, End(status_of(Ending.NO_WAY), why=Ending.NO_WAY.value))
+            outcome = ConnectionOutcome.NO_WAY
+            self.core.ended(attempt, End(status_of(outcome), why=outcome.value))
             return
         box.waiting.add(task)
         task.timer = self.loop.deadlines.add(
@@ -127,7 +128,7 @@
         slot = task.slot
         if slot is None:
             task.box.waiting.discard(task)
-            return status_of(Ending.NEVER_GRABBED if late else Ending.GIVEN_UP)
+            return status_of(ConnectionOutcome.NEVER_GRABBED if late else ConnectionOutcome.GIVEN_UP)
         # A worker cannot be told to stop; that its connection closes tells it.
         written, slot.task = slot.wire.written(), None
         self._give_back(task)
@@ -135,7 +136,7 @@
         log.warning("gearman.hang_up", box=task.box.name.decode("latin-1"), late=late,
                     request=attempt.request.name.decode("latin-1"))
         slot.wire.hang_up()
-        return status_of(Ending.SILENT if late else Ending.GIVEN_UP, written)
+        return status_of(ConnectionOutcome.SILENT if late else ConnectionOutcome.GIVEN_UP, written)
 
     def probe(self, worker: WorkerId) -> None:
         """The protocol has no probe; a box that is connected is there."""
@@ -174,12 +175,13 @@
         if slot.task is not None:
             self.core.written(slot.task.attempt)
 
-    def on_end(self, slot: Slot, ending: Ending, written: bool) -> None:
+    def on_end(self, slot: Slot, ending: ConnectionOutcome, written: bool) -> None:
         """The connection has closed."""
         task, slot.task = slot.task, None
         self._unsettle(slot)
         if task is not None:
-            self._over(task, Ending.CUT_SHORT if ending is Ending.CLOSED else ending, written)
+            closed = ending is ConnectionOutcome.CLOSED
+            self._over(task, ConnectionOutcome.CUT_SHORT if closed else ending, written)
 
     def close(self) -> None:
         for box in list(self.boxes.values()):
@@ -217,7 +219,8 @@
             log.info("gearman.box_left", box=box.name.decode("latin-1"))
             self.core.left(box.name)
         for task in [t for t in box.waiting if len(box.able(t.function)) < t.slots]:
-            self._over(task, Ending.NO_WAY if box.able(task.function) else Ending.NEVER_GRABBED)
+            able = box.able(task.function)
+            self._over(task, ConnectionOutcome.NO_WAY if able else ConnectionOutcome.NEVER_GRABBED)
 
     def _next(self, slot: Slot) -> Task | None:
         """What this slot may be given now."""
@@ -234,7 +237,7 @@
         slot.asleep = False
         if slot.task is not None and slot.task.excepted:
             task, slot.task = slot.task, None
-            self._over(task, Ending.FAILED)  # an exception was its last word on that job
+            self._over(task, ConnectionOutcome.FAILED)  # an exception was its last word on that job
         found = self._next(slot)
         if found is None:
             slot.wire.write(encode(Type.NO_JOB))
@@ -270,7 +273,8 @@
         if kind is Type.WORK_COMPLETE or kind is Type.WORK_FAIL:
             slot.task = None
             done = kind is Type.WORK_COMPLETE
-            self._over(task, Ending.DONE if done else Ending.FAILED, result=args[1] if done else b"")
+            outcome = ConnectionOutcome.DONE if done else ConnectionOutcome.FAILED
+            self._over(task, outcome, result=args[1] if done else b"")
         elif kind is Type.WORK_STATUS:
             self.core.news(task.attempt, News.STATUS, args[1] + b"\0" + args[2])
             try:
@@ -297,15 +301,15 @@
     def _not_grabbed(self, task: Task) -> None:
         """Nobody came for it. A box with all slots at work is full; one with free slots is not there."""
         free = task.box.free(task.function) >= task.slots
-        self._over(task, Ending.NEVER_GRABBED if free else Ending.TURNED_AWAY)
+        self._over(task, ConnectionOutcome.NEVER_GRABBED if free else ConnectionOutcome.TURNED_AWAY)
 
     def _return_drained(self) -> None:
         for box in list(self.boxes.values()):
             if not self.core.boxes.open_to_work(box.name):
                 for task in list(box.waiting):
-                    self._over(task, Ending.TURNED_AWAY)
+                    self._over(task, ConnectionOutcome.TURNED_AWAY)
 
-    def _over(self, task: Task, ending: Ending, written: bool = True, result: bytes = b"") -> None:
+    def _over(self, task: Task, ending: ConnectionOutcome, written: bool = True, result: bytes = b"") -> None:
         task.box.waiting.discard(task)
         self.loop.deadlines.drop(task.timer)
         self._give_back(task)
--- a/larchgw/net/clientlink.py
+++ b/larchgw/net/clientlink.py
@@ -11,7 +11,7 @@
 
 from ..core.deadlines import Deadline
 from .connection import CHUNK, Connection
-from .ending import Ending
+from .connection_outcome import ConnectionOutcome
 from .exchange import Exchange
 from .heads import CLOSE, Fields
 from .replywriter import ReplyWriter
@@ -50,7 +50,7 @@
         self.opened = self.heard = self._began = server.loop.clock.now()
         self.proven = False  # whether a request has come in whole
         self.connection = Connection(server.loop, sock, self)
-        self._time(server.limits.first_s, Ending.SLOW)
+        self._time(server.limits.first_s, ConnectionOutcome.SLOW)
 
     def idle(self) -> bool:
         return self.current is None and not self.waiting and self._coming is None and not self._broken
@@ -87,7 +87,7 @@
             self.current.on_drained()
         self.advance()
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         self.server.loop.deadlines.drop(self._timer)
         self.server.loop.deadlines.drop(self._look)
         self.server.drop(self)
@@ -105,7 +105,7 @@
         self.server.standing.pop(self, None)
         if self.proven:
             self._began = self.heard
-            self._time(self.server.limits.message_s, Ending.SLOW)
+            self._time(self.server.limits.message_s, ConnectionOutcome.SLOW)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
@@ -237,7 +237,7 @@
             return
         if self.connection.left():
             self.connection.close()
-            self.on_end(Ending.CLOSED)
+            self.on_end(ConnectionOutcome.CLOSED)
         else:
             self._pace()
 
@@ -294,7 +294,7 @@
             return
         self._writer.send(data)
         if self.connection.unsent and self._timer is None:
-            self._time(WRITE_TIME, Ending.CLOGGED)
+            self._time(WRITE_TIME, ConnectionOutcome.CLOGGED)
 
     def end(self, exchange: Exchange, complete: bool) -> None:
         writer, self._writer = self._writer, None
@@ -319,35 +319,35 @@
     def _rearm(self) -> None:
         """What the other side has to do next, and how long it may take. A job's own time is the core's."""
         if self.connection.unsent:
-            self._time(WRITE_TIME, Ending.CLOGGED)
+            self._time(WRITE_TIME, ConnectionOutcome.CLOGGED)
         elif self._coming is not None:
-            self._time(self.server.limits.message_s, Ending.SLOW)
+            self._time(self.server.limits.message_s, ConnectionOutcome.SLOW)
         elif self.idle():
             if self.proven:
                 self.server.standing[self] = None
-            self._time(self.server.limits.idle_s, Ending.IDLE)
+            self._time(self.server.limits.idle_s, ConnectionOutcome.IDLE)
         else:
             self._time(None)
 
-    def _time(self, seconds: float | None, ending: Ending = Ending.IDLE) -> None:
+    def _time(self, seconds: float | None, ending: ConnectionOutcome = ConnectionOutcome.IDLE) -> None:
         deadlines = self.server.loop.deadlines
         deadlines.drop(self._timer)
         self._timer = None
         if seconds is not None:
             self._timer = deadlines.add(self.server.loop.clock.now() + seconds, lambda: self._expire(ending))
 
-    def _expire(self, ending: Ending) -> None:
+    def _expire(self, ending: ConnectionOutcome) -> None:
         now, limits = self.server.loop.clock.now(), self.server.limits
         due, most = self._began + limits.message_s, self._began + limits.message_most_s
         comes = now < min(self.heard + limits.silence_s, most)
-        if ending is Ending.SLOW and self._coming is not None and (comes or now < due):
+        if ending is ConnectionOutcome.SLOW and self._coming is not None and (comes or now < due):
             until = max(due, self.heard + limits.silence_s)
-            self._time(max(min(until, most) - now, 0.0), Ending.SLOW)
-        elif ending is Ending.SLOW and self._coming is not None:
+            self._time(max(min(until, most) - now, 0.0), ConnectionOutcome.SLOW)
+        elif ending is ConnectionOutcome.SLOW and self._coming is not None:
             self._break(408, "the request came too slowly")
             self.advance()
-        elif ending in (Ending.SLOW, Ending.IDLE) and self.idle():
+        elif ending in (ConnectionOutcome.SLOW, ConnectionOutcome.IDLE) and self.idle():
             self.retire()
-        elif ending is Ending.CLOGGED:
+        elif ending is ConnectionOutcome.CLOGGED:
             self.connection.close()
             self.on_end(ending)
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from ..core.deadlines import Deadline
-from .ending import Ending
+from .connection_outcome import ConnectionOutcome
 from .loop import CLIENTS, READ, WRITE, EventLoop
 
 CHUNK = 65536
@@ -27,7 +27,7 @@
     def on_written(self) -> None:
         """Nothing is left to write."""
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         """It is over and closed; not called for an end that we asked for."""
 
 
@@ -65,7 +65,7 @@
         if not self.connecting:
             self._flush()
             if not self.closed and len(self._out) > self.max_unsent:
-                self._end(Ending.CLOGGED)
+                self._end(ConnectionOutcome.CLOGGED)
 
     def pause(self, paused: bool) -> None:
         """Reads nothing for a while, so that the other side's writing stops."""
@@ -106,7 +106,7 @@
         self.loop.forget(self.sock)
         self.sock.close()
 
-    def _end(self, ending: Ending) -> None:
+    def _end(self, ending: ConnectionOutcome) -> None:
         finishing = self._finishing
         self.close()
         if not finishing:
@@ -138,7 +138,8 @@
     def _connected(self) -> None:
         error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
-            self._end(Ending.REFUSED if error == errno.ECONNREFUSED else Ending.NEVER_UP)
+            refused = error == errno.ECONNREFUSED
+            self._end(ConnectionOutcome.REFUSED if refused else ConnectionOutcome.NEVER_UP)
             return
         self.connecting = False
         self.owner.on_open()
@@ -152,7 +153,7 @@
             except BlockingIOError:
                 sent = 0
             except OSError:
-                self._end(Ending.BROKE)
+                self._end(ConnectionOutcome.BROKE)
                 return
             del self._out[:sent]
             if not self._out:
@@ -163,7 +164,7 @@
         if not self.closed:
             self._watch()
 
-    def _receive(self) -> tuple[list[bytes], Ending | None]:
+    def _receive(self) -> tuple[list[bytes], ConnectionOutcome | None]:
         """What lies in the socket, so much of it as one turn takes, and the end behind it if it is there."""
         chunks: list[bytes] = []
         for _ in range(READS):
@@ -172,9 +173,9 @@
             except BlockingIOError:
                 break
             except OSError:
-                return chunks, Ending.BROKE
+                return chunks, ConnectionOutcome.BROKE
             if not data:
-                return chunks, Ending.CLOSED
+                return chunks, ConnectionOutcome.CLOSED
             chunks.append(data)
             if len(data) < CHUNK and not self.reads_to_end:
                 break
@@ -212,15 +213,16 @@
         return bool(poll.poll(0))
 
 
-def connect(loop: EventLoop, address: tuple[str, int], owner: Owner, rank: int) -> Connection | Ending:
+def connect(loop: EventLoop, address: tuple[str, int], owner: Owner,
+            rank: int) -> Connection | ConnectionOutcome:
     """Opens a connection, or says at once why not."""
     try:
         sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     except OSError:
-        return Ending.NO_SOCKET
+        return ConnectionOutcome.NO_SOCKET
     sock.setblocking(False)
     error = sock.connect_ex(address)
     if error not in (0, errno.EINPROGRESS):
         sock.close()
-        return Ending.REFUSED if error == errno.ECONNREFUSED else Ending.NEVER_UP
+        return ConnectionOutcome.REFUSED if error == errno.ECONNREFUSED else ConnectionOutcome.NEVER_UP
     return Connection(loop, sock, owner, connecting=True, rank=rank)
--- a/larchgw/net/ending.py
+++ b/larchgw/net/connection_outcome.py
@@ -7,7 +7,7 @@
 from ..interface import Status
 
 
-class Ending(Enum):
+class ConnectionOutcome(Enum):
     """How a connection ended, or the attempt that it carried."""
 
     DONE = "the box served it"
@@ -36,33 +36,33 @@
 
 
 _STATUS = {
-    Ending.DONE: Status.OK,
-    Ending.FAILED: Status.ERROR,
-    Ending.TURNED_AWAY: Status.FULL,
-    Ending.KILLED: Status.RESET,
-    Ending.REFUSED: Status.CONNECT_FAILED,
-    Ending.NEVER_UP: Status.CONNECT_FAILED,
-    Ending.NEVER_GRABBED: Status.CONNECT_FAILED,
-    Ending.NO_SOCKET: Status.MOOT,
-    Ending.NO_WAY: Status.FULL,
-    Ending.BROKE_UNSENT: Status.CONNECT_FAILED,
-    Ending.BROKE: Status.RESET,
-    Ending.CUT_SHORT: Status.RESET,
-    Ending.GARBLED: Status.RESET,
-    Ending.STRANGER: Status.RESET,
-    Ending.SILENT: Status.TIMEOUT,
-    Ending.GIVEN_UP: Status.CANCELLED,
-    Ending.WITHDRAWN: Status.MOOT,
+    ConnectionOutcome.DONE: Status.OK,
+    ConnectionOutcome.FAILED: Status.ERROR,
+    ConnectionOutcome.TURNED_AWAY: Status.FULL,
+    ConnectionOutcome.KILLED: Status.RESET,
+    ConnectionOutcome.REFUSED: Status.CONNECT_FAILED,
+    ConnectionOutcome.NEVER_UP: Status.CONNECT_FAILED,
+    ConnectionOutcome.NEVER_GRABBED: Status.CONNECT_FAILED,
+    ConnectionOutcome.NO_SOCKET: Status.MOOT,
+    ConnectionOutcome.NO_WAY: Status.FULL,
+    ConnectionOutcome.BROKE_UNSENT: Status.CONNECT_FAILED,
+    ConnectionOutcome.BROKE: Status.RESET,
+    ConnectionOutcome.CUT_SHORT: Status.RESET,
+    ConnectionOutcome.GARBLED: Status.RESET,
+    ConnectionOutcome.STRANGER: Status.RESET,
+    ConnectionOutcome.SILENT: Status.TIMEOUT,
+    ConnectionOutcome.GIVEN_UP: Status.CANCELLED,
+    ConnectionOutcome.WITHDRAWN: Status.MOOT,
     # Should one of these meet an attempt all the same, it may have run.
-    Ending.CLOSED: Status.RESET,
-    Ending.IDLE: Status.RESET,
-    Ending.SLOW: Status.TIMEOUT,
-    Ending.CLOGGED: Status.RESET,
-    Ending.STOPPED: Status.RESET,
+    ConnectionOutcome.CLOSED: Status.RESET,
+    ConnectionOutcome.IDLE: Status.RESET,
+    ConnectionOutcome.SLOW: Status.TIMEOUT,
+    ConnectionOutcome.CLOGGED: Status.RESET,
+    ConnectionOutcome.STOPPED: Status.RESET,
 }
 
 
-def status_of(ending: Ending, written: bool = True) -> Status:
+def status_of(ending: ConnectionOutcome, written: bool = True) -> Status:
     """The module's outcome; `written`: whether the request's last byte had been written."""
     status = _STATUS[ending]
     if not written and status in (Status.RESET, Status.TIMEOUT):
--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -16,7 +16,7 @@
 from ..interface import ListKind, Member, Presence, WorkerId
 from .address import parse_address
 from .connection import Connection, connect
-from .ending import Ending
+from .connection_outcome import ConnectionOutcome
 from .loop import FIRST, Loop
 
 # What a watch that has fallen silent misses counts as told 6 s after it fell silent, or 2 s after its wait is
@@ -143,7 +143,7 @@
     def _connect(self) -> None:
         self._drop()
         opened = connect(self.loop, self.address, self, FIRST)
-        if isinstance(opened, Ending):
+        if isinstance(opened, ConnectionOutcome):
             self.on_end(opened)
             return
         self._connection = opened
@@ -260,7 +260,7 @@
     def on_written(self) -> None:
         pass
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         self._failed(ending.value)
 
     # From the parser
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -16,7 +16,7 @@
 from ..core.requests import Reach
 from ..interface import Status, WorkerId
 from .connection import Connection, connect
-from .ending import Ending, status_of
+from .connection_outcome import ConnectionOutcome, status_of
 from .loop import WORKERS, Loop
 
 MAX_RAW = 8192  # of an answer that has not ended
@@ -52,11 +52,11 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[bytes, bytes] = {}
         self._body = bytearray()
-        self._ending: Ending | None = None
+        self._ending: ConnectionOutcome | None = None
         self._result, self._report = b"", ()  # type: tuple[bytes, Sequence[float]]
         self.raw = bytearray()  # the present answer as it came, while that is no more than MAX_RAW
         self._came = 0  # bytes of it
-        self.connection: Connection | Ending = (
+        self.connection: Connection | ConnectionOutcome = (
             connect(pool.loop, address, self, WORKERS) if sock is None
             else Connection(pool.loop, sock, self, rank=WORKERS))
 
@@ -77,7 +77,7 @@
 
     def begin_probe(self) -> None:
         self.probe_at = self.pool.loop.clock.now()
-        self.time(PROBE_TIME, Ending.SILENT)
+        self.time(PROBE_TIME, ConnectionOutcome.SILENT)
         self._write(b"GET /-/load HTTP/1.1\r\nHost: %b:%d\r\n\r\n"
                     % (self.address[0].encode(), self.address[1]))
 
@@ -99,7 +99,7 @@
         """Whether the last byte of the request has gone to the kernel."""
         return isinstance(self.connection, Connection) and not self.connection.unsent
 
-    def time(self, seconds: float, ending: Ending) -> None:
+    def time(self, seconds: float, ending: ConnectionOutcome) -> None:
         self.pool.loop.deadlines.drop(self.timer)
         self.timer = self.pool.loop.deadlines.add(
             self.pool.loop.clock.now() + seconds, lambda: self._over(ending))
@@ -118,7 +118,7 @@
     def withdraw(self) -> None:
         """No byte of its attempt is out, and none shall be: it never ran, and the module decides anew."""
         self.pool.core.counters.withdrawn.inc()
-        self._over(Ending.WITHDRAWN)
+        self._over(ConnectionOutcome.WITHDRAWN)
 
     def _write(self, data: bytes) -> None:
         self._busy, self._ending, self._result, self._report = True, None, b"", ()
@@ -128,7 +128,7 @@
         assert isinstance(self.connection, Connection)
         self.connection.write(data)
 
-    def _over(self, ending: Ending) -> None:
+    def _over(self, ending: ConnectionOutcome) -> None:
         """The connection is of no more use, for this reason."""
         written = self.written()
         if self.stood and self._busy and not self._heard and ending in DEAD:
@@ -136,7 +136,7 @@
         self.close()
         self._settle(ending, written)
 
-    def _settle(self, ending: Ending, written: bool = True) -> None:
+    def _settle(self, ending: ConnectionOutcome, written: bool = True) -> None:
         attempt, self.attempt = self.attempt, None
         status = status_of(ending, written)
         if self.probe_at:
@@ -159,24 +159,24 @@
 
     def on_data(self, data: bytes) -> None:
         if not self._busy:
-            self._over(Ending.GARBLED)  # an answer that nobody asked for
+            self._over(ConnectionOutcome.GARBLED)  # an answer that nobody asked for
             return
         self._heard = True
         self._came += len(data)
         if self._came > MAX_ANSWER:
-            self._over(self._ending or Ending.GARBLED)
+            self._over(self._ending or ConnectionOutcome.GARBLED)
             return
         if self._came <= MAX_RAW:
             self.raw += data
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._over(self._ending or Ending.GARBLED)
+            self._over(self._ending or ConnectionOutcome.GARBLED)
             return
         ending = self._ending
         if ending is None:
             return  # the answer goes on
-        lost = ending in (Ending.GARBLED, Ending.STRANGER) or not self.written()
+        lost = ending in (ConnectionOutcome.GARBLED, ConnectionOutcome.STRANGER) or not self.written()
         if lost or not (self._busy or self._keep):
             self._over(ending)
         elif not self._busy:
@@ -184,17 +184,17 @@
             self._settle(ending)
         elif self.attempt is not None:
             self._settle(ending)  # nobody need wait for the last chunk
-            self.time(LAST_CHUNK_TIME, Ending.SLOW)
+            self.time(LAST_CHUNK_TIME, ConnectionOutcome.SLOW)
 
     def on_written(self) -> None:
         if self.attempt is not None:
             self.pool.core.written(self.attempt)
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         if isinstance(self.connection, Connection) and self.connection.connecting:
             self._over(ending)
-        elif ending is Ending.CLOSED:
-            self._over(Ending.CUT_SHORT)
+        elif ending is ConnectionOutcome.CLOSED:
+            self._over(ConnectionOutcome.CUT_SHORT)
         else:
             self._over(ending)
 
@@ -219,7 +219,7 @@
         self._body += body
         if self.probe_at:
             if len(self._body) > MAX_REPORT:
-                self._ending = Ending.GARBLED
+                self._ending = ConnectionOutcome.GARBLED
             return
         *lines, rest = self._body.split(b"\n")
         self._body = bytearray(rest)
@@ -227,7 +227,7 @@
             if line.strip() and self._ending is None:
                 self._line(bytes(line))
         if len(self._body) > MAX_LINE:
-            self._ending = Ending.GARBLED
+            self._ending = ConnectionOutcome.GARBLED
 
     def on_message_complete(self) -> None:
         status = self._parser.get_status_code()
@@ -241,11 +241,13 @@
             never = status in (503, 504) and self._headers.get(b"x-not-run") == b"1"
             if self.probe_at and status == 200:
                 self._report = self._report or self.pool.report_in(bytes(self._body))
-                self._ending = Ending.STRANGER if b'"state"' in self._body else Ending.DONE
+                of_a_job = b'"state"' in self._body
+                self._ending = ConnectionOutcome.STRANGER if of_a_job else ConnectionOutcome.DONE
             elif status == 200:
-                self._ending = Ending.CUT_SHORT  # EOF, or a last chunk, without a last line is no answer
+                # EOF, or a last chunk, without a last line is no answer.
+                self._ending = ConnectionOutcome.CUT_SHORT
             else:
-                self._ending = Ending.TURNED_AWAY if never else Ending.FAILED
+                self._ending = ConnectionOutcome.TURNED_AWAY if never else ConnectionOutcome.FAILED
 
     def _line(self, line: bytes) -> None:
         attempt = self.attempt
@@ -255,10 +257,11 @@
             said: Any = json.loads(line)
             state, name = said["state"], said["id"]
         except (ValueError, KeyError, TypeError):
-            self._ending = Ending.GARBLED
+            self._ending = ConnectionOutcome.GARBLED
             return
         if name != attempt.request.name.decode("latin-1"):
-            self._ending = Ending.STRANGER  # a result of another request must never reach this client
+            # A result of another request must never reach this client.
+            self._ending = ConnectionOutcome.STRANGER
             return
         if isinstance(said.get("load"), dict):
             self._report = self.pool.report_of(said["load"])
@@ -270,14 +273,15 @@
         elif state == "done":
             result = said.get("result", "")
             self._result = (result if isinstance(result, str) else json.dumps(result)).encode()
-            self._ending = Ending.DONE
+            self._ending = ConnectionOutcome.DONE
         else:
-            self._ending = {"failed": Ending.FAILED, "returned": Ending.TURNED_AWAY,
-                            "lost": Ending.KILLED}.get(state, Ending.GARBLED)
+            self._ending = {"failed": ConnectionOutcome.FAILED, "returned": ConnectionOutcome.TURNED_AWAY,
+                            "lost": ConnectionOutcome.KILLED}.get(state, ConnectionOutcome.GARBLED)
 
 
-DEAD = (Ending.BROKE, Ending.CUT_SHORT)  # without a byte of an answer: it had been closed before the request
-UNUSUAL = (Ending.GARBLED, Ending.STRANGER, Ending.NO_SOCKET)
+# Without a byte of an answer: it had been closed before the request.
+DEAD = (ConnectionOutcome.BROKE, ConnectionOutcome.CUT_SHORT)
+UNUSUAL = (ConnectionOutcome.GARBLED, ConnectionOutcome.STRANGER, ConnectionOutcome.NO_SOCKET)
 
 
 class Runners:
@@ -338,7 +342,7 @@
     def send(self, attempt: Attempt) -> None:
         effect = self.core.settings.classes[attempt.request.job_class].effect
         link = self._link(attempt.worker, new=effect == "unsafe")
-        if isinstance(link, Ending):
+        if isinstance(link, ConnectionOutcome):
             self.core.ended(attempt, End(status_of(link), why=link.value))
         else:
             link.begin(attempt)
@@ -348,7 +352,7 @@
         written = link.written()
         link.attempt = None
         link.close()
-        return status_of(Ending.SILENT if late else Ending.GIVEN_UP, written)
+        return status_of(ConnectionOutcome.SILENT if late else ConnectionOutcome.GIVEN_UP, written)
 
     def adopt(self, attempt: Attempt, address: tuple[str, int], sock: socket.socket, answer: bytes) -> None:
         """An attempt that is out on another process's connection."""
@@ -358,7 +362,7 @@
 
     def probe(self, worker: WorkerId) -> None:
         link = self._link(worker)
-        if isinstance(link, Ending):
+        if isinstance(link, ConnectionOutcome):
             self.core.probed(worker, status_of(link), 0.0, ())
         else:
             link.begin_probe()
@@ -368,7 +372,7 @@
         if self.addresses.get(link.worker) != link.address:
             link.close()
             return
-        link.time(self._trust(), Ending.IDLE)
+        link.time(self._trust(), ConnectionOutcome.IDLE)
         self.idle.setdefault(link.worker, deque()).append(link)
 
     def forget(self, link: RunnerLink) -> None:
@@ -409,7 +413,7 @@
         regained: float = 2.0 ** ((self.loop.clock.now() - self.trusted_at) / REGAIN)
         return min(self.idle_time, max(self.trusted, SETTLE) * regained)
 
-    def _link(self, worker: WorkerId, new: bool = False) -> RunnerLink | Ending:
+    def _link(self, worker: WorkerId, new: bool = False) -> RunnerLink | ConnectionOutcome:
         """A kept connection, or a new one.
 
         What is written to a kept one that the runner's machine has closed ends as a reset, after which a job
@@ -434,14 +438,14 @@
                 return link
         address = self.addresses.get(worker)
         if address is None:
-            return Ending.NO_WAY
+            return ConnectionOutcome.NO_WAY
         if len(self.links) >= self.cap and not self._make_room():
-            return Ending.NO_SOCKET
+            return ConnectionOutcome.NO_SOCKET
         link = RunnerLink(self, worker, address)
-        if isinstance(link.connection, Ending):
+        if isinstance(link.connection, ConnectionOutcome):
             return link.connection
         self.links.add(link)
-        link.time(self.core.settings.dial_timeout, Ending.NEVER_UP)
+        link.time(self.core.settings.dial_timeout, ConnectionOutcome.NEVER_UP)
         return link
 
     def _make_room(self) -> bool:
--- a/larchgw/upgrade/handover.py
+++ b/larchgw/upgrade/handover.py
@@ -21,7 +21,7 @@
 from ..core.deadlines import Deadline
 from ..interface import WorkerId
 from ..net.connection import Connection
-from ..net.ending import Ending
+from ..net.connection_outcome import ConnectionOutcome
 from ..net.loop import READ, Loop
 from . import learned
 from .moving import MAX_FDS, MAX_PACKET
@@ -95,7 +95,7 @@
                 self._drop(f"{type(error).__name__}: {error}")
                 return
 
-    def on_end(self, ending: Ending) -> None:
+    def on_end(self, ending: ConnectionOutcome) -> None:
         self.handover.ended(self)
 
     def _drop(self, why: str) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,8 +8,8 @@
 from larchgw.core.deadlines import Clock, Deadlines
 from larchgw.core.requests import News, Reach
 from larchgw.interface import JobClass, ListKind, Member, Settings, Status
+from larchgw.net.connection_outcome import ConnectionOutcome, status_of
 from larchgw.net.discovery import ListReader
-from larchgw.net.ending import Ending, status_of
 
 
 class HandClock(Clock):
@@ -146,7 +146,7 @@
     assert deadlines.sweep(1.0) == 1 and seen == [1] and len(deadlines) == 1
 
 
-@pytest.mark.parametrize("ending", list(Ending))
+@pytest.mark.parametrize("ending", list(ConnectionOutcome))
 def test_every_ending_has_its_outcome_and_unwritten_requests_never_ran(ending):
     assert isinstance(status_of(ending), Status)
     assert status_of(ending, written=False) not in (Status.RESET, Status.TIMEOUT)
--- a/tests/test_edge_parsers.py
+++ b/tests/test_edge_parsers.py
@@ -16,7 +16,7 @@
 from larchgw.edge.keep_time import KeepTime
 from larchgw.edge.requesthead import model_of, parts_of, time_left, tokens_of
 from larchgw.edge.runner_link import AnswerHead, RunnerLink
-from larchgw.net.ending import Ending
+from larchgw.net.connection_outcome import ConnectionOutcome
 from larchgw.net.heads import end_to_end
 from larchgw.net.loop import READ
 
@@ -127,12 +127,12 @@
         pass
 
 
-def carry(cuts: list[bytes], ending: Ending | None) -> tuple[Carried, Pool]:
+def carry(cuts: list[bytes], ending: ConnectionOutcome | None) -> tuple[Carried, Pool]:
     pool, carried = Pool(), Carried()
     link = RunnerLink(pool, ("127.0.0.1", 9))  # type: ignore[arg-type]
     link.begin(carried, head_only=False)
     connection = link.connection
-    assert not isinstance(connection, Ending)
+    assert not isinstance(connection, ConnectionOutcome)
     connection.connecting = False
     link._written = True
     for piece in cuts:
@@ -147,7 +147,7 @@
 def test_a_dead_machine_is_noticed_on_every_connection_to_a_runner() -> None:
     link = RunnerLink(Pool(), ("127.0.0.1", 9))  # type: ignore[arg-type]
     connection = link.connection
-    assert not isinstance(connection, Ending)
+    assert not isinstance(connection, ConnectionOutcome)
     assert 0 < connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) <= 2000
     assert connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
     link.close()
@@ -162,8 +162,8 @@
 
 
 @pytest.mark.parametrize("answer", ANSWERS)
-@pytest.mark.parametrize("ending", [Ending.CLOSED, Ending.BROKE])
-def test_an_answer_cut_at_any_byte_is_never_taken_for_whole(answer: bytes, ending: Ending) -> None:
+@pytest.mark.parametrize("ending", [ConnectionOutcome.CLOSED, ConnectionOutcome.BROKE])
+def test_an_answer_cut_at_any_byte_is_never_taken_for_whole(answer: bytes, ending: ConnectionOutcome) -> None:
     for size in range(len(answer)):
         carried, pool = carry([answer[:size]], ending)
         assert carried.ends in ([AttemptOutcome.RESET], [AttemptOutcome.CUT]), size
@@ -190,7 +190,7 @@
     pool.watch = lambda sock, events, *more: heard.append(events)  # type: ignore[method-assign]
     link = RunnerLink(pool, ("127.0.0.1", 9))  # type: ignore[arg-type]
     connection = link.connection
-    assert not isinstance(connection, Ending)
+    assert not isinstance(connection, ConnectionOutcome)
     connection.connecting = False
     link.begin(Slow(), head_only=False)
     link.on_data(ANSWERS[0])
@@ -200,7 +200,7 @@
 
 @given(st.binary(min_size=1, max_size=120))
 def test_bytes_at_random_are_never_an_answer(data: bytes) -> None:
-    carried, pool = carry([data], Ending.CLOSED)
+    carried, pool = carry([data], ConnectionOutcome.CLOSED)
     assert carried.ends in ([AttemptOutcome.RESET], [AttemptOutcome.GARBLED])
     assert pool.free == 0 and pool.over
 
@@ -209,7 +209,7 @@
 def test_an_answer_with_foreign_bytes_inside_is_never_kept_for_the_next_request(at: int, junk: bytes) -> None:
     whole = ANSWERS[1]
     at %= len(whole) + 1
-    carried, pool = carry([whole[:at] + junk + whole[at:]], Ending.BROKE)
+    carried, pool = carry([whole[:at] + junk + whole[at:]], ConnectionOutcome.BROKE)
     assert len(carried.ends) == 1
     if pool.free:  # then it was read as a whole answer with nothing behind it
         assert carried.ends == ["whole"]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -17,7 +17,7 @@
 from larchgw.interface import JobClass, Settings, Status
 from larchgw.net import clientlink
 from larchgw.net import discovery as net_discovery
-from larchgw.net.ending import Ending
+from larchgw.net.connection_outcome import ConnectionOutcome
 from larchgw.net.httpserver import Exchange, HttpServer
 from larchgw.net.listener import Listener
 from larchgw.net.loop import CLIENTS, FIRST, NEWCOMERS, READ, WORKERS, Loop
@@ -188,7 +188,7 @@
     if end == "stop":
         server.close_idle()
     elif end == "idle":
-        link._expire(Ending.IDLE)
+        link._expire(ConnectionOutcome.IDLE)
     else:
         server.resize(0, 1 << 20)
     assert sock.recv(4096).endswith(b"made /2")
