--- a/larchgw/edge/trace.py
+++ b/larchgw/edge/trace.py
@@ -30,7 +30,9 @@
         """It waits; only a new reason is written."""
         if reason != self._reason:
             self._reason = reason
-            log.debug("request %s waits at %.0f: %s", self._name, self._ms(now), reason)
+            traits = self._traits
+            log.debug("request %s waits at %.0f: %s, %s model %s/%s", self._name, self._ms(now), reason,
+                      traits.route.name, traits.model, traits.adapter)
 
     def sent(self, now: float) -> None:
         """It goes to a runner."""
--- a/tests/test_edge_trace.py
+++ b/tests/test_edge_trace.py
@@ -29,7 +29,7 @@
         trace.answered(w.now + 1.0, 503, "full")
     lines = [record.getMessage() for record in caplog.records]
     assert lines == [
-        "request id7 waits at 0: loading",
+        "request id7 waits at 0: loading, r model m/a1",
         "request id7 ended at 300: RESET at i-1, sent at 200, began at -, r model m/a1 tokens 0,50",
         "request id7 ended at 900: DONE at i-2, sent at 400, began at 500, r model m/a1 tokens 0,50",
         "request id7 answered at 1000: 503 full",
