--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -20,7 +20,7 @@
 from .stream_relay import StreamMismatch, StreamRelay
 from .trace import RequestTrace
 
-DEADLINE_MARGIN_S = 0.02  # before the client gives up: an answer of our own has to reach it
+DEADLINE_MARGIN_S = 0.02  # before the client gives up: our answer has to reach it
 EXTRA_SENDS = 3  # beyond the route's tries, for sends that certainly never ran
 LEAST_RETRY_AFTER_S = 0.05
 LEAST_WAIT_S = 0.005  # between two questions of one request without news
@@ -345,10 +345,6 @@
         """The deadline has come."""
         if self._over:
             return
-        if self.started and self._context.now() < self.traits.deadline_at:
-            # Nothing can be told any more, and the rest may yet come in time.
-            self._deadline = self._context.loop.deadlines.add(self.traits.deadline_at, self._expired)
-            return
         if self._attempt is not None:
             link, self._link = self._link, None
             sent = link is not None and link.cancel() is not AttemptOutcome.UNSENT
