--- a/tests/test_cli_system.py
+++ b/tests/test_cli_system.py
@@ -28,6 +28,7 @@
 ROLE = """
 import importlib.abc, json, runpy, signal, sys, types
 role = sys.argv[1]
+signal.signal(signal.SIGHUP, signal.SIG_DFL)  # whoever runs the tests may have it ignored (nohup)
 def run():
     ignored = signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
     print(json.dumps({"ignored": ignored, "before": before, "loaded": sorted(sys.modules)}))
