Membership is set up and the placer's entry read in one place; what nothing uses is out

Both roles made their member with the same lines and spelled the seeds' addresses four times: runtime/gossip.py. The placer's entry was written in one module and decoded in two others: distribution/placer.py. Out: Expectations.leaving and the times below 0 that only it read, OrderOutcome.not_taken, RpcClients.keep_only, a logger, and two kinds of registry entries that nobody writes. The registry's page said plain JSON for the configuration and a fence inside the placer's entry; neither is so. Behaviour is as it was.

--- a/larchgw/control/http_api.py
+++ b/larchgw/control/http_api.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import logging
 from collections.abc import Sequence
 from typing import Any, Protocol
 
@@ -14,7 +13,6 @@
 from ..net.address import parse_address
 from .operator import Answer
 
-log = logging.getLogger(__name__)
 MAX_BODY_BYTES = 64 << 20  # a configuration of many thousand routes
 
 
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -13,15 +13,14 @@
 from ..directory.checkins import parse_checkin
 from ..directory.directory import CheckinOutcome, Directory
 from ..distribution.handoff import Handoff
-from ..distribution.interface import CONFIGURATION, EXPECTED, PLACER, RUNNER
+from ..distribution.interface import CONFIGURATION, EXPECTED, RUNNER
 from ..distribution.peers import PeerPullers
+from ..distribution.placer import publish_placer
 from ..distribution.pulls import PullService
 from ..distribution.registry import Registry
 from ..distribution.sources import PullSettings
 from ..distribution.vectors import new_origin
 from ..membership.member import Member as Process
-from ..membership.settings import SwimSettings
-from ..membership.swim import Swim
 from ..membership.transport import SwimTransport
 from ..placement.model import PlacementSettings
 from ..placement.orders import OrderClient
@@ -41,6 +40,7 @@
 )
 from ..runtime.clients import RpcClients
 from ..runtime.dice import new_dice
+from ..runtime.gossip import make_swim
 from ..runtime.tasks import Tasks
 from ..storage.files import DiskFiles
 from . import http_api
@@ -77,7 +77,7 @@
         self.clients = RpcClients()
         self.tasks = Tasks()
         self.registry = Registry(new_origin(settings.node_name, self._dice))
-        self.swim = self._make_swim()
+        self.swim = make_swim(settings, "control", self._life, self._dice, self.address)
         self.state = ConfigurationState()
         self.disk = ControlDisk.open(DiskFiles(), settings.data_dir)
         self.member = self._make_member()
@@ -120,7 +120,7 @@
     def reload(self, settings: NodeSettings) -> None:
         """Takes other seeds; addresses stay."""
         self.settings = settings
-        self.swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
+        self.swim.join(seed_gossip_addresses(settings))
 
     async def stop(self) -> None:
         """Hands over what it is alone in doing, and ends."""
@@ -210,7 +210,7 @@
         self.member.set_contacts(set(self._peers()) | set(seed_rpc_addresses(self.settings)) - {self.address})
         lease = self._placer_lease()
         if lease is not None:
-            self.registry.put(PLACER, json.dumps({"address": self.address}).encode(), lease.fence)
+            publish_placer(self.registry, self.address, lease.fence)
 
     def _owner(self) -> str:
         return owner_name(self.address, self._life)
@@ -225,14 +225,6 @@
     def _placer_lease(self) -> Lease | None:
         return self.replicated.lease(PLACER_LEASE)
 
-    def _make_swim(self) -> Swim:
-        settings = self.settings
-        address = f"{settings.ip}:{settings.port(CONTROL_GOSSIP_PORT)}"
-        me = Process(settings.node_name, address, "control", self._life, settings.zone, self.address)
-        swim = Swim(me, SwimSettings(), self._dice)
-        swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
-        return swim
-
     def _make_member(self) -> Member:
         settings = self.settings
         fresh = f"{self.address}#{self._dice.getrandbits(64):016x}"
--- a/larchgw/control/status.py
+++ b/larchgw/control/status.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from ..directory.directory import Directory
-from ..distribution.interface import PLACER
+from ..distribution.placer import known_placer
 from ..distribution.registry import Registry
 from ..membership.member import Member as Process
 from ..membership.swim import Swim
@@ -56,7 +55,7 @@
         """All but what is placed."""
         sources = self._from
         view = sources.member.view
-        placer, fence = self._placer()
+        placer, fence = known_placer(sources.registry)
         stages = Counter(record.stage.name.lower() for record in sources.directory.runners())
         return ttypes.ControlStatus(
             node_name=sources.node_name, identity=sources.member.id, role=_role(sources.member, view),
@@ -81,12 +80,6 @@
         found = [*self._from.swim.members(), *self._from.swim.dead()]
         return sorted(found, key=lambda process: (process.role, process.name))
 
-    def _placer(self) -> tuple[str, int]:
-        entry = self._from.registry.get(PLACER)
-        if entry is None:
-            return "", 0
-        return str(json.loads(entry.value)["address"]), entry.major
-
 
 def as_object(value: Any) -> Any:
     """A thrift struct with all that it holds as dicts and lists; fields that are not set are left out."""
--- a/larchgw/distribution/interface.py
+++ b/larchgw/distribution/interface.py
@@ -2,13 +2,12 @@
 
 Keys are "<kind>/<name>". The kinds in use and who writes them:
 
-    configuration       the committed configuration (JSON); major = index of its log record
+    configuration       the committed configuration (as configuration/packing.py packs it); major = index
+                        of its log record
     runner/<id>         a RunnerRecord (larchgw/directory/records.py); major = call_count (above all counts
                         once it is gone), minor = its stage
-    placer              JSON {"address": rpc address, "fence": n}; major = fence
+    placer              JSON {"address": rpc address}; major = fence (placer.py)
     expected/<id>       what the placer has ordered at a runner (JSON); major = fence, minor = serial
-    view                JSON of the current View; major = epoch
-    fleet               JSON {"edges": n, "control": n}; major = epoch, minor = serial; from membership
 
     registry.Registry(origin: str)
         .put(key, value: bytes, major, minor=0) -> bool
@@ -36,5 +35,3 @@
 RUNNER = "runner/"
 PLACER = "placer"
 EXPECTED = "expected/"
-VIEW = "view"
-FLEET = "fleet"
--- a/larchgw/edge/demand_reports.py
+++ b/larchgw/edge/demand_reports.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from collections.abc import Callable
 from random import Random
 
-from ..distribution.interface import PLACER
+from ..distribution.placer import known_placer
 from ..distribution.registry import Registry
 from ..rpc.errors import RpcError
 from ..rpc.generated.ttypes import DemandReport, ModelDemand
@@ -73,7 +72,7 @@
         return interval * self._dice.uniform(1.0 - JITTER, 1.0)
 
     async def _report(self, interval_ms: int) -> None:
-        address = self._placer()
+        address, _ = known_placer(self._registry)
         if not address:
             return
         models = self._demand()
@@ -85,7 +84,3 @@
             await self._clients.get(address).call("demand", report, TIMEOUT_S)
         except RpcError as error:
             log.info("demand was not reported: %s", error)
-
-    def _placer(self) -> str:
-        entry = self._registry.get(PLACER)
-        return str(json.loads(entry.value)["address"]) if entry is not None else ""
--- a/larchgw/edge/expectations.py
+++ b/larchgw/edge/expectations.py
@@ -30,14 +30,11 @@
         found = {runner: names[name] for runner, names in self._by_runner.items() if name in names}
         return {runner: at for runner, at in found.items() if at > oldest}
 
-    def leaving(self, runner: str, model: str) -> bool:
-        """Whether the model is being unloaded there."""
-        return self._by_runner.get(runner, {}).get(model, 0.0) < 0.0
-
     def _learn(self, entry: Entry) -> None:
         runner = entry.key.removeprefix(EXPECTED)
         now = self._clock()
-        times = {name: now + ms / 1000.0 if ms >= 0 else -1.0 for name, ms in json.loads(entry.value).items()}
+        # Below 0 it is being unloaded: nothing to wait for.
+        times = {name: now + ms / 1000.0 for name, ms in json.loads(entry.value).items() if ms >= 0}
         if times:
             self._by_runner[runner] = times
         else:
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -22,9 +22,6 @@
 from ..distribution.registry import Registry
 from ..distribution.sources import PullSettings
 from ..distribution.vectors import new_origin
-from ..membership.member import Member
-from ..membership.settings import SwimSettings
-from ..membership.swim import Swim
 from ..membership.transport import SwimTransport
 from ..net.address import parse_address
 from ..net.asyncloop import AsyncLoop
@@ -34,6 +31,7 @@
 from ..runtime.addresses import EDGE_GOSSIP_PORT, seed_gossip_addresses, seed_rpc_addresses
 from ..runtime.clients import RpcClients
 from ..runtime.dice import new_dice
+from ..runtime.gossip import make_swim
 from ..runtime.tasks import Tasks
 from . import readiness
 from .demand_reports import DemandReporter
@@ -62,7 +60,7 @@
         self._dice = dice
         self._configuration: Configuration | None = None
         self._stopping = False
-        self.swim = self._make_swim()
+        self.swim = make_swim(settings, "edge", int(time.time() * 1000), dice)
         self.puller = Puller(
             self.registry, RpcClient, lambda: seed_rpc_addresses(self.settings),
             PullSettings.of(settings.time_limits), dice, node_name=settings.node_name, near=self._near,
@@ -77,9 +75,9 @@
         self.proxy = Proxy(self.net, settings, self.selector, self.budget, self._dice)
         self.proxy.runners = self.view.by_service
         self.proxy.expected = self._expected
-        self.proxy.dispatchers = lambda: self.swim.count("edge")
+        self.proxy.dispatchers = self._dispatchers
         self.demand = DemandReporter(settings.node_name, self.registry, self.clients, self.proxy.demand,
-                                     lambda: self.swim.count("edge"), self._dice)
+                                     self._dispatchers, self._dice)
         self.proxy.on_wanted = lambda service, model, adapter: self.demand.wanted()
         self.registry.watch(CONFIGURATION, self._configure)
         self.view.on_change(lambda record: self.proxy.runners_changed())
@@ -101,7 +99,7 @@
     def reload(self, settings: NodeSettings) -> None:
         """Takes other seeds and bounds; addresses stay."""
         self.settings = settings
-        self.swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
+        self.swim.join(seed_gossip_addresses(settings))
 
     async def stop(self) -> None:
         """Lets the platform notice, answers what is open, and ends before SIGKILL."""
@@ -123,13 +121,8 @@
         self.tasks.stop()
         self.clients.close()
 
-    def _make_swim(self) -> Swim:
-        settings = self.settings
-        address = f"{settings.ip}:{settings.port(EDGE_GOSSIP_PORT)}"
-        me = Member(settings.node_name, address, "edge", int(time.time() * 1000), zone=settings.zone)
-        swim = Swim(me, SwimSettings(), self._dice)
-        swim.join([f"{host}:{port}" for host, port in seed_gossip_addresses(settings)])
-        return swim
+    def _dispatchers(self) -> int:
+        return self.swim.count("edge")
 
     def _near(self, address: str) -> bool:
         """Whether a control process is in this zone; bytes between zones are dear."""
--- a/larchgw/placement/model.py
+++ b/larchgw/placement/model.py
@@ -52,11 +52,6 @@
     UNSENT = auto()  # no connection came up, so that no byte was sent
     UNKNOWN = auto()  # no answer: it may have been taken
 
-    @property
-    def not_taken(self) -> bool:
-        """Whether it is certain that the runner did not take it and never will."""
-        return self not in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN)
-
 
 @dataclass(frozen=True, slots=True)
 class RunnerReport:
--- a/larchgw/runtime/addresses.py
+++ b/larchgw/runtime/addresses.py
@@ -24,6 +24,6 @@
     return [f"{host}:{settings.port(RPC_PORT)}" for host in seed_hosts(settings)]
 
 
-def seed_gossip_addresses(settings: NodeSettings) -> list[tuple[str, int]]:
+def seed_gossip_addresses(settings: NodeSettings) -> list[str]:
     """The seeds' membership addresses."""
-    return [(host, settings.port(CONTROL_GOSSIP_PORT)) for host in seed_hosts(settings)]
+    return [f"{host}:{settings.port(CONTROL_GOSSIP_PORT)}" for host in seed_hosts(settings)]
--- a/larchgw/runtime/clients.py
+++ b/larchgw/runtime/clients.py
@@ -22,11 +22,8 @@
         """Those that are in use."""
         return list(self._clients.values())
 
-    def keep_only(self, addresses: set[str]) -> None:
-        """Closes the clients of addresses that are no longer in use."""
-        for address in set(self._clients) - addresses:
-            self._clients.pop(address).close()
-
     def close(self) -> None:
         """Ends all connections."""
-        self.keep_only(set())
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
