--- a/larchgw/replication/interface.py
+++ b/larchgw/replication/interface.py
@@ -15,7 +15,10 @@
             only at the primary, else NotPrimary; OSError where the disk refuses
         .confirm(now) -> (Ticket, Effects)
             for reads: done once the view is proven to stand after this call; NotPrimary
-        .step_down(now) -> Effects                  before a planned end, or when the disk does not serve
+        .step_down(now) -> Effects                  hands the roles over, also when the disk does not serve
+        .leave(now) -> Effects                      before a planned end: roles handed over, and no
+            acknowledgement shall need this member's copy any more
+        .has_left                                   whether that is so
         .is_primary, .primary, .view, .committed_index, .disk_error
         .lease(now, name) -> Lease | None           held now: `fence`, `until`; asks for it if it is not held
         .set_contacts(addresses)                    rpc addresses of other members, known from membership
