Configuration: an order's nesting, numbers and names cannot make replicas disagree

How deep JSON may nest was Python's recursion limit, less the depth of whoever decoded it: an order of some 900 levels could be taken by the primary and be without effect at a backup. It is 64 levels now, everywhere. A number such as 1e999 in a field that is not read came back from Config.Read as Infinity, which is no JSON; it is refused. A change to a list of items of which one has a name that is no text ended in a TypeError, without an answer; such items have no name now.

Each test fails without its part of the change.

--- a/larchgw/configuration/change.py
+++ b/larchgw/configuration/change.py
@@ -101,8 +101,9 @@
     return {**_mapping({} if value is None else value, field), **fields}
 
 
-def _name(item: object) -> object:
-    return item.get("name") if isinstance(item, dict) else None
+def _name(item: object) -> str | None:
+    name = item.get("name") if isinstance(item, dict) else None
+    return name if isinstance(name, str) else None
 
 
 def _without(items: list[Any], names: object, path: str) -> list[Any]:
--- a/larchgw/configuration/validation.py
+++ b/larchgw/configuration/validation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NoReturn, TypeVar
 
@@ -17,6 +18,7 @@
 from .routing import normalised_host
 
 WHOLE = "configuration"  # the path that errors name where no single field is at fault
+MOST_NESTED = 64  # levels of JSON; Python's own limit depends on who calls, and replicas must agree
 Named = TypeVar("Named", Route, Service, Model)
 Reader = Callable[[object, str, Findings], Named | None]
 
@@ -24,14 +26,36 @@
 def decode(body: bytes) -> dict[str, Any]:
     """The JSON object in a body. Raises MalformedConfiguration."""
     try:
-        raw = json.loads(body.decode(), object_pairs_hook=_unique, parse_constant=_no_constant)
+        raw = json.loads(body.decode(), object_pairs_hook=_unique, parse_constant=_no_constant,
+                         parse_float=_finite)
         if b"\\ud" in body.lower():  # half of a surrogate pair would fail later, wherever text is sent on
             json.dumps(raw, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise MalformedConfiguration(WHOLE, f"is not JSON ({error})", "send one whole JSON object") from None
+    if _is_too_deep(raw):
+        raise MalformedConfiguration(WHOLE, f"is nested over {MOST_NESTED} levels deep", "send it flatter")
     return _object(raw)
 
 
+def _is_too_deep(value: object) -> bool:
+    level = [value]
+    for _ in range(MOST_NESTED):
+        level = [inner for outer in level for inner in _inside(outer)]
+        if not level:
+            return False
+    return True
+
+
+def _inside(value: object) -> list[object]:
+    """The objects and lists directly in a decoded one."""
+    items: Iterable[object] = ()
+    if isinstance(value, dict):
+        items = value.values()
+    elif isinstance(value, list):
+        items = value
+    return [item for item in items if isinstance(item, dict | list)]
+
+
 def _object(value: object) -> dict[str, Any]:
     if not isinstance(value, dict):
         raise MalformedConfiguration(WHOLE, f"{shown(value)} is no JSON object", "send an object")
@@ -48,6 +72,13 @@
     return fields
 
 
+def _finite(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):
+        raise MalformedConfiguration(WHOLE, f"holds {text}, which is too large", "give a smaller number")
+    return number
+
+
 def _no_constant(text: str) -> NoReturn:
     raise MalformedConfiguration(WHOLE, f"holds {text}, which is not JSON", "give a finite number")
 
--- a/tests/test_configuration_change.py
+++ b/tests/test_configuration_change.py
@@ -12,8 +12,13 @@
 from hypothesis import strategies as st
 
 from larchgw.configuration.change import CHANGE, REPLACE, apply_change, canonical, digest, evaluate
-from larchgw.configuration.errors import ConfigurationError, InvalidConfiguration, StaleConfiguration
-from larchgw.configuration.validation import parse
+from larchgw.configuration.errors import (
+    ConfigurationError,
+    InvalidConfiguration,
+    MalformedConfiguration,
+    StaleConfiguration,
+)
+from larchgw.configuration.validation import MOST_NESTED, parse
 
 CURRENT = parse(EXAMPLE)
 ADDED = {"name": "r-new", "hostname": "desk.example", "path_start": "/new/", "kind": "writing",
@@ -119,3 +124,31 @@
 def test_an_empty_change_changes_the_version_alone(raw: dict[str, Any]) -> None:
     number = raw["config_version"] + 1
     assert apply_change(raw, {"config_version": number}) == raw | {"config_version": number}
+
+
+def test_items_whose_names_are_no_text_are_passed_over_and_refuse_nothing() -> None:
+    current = parse({**EXAMPLE, "notes": [{"name": ["x"]}, {"name": {}}, 7]})
+    for order in (change(add={"notes": [{"name": "a"}]}), change(remove={"notes": ["a"]})):
+        assert evaluate(current, CHANGE, 7, order).raw["notes"][:3] == current.raw["notes"]
+
+
+def test_how_deep_an_order_may_nest_does_not_depend_on_how_deep_the_caller_is() -> None:
+    def nested(levels: int) -> bytes:
+        text = json.dumps({**EXAMPLE, "notes": 0})
+        return text.replace('"notes": 0', '"notes": ' + "[" * levels + "]" * levels).encode()
+
+    def below(frames: int, order: bytes) -> Any:
+        return below(frames - 1, order) if frames else evaluate(None, REPLACE, 0, order)
+
+    at_most = nested(MOST_NESTED - 1)  # the order itself is one level
+    assert evaluate(None, REPLACE, 0, at_most) == below(600, at_most)
+    for levels in (MOST_NESTED, 850, 100_000):
+        for frames in (0, 600):
+            with pytest.raises(MalformedConfiguration):
+                below(frames, nested(levels))
+
+
+def test_a_number_that_json_cannot_give_back_is_refused_in_any_field() -> None:
+    order = json.dumps({**EXAMPLE, "notes": 0}).replace('"notes": 0', '"notes": -1e999').encode()
+    with pytest.raises(MalformedConfiguration, match="1e999"):
+        evaluate(None, REPLACE, 0, order)
