Operator: no order is judged while another is undecided; X-Built-On is digits only

A call that ended early (its time-out, or the connection that passed it on) cancelled its coroutine while its proposal waited for copies, and the next order was judged and proposed on top of a state that did not hold it yet. Orders without X-Built-On could so be refused, and come into force later with their first proposal. An order now waits until the primary has decided everything it proposed (ReplicatedLog.settle), and is judged after that.

X-Built-On: -1 counted as not given, so that the order was taken on any version; 1_0 counted as 10; a number above 64 bits made passing the call on fail with a 500. All three are a 400 now.

A call that was passed on ran at the primary until its connection ended; it ends with its caller's patience. Patience is measured on the loop's clock, for tests in virtual time.

The scripted replication in test_control_operator.py gains the new call; no check was changed.

--- a/larchgw/control/http_api.py
+++ b/larchgw/control/http_api.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Sequence
 from typing import Any, Protocol
 
 import tornado.httpserver
 import tornado.web
 
+from ..configuration.change import NOT_GIVEN
+from ..configuration.records import LARGEST
 from ..directory.checkins import CheckinError
 from ..net.address import parse_address
 from .operator import Answer
 
 MAX_BODY_BYTES = 64 << 20  # a configuration of many thousand routes
+_VERSION = re.compile(r"[0-9]{1,19}")  # int() would also take "-1", "1_0" and digits of other scripts
 
 
 class ControlService(Protocol):
@@ -42,12 +46,19 @@
         return None
 
 
+def _built_on(text: str) -> int | None:
+    """The version in the header, NOT_GIVEN if it is left out, None where it can be no version."""
+    if not text:
+        return NOT_GIVEN
+    if _VERSION.fullmatch(text) is None or int(text) > LARGEST:
+        return None
+    return int(text)
+
+
 class _OperatorHandler(_Handler):
     async def call(self, operation: str) -> None:
-        text = self.request.headers.get("X-Built-On", "").strip()
-        try:
-            built_on = int(text) if text else -1
-        except ValueError:
+        built_on = _built_on(self.request.headers.get("X-Built-On", "").strip())
+        if built_on is None:
             self.answer(400, b'{"error": "X-Built-On: is no whole number; give the version it builds on"}')
             return
         answer = await self.service.operator_call(operation, built_on, self.request.body)
--- a/larchgw/control/operator.py
+++ b/larchgw/control/operator.py
@@ -36,7 +36,10 @@
 
 
 class Replication(Protocol):
-    """What this module needs of the replicated log. Both raise ReplicationUnavailable."""
+    """What this module needs of the replicated log. All raise ReplicationUnavailable."""
+
+    async def settle(self) -> None:
+        """Returns once no record that was proposed here is undecided."""
 
     async def confirm(self) -> None:
         """Returns once it is certain that we were the primary of the last view after this call began."""
@@ -75,6 +78,8 @@
             return unclear(str(error))
 
     async def _submit(self, order: Order) -> Answer:
+        # A call that ended early may have left a proposal behind: this very order, or one that it builds on.
+        await self.replication.settle()
         await self.replication.confirm()  # or a new primary may have taken it, and we do not know
         if self.state.taken(order):
             return self._accepted()
--- a/larchgw/control/operator_calls.py
+++ b/larchgw/control/operator_calls.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
+from collections.abc import Coroutine
+from typing import Any
 
 from ..replication.member import Member
 from ..rpc.errors import RpcError
@@ -18,6 +19,18 @@
 LOOK_S = 0.02  # how often it is looked for a primary while there is none
 
 
+def _patience(call: OperatorCall) -> float:
+    return LARGE_PATIENCE_S if len(call.body) > LARGE_BYTES else PATIENCE_S
+
+
+async def _in_time(call: OperatorCall, answer: Coroutine[Any, Any, Answer]) -> Answer:
+    try:
+        async with asyncio.timeout(_patience(call)):
+            return await answer
+    except TimeoutError:
+        return unclear("no primary answered in time")
+
+
 class OperatorCalls:
     """Serves a call here if this is the primary, else at the primary that is known here."""
 
@@ -28,19 +41,15 @@
         """One call; 503 where no primary gave a clear answer in time."""
         if len(body) > MAX_ORDER_BYTES:
             return too_large(len(body))
-        patience = LARGE_PATIENCE_S if len(body) > LARGE_BYTES else PATIENCE_S
-        until = time.monotonic() + patience
-        try:
-            async with asyncio.timeout(patience):
-                return await self._until_clear(OperatorCall(operation, built_on, body), until)
-        except TimeoutError:
-            return unclear("no primary answered in time")
+        call = OperatorCall(operation, built_on, body)
+        until = asyncio.get_running_loop().time() + _patience(call)
+        return await _in_time(call, self._until_clear(call, until))
 
     async def passed_on(self, call: OperatorCall) -> OperatorAnswer:
-        """A call that another process passes on."""
+        """A call that another process passes on; it ends when that one has given it up at the latest."""
         if not self._member.is_primary:
             return OperatorAnswer(503, b"", "")
-        answer = await self._serve(call)
+        answer = await _in_time(call, self._serve(call))
         return OperatorAnswer(answer.status, answer.body, self._member.id)
 
     async def _until_clear(self, call: OperatorCall, until: float) -> Answer:
@@ -49,7 +58,7 @@
             if self._member.is_primary:
                 answer = await self._serve(call)
             else:
-                answer = await self._pass_on(call, until - time.monotonic())
+                answer = await self._pass_on(call, until - asyncio.get_running_loop().time())
             if answer.status != 503:
                 return answer
             await asyncio.sleep(LOOK_S)
--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -53,6 +53,13 @@
         """The lease, while it is held here."""
         return self.member.lease(self._clock(), name)
 
+    async def settle(self) -> None:
+        """See operator.Replication. A backup's log may hold undecided records for ever, a primary's not."""
+        while self.member.is_primary and self.member.committed_index < self.member.last_index:
+            await asyncio.sleep(TICK_S)
+        if not self.member.is_primary:
+            raise ReplicationUnavailable(f"{self.member.id} is not primary")
+
     async def confirm(self) -> None:
         """See operator.Replication."""
         await self._call(self.member.confirm)
--- a/tests/test_control_http.py
+++ b/tests/test_control_http.py
@@ -54,6 +54,16 @@
         self.assertEqual(400, self.post("/Config.Change", b"{}", **{"X-Built-On": "five"}).code)
         self.assertEqual([], self.service.calls)
 
+    def test_what_only_pythons_int_takes_for_a_version_is_not_taken_for_one_or_for_none_given(self):
+        for text in ("-1", "+5", "1_0", "5,5", "5.0", "\xb2", "9" * 19, "9" * 5000):
+            self.assertEqual(400, self.post("/Config.Replace", b"{}", **{"X-Built-On": text}).code, text[:30])
+        self.assertEqual([], self.service.calls)
+
+    def test_a_version_may_have_zeros_in_front_and_be_as_large_as_versions_are(self):
+        self.post("/Config.Replace", **{"X-Built-On": "007"})
+        self.post("/Config.Replace", **{"X-Built-On": str(2**63 - 1)})
+        self.assertEqual([7, 2**63 - 1], [built_on for _, built_on, _ in self.service.calls])
+
     def test_what_the_service_refuses_or_leaves_unclear_is_answered_so(self):
         for status in (400, 412, 503):
             self.service.answer = Answer(status, b"{}")
--- a/tests/test_control_operator.py
+++ b/tests/test_control_operator.py
@@ -6,7 +6,9 @@
 import testtools
 
 from larchgw.control.operator import OperatorService, ReplicationUnavailable
+from larchgw.control.replicated_log import ReplicatedLog
 from larchgw.control.state import ConfigurationState, Order
+from larchgw.emulator import virtual_loop
 
 
 def configuration(version, path="/a/"):
@@ -27,9 +29,15 @@
         self.index = 0
         self.deposed = False
         self.answer_lost = False
+        self.copies_missing = False
+        self.undecided = []  # records without enough copies, whose callers wait or have given up
         self.before_confirm = lambda: None
         self.before_commit = lambda: None
 
+    async def settle(self):
+        while self.undecided:
+            await asyncio.sleep(0.02)
+
     async def confirm(self):
         await asyncio.sleep(0)
         self.before_confirm()
@@ -41,11 +49,19 @@
         if self.deposed:
             raise ReplicationUnavailable("another is primary")
         self.before_commit()
+        if self.copies_missing:
+            self.undecided.append(record)
+            await asyncio.Event().wait()
         self.commit(record)
         if self.answer_lost:
             raise ReplicationUnavailable("the view has changed")
         return self.index
 
+    def decide(self):
+        for record in self.undecided:
+            self.commit(record)
+        self.undecided = []
+
     def commit(self, record):
         self.index += 1
         self.state.apply(self.index, record)
@@ -117,6 +133,55 @@
         self.assertEqual([412], self.submit(replace(7, 5, "/x/")))
         self.assertEqual(6, self.state.version)
 
+    def test_no_order_is_judged_or_proposed_while_the_one_that_an_ended_call_left_is_undecided(self):
+        self.submit(replace(5, 0))
+        base = configuration(6)
+        base["services"].append({"name": "t"})
+        self.submit(Order("replace", 5, json.dumps(base).encode()))
+        route = {"name": "q", "hostname": "q.example", "path_start": "/", "kind": "writing",
+                 "deadline_ms": 1000, "service": "t", "tries": 1}
+        removal, return_, use = (Order("change", -1, json.dumps(body).encode()) for body in (
+            {"config_version": 7, "remove": {"services": ["t"]}},
+            {"config_version": 8, "add": {"services": [{"name": "t"}]}},
+            {"config_version": 9, "add": {"routes": [route]}}))
+
+        async def given_up(order):
+            try:
+                async with asyncio.timeout(0.85):
+                    return (await self.service.submit(order)).status
+            except TimeoutError:
+                return "no answer"
+
+        async def play():
+            self.replication.copies_missing = True
+            answers = [await given_up(order) for order in (removal, return_, use)]
+            self.assertEqual((["no answer"] * 3, 1), (answers, len(self.replication.undecided)))
+            self.replication.copies_missing = False
+            self.replication.decide()
+            return await given_up(use), self.state.taken(use), await given_up(return_), await given_up(use)
+
+        # Had all three been proposed, `use` would be refused after the first one and come into force later.
+        self.assertEqual((400, False, 200, 200), virtual_loop.run(play()))
+
+    def test_an_order_whose_call_ended_while_it_was_undecided_is_acknowledged_when_sent_again(self):
+        order = replace(5, 0)
+
+        async def play():
+            self.replication.copies_missing = True
+            first = asyncio.ensure_future(self.service.submit(order))
+            await asyncio.sleep(0.1)
+            first.cancel()
+            again = asyncio.ensure_future(self.service.submit(order))
+            other = asyncio.ensure_future(self.service.submit(replace(5, 0, "/x/")))
+            await asyncio.sleep(0.1)
+            self.assertFalse(again.done() or other.done())
+            self.replication.copies_missing = False
+            self.replication.decide()
+            return [(await call).status for call in (again, other)]
+
+        self.assertEqual([200, 412], virtual_loop.run(play()))
+        self.assertEqual(1, self.replication.index)
+
     def test_an_invalid_configuration_is_refused_and_not_proposed(self):
         body = configuration(5)
         body["routes"][0]["service"] = "unknown"
@@ -131,6 +196,37 @@
         self.assertEqual(503, asyncio.run(self.service.read()).status)
 
 
+class ScriptedMember:
+    id = "me"
+    is_primary = True
+    last_index = 3
+    committed_index = 2
+
+
+class SettleTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.member = ScriptedMember()
+        self.log = ReplicatedLog(self.member, ConfigurationState(), None, lambda: None)
+
+    def settled_after(self, **changes):
+        async def play():
+            waiting = asyncio.ensure_future(self.log.settle())
+            await asyncio.sleep(0.5)
+            self.assertFalse(waiting.done())
+            for name, value in changes.items():
+                setattr(self.member, name, value)
+            await waiting
+
+        virtual_loop.run(play())
+
+    def test_it_waits_until_the_last_record_of_this_primary_is_committed(self):
+        self.settled_after(committed_index=3)
+
+    def test_one_that_is_primary_no_more_cannot_tell(self):
+        self.assertRaises(ReplicationUnavailable, self.settled_after, is_primary=False)
+
+
 class ConfigurationStateTest(testtools.TestCase):
     def test_a_restored_state_knows_the_configuration_and_what_was_taken(self):
         state, other = ConfigurationState(), ConfigurationState()
--- a/tests/test_operator_calls.py
+++ b/tests/test_operator_calls.py
@@ -106,6 +106,20 @@
         self.assertLessEqual(seconds, PATIENCE_S + 0.001)
         self.assertLess(PATIENCE_S, 1.0)
 
+    def test_a_call_passed_on_ends_when_the_one_that_passed_it_on_has_given_it_up(self) -> None:
+        class SilentService:
+            async def submit(self, order: Any) -> Answer:
+                await asyncio.Event().wait()
+                raise AssertionError
+
+        async def timed() -> tuple[int, float]:
+            member = ScriptedMember(PRIMARY)
+            member.is_primary = True
+            answer = await calls(member, SilentService(), None).passed_on(OperatorCall("replace", 1, b"x"))
+            return answer.status, asyncio.get_running_loop().time()
+
+        self.assertEqual((503, PATIENCE_S), run(timed()))
+
     def test_a_call_passed_on_to_one_that_is_not_primary_comes_back_unclear_and_is_not_taken(self) -> None:
         service = ScriptedService(Answer(200))
         member = ScriptedMember(PRIMARY)
