Orders to runners: curl's silent repeat is ruled out, and a wait for a place ends before the lease does

Cause: libcurl sends a request again, unasked, where a reused connection ends before a byte of the answer came. An order may so reach its runner twice: the second answer (409, or no connection) was taken for a proof that the order had not been taken, and its load was struck off the weight store's budget. Orders also waited inside curl behind up to 64 silent reports, and could be sent after the lease's margin.

Change: each order has a new connection (FRESH_CONNECT); reports, which may be read twice, keep using old ones. Reports and orders together never exceed the client's places, orders wait for one of 64 in the service, ask for the lease again then, and count as not sent after 0.3 s.

--- a/larchgw/placement/orders.py
+++ b/larchgw/placement/orders.py
@@ -1,4 +1,8 @@
-"""POST /order and GET /report at runners, by Tornado's client over curl."""
+"""POST /order and GET /report at runners, by Tornado's client over curl.
+
+curl sends a request a second time, unasked, where a kept connection ends before a byte of its answer. The
+runner may have taken the first one: an order therefore always has a new connection. See docs/calls.md.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +10,7 @@
 import logging
 from typing import Any
 
+import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError, HTTPResponse
 
@@ -15,8 +20,8 @@
 
 CONNECT_TIMEOUT_S = 0.3
 REQUEST_TIMEOUT_S = 0.8
-MAX_CLIENTS = 64  # calls at once; curl queues more
-CURL_COULDNT_CONNECT = 7
+MOST_ORDERS = 64  # under way at once
+MOST_REPORTS = 64  # the same; a call above these would wait inside the client, past the time it was meant for
 
 _OUTCOMES = {200: OrderOutcome.ALREADY_HELD, 202: OrderOutcome.ACCEPTED, 409: OrderOutcome.CONFLICT,
              412: OrderOutcome.FENCED, 421: OrderOutcome.OTHER_RUNNER}
@@ -27,7 +32,7 @@
 
     def __init__(self, owner: str) -> None:
         self._owner = owner
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MOST_ORDERS + MOST_REPORTS)
 
     async def order(self, order: Order, fence: int) -> OrderOutcome:
         """Sends an order and tells what is known of its end. Raises nothing."""
@@ -52,12 +57,24 @@
 
     async def _call(self, runner: str, address: str, path: str, body: bytes | None = None) -> HTTPResponse:
         headers = {"X-Target-Runner": runner}
-        if body is not None:
+        is_order = body is not None
+        if is_order:
             headers["Content-Type"] = "application/json"
         return await self._client.fetch(
-            f"http://{address}{path}", method="GET" if body is None else "POST", headers=headers, body=body,
+            f"http://{address}{path}", method="POST" if is_order else "GET", headers=headers, body=body,
             raise_error=False, follow_redirects=False, connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=REQUEST_TIMEOUT_S)
+            request_timeout=REQUEST_TIMEOUT_S,
+            prepare_curl_callback=_on_new_connection if is_order else _on_any_connection)
+
+
+def _on_new_connection(curl: pycurl.Curl) -> None:
+    """No kept connection, so that curl has no reason to send it again."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _on_any_connection(curl: pycurl.Curl) -> None:
+    """Kept connections too: a report may be read twice. Handles are used again, with what was set on them."""
+    curl.setopt(pycurl.FRESH_CONNECT, 0)
 
 
 def encode_order(order: Order, owner: str, fence: int) -> bytes:
@@ -92,4 +109,4 @@
 
 def _failure(error: Exception) -> OrderOutcome:
     errno = getattr(error, "errno", None)
-    return OrderOutcome.UNSENT if errno == CURL_COULDNT_CONNECT else OrderOutcome.UNKNOWN
+    return OrderOutcome.UNSENT if errno == pycurl.E_COULDNT_CONNECT else OrderOutcome.UNKNOWN
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -26,6 +26,7 @@
 from .ceiling import LoadCeiling
 from .demand import Demand, DemandReportLike
 from .model import Order, OrderOutcome, PlacementSettings, RunnerReport
+from .orders import MOST_ORDERS
 from .planner import Planner
 from .reconciler import MOST_POLLS, Reconciler
 from .state import RunnerState
@@ -37,6 +38,7 @@
 CALM_PERIOD_S = 0.25
 PLAN_SHARE = 0.1  # of the time at most is spent on planning, however large the deployment
 LEARN_S = 0.5  # after taking the lease: most runners have answered by then, and load choices see them all
+ORDER_WAIT_S = 0.3  # for a place among the orders under way; later, it is planned anew
 GONE = -1.0  # published instead of a time: it is being unloaded
 
 
@@ -115,6 +117,7 @@
         self._held_since = math.inf
         self._published: dict[str, dict[str, float]] = {}
         self._asked: set[str] = set()  # runners whose reports are awaited
+        self._places = asyncio.Semaphore(MOST_ORDERS)
 
     # ---- News ----
 
@@ -236,11 +239,16 @@
             self._reconciler.report(self._clock(), state.id, report)
 
     async def _order(self, order: Order, fence: int) -> None:
-        lease = self._lease()
-        if lease is None or lease.fence != fence:
-            return
-        logger.info("order runner=%s %s %s", order.runner, order.action, order.name)
-        outcome = await self._runtime.calls.order(order, fence)
+        planned_at = self._clock()
+        async with self._places:
+            lease = self._lease()  # asked for again: it may have ended while this waited
+            if lease is None or lease.fence != fence:
+                return
+            if self._clock() - planned_at > ORDER_WAIT_S:
+                outcome = OrderOutcome.UNSENT
+            else:
+                logger.info("order runner=%s %s %s", order.runner, order.action, order.name)
+                outcome = await self._runtime.calls.order(order, fence)
         if fence != self._fence:
             return
         if outcome is OrderOutcome.FENCED:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Placement of models: what an order may never do, and what demand must get, against scripted runners."""
 
+import asyncio
 import random
 from dataclasses import replace
 
@@ -23,7 +24,7 @@
     PlacementSettings,
     RunnerReport,
 )
-from larchgw.placement.orders import decode_report, encode_order, outcome_of
+from larchgw.placement.orders import MOST_ORDERS, decode_report, encode_order, outcome_of
 from larchgw.placement.planner import RESIDENCE_S, Planner
 from larchgw.placement.reconciler import LAST_POLL_S, REST_S, UNANSWERED_S, Reconciler
 from larchgw.placement.service import GONE, PlacementRuntime, PlacementService
@@ -532,6 +533,34 @@
     assert sent and max(sent) <= 5.0 - runtime.settings.order_timeout_s
 
 
+def test_an_order_that_waited_for_a_place_until_the_lease_was_lost_is_not_sent():
+    """Runners that stay silent hold all places; when one is free, another placer may have ordered."""
+    sent, lease = [], [HeldLease(1, 99.0)]
+
+    class Silent(Calls):
+        async def order(self, order, fence):
+            sent.append(order)
+            await released.wait()
+            return OrderOutcome.UNKNOWN
+
+    async def play():
+        service = PlacementService(runtime)
+        tasks = [asyncio.ensure_future(service._order(load("m", f"r{number}"), 1))
+                 for number in range(MOST_ORDERS + 1)]
+        service.step()
+        await asyncio.sleep(0)
+        assert len(sent) == MOST_ORDERS
+        lease[0] = None
+        released.set()
+        await asyncio.gather(*tasks)
+
+    released = asyncio.Event()
+    world = World(deployment([rare(names(0, 20), 0.2)], models=20, seconds=9.0), 1)
+    runtime = PlacementRuntime(lambda: world.now, lambda: lease[0], Silent(world), spawn=run_at_once)
+    asyncio.run(play())
+    assert len(sent) == MOST_ORDERS
+
+
 def test_a_placer_that_a_runner_has_refused_for_a_newer_one_orders_nothing_more():
     sent = []
 
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import struct
 
 import pytest
 
@@ -81,3 +82,90 @@
 def test_another_runner_at_the_address_gives_no_report():
     runner = Runner(421, b'{"models":[],"occupied":false,"call_count":2}')
     assert asyncio.run(runner.serve(lambda client, address: client.report("i-7", address))) is None
+
+
+class KeepingRunner:
+    """Keeps its connections, and answers each call as `script` says of it: with bytes, or by a reset."""
+
+    def __init__(self, *script, closes=False):
+        self.script, self.seen, self.closes = list(script), [], closes
+
+    async def serve(self, call):
+        async def answer(reader, writer):
+            try:
+                while True:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                    fields = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if line)
+                    body = await reader.readexactly(int(fields.get("content-length", 0)))
+                    self.seen.append((head.split()[1], body))
+                    step = self.script.pop(0) if self.script else "reset"
+                    if step == "reset":
+                        sock = writer.get_extra_info("socket")
+                        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                        writer.transport.abort()
+                        return
+                    if step == "close":
+                        return
+                    writer.write(step)
+                    if self.closes:
+                        return
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        client = OrderClient("control-1")
+        try:
+            return await call(client, "{}:{}".format(*server.sockets[0].getsockname()))
+        finally:
+            client.close()
+            server.close()
+
+
+REPORT = b'{"models":[],"occupied":false,"call_count":2}'
+
+
+def answered(status, body=b""):
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+
+
+@pytest.mark.parametrize("end", ["reset", "close"])
+def test_an_order_whose_connection_ends_without_an_answer_is_never_sent_again_by_curl(end):
+    """A report has left a connection that curl may take; what ends there without a byte, curl sends anew."""
+    async def call(client, address):
+        assert await client.report("i-7", address) is not None
+        return await client.order(order_at(address), 41)
+
+    runner = KeepingRunner(answered(200, REPORT), end, answered(409))
+    assert asyncio.run(runner.serve(call)) is OrderOutcome.UNKNOWN
+    assert [path for path, _ in runner.seen] == ["/report", "/order"]
+
+
+def test_a_report_is_read_again_on_a_new_connection_where_a_kept_one_ends():
+    async def call(client, address):
+        await client.report("i-7", address)
+        return await client.report("i-7", address)
+
+    runner = KeepingRunner(answered(200, REPORT), "reset", answered(200, REPORT))
+    assert asyncio.run(runner.serve(call)) is not None
+    assert len(runner.seen) == 3
+
+
+def test_a_surplus_answer_behind_a_report_is_not_taken_for_that_of_an_order():
+    async def call(client, address):
+        await client.report("i-7", address)
+        return await client.order(order_at(address), 41)
+
+    runner = KeepingRunner(answered(200, REPORT) + answered(202), answered(409))
+    assert asyncio.run(runner.serve(call)) is OrderOutcome.CONFLICT
+
+
+@pytest.mark.parametrize("answer", [b"HTTP/1.1 202 X\r\nContent-Length: 9\r\n\r\nhalf",
+                                    b"\0 no answer\r\n\r\n",
+                                    b"HTTP/1.1 202 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nha"])
+def test_an_order_whose_answer_is_not_whole_may_have_been_taken(answer):
+    async def call(client, address):
+        return await client.order(order_at(address), 41)
+
+    assert asyncio.run(KeepingRunner(answer, closes=True).serve(call)) is OrderOutcome.UNKNOWN
