Nothing is acknowledged or first served without proven contact with a majority of the witnesses

Cause: a cut-off control process acknowledged check-ins that were not urgent and named itself as `beat_to`; it acknowledged drains and Leaves whatever the handoff came to, and took the stage of after the handoff for replicated; it counted as in contact for 1.3 s after each start, by answers to calls that had begun long ago, and without any view; as a standby it counted itself among the witnesses. An edge took the configuration of a process that said that it was cut off.

Change: control/contact.py judges by pulls that were answered in full, by their begin, and by the quorum of the view (both sets while they change); pulls between control processes wait 0.25 s at most and go to the witnesses also while membership takes them for lost. control/checkins.py acknowledges in proven contact only, drains and Leaves once a majority has the entry; the handoff stops waiting then, and goes on with the rest behind. A process that is cut off calls nobody silent whom it turns away. An edge takes the runners alone from a cut-off process, or from an answer that lay unread longer than a pull may take, and claims nothing by it.

Tests: test_contact.py takes the place of test_isolation.py, whose case of a start that counts as contact was the fault itself; test_directory.py names the stage that was replicated; test_distribution_puller.py now demands that a cut-off process's configuration is not taken.

--- /dev/null
+++ b/larchgw/control/checkins.py
@@ -0,0 +1,62 @@
+"""Which check-ins and Leaves of runners are acknowledged."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from ..directory.checkins import parse_checkin
+from ..directory.directory import CheckinOutcome, Directory
+from ..distribution.interface import RUNNER
+from ..distribution.registry import Registry
+from ..rpc.generated.ttypes import Entry
+from .contact import MajorityContact
+
+HANDOFF_TIMEOUT_S = 0.4  # a runner waits a second for its acknowledgement
+
+
+class Replicator(Protocol):
+    """Brings entries to the other control processes; distribution.handoff.Handoff is the real one."""
+
+    async def replicate(self, entries: Sequence[Entry], timeout: float,
+                        enough: Callable[[set[str]], bool]) -> set[str]:
+        """The processes that have the entries, as soon as these are enough, at the latest after `timeout`."""
+
+
+class RunnerCheckins:
+    """Records every check-in, and acknowledges it only in proven contact with a majority of the witnesses.
+
+    A runner that is not acknowledged calls another process. What it said is kept all the same, so that edges
+    that can reach no other process than this one know the runner. That a runner drains or has left is at a
+    majority of the witnesses before it is acknowledged: each control process that edges may pull from then
+    knows it within HEARD_WITHIN_S (contact.py).
+    """
+
+    def __init__(self, directory: Directory, registry: Registry, contact: MajorityContact,
+                 replicator: Replicator) -> None:
+        self._directory, self._registry = directory, registry
+        self._contact, self._replicator = contact, replicator
+
+    async def checkin(self, runner: str, body: bytes) -> bool:
+        """See http_api.ControlService."""
+        return await self._acknowledge(runner, self._directory.checkin(parse_checkin(runner, body)))
+
+    async def leave(self, runner: str) -> bool:
+        """See http_api.ControlService."""
+        return await self._acknowledge(runner, self._directory.leave(runner))
+
+    async def _acknowledge(self, runner: str, outcome: CheckinOutcome) -> bool:
+        if self._contact.isolated():
+            return False
+        return not outcome.urgent or await self._replicate(runner)
+
+    async def _replicate(self, runner: str) -> bool:
+        entry = self._registry.get(RUNNER + runner)
+        record = self._directory.get(runner)
+        if entry is None or record is None:
+            return False
+        enough = self._contact.is_majority
+        if not enough(await self._replicator.replicate([entry], HANDOFF_TIMEOUT_S, enough)):
+            return False
+        self._directory.replicated(runner, record.stage)
+        return True
--- a/larchgw/control/contact.py
+++ b/larchgw/control/contact.py
@@ -1,10 +1,26 @@
-"""Proof of contact with a majority of the witnesses, which a control process needs before it serves."""
+"""Proof of contact with a majority of the witnesses, which a control process needs before it serves.
+
+The proof is an answered pull. A pull that began at T and whose reply left nothing more to send shows two
+things: the other process ran after T, and everything it knew at T is known here. So a process that is not
+isolated at a time U knows every entry that a majority of the witnesses held HEARD_WITHIN_S before U, because
+two majorities have a member in common. What counts is the begin of the pull, not the arrival of its answer:
+an answer may have been held up by a cut, or lain unread while this process was frozen.
+
+While no majority can reach one another anywhere, every control process is isolated. Runners are then turned
+away by all of them and go round; what they report is kept and reaches the edges near them, which go on with
+the configuration that they have. Nothing is acknowledged until a majority is back.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Collection
+import time
+from collections.abc import Callable, Collection
 from typing import Protocol
 
+from ..replication.view import View
+
+HEARD_WITHIN_S = 1.3  # two pulls between control processes wait 0.25 s each; the rest is for lost segments
+
 
 class MajorityContact(Protocol):
     """What a control process knows of its own contact with the others."""
@@ -16,3 +32,43 @@
     def is_majority(self, addresses: Collection[str]) -> bool:
         """Whether the processes at these rpc addresses, with this one, are a majority of the witnesses; of
         the former set too while the set is being changed."""
+
+
+class PullContact:
+    """Judges by the pulls from the other witnesses.
+
+    `me` is the identity of this member, `view` gives the last view that it has accepted, `proven_at` the time
+    of `clock` at which the last pull from an address began that was answered in full, or None.
+    """
+
+    def __init__(self, me: str, view: Callable[[], View | None], proven_at: Callable[[str], float | None],
+                 clock: Callable[[], float] = time.monotonic) -> None:
+        self._me, self._view, self._proven_at, self._clock = me, view, proven_at, clock
+
+    def isolated(self) -> bool:
+        """See MajorityContact. A process that knows no view does not know who decides, and is isolated."""
+        view = self._view()
+        return view is None or not self._has_quorum(view, self._is_proven)
+
+    def is_majority(self, addresses: Collection[str]) -> bool:
+        """See MajorityContact."""
+        view = self._view()
+        return view is not None and self._has_quorum(view, lambda address: address in addresses)
+
+    def _has_quorum(self, view: View, counts: Callable[[str], bool]) -> bool:
+        """`counts` is never true of the own address: this process counts by its identity, since one whose
+        disk was lost is no witness any more, though its address is that of one."""
+        return view.has_quorum([name for name in view.electors
+                                if name == self._me or counts(view.addresses[name])])
+
+    def _is_proven(self, address: str) -> bool:
+        began = self._proven_at(address)
+        return began is not None and self._clock() - began <= HEARD_WITHIN_S
+
+
+def other_witnesses(view: View | None, own_address: str) -> list[str]:
+    """Rpc addresses of the other processes whose agreement may count."""
+    if view is None:
+        return []
+    addresses = dict.fromkeys(view.addresses[name] for name in view.electors)
+    return [address for address in addresses if address != own_address]
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -10,8 +10,7 @@
 from ..configuration.errors import SettingsError
 from ..configuration.packing import pack
 from ..configuration.settings import NodeSettings
-from ..directory.checkins import parse_checkin
-from ..directory.directory import CheckinOutcome, Directory
+from ..directory.directory import Directory
 from ..distribution.handoff import Handoff
 from ..distribution.interface import CONFIGURATION, EXPECTED, RUNNER
 from ..distribution.peers import PeerPullers
@@ -44,8 +43,9 @@
 from ..runtime.tasks import Tasks
 from ..storage.files import DiskFiles
 from . import http_api
+from .checkins import RunnerCheckins
+from .contact import PullContact, other_witnesses
 from .disk import ControlDisk
-from .isolation import Isolation
 from .operator import Answer, OperatorService
 from .operator_calls import OperatorCalls
 from .owners import is_watched, owner_name
@@ -57,7 +57,6 @@
 log = logging.getLogger(__name__)
 PLACER_LEASE = "placer"
 DIRECTORY_TICK_S = 0.25
-HANDOFF_TIMEOUT_S = 0.4  # a runner waits a second for its acknowledgement
 CONTACTS_TICK_S = 0.2
 PUBLISH_AFTER_S = 0.5  # after which a backup publishes a configuration that the primary has not
 RESERVE_TICK_S = 1.0  # compactions are at least some seconds apart
@@ -83,14 +82,15 @@
         self.member = self._make_member()
         self.replicated = ReplicatedLog(self.member, self.state, self.clients, self._configuration_changed)
         self.operator = OperatorCalls(self.member, OperatorService(self.state, self.replicated), self.clients)
-        pull_settings = PullSettings.of(settings.time_limits)
-        self.peers = PeerPullers(self.registry, RpcClient, self._peers, pull_settings, self._dice,
-                                 node_name=settings.node_name)
-        self.isolation = Isolation(self.peers.last_answered, self._electorate)
-        self.pulls = PullService(self.registry, self.isolation.isolated, self._control_addresses)
-        self.handoff = Handoff(RpcClient, self._peers, node_name=settings.node_name)
+        pull_settings = PullSettings.of(settings.time_limits).between_control()
+        self.peers = PeerPullers(self.registry, RpcClient, self._peers_and_witnesses, pull_settings,
+                                 self._dice, node_name=settings.node_name)
+        self.contact = PullContact(self.member.id, lambda: self.member.view, self.peers.proven_at)
+        self.pulls = PullService(self.registry, self.contact.isolated, self._control_addresses)
+        self.handoff = Handoff(RpcClient, self._peers_and_witnesses, node_name=settings.node_name)
         self.directory = Directory(self.registry, time.monotonic, settings.beat_ms / 1000.0, self._owner(),
                                    self._owner_lives)
+        self.checkins = RunnerCheckins(self.directory, self.registry, self.contact, self.handoff)
         self._serial = 0
 
     # ---- Start and end ----
@@ -109,7 +109,7 @@
         self._http = http_api.serve(self, settings.listen.control,
                                     http_status.rules(status.as_json, status.metrics))
         self.tasks.every("replication", TICK_S, self.replicated.tick)
-        self.tasks.every("directory", DIRECTORY_TICK_S, lambda: self.directory.tick(time.monotonic()))
+        self.tasks.every("directory", DIRECTORY_TICK_S, self._tick_directory)
         self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
         self.tasks.every("reserve", RESERVE_TICK_S, self.disk.keep_reserve)
         self.tasks.start("peers", self.peers.run)
@@ -140,23 +140,11 @@
 
     async def checkin(self, runner: str, body: bytes) -> bool:
         """See http_api.ControlService."""
-        return await self._acknowledge(runner, self.directory.checkin(parse_checkin(runner, body)))
+        return await self.checkins.checkin(runner, body)
 
     async def leave(self, runner: str) -> bool:
         """See http_api.ControlService."""
-        return await self._acknowledge(runner, self.directory.leave(runner))
-
-    async def _acknowledge(self, runner: str, outcome: CheckinOutcome) -> bool:
-        """What must not be missed is at the other control processes first."""
-        if not outcome.urgent:
-            return True
-        if self.isolation.isolated():
-            return False
-        entry = self.registry.get(RUNNER + runner)
-        if entry is not None:
-            await self.handoff.replicate([entry], HANDOFF_TIMEOUT_S)
-            self.directory.replicated(runner)
-        return True
+        return await self.checkins.leave(runner)
 
     # ---- What is published ----
 
@@ -187,6 +175,9 @@
         if record is not None:
             self.placement.see_runner(record)
 
+    def _tick_directory(self) -> None:
+        self.directory.tick(time.monotonic(), self.contact.isolated())
+
     # ---- Other control processes ----
 
     def _processes(self) -> list[Process]:
@@ -199,11 +190,9 @@
     def _control_addresses(self) -> list[str]:
         return [self.address, *self._peers()]
 
-    def _electorate(self) -> set[str]:
-        """Rpc addresses of the other processes whose majority decides."""
-        view = self.member.view
-        addresses = {view.addresses[name] for name in view.witnesses} if view is not None else set()
-        return addresses - {self.address}
+    def _peers_and_witnesses(self) -> list[str]:
+        """The peers, and the witnesses also while membership takes them for lost: they decide on contact."""
+        return list(dict.fromkeys([*self._peers(), *other_witnesses(self.member.view, self.address)]))
 
     def _tell_contacts(self) -> None:
         """The member asks these to be taken in, and the election goes on among them."""
@@ -216,7 +205,7 @@
         return owner_name(self.address, self._life)
 
     def _owner_lives(self, owner: str) -> bool:
-        if self.isolation.isolated():
+        if self.contact.isolated():
             return True
         return is_watched(owner, self.address, self._processes())
 
@@ -244,5 +233,5 @@
     def _make_status(self) -> StatusService:
         return StatusService(StatusSources(
             node_name=self.settings.node_name, member=self.member, state=self.state, swim=self.swim,
-            registry=self.registry, directory=self.directory, disk=self.disk, isolation=self.isolation,
+            registry=self.registry, directory=self.directory, disk=self.disk, contact=self.contact,
             placement=self.placement.summary))
--- a/larchgw/control/status.py
+++ b/larchgw/control/status.py
@@ -17,8 +17,8 @@
 from ..replication.member import Member
 from ..replication.view import View
 from ..rpc.generated import ttypes
+from .contact import MajorityContact
 from .disk import ControlDisk
-from .isolation import Isolation
 from .state import ConfigurationState
 
 
@@ -33,7 +33,7 @@
     registry: Registry
     directory: Directory
     disk: ControlDisk
-    isolation: Isolation
+    contact: MajorityContact
     placement: Callable[[], PlacementSummary | None]
 
 
@@ -60,7 +60,7 @@
         return ttypes.ControlStatus(
             node_name=sources.node_name, identity=sources.member.id, role=_role(sources.member, view),
             view=_view(view), config_version=sources.state.version,
-            committed_index=sources.member.committed_index, isolated=sources.isolation.isolated(),
+            committed_index=sources.member.committed_index, isolated=sources.contact.isolated(),
             processes=[_process(process) for process in self._processes()], placer=placer,
             placer_fence=fence, runners=dict(stages), disk=sources.disk.status())
 
--- a/larchgw/directory/directory.py
+++ b/larchgw/directory/directory.py
@@ -16,7 +16,9 @@
     heard. When an owner is lost, every other process gives its runners as long again to check in elsewhere,
     then publishes them as SILENT.
 
-    A pause of this process itself (freeze) is no silence of the runners: clocks stand still over it.
+    A pause of this process itself (freeze) is no silence of the runners: clocks stand still over it. Neither
+    is a time in which it is cut off from the majority, since the runners that it turns away then are heard by
+    others.
 """
 
 from __future__ import annotations
@@ -41,8 +43,8 @@
 class CheckinOutcome:
     """What a check-in or Leave changed.
 
-    Urgent: the runner drains or is gone, and nobody has said by `Directory.replicated` that the other control
-    processes have that; they must, before it is acknowledged.
+    Urgent: the runner drains or is gone, and nobody has said by `Directory.replicated` that a majority of the
+    control processes has that; it must, before it is acknowledged.
     """
 
     news: bool
@@ -129,17 +131,20 @@
         gone = replace(record, stage=Stage.GONE, models=(), owner=self.owner)
         return self._outcome(id, self._publish(gone))
 
-    def replicated(self, id: str) -> None:
-        """The other control processes have what stands for the runner; saying it again is not urgent."""
-        record = self._records.get(id)
-        if record is not None:
-            self._replicated[id] = record.stage
-
-    def tick(self, now: float) -> None:
-        """Publishes runners as silent and forgets old ones; to be called several times a beat."""
+    def replicated(self, id: str, stage: Stage) -> None:
+        """A majority of the control processes knows that the runner has come to `stage`; saying it again is
+        not urgent. A later stage may have come meanwhile, and still is.
+        """
+        if id in self._records:
+            self._replicated[id] = stage
+
+    def tick(self, now: float, isolated: bool = False) -> None:
+        """Publishes runners as silent and forgets old ones; to be called several times a beat. `isolated`:
+        this process turns runners away now.
+        """
         pause = now - self._last_tick
         self._last_tick = now
-        if pause > self._beat_s:
+        if isolated or pause > self._beat_s:
             self._stand_still(pause)
         self._mark_silent(now)
         self._watch_owners(now)
@@ -193,7 +198,7 @@
             del self._by_owner[old.owner]
 
     def _stand_still(self, seconds: float) -> None:
-        """This process did not run for that long: what it did not hear then, it could not hear."""
+        """This process did not run, or turned runners away, for that long: their silence means nothing."""
         for beat in self._beats.values():
             beat.heard_at += seconds
         self._lost = {owner: since + seconds for owner, since in self._lost.items()}
--- a/larchgw/directory/interface.py
+++ b/larchgw/directory/interface.py
@@ -7,10 +7,11 @@
         .checkin(record) -> CheckinOutcome(news: bool, urgent: bool)     urgent: draining or gone for the
             first time
         .leave(id) -> CheckinOutcome
-        .tick(now)                                                      marks runners silent, forgets old ones
+        .tick(now, isolated)     marks runners silent, forgets old ones; while this process is cut off nobody
+            turns silent
         .runners(service=None) -> list[RunnerRecord]                    all that are not gone
         .get(id) -> RunnerRecord | None
-        .replicated(id)     the other control processes have what stands: saying it again is not urgent
+        .replicated(id, stage)     a majority knows that stage: saying it again is not urgent
     view.RunnerView(registry)                                           at a dispatcher: records by id and
         by service
         .by_service(name) -> dict[id, RunnerRecord];  .holders(service, model, adapter) -> list[RunnerRecord]
--- a/larchgw/distribution/handoff.py
+++ b/larchgw/distribution/handoff.py
@@ -1,6 +1,7 @@
-"""Hinted handoff: urgent entries are at the other control processes before they are acknowledged.
+"""Hinted handoff: urgent entries are at other control processes before they are acknowledged.
 
-`replicate` pushes entries to every peer and tells which of them have it. What a peer did not take is kept as
+`replicate` pushes entries to every peer and tells which of them have it, without waiting for the slowest once
+those are enough. What a peer did not take is kept as
 a hint and handed over by `run` when the peer takes calls again, a batch at a time. Hints shorten the time
 until a returning peer knows what is urgent; nothing rests on them alone, since peers also pull from one
 another.
@@ -36,16 +37,23 @@
         self._peers = peers
         self._node_name = node_name
         self._callers: dict[str, Caller] = {}
+        self._under_way: set[asyncio.Task[bool]] = set()
         self.hints = Hints(most_hints)
 
-    async def replicate(self, entries: Sequence[Entry], timeout: float) -> set[str]:
-        """The peers that have the entries, once all have answered or after `timeout` seconds."""
-        peers = list(self._peers())
-        taken = await asyncio.gather(*(self._push(peer, entries, timeout) for peer in peers))
-        missed = [peer for peer, took in zip(peers, taken, strict=True) if not took]
-        for peer in missed:
-            self.hints.keep(peer, entries)
-        return set(peers).difference(missed)
+    async def replicate(self, entries: Sequence[Entry], timeout: float,
+                        enough: Callable[[set[str]], bool] = lambda taken: False) -> set[str]:
+        """The peers that have the entries, once `enough` says so of them, all have answered, or after
+        `timeout` seconds. The others are pushed to meanwhile and, should that fail, get a hint.
+        """
+        pushes = {asyncio.ensure_future(self._push_or_keep(peer, entries, timeout)): peer
+                  for peer in self._peers()}
+        self._under_way.update(pushes)
+        taken: set[str] = set()
+        waiting = set(pushes)
+        while waiting and not enough(taken):
+            done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            taken.update(pushes[push] for push in done if push.result())
+        return taken
 
     async def run(self) -> None:
         """Hands hints over until it is cancelled."""
@@ -65,7 +73,9 @@
         await asyncio.gather(*(self._hand_to(peer) for peer in waiting))
 
     def close(self) -> None:
-        """Ends the connections."""
+        """Ends the connections, and pushes that are under way."""
+        for push in list(self._under_way):
+            push.cancel()
         for caller in self._callers.values():
             caller.close()
         self._callers.clear()
@@ -77,6 +87,16 @@
             self.hints.delivered(peer, batch)
             await asyncio.sleep(PACE_S)
 
+    async def _push_or_keep(self, peer: str, entries: Sequence[Entry], timeout: float) -> bool:
+        task = asyncio.current_task()
+        try:
+            taken = await self._push(peer, entries, timeout)
+        finally:
+            self._under_way.discard(task)  # type: ignore[arg-type]  # we run as one of these
+        if not taken:
+            self.hints.keep(peer, entries)
+        return taken
+
     async def _push(self, peer: str, entries: Sequence[Entry], timeout: float) -> bool:
         if peer not in self._callers:
             self._callers[peer] = self._connect(peer)
--- a/larchgw/distribution/interface.py
+++ b/larchgw/distribution/interface.py
@@ -27,7 +27,9 @@
     puller.Puller(registry, connect, addresses, PullSettings.of(time_limits), random, ...).run()
         at a dispatcher; .last_heard, .source
     peers.PeerPullers(registry, connect, peers, settings, random).run()     at a control process
-    handoff.Handoff(connect, peers).replicate(entries, timeout) -> set of peers that have them;  .run()
+        .proven_at(address)     begin of the last pull from there that was answered in full
+    handoff.Handoff(connect, peers).replicate(entries, timeout, enough) -> set of peers that have them
+        .run()      hands over what peers missed
     vectors.new_origin(node_name, random) -> str        a name for this life of the process
 """
 
--- a/larchgw/distribution/peers.py
+++ b/larchgw/distribution/peers.py
@@ -50,10 +50,11 @@
             if address not in self._tasks or self._tasks[address].done():
                 self._start(address)
 
-    def last_answered(self, address: str) -> float | None:
-        """When that peer last answered, by the clock; also if it was cut off from the majority itself."""
+    def proven_at(self, address: str) -> float | None:
+        """When the last pull from that peer began that was answered in full; also if the peer was cut off
+        from the majority itself."""
         puller = self._pullers.get(address)
-        return puller.last_answered if puller is not None else None
+        return puller.proven_at if puller is not None else None
 
     def _start(self, address: str) -> None:
         puller = Puller(self._registry, self._connect, lambda: [address], self._settings, self._dice,
--- a/larchgw/distribution/puller.py
+++ b/larchgw/distribution/puller.py
@@ -1,8 +1,9 @@
 """The asking side of pulls: keeps a registry up to date from one control process at a time.
 
 A pull waits at the control process for news. A process that errs, stays silent longer than the settings allow
-or says that it is cut off from the majority is left for another at once; what a cut-off process sends is
-merged all the same, since merging never takes anything back.
+or says that it is cut off from the majority is left for another at once. Of what a cut-off process sends an
+edge takes the runners alone: its configuration may be an old one, and an edge that knows none yet would begin
+to serve with it. Control processes take all from one another, since merging never takes anything back.
 """
 
 from __future__ import annotations
@@ -78,7 +79,9 @@
                  clock: Callable[[], float] = time.monotonic) -> None:
         self.registry = registry
         self.last_heard: float | None = None  # by `clock`: the last answer of a process that is not cut off
-        self.last_answered: float | None = None  # by `clock`: the last answer, also of one that is cut off
+        # By `clock`: begin of the last pull that was answered in full, also by one that is cut off. All that
+        # the process held then has been merged.
+        self.proven_at: float | None = None
         self.changes = 0  # of the process pulled from
         self._connect = connect
         self._addresses = addresses
@@ -117,6 +120,7 @@
         if source.pause > 0.0:
             await asyncio.sleep(source.pause)
         session = self._open(source.address)
+        began = self._clock()
         try:
             reply = await self._pull(session)
         except RpcError as error:
@@ -124,18 +128,36 @@
             self._choice.failed(source.address)
             self._leave()
             return
-        self._take(session, reply)
+        if self._only_source and not self._is_current(reply, began):
+            self._take_from_cut_off(session, reply)
+            return
+        self._take(session, reply, began)
         await self._return_entries(session)
 
     async def _pull(self, session: _Session) -> PullReply:
         request = PullRequest(node_name=self._node_name, have=self.registry.vector() | session.cursors,
                               wait_ms=round(self._settings.wait_s * 1000.0), prefixes=self._prefixes)
-        timeout = self._settings.wait_s + self._settings.silence_s
-        return await session.caller.call("pull", request, timeout)
+        return await session.caller.call("pull", request, self._timeout)
+
+    @property
+    def _timeout(self) -> float:
+        return self._settings.wait_s + self._settings.silence_s
+
+    def _is_current(self, reply: PullReply, began: float) -> bool:
+        """Whether its sender was in contact with the majority, and that so lately that it still holds."""
+        return not reply.isolated and self._clock() - began <= self._timeout
+
+    def _take_from_cut_off(self, session: _Session, reply: PullReply) -> None:
+        """Takes the runners. Nothing is claimed, so that what is left out is sent again."""
+        self.registry.merge([entry for entry in reply.entries or [] if entry.key.startswith(RUNNER)])
+        self._choice.failed(session.address)
+        self._leave()
 
-    def _take(self, session: _Session, reply: PullReply) -> None:
-        now = self.last_answered = self._clock()
+    def _take(self, session: _Session, reply: PullReply, began: float) -> None:
+        now = self._clock()
         self._merge(reply)
+        if not reply.more:
+            self.proven_at = began
         if session.read(reply) and self._returns:
             session.returns_at = now + self._settings.return_after_s * self._dice.uniform(1.0, 1.5)
         if self._only_source and reply.control:
@@ -156,7 +178,7 @@
         if reply.more:
             return
         self.registry.advance(reply.upto or {})
-        if self._resync.under_way and not reply.isolated:
+        if self._resync.under_way:
             self._resync.finish()
 
     def _stale(self, now: float) -> bool:
--- a/larchgw/distribution/sources.py
+++ b/larchgw/distribution/sources.py
@@ -6,12 +6,14 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..configuration.settings import TimeLimits
 
 WAIT_SHARE = 0.25  # of the time within which news must be in force: how long one pull waits
 SILENCE_SHARE = 0.35  # of that time: how much longer than the wait an answer may take
+PEER_WAIT_S = 0.25  # the longest wait between control processes, whose pulls prove contact (contact.py)
+PEER_BACKOFF_S = 0.25  # the longest pause before one that did not answer is asked again
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +35,10 @@
         bound = min(limits.apply_ms, limits.drain_end_ms) / 1000.0
         return cls(wait_s=WAIT_SHARE * bound, silence_s=SILENCE_SHARE * bound)
 
+    def between_control(self) -> PullSettings:
+        """For pulls of one control process from another."""
+        return replace(self, wait_s=min(self.wait_s, PEER_WAIT_S), last_backoff_s=PEER_BACKOFF_S)
+
 
 @dataclass(frozen=True, slots=True)
 class Source:
--- /dev/null
+++ b/tests/test_contact.py
@@ -0,0 +1,211 @@
+"""A control process knows whether a majority of the witnesses has answered pulls that it began lately.
+
+Takes the place of the tests of `isolation.py`, whose first seconds after a start counted as contact.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import testtools
+from scripted_peers import Peer, connecting, now
+
+from larchgw.control.contact import HEARD_WITHIN_S, PullContact, other_witnesses
+from larchgw.distribution.peers import PeerPullers
+from larchgw.distribution.registry import Registry
+from larchgw.distribution.sources import PullSettings
+from larchgw.emulator.virtual_loop import run
+from larchgw.replication.view import View, first_view
+from larchgw.rpc.generated.ttypes import Entry
+
+SETTINGS = PullSettings().between_control()
+ANSWER_IN_TIME_S = SETTINGS.wait_s + SETTINGS.silence_s
+
+
+class PullContactTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.now = 100.0
+        self.proven: dict[str, float] = {}
+        self.view: View | None = first_view(["a", "b", "c"])
+        self.contact = self.of("a")
+
+    def of(self, me: str) -> PullContact:
+        return PullContact(me, lambda: self.view, self.proven.get, lambda: self.now)
+
+    def joint(self) -> View:
+        addresses = {name: name for name in "abcdef"}
+        return View(9, "a", ("b",), ("a", "b", "c"), ("d", "e", "f"), addresses)
+
+    def test_one_of_three_alone_is_isolated(self) -> None:
+        self.assertTrue(self.contact.isolated())
+
+    def test_a_start_is_isolated_until_a_majority_has_answered(self) -> None:
+        self.assertTrue(self.of("a").isolated())
+        self.proven["b"] = self.now
+        self.assertFalse(self.of("a").isolated())
+
+    def test_two_of_three_are_not(self) -> None:
+        self.proven["b"] = self.now
+        self.assertFalse(self.contact.isolated())
+
+    def test_two_of_four_are_isolated(self) -> None:
+        self.view = first_view(["a", "b", "c", "d"])
+        self.proven["b"] = self.now
+        self.assertTrue(self.contact.isolated())
+
+    def test_two_of_five_that_hear_each_other_are_isolated(self) -> None:
+        self.view = first_view(["a", "b", "c", "d", "e"])
+        self.proven["b"] = self.now
+        self.assertTrue(self.contact.isolated())
+        self.proven["e"] = self.now
+        self.assertFalse(self.contact.isolated())
+
+    def test_an_answer_to_a_call_that_began_long_ago_does_not_count(self) -> None:
+        self.proven["b"] = self.now - HEARD_WITHIN_S - 0.01
+        self.assertTrue(self.contact.isolated())
+
+    def test_a_thawed_process_is_isolated_until_it_has_asked_again(self) -> None:
+        self.proven["b"] = self.proven["c"] = self.now
+        self.now += 20.0
+        self.assertTrue(self.contact.isolated())
+
+    def test_one_that_is_alone_by_configuration_is_not_isolated(self) -> None:
+        self.view = first_view(["a"])
+        self.assertFalse(self.contact.isolated())
+
+    def test_one_that_knows_no_view_is_isolated_whoever_answers(self) -> None:
+        self.view = None
+        self.proven["b"] = self.proven["c"] = self.now
+        self.assertTrue(self.contact.isolated())
+        self.assertFalse(self.contact.is_majority({"b", "c"}))
+        self.assertEqual([], other_witnesses(None, "a"))
+
+    def test_one_that_is_no_witness_does_not_count_itself(self) -> None:
+        standby = self.of("d")
+        self.proven["b"] = self.now
+        self.assertTrue(standby.isolated())
+        self.proven["c"] = self.now
+        self.assertFalse(standby.isolated())
+
+    def test_one_whose_disk_was_lost_does_not_count_as_the_witness_it_was(self) -> None:
+        replaced = self.of("a#another")
+        self.proven["b"] = self.now
+        self.assertTrue(replaced.isolated())
+        self.assertFalse(replaced.is_majority({"b"}))
+
+    def test_both_sets_of_witnesses_count_while_they_change(self) -> None:
+        self.view = self.joint()
+        self.proven.update(b=self.now, c=self.now)
+        self.assertTrue(self.contact.isolated())
+        self.assertFalse(self.contact.is_majority({"b", "c", "d"}))
+        self.proven.update(d=self.now, e=self.now)
+        self.assertFalse(self.contact.isolated())
+        self.assertTrue(self.contact.is_majority({"b", "d", "e"}))
+        self.assertEqual(["b", "c", "d", "e", "f"], other_witnesses(self.view, "a"))
+
+    def test_processes_that_are_no_witnesses_make_no_majority(self) -> None:
+        self.assertFalse(self.contact.is_majority({"x", "y", "z"}))
+        self.assertTrue(self.contact.is_majority({"c"}))
+
+
+class ProofByPullsTest(testtools.TestCase):
+    """The pulls of a control process as proof, over scripted peers in virtual time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = [Peer("b"), Peer("c")]
+        self.registry = Registry("a.1")
+        self.pullers = PeerPullers(self.registry, connecting(self.peers), lambda: ["b", "c"], SETTINGS,
+                                   random.Random(1), clock=now)
+        self.contact = PullContact("a", lambda: first_view(["a", "b", "c"]), self.pullers.proven_at, now)
+
+    def play(self, main: object) -> None:
+        async def played() -> None:
+            task = asyncio.ensure_future(self.pullers.run())
+            try:
+                await main()  # type: ignore[operator]
+            finally:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run(played())
+
+    def both(self, fault: str, value: bool) -> None:
+        for peer in self.peers:
+            setattr(peer, fault, value)
+
+    def test_contact_is_proven_soon_after_a_start_and_stays_proven(self) -> None:
+        async def main() -> None:
+            await asyncio.sleep(SETTINGS.start_spread_s + 0.01)
+            for _ in range(1000):
+                self.assertFalse(self.contact.isolated(), now())
+                await asyncio.sleep(0.01)
+
+        self.play(main)
+
+    def test_peers_that_are_themselves_isolated_prove_contact(self) -> None:
+        """Else nobody could be the first after a start of all at once."""
+        self.both("isolated", True)
+
+        async def main() -> None:
+            await asyncio.sleep(SETTINGS.start_spread_s + 0.01)
+            for _ in range(500):
+                self.assertFalse(self.contact.isolated(), now())
+                await asyncio.sleep(0.01)
+
+        self.play(main)
+
+    def test_a_cut_shows_within_its_bound_and_its_end_soon(self) -> None:
+        async def main() -> None:
+            await asyncio.sleep(3.0)
+            self.both("hung", True)
+            await asyncio.sleep(HEARD_WITHIN_S)
+            self.assertTrue(self.contact.isolated())
+            await asyncio.sleep(20.0)
+            self.assertTrue(self.contact.isolated())
+            self.both("hung", False)
+            await asyncio.sleep(ANSWER_IN_TIME_S)
+            self.assertFalse(self.contact.isolated())
+
+        self.play(main)
+
+    def test_one_silent_witness_of_three_isolates_nobody(self) -> None:
+        self.peers[0].hung = True
+
+        async def main() -> None:
+            await asyncio.sleep(1.0)
+            for _ in range(500):
+                self.assertFalse(self.contact.isolated(), now())
+                await asyncio.sleep(0.01)
+
+        self.play(main)
+
+    def test_what_a_majority_held_is_known_here_by_the_end_of_the_bound(self) -> None:
+        """An entry is at peer b when a pull from there that proves contact begins after it."""
+        async def main() -> None:
+            await asyncio.sleep(2.0)
+            self.peers[0].registry.merge([Entry("runner/x", 1, 2, "z.1", 1, b"x")])
+            put = now()
+            while (began := self.pullers.proven_at("b")) is None or began < put:
+                await asyncio.sleep(0.001)
+            self.assertIsNotNone(self.registry.get("runner/x"))
+            self.assertLess(now() - put, HEARD_WITHIN_S)
+
+        self.play(main)
+
+    def test_an_answer_that_was_held_up_proves_contact_at_its_begin_alone(self) -> None:
+        async def main() -> None:
+            await asyncio.sleep(2.0)
+            self.both("hung", True)
+            held_up_from = now()
+            await asyncio.sleep(0.6)
+            self.both("hung", False)  # the answers to pulls from before arrive now
+            await asyncio.sleep(0.02)
+            for peer in self.peers:
+                began = self.pullers.proven_at(peer.name)
+                assert began is not None
+                self.assertLessEqual(began, held_up_from)
+
+        self.play(main)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -151,11 +151,13 @@
         for count in (2, 3):  # the first was not acknowledged
             self.assertTrue(self.a.directory.checkin(record(count=count, stage=Stage.DRAINING)).urgent)
         self.assertTrue(self.a.directory.checkin(record(count=2, stage=Stage.DRAINING)).urgent)
-        self.a.directory.replicated("i-1")
+        self.a.directory.replicated("i-1", Stage.DRAINING)
         self.assertFalse(self.a.directory.checkin(record(count=4, stage=Stage.DRAINING)).urgent)
         self.assertTrue(self.a.directory.leave("i-1").urgent)
         self.assertTrue(self.a.directory.leave("i-1").urgent)
-        self.a.directory.replicated("i-1")
+        self.a.directory.replicated("i-1", Stage.DRAINING)  # of before the leave
+        self.assertTrue(self.a.directory.leave("i-1").urgent)
+        self.a.directory.replicated("i-1", Stage.GONE)
         self.assertFalse(self.a.directory.leave("i-1").urgent)
 
     def test_draining_sticks(self) -> None:
--- a/tests/test_distribution_puller.py
+++ b/tests/test_distribution_puller.py
@@ -165,15 +165,62 @@
         self.assertIsNotNone(self.registry.get("view"))
         self.assertIn(puller.source, ("b", "c"))
 
-    def test_one_cut_off_from_the_majority_is_left_but_what_it_sends_is_taken(self) -> None:
+    def test_one_cut_off_from_the_majority_is_left_but_its_runners_are_taken(self) -> None:
         self.peer("a").isolated = True
         self.peer("a").registry.put("runner/x", b"x", 1)
+        self.peer("a").registry.put("configuration", b"old", 1)
         puller = self.puller(near="a")
         self.play(puller, 2.0)
         self.assertIsNotNone(self.registry.get("runner/x"))
+        self.assertIsNone(self.registry.get("configuration"))
         self.assertIn(puller.source, ("b", "c"))
         self.assertEqual(1, len(self.peer("a").calls))
 
+    def test_what_a_cut_off_process_had_left_out_comes_once_it_is_in_contact(self) -> None:
+        peer = self.peer("a")
+        peer.isolated = True
+        peer.registry.put("configuration", b"c", 1)
+        peer.registry.put("runner/x", b"x", 1)
+        puller = self.puller(addresses=("a",))
+        seen: list[float] = []
+        self.registry.watch("configuration", lambda entry: seen.append(now()))
+        self.play(puller, 12.0, (9.0, lambda: setattr(peer, "isolated", False)))
+        self.assertEqual(1, len(seen))
+        self.assertTrue(9.0 < seen[0] < 9.0 + SETTINGS.last_backoff_s, seen)
+
+    def test_a_cut_off_process_changes_no_configuration_that_is_in_force(self) -> None:
+        peer = self.peer("a")
+        peer.registry.put("configuration", b"first", 1)
+
+        def cut_off() -> None:
+            peer.isolated = True
+            peer.registry.put("configuration", b"second", 2)
+
+        self.play(self.puller(addresses=("a",)), 6.0, (2.0, cut_off))
+        self.assertEqual(b"first", self.registry.get("configuration").value)
+
+    def test_an_answer_that_lay_unread_over_a_freeze_brings_no_configuration(self) -> None:
+        """The source was in contact when it answered; the dispatcher reads that twenty seconds later."""
+        ahead = 0.0
+
+        def thaw() -> None:
+            nonlocal ahead
+            ahead = 20.0
+
+        self.peer("a").registry.put("configuration", b"old", 1)
+        self.peer("a").hung = True
+        puller = Puller(self.registry, connecting(self.peers), lambda: ["a"], SETTINGS, random.Random(3),
+                        clock=lambda: now() + ahead)
+
+        def release() -> None:
+            thaw()
+            self.peer("a").hung = False
+            asyncio.get_running_loop().call_later(0.015, lambda: setattr(self.peer("a"), "down", True))
+
+        self.play(puller, 2.0, (0.5, release))
+        self.assertEqual(1, sum(at < 0.5 for at, _ in self.peer("a").calls))
+        self.assertIsNone(self.registry.get("configuration"))
+
     def test_where_all_are_cut_off_entries_come_and_calls_are_paced(self) -> None:
         for peer in self.peers:
             peer.isolated = True
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -88,6 +88,29 @@
 
         run(main())
 
+    def test_those_that_are_enough_are_waited_for_and_no_others(self) -> None:
+        async def main() -> None:
+            self.peers[1].hung = True
+            taken = await self.handoff.replicate([entry("runner/x")], 0.4, lambda taken: "a" in taken)
+            self.assertEqual({"a"}, taken)
+            self.assertLess(now(), 0.05)
+            await asyncio.sleep(0.41)
+            self.assertEqual(["b"], self.handoff.hints.peers())
+
+        run(main())
+
+    def test_one_that_is_slow_and_then_takes_it_gets_no_hint(self) -> None:
+        async def main() -> None:
+            self.peers[1].hung = True
+            await self.handoff.replicate([entry("runner/x")], 0.4, lambda taken: "a" in taken)
+            await asyncio.sleep(0.2)
+            self.peers[1].hung = False
+            await asyncio.sleep(0.3)
+            self.assertIsNotNone(self.peers[1].registry.get("runner/x"))
+            self.assertEqual([], self.handoff.hints.peers())
+
+        run(main())
+
     def test_what_a_peer_missed_is_handed_over_when_it_returns(self) -> None:
         async def main() -> None:
             task = asyncio.ensure_future(self.handoff.run())
--- /dev/null
+++ b/tests/test_runner_checkins.py
@@ -0,0 +1,158 @@
+"""Which check-ins and Leaves a control process acknowledges, with its peers scripted and in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Collection, Coroutine
+from typing import Any
+
+import testtools
+from scripted_peers import Peer, connecting, now
+
+from larchgw.control.checkins import HANDOFF_TIMEOUT_S, RunnerCheckins
+from larchgw.directory.directory import SILENT_BEATS, Directory
+from larchgw.directory.records import Stage
+from larchgw.distribution.handoff import Handoff
+from larchgw.distribution.registry import Registry
+from larchgw.emulator.virtual_loop import run
+from larchgw.rpc.generated.ttypes import PushReply, PushRequest
+
+BEAT_S = 1.2
+PROMPT_S = 0.05  # an acknowledgement that waits for nobody
+RUNNER_PATIENCE_S = 1.0  # PROTOCOL: an acknowledgement counts if it comes within a second
+
+
+class Contact:
+    """The witnesses are a (this process), b and c."""
+
+    def __init__(self) -> None:
+        self.cut_off = False
+
+    def isolated(self) -> bool:
+        return self.cut_off
+
+    def is_majority(self, addresses: Collection[str]) -> bool:
+        return bool({"b", "c"} & set(addresses))
+
+
+class RunnerCheckinsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.peers = [Peer("b"), Peer("c")]
+        self.contact = Contact()
+        self.registry = Registry("a.1")
+        self.count = 0
+
+    def play(self, main: Coroutine[Any, Any, None]) -> None:
+        async def played() -> None:
+            self.handoff = Handoff(connecting(self.peers), lambda: ["b", "c"])
+            self.directory = Directory(self.registry, now, BEAT_S, "a/1")
+            self.checkins = RunnerCheckins(self.directory, self.registry, self.contact, self.handoff)
+            try:
+                await main
+            finally:
+                self.handoff.close()
+
+        run(played())
+
+    async def checkin(self, state: str = "ready") -> bool:
+        self.count += 1
+        body = {"service": "s", "address": "10.0.0.9:80", "state": state, "call_count": self.count}
+        return await self.checkins.checkin("i-1", json.dumps(body).encode())
+
+    def stage_at(self, peer: Peer) -> Stage | None:
+        entry = peer.registry.get("runner/i-1")
+        return Stage(entry.minor) if entry is not None else None
+
+    def test_a_check_in_is_not_acknowledged_by_a_process_that_is_cut_off_but_it_is_kept(self) -> None:
+        async def main() -> None:
+            self.contact.cut_off = True
+            self.assertFalse(await self.checkin())
+            record = self.directory.get("i-1")
+            self.assertIsNotNone(record)
+            self.contact.cut_off = False
+            self.assertTrue(await self.checkin())
+
+        self.play(main())
+
+    def test_a_drain_and_a_leave_that_no_other_witness_has_are_not_acknowledged(self) -> None:
+        """The first moments of a cut, in which this process still counts as in contact."""
+        async def main() -> None:
+            self.assertTrue(await self.checkin())
+            for peer in self.peers:
+                peer.hung = True
+            self.assertFalse(await self.checkin("draining"))
+            self.assertFalse(await self.checkin("draining"))  # still urgent
+            self.assertFalse(await self.checkins.leave("i-1"))
+            self.assertLess(now(), 3 * RUNNER_PATIENCE_S)
+
+        self.play(main())
+
+    def test_a_drain_and_a_leave_are_at_a_majority_when_they_are_acknowledged(self) -> None:
+        async def main() -> None:
+            self.peers[0].down = True
+            self.assertTrue(await self.checkin("draining"))
+            self.assertIs(Stage.DRAINING, self.stage_at(self.peers[1]))
+            self.assertTrue(await self.checkins.leave("i-1"))
+            self.assertIs(Stage.GONE, self.stage_at(self.peers[1]))
+
+        self.play(main())
+
+    def test_a_frozen_process_does_not_hold_an_acknowledgement_up_and_gets_a_hint(self) -> None:
+        async def main() -> None:
+            self.peers[0].hung = True
+            self.assertTrue(await self.checkin("draining"))
+            self.assertLess(now(), PROMPT_S)
+            await asyncio.sleep(HANDOFF_TIMEOUT_S + 0.01)
+            self.assertEqual(["b"], self.handoff.hints.peers())
+
+        self.play(main())
+
+    def test_a_leave_during_a_drains_replication_is_replicated_itself(self) -> None:
+        async def main() -> None:
+            slow = SlowPush(self.peers[0])
+            self.peers[1].down = True
+            draining = asyncio.ensure_future(self.checkin("draining"))
+            await asyncio.sleep(0.01)
+            self.directory.leave("i-1")  # as it comes in over another connection
+            slow.proceed.set()
+            self.assertTrue(await draining)
+            self.assertTrue(self.directory.leave("i-1").urgent)
+            self.assertTrue(await self.checkins.leave("i-1"))
+            self.assertIs(Stage.GONE, self.stage_at(self.peers[0]))
+
+        self.play(main())
+
+    def test_a_process_that_is_cut_off_calls_nobody_silent_whom_it_turns_away(self) -> None:
+        async def main() -> None:
+            self.assertTrue(await self.checkin())
+            await self.tick_for(20.0, isolated=True)
+            self.assertIs(Stage.READY, self.stage())
+            await self.tick_for(SILENT_BEATS * BEAT_S + 0.5, isolated=False)
+            self.assertIs(Stage.SILENT, self.stage())
+
+        self.play(main())
+
+    async def tick_for(self, seconds: float, isolated: bool) -> None:
+        until = now() + seconds
+        while now() < until:
+            self.directory.tick(now(), isolated)
+            await asyncio.sleep(0.25)
+
+    def stage(self) -> Stage | None:
+        record = self.directory.get("i-1")
+        return record.stage if record is not None else None
+
+
+class SlowPush:
+    """Holds the pushes to a peer up until told to proceed."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.proceed = asyncio.Event()
+        self._push = peer.service.push
+        peer.service.push = self.push  # type: ignore[method-assign]
+
+    async def push(self, request: PushRequest) -> PushReply:
+        await self.proceed.wait()
+        return await self._push(request)
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -74,7 +74,7 @@
         self.placed: Any = None
         self.service = StatusService(node.StatusSources(
             "core-1", self.node.member, self.node.state, self.node.swim, self.node.registry,
-            self.node.directory, self.node.disk, self.node.isolation, lambda: self.placed))
+            self.node.directory, self.node.disk, self.node.contact, lambda: self.placed))
 
     def test_a_process_that_knows_nothing_yet_says_so(self) -> None:
         status = self.service.read()
