Build: the check of the Python prints its plain error on Python 2, too

Cause: sys.implementation is missing there, so the check ended with a traceback. Change: platform.python_implementation() names the interpreter.

--- a/deploy/check_python.py
+++ b/deploy/check_python.py
@@ -1,9 +1,10 @@
 """Ends with status 1 and one plain line where the pinned wheels don't run on this Python.
 
-`build` of deploy/system.toml runs this before pip. It keeps to what an old Python reads, too, so that the error
-can be printed there.
+`build` of deploy/system.toml runs this before pip. It keeps to what an old Python reads, too, so that the
+error can be printed there.
 """
 
+import platform
 import sys
 
 OLDEST = (3, 11)  # tornado 6.6 asks for it
@@ -17,7 +18,7 @@
 
 def problem(implementation, version):
     """What is wrong with this interpreter, or None."""
-    if implementation == "cpython" and OLDEST <= tuple(version) <= NEWEST:
+    if implementation == "CPython" and OLDEST <= tuple(version) <= NEWEST:
         return None
     wanted = "CPython " + dotted(OLDEST) + " to " + dotted(NEWEST)
     present = implementation + " " + dotted(version)
@@ -25,5 +26,5 @@
 
 
 if __name__ == "__main__":
-    found = problem(sys.implementation.name, sys.version_info[:2])
+    found = problem(platform.python_implementation(), sys.version_info[:2])
     sys.exit("build: " + found if found else 0)
--- a/tests/test_system_packages.py
+++ b/tests/test_system_packages.py
@@ -132,7 +132,7 @@
 
 
 @pytest.mark.parametrize(("implementation", "version"), [
-    ("cpython", (3, 10)), ("cpython", (3, 15)), ("cpython", (2, 7)), ("cpython", (4, 0)), ("pypy", (3, 11))])
+    ("CPython", (3, 10)), ("CPython", (3, 15)), ("CPython", (2, 7)), ("CPython", (4, 0)), ("PyPy", (3, 11))])
 def test_another_python_is_named_in_a_plain_error(implementation: str, version: tuple[int, int]) -> None:
     text = check_python().problem(implementation, version)
     assert text.startswith("larchgw needs CPython 3.11 to 3.14, this is ")
@@ -141,7 +141,7 @@
 
 @pytest.mark.parametrize("minor", range(11, 15))
 def test_each_python_of_the_range_is_taken(minor: int) -> None:
-    assert check_python().problem("cpython", (3, minor)) is None
+    assert check_python().problem("CPython", (3, minor)) is None
 
 
 def test_the_check_runs_alone() -> None:
