Links between processes under test: held, cut, late, lossy or reset

Need: on loopback nothing is ever cut, so no trial could bring about a process that reaches no other one while runners and the operator still reach it.

Change: larchgw.faults. A process started by `python -m larchgw.faults.linked FD ROLE` runs on an event loop whose connections and datagrams obey links by host; a switchboard in the test gives the orders over an inherited socket and waits until they are carried out. Each direction by itself; resets; delays; seeded loss of datagrams. No module of the product knows of it. What curl and Tornado's streams open is not touched.

--- /dev/null
+++ b/larchgw/faults/linked.py
@@ -0,0 +1,31 @@
+"""`python -m larchgw.faults.linked FD ARGUMENT...`: `python -m larchgw ARGUMENT...` under links of a test.
+
+FD is an inherited datagram socket from which orders come; the first one lies there before the start.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import runpy
+import socket
+import sys
+
+from .links import Links
+from .loop import LinkedPolicy
+from .orders import MOST_BYTES, Order
+
+
+def main() -> None:
+    """Takes the first order and becomes the program; the program knows nothing of it."""
+    _, descriptor, *arguments = sys.argv
+    orders = socket.socket(fileno=int(descriptor))
+    links = Links(random.Random(descriptor))
+    links.apply(Order.decode(orders.recv(MOST_BYTES)))
+    asyncio.set_event_loop_policy(LinkedPolicy(links, orders))
+    sys.argv = ["larchgw", *arguments]
+    runpy.run_module("larchgw", run_name="__main__", alter_sys=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/larchgw/faults/switchboard.py
@@ -0,0 +1,110 @@
+"""The test's side: which links between which hosts are held, and the orders that follow from it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from itertools import product
+
+from .loop import DONE
+from .orders import HEALTHY, MOST_BYTES, Link, Order
+
+ANSWER_S = 30.0  # that a busy process may take to carry an order out
+
+
+class Switchboard:
+    """Gives orders to the processes of some hosts. A process is attached at its start, and again at each."""
+
+    def __init__(self) -> None:
+        self._links: dict[str, dict[str, Link]] = {}  # by the host of the process, then by the other host
+        self._sockets: dict[str, socket.socket] = {}
+        self._locks: dict[str, asyncio.Lock] = {}  # one order at a time for each process
+
+    def attach(self, host: str) -> socket.socket:
+        """The socket that the process of this host is to inherit; close it here once it has started."""
+        self.detach(host)
+        ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        ours.setblocking(False)
+        self._sockets[host] = ours
+        ours.send(self._order(host).encode())  # read before anything else; there is no answer
+        return theirs
+
+    def detach(self, host: str) -> None:
+        """The process of this host has ended."""
+        old = self._sockets.pop(host, None)
+        if old is not None:
+            old.close()
+
+    def close(self) -> None:
+        """Gives no more orders; links stay as they are."""
+        for host in list(self._sockets):
+            self.detach(host)
+
+    async def cut(self, senders: Iterable[str], receivers: Iterable[str]) -> None:
+        """Holds all that these processes send to those hosts, in this direction only."""
+        await self._tell_all(self._turn(senders, receivers, True))
+
+    async def heal(self, senders: Iterable[str], receivers: Iterable[str]) -> None:
+        """Lets through again what `cut` holds."""
+        await self._tell_all(self._turn(senders, receivers, False))
+
+    async def isolate(self, host: str, others: Iterable[str]) -> None:
+        """Cuts this host from those, in both directions."""
+        await self._tell_all(self._turn_both(host, others, True))
+
+    async def rejoin(self, host: str, others: Iterable[str]) -> None:
+        """Ends what `isolate` began."""
+        await self._tell_all(self._turn_both(host, others, False))
+
+    async def impair(self, host: str, others: Iterable[str], delay_ms: float, loss: float) -> None:
+        """Makes what this process sends to those hosts late and its datagrams lossy; zeros end it."""
+        for other in others:
+            self._set(host, other, lambda link: replace(link, delay_ms=delay_ms, loss=loss))
+        await self._tell(host)
+
+    async def reset(self, host: str, others: Iterable[str]) -> None:
+        """Resets the connections that this process has opened to those hosts."""
+        await self._tell(host, tuple(others))
+
+    def _turn_both(self, host: str, others: Iterable[str], held: bool) -> set[str]:
+        rest = [other for other in others if other != host]
+        return self._turn([host], rest, held) | self._turn(rest, [host], held)
+
+    def _turn(self, senders: Iterable[str], receivers: Iterable[str], held: bool) -> set[str]:
+        """The hosts to tell. What a host sends goes by connections that it opened, and by those that the
+        other one opened."""
+        concerned: set[str] = set()
+        for sender, receiver in product(senders, list(receivers)):
+            self._set(sender, receiver, lambda link: replace(link, hold_sent=held))
+            self._set(receiver, sender, lambda link: replace(link, hold_received=held))
+            concerned |= {sender, receiver}
+        return concerned
+
+    def _set(self, host: str, other: str, change: Callable[[Link], Link]) -> None:
+        links = self._links.setdefault(host, {})
+        links[other] = change(links.get(other, HEALTHY))
+
+    def _order(self, host: str, reset: Iterable[str] = ()) -> Order:
+        links = self._links.get(host, {})
+        return Order({other: link for other, link in links.items() if link != HEALTHY}, reset)
+
+    async def _tell_all(self, hosts: Iterable[str]) -> None:
+        await asyncio.gather(*(self._tell(host) for host in hosts))
+
+    async def _tell(self, host: str, reset: Iterable[str] = ()) -> None:
+        """Returns once the process has done it, or is not there to do it. Raises TimeoutError."""
+        async with self._locks.setdefault(host, asyncio.Lock()):
+            sock = self._sockets.get(host)
+            if sock is None:
+                return
+            loop = asyncio.get_running_loop()
+            try:
+                sock.send(self._order(host, reset).encode())
+                async with asyncio.timeout(ANSWER_S):
+                    answer = await loop.sock_recv(sock, MOST_BYTES)
+            except (BrokenPipeError, ConnectionResetError):  # it has ended; a new one is told at its start
+                return
+        if answer not in (DONE, b""):
+            raise ValueError(f"{host} answered an order with {answer!r}")
