Judge: what a cut off process says, stale reads, and what was read though refused

Change: operators write down each clear answer and each read with its sender and times, runners each acknowledged check-in. New rules CUT and STALE (judge_contact.py); CONFIG also for a read of what was refused or never sent, and for one number taken twice. An operator can send copies of a call at once; contradicting answers to them are written down. A final read that never succeeds no longer leaves an earlier one in its place, which could hide a loss.

Tests: scripted records of each, lawful and broken.

--- a/larchgw/emulator/system/checkins.py
+++ b/larchgw/emulator/system/checkins.py
@@ -61,23 +61,27 @@
         """Says that it is gone."""
         return await self._call("Leave", b"", True)
 
+    def prefer(self, address: str) -> None:
+        """Calls this control process next."""
+        self._address = address
+
     def close(self) -> None:
         """Ends all calls."""
         self._client.close()
 
     async def _call(self, what: str, body: bytes, tells_end: bool) -> bool:
         """Calls one control process after the other until one acknowledges."""
-        id = self.runner.id
+        id, records, now = self.runner.id, self.runner.records, self.runner.time.now
         for address in self._targets():
+            sent_at = now()
             answer = await self._post(f"http://{address}/Runners.{what}/{id}", body)
             if answer is None:
                 self._address = ""
                 continue
             self._address = str(answer.get("beat_to") or address)
             self.acknowledged += 1
-            if tells_end:
-                control, now = address.partition(":")[0], self.runner.time.now()
-                self.runner.records.acknowledgements.append(Acknowledgement(id, control, now))
+            seen = Acknowledgement(id, address.partition(":")[0], now(), sent_at, tells_end)
+            (records.acknowledgements if tells_end else records.checkins).append(seen)
             return True
         return False
 
--- a/larchgw/emulator/system/judge.py
+++ b/larchgw/emulator/system/judge.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterator
 
 from ...configuration.settings import TimeLimits
-from . import judge_answers, judge_configuration, judge_placement, judge_retries
+from . import judge_answers, judge_configuration, judge_contact, judge_placement, judge_retries
 from .breach import Breach, Case
 from .records import Records
 
@@ -19,6 +19,7 @@
     judge_retries.drain,
     judge_configuration.routes, judge_configuration.own_refusals, judge_configuration.downgrades,
     judge_configuration.acknowledgements, judge_configuration.read_back,
+    judge_contact.cut_off, judge_contact.stale, judge_contact.unsent,
     judge_placement.one, judge_placement.limit, judge_placement.ceiling,
 )
 
--- a/larchgw/emulator/system/judge_configuration.py
+++ b/larchgw/emulator/system/judge_configuration.py
@@ -99,8 +99,9 @@
 
 
 def acknowledgements(case: Case) -> Iterator[Breach]:
-    """Invalid ones taken, two taken on one version, or one refused after it was taken."""
+    """Invalid ones taken, two taken on one version or under one number, or one refused after it was taken."""
     taken: dict[int, ConfigurationCall] = {}
+    numbers: dict[int, ConfigurationCall] = {}
     for call in case.records.configurations:
         if call.refused_after_acknowledgement:
             yield Breach("CONFIG", call.acknowledged_at, f"version {call.version} was taken, then refused")
@@ -111,7 +112,10 @@
         elif call.built_on in taken:
             yield Breach("CONFIG", call.acknowledged_at, f"versions {taken[call.built_on].version} and "
                                                          f"{call.version} were both taken on {call.built_on}")
+        elif numbers.get(call.version, call).configuration != call.configuration:
+            yield Breach("CONFIG", call.acknowledged_at, f"two configurations were taken as {call.version}")
         taken.setdefault(call.built_on, call)
+        numbers.setdefault(call.version, call)
 
 
 def read_back(case: Case) -> Iterator[Breach]:
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -62,11 +62,38 @@
 
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
-    """A runner's draining or leaving, acknowledged by a control process."""
+    """A runner's call, acknowledged by a control process."""
 
     runner: str
     control: str
     at: float
+    sent_at: float = -math.inf
+    tells_end: bool = True  # draining or leaving
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorAnswer:
+    """A clear answer of one control process to one call of an operator, however the call goes on."""
+
+    control: str
+    sent_at: float
+    at: float
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadSeen:
+    """A configuration that an operator has read; the version is 0 where there was none yet."""
+
+    control: str
+    sent_at: float
+    at: float
+    configuration: dict[str, Any]
+
+    @property
+    def version(self) -> int:
+        """Its version."""
+        return int(self.configuration.get("config_version", 0))
 
 
 @dataclass(slots=True)
@@ -107,6 +134,7 @@
     planned: bool = False
     core: bool = False  # the machine belongs to the core
     ends_life: bool = True  # its process ended; False for a freeze
+    cut_off: bool = False  # it reached no other machine of the system
 
 
 @dataclass(slots=True)
@@ -116,7 +144,10 @@
     tries: dict[str, Try] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     acknowledgements: list[Acknowledgement] = field(default_factory=list)
+    checkins: list[Acknowledgement] = field(default_factory=list)  # those that tell no end
     configurations: list[ConfigurationCall] = field(default_factory=list)
+    operator_answers: list[OperatorAnswer] = field(default_factory=list)
+    reads: list[ReadSeen] = field(default_factory=list)
     orders: list[OrderSeen] = field(default_factory=list)
     loads: list[float] = field(default_factory=list)  # when loads from the weight store began
     overloads: list[tuple[str, float]] = field(default_factory=list)  # runner that fell under an order, when
--- a/tests/test_system_judge.py
+++ b/tests/test_system_judge.py
@@ -13,7 +13,9 @@
     Acknowledgement,
     Arrival,
     ConfigurationCall,
+    OperatorAnswer,
     OrderSeen,
+    ReadSeen,
     Records,
     Trouble,
     Try,
@@ -236,6 +238,7 @@
     [taken(2, 1, 20.0), taken(3, 1, 21.0)],
     [taken(2, 1, 20.0, configuration=None)],
     [taken(2, 1, 20.0, refused_after_acknowledgement=True)],
+    [taken(2, 1, 20.0), taken(2, 5, 21.0, configuration=whole(2, "desk"))],
 ])
 def test_acknowledgements_that_contradict_each_other_are_caught(calls: list[ConfigurationCall]) -> None:
     newest = max((call.version for call in calls if call.configuration), default=1)
@@ -257,6 +260,84 @@
     assert rules(records([], [], configurations=calls, read_back=whole(2))) == ["CONFIG"]
 
 
+CUT = [Trouble(CORE, 100.0, 120.0, core=True, ends_life=False, cut_off=True)]
+
+
+@pytest.mark.parametrize("status", [200, 400, 404, 412, 413])
+def test_a_clear_answer_of_a_process_that_is_cut_off_is_caught(status: int) -> None:
+    def day(control: str, sent_at: float, at: float) -> list[str]:
+        answers = [OperatorAnswer(control, sent_at, at, status)]
+        return rules(records([], [], operator_answers=answers, troubles=CUT))
+
+    assert day(CORE, 100.1, 101.0) == ["CUT"]
+    assert day(OTHER_CORE, 100.1, 101.0) == []
+    assert day(CORE, 99.9, 101.0) == []  # it may have made sure before
+    assert day(CORE, 119.9, 120.1) == []
+
+
+def test_a_process_that_is_frozen_or_killed_is_not_cut_off() -> None:
+    frozen = [Trouble(CORE, 100.0, 120.0, core=True, ends_life=False)]
+    answers = [OperatorAnswer(CORE, 100.1, 101.0, 200)]
+    assert rules(records([], [], operator_answers=answers, troubles=frozen)) == []
+
+
+def test_an_end_that_only_a_process_that_is_cut_off_knows_of_is_caught() -> None:
+    alone = Acknowledgement("i-1", CORE, 101.0, 100.5)
+    assert rules(records([], [], acknowledgements=[alone], troubles=CUT)) == ["CUT"]
+    before = Acknowledgement("i-1", OTHER_CORE, 100.2, 100.1)
+    assert rules(records([], [], acknowledgements=[before, alone], troubles=CUT)) == []
+    of_another = Acknowledgement("i-2", OTHER_CORE, 100.2, 100.1)
+    assert rules(records([], [], acknowledgements=[of_another, alone], troubles=CUT)) == ["CUT"]
+    after = Acknowledgement("i-1", OTHER_CORE, 102.0, 101.5)
+    assert rules(records([], [], acknowledgements=[alone, after], troubles=CUT)) == ["CUT"]
+
+
+def test_check_ins_that_a_process_keeps_for_long_while_it_is_cut_off_are_caught() -> None:
+    bound = LIMITS.contact_ms / 1000.0
+
+    def day(sent_at: float) -> list[str]:
+        kept = [Acknowledgement("i-1", CORE, sent_at + 0.1, sent_at, tells_end=False)]
+        return rules(records([], [], checkins=kept, troubles=CUT))
+
+    assert day(100.0 + bound + 0.1) == ["CUT"]
+    assert day(100.0 + bound - 0.1) == [] and day(120.1) == []
+
+
+def read(version: int, sent_at: float, **changes: Any) -> ReadSeen:
+    """A read of what was sent under this number."""
+    return ReadSeen(CORE, sent_at, sent_at + 0.1, whole(version, **changes) if version else {})
+
+
+def test_a_read_older_than_what_was_acknowledged_before_it_began_is_stale() -> None:
+    calls = [taken(1, 0, 10.0), taken(2, 1, 20.0)]
+
+    def day(*reads: ReadSeen) -> list[str]:
+        return rules(records([], [], configurations=calls, read_back=whole(2), reads=list(reads)))
+
+    assert day(read(1, 20.1)) == ["STALE"] and day(read(0, 20.1)) == ["STALE"]
+    assert day(read(1, 19.95)) == [] and day(read(2, 20.1)) == []
+
+
+def test_a_read_older_than_what_an_earlier_one_told_is_stale() -> None:
+    calls = [taken(1, 0, 10.0), taken(2, 1, 20.0, acknowledged_at=math.inf)]
+
+    def day(*reads: ReadSeen) -> list[str]:
+        return rules(records([], [], configurations=calls, read_back=whole(2), reads=list(reads)))
+
+    assert day(read(2, 20.0), read(1, 20.2)) == ["STALE"]
+    assert day(read(2, 20.0), read(1, 20.05)) == [] and day(read(1, 20.0), read(2, 20.2)) == []
+
+
+def test_a_read_of_what_was_refused_or_never_sent_is_caught() -> None:
+    calls = [taken(1, 0, 10.0), taken(2, 1, 20.0, acknowledged_at=math.inf, refused=True)]
+
+    def day(one: ReadSeen) -> list[str]:
+        return rules(records([], [], configurations=calls, reads=[one]))
+
+    assert day(read(2, 20.0)) == ["CONFIG"] and day(read(1, 20.0, service="desk")) == ["CONFIG"]
+    assert day(read(1, 20.0)) == []
+
+
 def ordered(owner: str, fence: int, at: float, **changes: Any) -> OrderSeen:
     """An order that a runner took."""
     plain: dict[str, Any] = {"runner": "i-1", "status": 202}
--- a/tests/test_system_operator.py
+++ b/tests/test_system_operator.py
@@ -110,6 +110,44 @@
     assert records.read_back == canonical(whole)
 
 
+@on_loop
+async def test_each_clear_answer_and_each_read_is_kept_with_who_gave_it() -> None:
+    records, whole = Records(), Site().configuration(1)
+    async with control() as one, control() as other:
+        one.will_answer(307, Location=f"http://{other.address}/Config.Read")
+        other.will_answer(200, json.dumps(whole).encode())
+        caller = operator(records, one.address)
+        assert await caller.look() == canonical(whole)
+        one.will_answer(503)
+        assert await caller.look() is None
+        one.will_answer(404)
+        assert await caller.look() == {}
+    assert [answer.status for answer in records.operator_answers] == [200, 404]
+    assert [(seen.version, seen.sent_at <= seen.at) for seen in records.reads] == [(1, True), (0, True)]
+    host = other.address.partition(":")[0]
+    assert all(answer.control == host for answer in records.operator_answers)
+
+
+@on_loop
+async def test_a_read_that_never_succeeds_leaves_nothing_of_an_earlier_one() -> None:
+    records = Records(read_back=canonical(Site().configuration(1)))
+    await operator(records, "127.0.0.1:1").read(0.01)
+    assert records.read_back is None
+
+
+@on_loop
+async def test_copies_of_one_call_that_are_answered_differently_are_written_down() -> None:
+    records = Records()
+    async with control() as server:
+        server.will_answer(200)
+        server.will_answer(412)
+        caller = operator(records, server.address)
+        caller.copies = 2
+        assert await caller.replace(Site().configuration(1))
+    assert records.configurations[0].refused_after_acknowledgement
+    assert len(server.calls) == 2 and len({call.body for call in server.calls}) == 1
+
+
 def test_a_change_makes_the_same_whole_as_the_systems_own() -> None:
     whole = Site().configuration(4)
     route = {**whole["routes"][0], "deadline_ms": 1234.0}
--- a/tests/test_system_runners.py
+++ b/tests/test_system_runners.py
@@ -269,3 +269,18 @@
         assert await checkins.drain()
         checkins.close()
     assert len(records.acknowledgements) == 1
+
+
+@on_loop
+async def test_check_ins_are_kept_apart_from_ends_with_when_they_were_sent() -> None:
+    records = Records()
+    runner = engine(records, "m1")
+    async with started(runner), control() as first, control() as second:
+        checkins = Checkins(runner, lambda: [first.address, second.address], 10.0, random.Random(1))
+        checkins.prefer(second.address)
+        assert await checkins.tell() and await checkins.drain()
+        checkins.close()
+    assert len(second.calls) == 2 and not first.calls
+    (kept,), (ended,) = records.checkins, records.acknowledgements
+    assert not kept.tells_end and ended.tells_end
+    assert kept.sent_at <= kept.at <= ended.sent_at <= ended.at
