--- a/larchgw/cli/system_trial.py
+++ b/larchgw/cli/system_trial.py
@@ -5,14 +5,18 @@
 import asyncio
 import signal
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from ..lab.results import table
 from .command import Command, UsageError, decimal, whole
 
+if TYPE_CHECKING:
+    from ..emulator.system.trial import SystemSpec
+
 SHOWN_BREACHES = 20
+FAULT_CONTROLS = 5  # control processes under a named fault
 NO_VALUE = "True"  # what Fire hands over for an option that has no value behind it
 TERMINATED = 143  # exit status, 128 + SIGTERM
 Result = TypeVar("Result")
@@ -27,6 +31,8 @@
     models: str
     rate: str
     folder: str | None
+    fault: str | None = None
+    hold: str = "20"
 
 
 def system_trial(seconds: float, seed: int, sizes: SystemSizes, faults: bool) -> Command:
@@ -39,10 +45,25 @@
     if sizes.folder == NO_VALUE:
         raise UsageError("--folder: needs the name of a new folder")
     folder = Path(sizes.folder).resolve() if sizes.folder else None
-    spec = SystemSpec(seconds, seed, site, faults, folder)
+    spec = SystemSpec(seconds, seed, site, faults, folder=folder)
+    if sizes.fault is not None:
+        spec = _with_fault(spec, sizes)
     return Command(lambda: _run(spec))
 
 
+def _with_fault(spec: SystemSpec, sizes: SystemSizes) -> SystemSpec:
+    """The trial that plays a named fault, on five control processes. Raises UsageError."""
+    from ..emulator.system.plays import FAULTS, Lengths
+
+    if sizes.fault not in FAULTS:
+        raise UsageError(f"--fault: name one of {', '.join(FAULTS)}, not {sizes.fault!r}")
+    if spec.faults:
+        raise UsageError("--fault: plays one fault; leave --faults out")
+    lengths = Lengths(hold_s=decimal("hold", sizes.hold, 1.0, 300.0))
+    site = replace(spec.site, controls=FAULT_CONTROLS)
+    return replace(spec, site=site, fault=sizes.fault, lengths=lengths)
+
+
 async def _until_told(work: Coroutine[Any, Any, Result]) -> Result:
     """The work's result. After SIGTERM it is cancelled, so that it can end the processes that it started."""
     task = asyncio.ensure_future(work)
--- a/larchgw/cli/trial.py
+++ b/larchgw/cli/trial.py
@@ -62,7 +62,7 @@
 def trial(*, seconds: str = "20", load: str = "0.6", boxes: str = "9", seed: str = "1",
           faults: str | None = None, no_faults: str = "False", room: str | None = None, plain: str = "False",
           system: str = "False", edges: str = "3", runners: str = "6", models: str = "12", rate: str = "20",
-          folder: str | None = None) -> Command:
+          folder: str | None = None, fault: str | None = None, hold: str = "20") -> Command:
     """Starts an emulated fleet, one dispatcher and a mixed load on loopback, and shows what comes of it.
 
     With --system: control processes, edges, model runners, clients and an operator instead.
@@ -82,11 +82,14 @@
         models: Models (with --system).
         rate: Requests a second (with --system).
         folder: Keeps settings, disks and logs of the processes there (with --system).
+        fault: Plays one fault of the control side instead (with --system): cut-off, race, second-loss,
+            many-changes or answers. Requests come until it is over, whatever --seconds says.
+        hold: Seconds that a process is cut off, or that answers are spoilt (with --fault).
     """
     length = decimal("seconds", seconds, 1.0)
     quiet = flag("no-faults", no_faults)
     if flag("system", system):
-        sizes = SystemSizes(edges, runners, models, rate, folder)
+        sizes = SystemSizes(edges, runners, models, rate, folder, fault, hold)
         return system_trial(length, whole("seed", seed), sizes, flag("faults", faults or False) and not quiet)
     with_faults = flag("faults", True if faults is None else faults) and not quiet
     spec = TrialSpec(whole("boxes", boxes, 1, 200), decimal("load", load, 0.05, 2.0), length,
--- a/larchgw/emulator/system/clients.py
+++ b/larchgw/emulator/system/clients.py
@@ -84,16 +84,23 @@
         self._services = services
         self.results: dict[str, ClassResult] = defaultdict(ClassResult)
         self.open = 0
+        self._stopped = False
         self._ids = itertools.count(1)
         self._kept: dict[str, list[ClientLink]] = defaultdict(list)  # by edge
 
     async def play(self, intents: list[Intent], start: float) -> None:
-        """Begins each request when it is due; returns when all have ended."""
+        """Begins each request when it is due, until `stop`; returns when all have ended."""
         async with asyncio.TaskGroup() as group:
             for intent in intents:
                 await asyncio.sleep(max(start + intent.due - self._now(), 0.0))
+                if self._stopped:
+                    break
                 group.create_task(self._play(intent, start + intent.due))
 
+    def stop(self) -> None:
+        """No further requests."""
+        self._stopped = True
+
     def close(self) -> None:
         """Ends kept connections."""
         for links in self._kept.values():
--- a/larchgw/emulator/system/rig.py
+++ b/larchgw/emulator/system/rig.py
@@ -9,12 +9,14 @@
 import shutil
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 from ...configuration.settings import VARIABLE, TimeLimits
+from ...faults.switchboard import Switchboard
 from .network import CONTROL_OFFSET, FRONT_OFFSET, READY_OFFSET, Network
 from .records import Records, Trouble
 from .site import ZONE_NAMES, ZONES
@@ -26,6 +28,7 @@
 _PRIMARY = re.compile(r"primary of view (\d+) ")
 END_SLACK_S = 5.0  # beyond the time for an orderly end, on a busy machine
 SEEDS = 3
+LINKED = "larchgw.faults.linked"  # the program's entry under links that a test may cut
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +44,9 @@
 class Machine:
     """One process of the system and the machine that it stands for."""
 
-    def __init__(self, place: Place, network: Network, folder: Path) -> None:
-        self.place, self.network = place, network
+    def __init__(self, place: Place, network: Network, folder: Path,
+                 switchboard: Switchboard | None = None) -> None:
+        self.place, self.network, self._switchboard = place, network, switchboard
         self.folder = folder / place.name
         self.folder.mkdir()
         self.process: asyncio.subprocess.Process | None = None
@@ -83,8 +87,9 @@
         """What its processes have written."""
         return self.folder / "log"
 
-    def settings(self, seeds: list[str], limits: TimeLimits, first_boot: bool) -> dict[str, Any]:
-        """Its settings file, as a platform would write it."""
+    def settings(self, seeds: list[str], limits: TimeLimits, first_boot: bool,
+                 survive: int = 1) -> dict[str, Any]:
+        """Its settings file, as a platform would write it; `survive`: machines that may be lost at once."""
         listen = {"control": self.control} if self.is_core else {"front": self.front, "ready": self.ready}
         return {
             "node_name": self.place.name, "role": self.place.role,
@@ -95,7 +100,7 @@
             "limits": {"cpu_share": 1.0, "cpus": 1, "memory_mb": 300, "open_files": 1024,
                        "link_mbps": 1000.0, "disk_mb": 128 if self.is_core else 0},
             "data_dir": str(self.folder / "data") if self.is_core else None, "beat_ms": BEAT_MS,
-            "survive": {"computers": 1, "zones": 0, "regions": 0}, "time_limits": _fields(limits)}
+            "survive": {"computers": survive, "zones": 0, "regions": 0}, "time_limits": _fields(limits)}
 
     async def start(self, settings: dict[str, Any]) -> None:
         """Writes the settings and starts the process."""
@@ -105,11 +110,16 @@
             Path(settings["data_dir"]).mkdir(exist_ok=True)
         paths = filter(None, (str(ROOT), os.environ.get("PYTHONPATH")))
         environment = os.environ | {VARIABLE: str(file), "PYTHONPATH": os.pathsep.join(paths)}
-        with self.log.open("ab") as log:
+        with self.log.open("ab") as log, ExitStack() as inherited:
+            program, descriptors = ["larchgw"], []
+            if self._switchboard is not None:
+                orders = inherited.enter_context(self._switchboard.attach(self.ip))
+                descriptors = [orders.fileno()]
+                program = [LINKED, str(orders.fileno())]
             # A session of its own: a ctrl-C at the terminal is the trial's to pass on.
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "larchgw", self.place.role, cwd=self.folder, env=environment,
-                stdout=log, stderr=log, start_new_session=True)
+                sys.executable, "-m", *program, self.place.role, cwd=self.folder, env=environment,
+                stdout=log, stderr=log, start_new_session=True, pass_fds=descriptors)
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process, if it is there."""
@@ -151,12 +161,18 @@
 
 
 class Rig:
-    """All machines. What is done to them is written into the records, for the judge."""
+    """All machines. What is done to them is written into the records, for the judge.
+
+    Only where it is `linked` can links be cut or reset.
+    """
 
     def __init__(self, network: Network, folder: Path, records: Records, limits: TimeLimits,
-                 now: Callable[[], float], controls: int, edges: int) -> None:
+                 now: Callable[[], float], controls: int, edges: int, linked: bool = False) -> None:
         self._network, self._folder, self._records, self._limits = network, folder, records, limits
         self._now = now
+        self.links = Switchboard()
+        self._switchboard = self.links if linked else None
+        self._survive = max((controls - 1) // 2, 1)
         self.controls = [self._machine(CONTROL, number, FIRST_CONTROL + number) for number in range(controls)]
         self.edges = [self._machine(EDGE, number, FIRST_EDGE + number) for number in range(edges)]
         self._next_number = FIRST_CONTROL + controls
@@ -204,6 +220,7 @@
         """Kills what still runs."""
         for machine in self.machines:
             await machine.kill()
+        self.links.close()
 
     # Troubles
 
@@ -217,12 +234,15 @@
         await self._start(machine)
         self._end(trouble)
 
-    async def kill_all(self, machines: list[Machine], for_s: float) -> None:
-        """Kills many processes at the same moment."""
+    async def kill_all(self, machines: list[Machine], for_s: float, wipe: bool = False) -> None:
+        """Kills many processes at the same moment, and starts them again; with `wipe` on empty disks."""
         troubles = [self._begin(machine) for machine in machines]
         for machine in machines:
             machine.signal(signal.SIGKILL)
         await asyncio.gather(*(machine.kill() for machine in machines))
+        if wipe:
+            for machine in machines:
+                machine.wipe()
         await asyncio.sleep(for_s)
         for machine in machines:
             await self._start(machine)
@@ -244,13 +264,31 @@
         await self._start(machine)
         self._end(trouble)
 
+    @asynccontextmanager
+    async def cut_off(self, machine: Machine) -> AsyncIterator[None]:
+        """Cuts the machine from all others, silently, while runners and the operator still reach it."""
+        hosts = [one.ip for one in self.machines]
+        await self.links.isolate(machine.ip, hosts)
+        trouble = self._begin(machine, ends_life=False, cut_off=True)
+        try:
+            yield
+        finally:
+            self._end(trouble)
+            await self.links.rejoin(machine.ip, hosts)
+
+    async def reset_links(self, machine: Machine) -> None:
+        """Resets all connections that the machine has opened to others of the system."""
+        trouble = self._begin(machine, ends_life=False)
+        await self.links.reset(machine.ip, [one.ip for one in self.machines])
+        self._end(trouble)
+
     async def replace(self, machine: Machine) -> Machine:
         """Takes a control machine away for good; an empty one comes at another address."""
         trouble = self._begin(machine)
         await machine.kill()
         place = replace(machine.place, name=f"control-{self._next_number}", number=self._next_number)
         self._next_number += 1
-        successor = Machine(place, self._network, self._folder)
+        successor = Machine(place, self._network, self._folder, self._switchboard)
         self.controls[self.controls.index(machine)] = successor
         self._seeds = [one.control for one in self.controls[:SEEDS]]
         await self._start(successor)
@@ -261,16 +299,17 @@
 
     def _machine(self, role: str, index: int, number: int) -> Machine:
         place = Place(f"{role}-{index + 1}", role, number, ZONE_NAMES[index % len(ZONE_NAMES)])
-        return Machine(place, self._network, self._folder)
+        return Machine(place, self._network, self._folder, self._switchboard)
 
     async def _start(self, machine: Machine, first_boot: bool = False) -> None:
-        await machine.start(machine.settings(self._seeds, self._limits, first_boot))
+        await machine.start(machine.settings(self._seeds, self._limits, first_boot, self._survive))
 
     async def _terminate(self, machine: Machine) -> int:
         return await machine.terminate(self._limits.grace_period_s + END_SLACK_S)
 
-    def _begin(self, machine: Machine, planned: bool = False, ends_life: bool = True) -> int:
-        trouble = Trouble(machine.ip, self._now(), float("inf"), planned, machine.is_core, ends_life)
+    def _begin(self, machine: Machine, planned: bool = False, ends_life: bool = True,
+               cut_off: bool = False) -> int:
+        trouble = Trouble(machine.ip, self._now(), float("inf"), planned, machine.is_core, ends_life, cut_off)
         self._records.troubles.append(trouble)
         return len(self._records.troubles) - 1
 
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -18,6 +18,7 @@
 from .judge_configuration import services_of
 from .network import Network
 from .operator import Operator
+from .plays import Lengths, PlayError, Plays
 from .records import Records
 from .rig import Rig
 from .runners import Runners
@@ -26,6 +27,7 @@
 
 START_S = 60.0  # that the system may take to be ready, on a busy machine
 LOOK_S = 0.1
+LONGEST_PLAY_S = 600.0  # that requests come during a named fault
 LIMITS = TimeLimits(fenced=True, grace_period_s=6.0)
 
 
@@ -41,6 +43,8 @@
     seed: int = 1
     site: Site = field(default_factory=Site)
     faults: bool = False
+    fault: str | None = None  # one of `plays.FAULTS`; requests come until it has been played
+    lengths: Lengths = Lengths()
     folder: Path | None = None  # where settings, disks and logs are kept; a passing one if left out
 
 
@@ -102,7 +106,8 @@
         self._spec = spec
         self._time, self._records = RealTime(), Records(loads_per_s=LOADS_PER_S)
         now, site = self._time.now, spec.site
-        self._rig = Rig(network, folder, self._records, LIMITS, now, site.controls, site.edges)
+        self._rig = Rig(network, folder, self._records, LIMITS, now, site.controls, site.edges,
+                        linked=spec.fault is not None)
         controls = self._rig.control_addresses
         self._runners = Runners(site, network, self._time, self._records, LIMITS, controls,
                                 self._dice("runners"))
@@ -119,6 +124,8 @@
         """The whole day. Raises TrialError."""
         await self._start()
         spec = self._spec
+        if spec.fault is not None:
+            return await self._play_fault(spec.fault)
         intents = draw(spec.site, spec.seconds, self._dice("requests"), self._popularity)
         script = Script(self._rig, self._runners, self._operator, LIMITS, self._dice, self._time.now)
         playing = asyncio.create_task(script.run()) if spec.faults else None
@@ -127,10 +134,29 @@
         if playing is not None:
             await playing
             await script.final()
-            await self._until(self._settled, "not all processes are back after the last trouble")
+        return await self._end(script.events)
+
+    async def _play_fault(self, name: str) -> SystemOutcome:
+        """One named fault, with requests from its begin to its end."""
+        intents = draw(self._spec.site, LONGEST_PLAY_S, self._dice("requests"), self._popularity)
+        clients = asyncio.create_task(self._clients.play(intents, self._time.now()))
+        plays = Plays(self._rig, self._runners, self._records, self._spec.lengths, self._dice, self._time.now)
+        try:
+            await plays.run(name)
+        except PlayError as error:
+            raise TrialError(f"{error}; {self._look_at_logs()}") from error
+        finally:
+            self._clients.stop()
+            plays.close()
+            await clients
+        return await self._end(plays.events)
+
+    async def _end(self, events: list[str]) -> SystemOutcome:
+        """Reads the configuration back, ends all processes and judges."""
+        await self._until(self._settled, "not all processes are back after the last trouble")
         await self._operator.read(START_S)
         statuses = await self._rig.stop()
-        return SystemOutcome(dict(self._clients.results), judge(self._records, LIMITS), script.events,
+        return SystemOutcome(dict(self._clients.results), judge(self._records, LIMITS), events,
                              statuses, self._records)
 
     async def close(self) -> None:
