Trials: one-way cuts, an edge that starts cut off, resets, and answers before a long body

Need: the plays cut whole processes in both directions alone, and runners neither reset nor answered early.

Change: the named fault one-way (not heard, hears nothing, two of five); cut-off takes an edge that starts anew on its side, which is probed and must answer neither by a route nor 404; runners may reset the connection, and plain ones answer before they have read the body, a fifth of the plain requests having one of 300 kB. UNASKED compares the body of such a request once it came whole.

Tests: scripted records for the judge, real sockets for the runners.

--- a/larchgw/cli/trial.py
+++ b/larchgw/cli/trial.py
@@ -82,8 +82,8 @@
         models: Models (with --system).
         rate: Requests a second (with --system).
         folder: Keeps settings, disks and logs of the processes there (with --system).
-        fault: Plays one fault of the control side instead (with --system): cut-off, race, second-loss,
-            many-changes or answers. Requests come until it is over, whatever --seconds says.
+        fault: Plays one fault of the control side instead (with --system): cut-off, one-way, race,
+            second-loss, many-changes or answers. Requests come until it is over, whatever --seconds says.
         hold: Seconds that a process is cut off, or that answers are spoilt (with --fault).
     """
     length = decimal("seconds", seconds, 1.0)
--- a/larchgw/emulator/system/clients.py
+++ b/larchgw/emulator/system/clients.py
@@ -15,6 +15,7 @@
 from .histogram import Histogram
 from .ingress import Ingress
 from .records import Records, Try
+from .rig import Machine
 from .site import HOST, ZONE_NAMES, RequestClass, Site
 
 ZIPF = 1.1  # of the models: most requests go to a few
@@ -27,6 +28,7 @@
 LEAST_SILENCE_S, SILENCE_TARGETS, SILENCE_GAPS = 2.0, 4.0, 8.0  # after which a stream is given up
 MOST_REST_S = 12.0  # of a kept connection before it is used again; edges close it after 15 s
 WATCH_S = 0.1
+PROBE = 999_999  # number of a request that no user wants
 
 
 @dataclass(slots=True)
@@ -107,6 +109,12 @@
             for link in links:
                 link.close()
 
+    async def probe(self, edge: Machine, wanted: RequestClass) -> Try:
+        """One request at this edge, whatever its state; it counts in no result."""
+        now = self._now()
+        intent = Intent(PROBE, wanted, now, edge.place.zone)
+        return await self._try(intent, edge, now + wanted.deadline_ms / 1000.0, fresh=True)
+
     async def _play(self, intent: Intent, due: float) -> None:
         wanted, result = intent.wanted, self.results[intent.wanted.name]
         deadline = due + wanted.deadline_ms / 1000.0
@@ -116,7 +124,7 @@
         for number in range(1 + wanted.retries):
             if last is not None and not await self._may_retry(wanted, last, deadline):
                 break
-            last = await self._try(intent, due, deadline, fresh=number > 0)
+            last = await self._try(intent, self._ingress.pick(intent.zone), deadline, fresh=number > 0)
             result.tries += 1
             if last.whole and 200 <= last.status < 300:
                 break
@@ -143,11 +151,11 @@
         else:
             result.failed += 1
 
-    async def _try(self, intent: Intent, due: float, deadline: float, fresh: bool) -> Try:
-        wanted, edge = intent.wanted, self._ingress.pick(intent.zone)
+    async def _try(self, intent: Intent, edge: Machine, deadline: float, fresh: bool) -> Try:
+        wanted = intent.wanted
         target = f"{wanted.path_start}{intent.number}?s={intent.session}"
         now = self._now()
-        one = Try(f"{next(self._ids):08x}", wanted.kind, HOST, target, f"request {intent.number}".encode(),
+        one = Try(f"{next(self._ids):08x}", wanted.kind, HOST, target, wanted.body(intent.number),
                   edge.ip, now, deadline, tries=wanted.tries if wanted.idempotent else 1,
                   idempotent=wanted.idempotent, resumable=wanted.can_resume,
                   services=self._services(HOST, target))
--- a/larchgw/emulator/system/engine_runner.py
+++ b/larchgw/emulator/system/engine_runner.py
@@ -15,7 +15,7 @@
 from ..sockets import RealTime
 from .httpstream import Request, chunk, send
 from .records import Arrival, OrderSeen, Records
-from .runner import Described, Mischief, Runner
+from .runner import SPOILT, Described, Mischief, Runner
 from .site import ADAPTER_SLOTS, CACHE_TOKENS, ENGINE_SLOTS, STRIDE
 
 VERSION = 1  # of all weights
@@ -169,7 +169,7 @@
         runner, arrival = self.runner, self.arrival
         arrival.ran = True
         self._wrong = runner.misbehave(self.stream, arrival)
-        if self._wrong is Mischief.GARBLE:
+        if self._wrong in SPOILT:
             self._over()
             return
         arrival.status, arrival.seal = 200, runner.seal()
--- a/larchgw/emulator/system/httpstream.py
+++ b/larchgw/emulator/system/httpstream.py
@@ -39,8 +39,8 @@
         return value if isinstance(value, dict) else None
 
 
-async def read_request(stream: IOStream) -> Request:
-    """The next request. Raises StreamClosedError and BadMessage."""
+async def read_head(stream: IOStream) -> Request:
+    """The next request without its body. Raises StreamClosedError and BadMessage."""
     try:
         head = (await stream.read_until(b"\r\n\r\n", HEAD_BYTES)).decode("latin-1")
     except UnsatisfiableReadError:
@@ -54,8 +54,14 @@
     length = headers.get("content-length", "0")
     if not length.isdigit() or int(length) > BODY_BYTES or "transfer-encoding" in headers:
         raise BadMessage("a body without a length, or too long")
-    body = await stream.read_bytes(int(length)) if int(length) else b""
-    return Request(words[0], words[1], headers, body)
+    return Request(words[0], words[1], headers, b"")
+
+
+async def read_body(stream: IOStream, request: Request) -> None:
+    """Reads the body of a request whose head has been read. Raises StreamClosedError."""
+    length = int(request.headers.get("content-length", "0"))
+    if length:
+        request.body = await stream.read_bytes(length)
 
 
 def head(status: int, headers: dict[str, str], length: int | None) -> bytes:
--- a/larchgw/emulator/system/judge.py
+++ b/larchgw/emulator/system/judge.py
@@ -19,7 +19,7 @@
     judge_retries.drain,
     judge_configuration.routes, judge_configuration.own_refusals, judge_configuration.downgrades,
     judge_configuration.acknowledgements, judge_configuration.read_back,
-    judge_contact.cut_off, judge_contact.stale, judge_contact.unsent,
+    judge_contact.cut_off, judge_contact.unproven, judge_contact.stale, judge_contact.unsent,
     judge_placement.one, judge_placement.limit, judge_placement.ceiling,
 )
 
--- a/larchgw/emulator/system/judge_answers.py
+++ b/larchgw/emulator/system/judge_answers.py
@@ -78,7 +78,8 @@
         one = case.records.tries.get(arrival.id)
         if one is None:
             yield Breach("UNASKED", arrival.at, f"{arrival.runner} ran {arrival.id}, which nobody sent")
-        elif (one.method, one.target, one.body) != (arrival.method, arrival.target, arrival.body):
+        elif (one.method, one.target) != (arrival.method, arrival.target) or (
+                arrival.body_whole and one.body != arrival.body):
             yield Breach("UNASKED", arrival.at, f"{arrival.id} reached {arrival.runner} changed")
 
 
--- a/larchgw/emulator/system/judge_contact.py
+++ b/larchgw/emulator/system/judge_contact.py
@@ -5,7 +5,9 @@
 from collections.abc import Iterator
 
 from .breach import Breach, Case
-from .records import Acknowledgement, ReadSeen
+from .records import Acknowledgement, ReadSeen, Try
+
+NOT_FOUND = 404
 
 
 def cut_off(case: Case) -> Iterator[Breach]:
@@ -37,6 +39,23 @@
                for one in case.records.acknowledgements)
 
 
+def unproven(case: Case) -> Iterator[Breach]:
+    """An edge that has started while it reached only a process that was cut off answers by a route, or says
+    that there is none."""
+    for one in case.records.tries.values():
+        answered = one.status == NOT_FOUND or 200 <= one.status < 300
+        if answered and _started_cut_off(case, one):
+            yield Breach("CUT", one.ended_at, f"{one.edge} answered {one.id} with {one.status}, "
+                                              "though it had started cut off")
+
+
+def _started_cut_off(case: Case, one: Try) -> bool:
+    """Whether its edge began its life, and ended the answer, within one and the same cut."""
+    troubles = [trouble for trouble in case.records.troubles if trouble.machine == one.edge]
+    return any(cut.at <= start.at and start.until < one.sent_at and one.ended_at <= cut.until
+               for cut in troubles if cut.cut_off for start in troubles if start.ends_life)
+
+
 def stale(case: Case) -> Iterator[Breach]:
     """A read that began after a version was acknowledged, or read, and told an older one."""
     calls = case.records.configurations
--- a/larchgw/emulator/system/plain_runner.py
+++ b/larchgw/emulator/system/plain_runner.py
@@ -10,7 +10,7 @@
 from ..sockets import RealTime
 from .httpstream import Request, send
 from .records import Arrival, Records
-from .runner import Described, Mischief, Runner
+from .runner import SPOILT, Described, Mischief, Runner
 
 QUEUE_PER_SLOT = 2
 SPREAD = 0.3  # of working times, as a part of their mean
@@ -58,6 +58,17 @@
             self._running -= 1
         self._answer(stream, arrival)
 
+    def answer_early(self, head: Request, stream: IOStream) -> Arrival | None:
+        """Answers a request before its body is read, where that is its next mischief."""
+        told = head.headers.get("x-target-runner", self.id)
+        if not head.id or told != self.id or self.dark or self.mischief[:1] != [Mischief.EARLY]:
+            return None
+        arrival = Arrival(head.id, self.id, self.described.service, self.time.now(), head.method, head.target,
+                          body_whole=False, ran=True)
+        self.records.arrivals.append(arrival)
+        self._answer(stream, arrival)
+        return arrival
+
     def _is_over(self, life: int, arrival: Arrival) -> bool:
         """Whether the process that took the request has ended, or says nothing more."""
         over = life != self.incarnation or not self.up or self.dark
@@ -78,7 +89,7 @@
 
     def _answer(self, stream: IOStream, arrival: Arrival) -> None:
         wrong = self.misbehave(stream, arrival)
-        if wrong is Mischief.GARBLE:
+        if wrong in SPOILT:
             return
         arrival.status, arrival.seal = 200, self.seal()
         body = f"{arrival.id} by {self.id}: ".encode().ljust(BODY_BYTES, b".")
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -50,6 +50,7 @@
     method: str = "POST"
     target: str = "/"
     body: bytes = b""
+    body_whole: bool = True  # False where it was answered and the rest has not come
     ran: bool = False
     status: int = 0
     seal: str = ""
--- a/larchgw/emulator/system/runner.py
+++ b/larchgw/emulator/system/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import socket
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any
@@ -12,8 +13,9 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from ...faults.streams import ABRUPT
 from ..sockets import RealTime
-from .httpstream import BadMessage, Request, head, read_request, send
+from .httpstream import BadMessage, Request, head, read_body, read_head, send
 from .records import Arrival, Records
 
 GARBAGE = b"\x00\x01 this is no answer\r\n\r\n"
@@ -27,6 +29,11 @@
     CUT = auto()  # break it off in its middle
     GARBLE = auto()  # send bytes that are no answer
     SURPLUS = auto()  # send another answer behind it
+    RESET = auto()  # reset the connection instead
+    EARLY = auto()  # answer before the body of the request is read (plain runners)
+
+
+SPOILT = (Mischief.GARBLE, Mischief.RESET)  # nothing of the answer itself is sent
 
 
 @dataclass(slots=True)
@@ -122,6 +129,10 @@
         """Carries out a request that may be run, and answers it."""
         raise NotImplementedError
 
+    def answer_early(self, head: Request, stream: IOStream) -> Arrival | None:
+        """The arrival of a request that is answered before its body has come; None for most."""
+        return None
+
     def report(self) -> dict[str, Any]:
         """GET /report."""
         running, waiting, _ = self.load()
@@ -138,7 +149,13 @@
         self._streams.add(stream)
         try:
             while not stream.closed():
-                await self._serve(await read_request(stream), stream)
+                request = await read_head(stream)
+                early = self.answer_early(request, stream)
+                await read_body(stream, request)
+                if early is not None:
+                    early.body, early.body_whole = request.body, True
+                else:
+                    await self._serve(request, stream)
         except (StreamClosedError, BadMessage):
             stream.close()
         finally:
@@ -206,16 +223,24 @@
         send(stream, self.head(status, fields, 0))
 
     def misbehave(self, stream: IOStream, arrival: Arrival) -> Mischief | None:
-        """What is to be done to the next answer; garbage is sent here already."""
+        """What is to be done to the next answer; if it is one of SPOILT, all is done and none follows."""
         if not self.mischief:
             return None
         wrong = self.mischief.pop(0)
-        if wrong is Mischief.GARBLE:
+        if wrong in SPOILT:
             arrival.broke_off, arrival.ended_at = True, self.time.now()
+        if wrong is Mischief.GARBLE:
             send(stream, GARBAGE)
             stream.close()
+        elif wrong is Mischief.RESET:
+            self._reset(stream)
         return wrong
 
+    def _reset(self, stream: IOStream) -> None:
+        if not stream.closed():
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABRUPT)
+        stream.close()
+
     def surplus(self, stream: IOStream) -> None:
         """Another answer, which belongs to no request."""
         send(stream, head(200, {"X-Attempt-Id": "nobody", "X-Server-Seal": "surplus"}, 7) + b"surplus")
--- a/larchgw/emulator/system/runners.py
+++ b/larchgw/emulator/system/runners.py
@@ -103,7 +103,8 @@
 
     def misbehave(self, runner: Runner) -> Mischief:
         """Spoils one of its next answers."""
-        wrong = self._random.choice(list(Mischief))
+        kinds = [one for one in Mischief if one is not Mischief.EARLY or isinstance(runner, PlainRunner)]
+        wrong = self._random.choice(kinds)
         runner.mischief.append(wrong)
         return wrong
 
--- a/larchgw/emulator/system/site.py
+++ b/larchgw/emulator/system/site.py
@@ -23,6 +23,7 @@
 ENGINE_SLOTS = 24
 PLAIN_SLOTS = 8
 STRIDE = 4
+LONG_BODY_BYTES = 300_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,13 @@
     rank: int = 0
     output_tokens: int = 0
     prompt: tuple[int, int] = (0, 0)  # tokens shared with others, and its own
+    long_body_every: int = 0  # request with a body of LONG_BODY_BYTES; 0: none
+
+    def body(self, number: int) -> bytes:
+        """The body of this request."""
+        text = b"request %d" % number
+        is_long = self.long_body_every and number % self.long_body_every == 0
+        return text.ljust(LONG_BODY_BYTES, b".") if is_long else text
 
     @property
     def path_start(self) -> str:
@@ -71,8 +79,8 @@
                  output_tokens=120, prompt=(600, 300)),
     RequestClass("plan", "streaming", 0.2, ENGINES, 1500, 8000, gap_aim_ms=300, output_tokens=40,
                  prompt=(2000, 700)),
-    RequestClass("level", "read_only", 0.2, LOOKUP, 300, 3000),
-    RequestClass("ticket", "writing", 0.2, LOOKUP, 400, 4000),
+    RequestClass("level", "read_only", 0.2, LOOKUP, 300, 3000, long_body_every=5),
+    RequestClass("ticket", "writing", 0.2, LOOKUP, 400, 4000, long_body_every=5),
 )
 
 
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -140,7 +140,8 @@
         """One named fault, with requests from its begin to its end."""
         intents = draw(self._spec.site, LONGEST_PLAY_S, self._dice("requests"), self._popularity)
         clients = asyncio.create_task(self._clients.play(intents, self._time.now()))
-        plays = Plays(self._rig, self._runners, self._records, self._spec.lengths, self._dice, self._time.now)
+        plays = Plays(self._rig, self._runners, self._clients, self._records, self._spec.lengths,
+                      self._dice, self._time.now)
         try:
             await plays.run(name)
         except PlayError as error:
--- a/larchgw/faults/switchboard.py
+++ b/larchgw/faults/switchboard.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from itertools import product
 
@@ -50,13 +50,14 @@
         """Lets through again what `cut` holds."""
         await self._tell_all(self._turn(senders, receivers, False))
 
-    async def isolate(self, host: str, others: Iterable[str]) -> None:
-        """Cuts this host from those, in both directions."""
-        await self._tell_all(self._turn_both(host, others, True))
+    async def isolate(self, group: Collection[str], others: Iterable[str], mute: bool = True,
+                      deaf: bool = True) -> None:
+        """Cuts a group of hosts from the others: it isn't heard (mute), hears nothing (deaf), or both."""
+        await self._tell_all(self._turn_group(group, others, mute, deaf, True))
 
-    async def rejoin(self, host: str, others: Iterable[str]) -> None:
+    async def rejoin(self, group: Collection[str], others: Iterable[str]) -> None:
         """Ends what `isolate` began."""
-        await self._tell_all(self._turn_both(host, others, False))
+        await self._tell_all(self._turn_group(group, others, True, True, False))
 
     async def impair(self, host: str, others: Iterable[str], delay_ms: float, loss: float) -> None:
         """Makes what this process sends to those hosts late and its datagrams lossy; zeros end it."""
@@ -68,9 +69,15 @@
         """Resets the connections that this process has opened to those hosts."""
         await self._tell(host, tuple(others))
 
-    def _turn_both(self, host: str, others: Iterable[str], held: bool) -> set[str]:
-        rest = [other for other in others if other != host]
-        return self._turn([host], rest, held) | self._turn(rest, [host], held)
+    def _turn_group(self, group: Collection[str], others: Iterable[str], mute: bool, deaf: bool,
+                    held: bool) -> set[str]:
+        rest = [other for other in others if other not in group]
+        concerned: set[str] = set()
+        if mute:
+            concerned |= self._turn(group, rest, held)
+        if deaf:
+            concerned |= self._turn(rest, group, held)
+        return concerned
 
     def _turn(self, senders: Iterable[str], receivers: Iterable[str], held: bool) -> set[str]:
         """The hosts to tell. What a host sends goes by connections that it opened, and by those that the
--- a/tests/test_system_judge.py
+++ b/tests/test_system_judge.py
@@ -108,6 +108,11 @@
     assert rules(records([attempt("a")], [arrival("a", **changes)])) == ["UNASKED"]
 
 
+def test_of_a_request_that_was_answered_early_only_what_came_whole_is_compared() -> None:
+    assert rules(records([attempt("a")], [arrival("a", body=b"", body_whole=False)])) == []
+    assert rules(records([attempt("a")], [arrival("a", target="/b", body_whole=False)])) == ["UNASKED"]
+
+
 def test_a_request_that_nobody_sent_is_unasked() -> None:
     assert rules(records([], [arrival("a")])) == ["UNASKED"]
 
@@ -303,6 +308,22 @@
     assert day(100.0 + bound - 0.1) == [] and day(120.1) == []
 
 
+@pytest.mark.parametrize("status", [200, 404])
+def test_an_edge_that_answers_by_routes_though_it_has_started_cut_off_is_caught(status: int) -> None:
+    cut = Trouble(EDGE, 90.0, 120.0, ends_life=False, cut_off=True)
+    began = Trouble(EDGE, 91.0, 95.0, planned=True)
+    started_before = Trouble(EDGE, 80.0, 85.0, planned=True)
+
+    def day(*troubles: Trouble, at: float = 100.0) -> list[str]:
+        served = status == 200
+        one = attempt("a", at, status=status, seal="s-a" if served else "")
+        arrivals = [arrival("a", at + 0.1)] if served else []
+        return rules(records([one], arrivals, troubles=list(troubles)))
+
+    assert day(cut, began) == ["CUT"]
+    assert "CUT" not in day(cut, started_before) + day(cut) + day(began) + day(cut, began, at=119.8)
+
+
 def read(version: int, sent_at: float, **changes: Any) -> ReadSeen:
     """A read of what was sent under this number."""
     return ReadSeen(CORE, sent_at, sent_at + 0.1, whole(version, **changes) if version else {})
--- a/tests/test_system_runners.py
+++ b/tests/test_system_runners.py
@@ -4,10 +4,11 @@
 
 import json
 import random
+from asyncio import timeout
 from typing import Any
 
 import pytest
-from asyncio_tests import on_loop
+from asyncio_tests import PATIENCE, on_loop
 from system_runners import Caller, Reply, control, engine, plain, started, until
 
 from larchgw.directory.checkins import parse_checkin
@@ -207,6 +208,38 @@
     assert [one.whole for one in records.arrivals] == [False, False, True]
 
 
+@pytest.mark.parametrize("model", [False, True])
+@on_loop
+async def test_a_connection_is_reset_as_it_is_asked_and_written_down_so(model: bool) -> None:
+    records = Records()
+    runner = engine(records, "m1") if model else plain(records)
+    async with started(runner) as connect:
+        runner.mischief = [Mischief.RESET]
+        caller: Caller = await connect()
+        caller.send(**(STREAM if model else {}))
+        async with timeout(PATIENCE):
+            with pytest.raises(ConnectionResetError):
+                await caller.reader.read()
+    (arrival,) = records.arrivals
+    assert arrival.ran and arrival.broke_off and not arrival.whole
+
+
+@on_loop
+async def test_a_request_is_answered_before_its_body_and_read_to_its_end() -> None:
+    records = Records()
+    runner = plain(records)
+    async with started(runner) as connect:
+        runner.mischief = [Mischief.EARLY]
+        caller: Caller = await connect()
+        caller.writer.write(b"POST /ask/1 HTTP/1.1\r\nX-Attempt-Id: id1\r\nContent-Length: 4\r\n\r\nbo")
+        early = await caller.reply()
+        assert not records.arrivals[0].body_whole
+        caller.writer.write(b"dy")
+        later = await caller.ask(id="id2")
+    assert early.whole and early.headers["x-attempt-id"] == "id1" and later.headers["x-attempt-id"] == "id2"
+    assert [(one.body, one.body_whole) for one in records.arrivals] == [(b"body", True), (b"", True)]
+
+
 @on_loop
 async def test_a_stream_whose_caller_leaves_is_given_up() -> None:
     runner = engine(Records(), "m1")
