A request that a runner has got in part may have run

Cause: a request whose last byte had not gone to the kernel counted as never run, so that after a reset it went to a second runner, and at its deadline got 503, a promise. But a runner may answer, and so run, before it has read a long body: a request that may run once could run twice, or run though it had been refused.

Change: a request of which any byte was taken by the kernel may have run (edge/runner_link.py). A reset then gives 502, a deadline 504, to what may not be repeated; what may be goes elsewhere as before, within its budget.

--- a/larchgw/edge/runner_link.py
+++ b/larchgw/edge/runner_link.py
@@ -81,7 +81,7 @@
         self.idle_for = 0.0  # seconds that it had stood idle before its present request
         self.kept = False  # whether it has carried a request before its present one
         self._carried: Carried | None = None
-        self._written = False  # whether the request has been handed to the connection
+        self._length = 0  # bytes of the request that were handed to the connection
         self._head_only = False
         self._heard = False  # whether a byte has come since the request was sent
         self._strangers = False  # whether an answer to another request came
@@ -109,7 +109,8 @@
     def begin(self, carried: Carried, head_only: bool) -> None:
         """Sends the request, once the connection is up. `head_only`: the answer has no body (HEAD)."""
         self._carried, self._head_only = carried, head_only
-        self._heard = self._strangers = self._written = False
+        self._heard = self._strangers = False
+        self._length = 0
         self._reset_answer()
         self._parser = httptools.HttpResponseParser(self)
         if not self.connecting:
@@ -242,8 +243,8 @@
         return coming.length is None and b"transfer-encoding" not in coming.headers
 
     def _sent(self) -> bool:
-        """Whether the whole request is with the kernel: without its last byte it can't run."""
-        return self._written and isinstance(self.connection, Connection) and not self.connection.unsent
+        """Whether any of the request is with the kernel: a runner may run it before a long body's end."""
+        return isinstance(self.connection, Connection) and self.connection.unsent < self._length
 
     def _write(self, carried: Carried) -> None:
         request = carried.request()
@@ -251,7 +252,7 @@
             self._lose(AttemptOutcome.UNSENT)
             return
         assert isinstance(self.connection, Connection)
-        self._written = True
+        self._length = len(request)
         self.connection.max_unsent = max(self.connection.max_unsent, len(request))
         self.connection.write(request)
 
--- a/tests/edge_stand_ins.py
+++ b/tests/edge_stand_ins.py
@@ -29,6 +29,8 @@
 from larchgw.net.asyncloop import AsyncLoop
 
 HOST = "desk.example"
+SMALL_BUFFER = 16384  # of a socket, so that a long body isn't with the kernels at once
+LONG_BODY = bytes(16 << 20)  # more than the kernels of both sides take
 SEAL = "3e1b.07"
 
 
@@ -188,10 +190,16 @@
 
 
 class ScriptedRunner:
-    """A runner whose calls the test answers one by one."""
+    """A runner whose calls the test answers one by one.
 
-    def __init__(self, name: str) -> None:
-        self.name = name
+    With `reads_bodies` off, calls come before their bodies have been read. It reads on only once the test
+    sets `reads_on`, and keeps what it reads in `late`.
+    """
+
+    def __init__(self, name: str, reads_bodies: bool = True) -> None:
+        self.name, self._reads_bodies = name, reads_bodies
+        self.reads_on = asyncio.Event()
+        self.late = b""
         self.opened = 0
         self.writers: list[asyncio.StreamWriter] = []
         self.closed: asyncio.Queue[None] = asyncio.Queue()
@@ -199,7 +207,10 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> RunnerRecord:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        listening = socket.create_server(("127.0.0.1", 0))
+        if not self._reads_bodies:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        self._server = await asyncio.start_server(self._serve, sock=listening)
         host, port = self._server.sockets[0].getsockname()
         return RunnerRecord(self.name, "lm", f"{host}:{port}", "z", slots=8,
                             models=(HeldModel("m1", 1, ("a1",)),))
@@ -220,7 +231,13 @@
                 line, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 split = [line.partition(":") for line in lines if line]
                 headers = [(name.lower(), value.strip()) for name, _, value in split]
-                body = await reader.readexactly(int(dict(headers).get("content-length", "0")))
+                length = int(dict(headers).get("content-length", "0"))
+                if not self._reads_bodies:
+                    self._calls.put_nowait(Call(line, headers, b"", writer))
+                    await self.reads_on.wait()
+                    self.late = await reader.read(-1)
+                    raise ConnectionResetError
+                body = await reader.readexactly(length)
                 self._calls.put_nowait(Call(line, headers, body, writer))
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed.put_nowait(None)
--- /dev/null
+++ b/tests/test_edge_answers.py
@@ -0,0 +1,100 @@
+"""Which answer belongs to which call at runners, and what its end, too early or too late, means for a repeat.
+
+Real sockets; each moment is forced by the scripted runner. The rows are those of docs/calls.md.
+"""
+
+from __future__ import annotations
+
+import pytest
+from asyncio_tests import on_loop
+from edge_stand_ins import (
+    LONG_BODY,
+    FakeClock,
+    ScriptedRunner,
+    configuration,
+    edge,
+    soon,
+    until,
+)
+
+from larchgw.decide.interface import AttemptOutcome
+
+LONG = configuration(body_bytes=2 * len(LONG_BODY))
+
+
+# Long bodies
+
+
+@on_loop
+async def test_an_answer_before_a_long_body_was_read_is_passed_on_and_its_connection_closed() -> None:
+    """What came next on it would stand where the rest of the body is due."""
+    runner = ScriptedRunner("i-1", reads_bodies=False)
+    async with edge(runner, config=LONG) as made:
+        client = await made.ask("/writing/x", "id1", LONG_BODY)
+        (await runner.call()).answer(b"early")
+        assert (await client.answer()).body == b"early"
+        client.ask("/writing/x", "id2")
+        call = await runner.call()
+        assert call.id == "id2" and runner.opened == 2
+        call.answer(b"second")
+        assert (await client.answer()).body == b"second"
+        runner.reads_on.set()
+        await soon(runner.closed.get())
+        assert b"id2" not in runner.late and not runner.late.strip(b"\0")
+
+
+@pytest.mark.parametrize("answer", ["none", "head"])
+@on_loop
+async def test_a_reset_before_a_long_body_was_sent_is_no_proof_that_nothing_ran(answer: str) -> None:
+    first, second = ScriptedRunner("i-1", reads_bodies=False), ScriptedRunner("i-2")
+    async with edge(first, second, config=LONG) as made:
+        client = await made.ask("/writing/x", body=LONG_BODY)
+        call = await first.call()
+        if answer == "head":
+            call.head(Transfer_Encoding="", Content_Length="6")
+            await until(lambda: made.selection.heads)
+        call.reset()
+        reply = await client.answer()
+        assert reply.status == 502 and "retry-after" not in reply.fields
+        assert second.unread == 0
+        assert made.selection.outcomes == [AttemptOutcome.CUT if answer == "head" else AttemptOutcome.RESET]
+
+
+@on_loop
+async def test_a_long_body_that_may_be_sent_again_goes_elsewhere_whole() -> None:
+    first, second = ScriptedRunner("i-1", reads_bodies=False), ScriptedRunner("i-2")
+    async with edge(first, second, config=LONG) as made:
+        client = await made.ask("/read_only/x", body=LONG_BODY)
+        (await first.call()).reset()
+        call = await second.call()
+        assert call.body == LONG_BODY
+        call.answer(b"second")
+        assert (await client.answer()).body == b"second"
+        assert made.budget.repeats == 1
+
+
+@on_loop
+async def test_at_the_deadline_nothing_is_promised_of_a_long_body_that_was_sent_in_part() -> None:
+    runner = ScriptedRunner("i-1", reads_bodies=False)
+    async with edge(runner, config=LONG, clock=FakeClock()) as made:
+        client = await made.ask("/writing/x", body=LONG_BODY, X_Time_Left_Ms="1000")
+        await runner.call()
+        made.move(1.0)
+        assert (await client.answer()).status == 504
+        assert made.selection.outcomes == [AttemptOutcome.SILENT]
+
+
+@on_loop
+async def test_a_surplus_answer_on_an_idle_connection_ends_it_whatever_request_it_names() -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask("/writing/x", "id1")
+        call = await first.call()
+        call.answer()
+        assert (await client.answer()).status == 200
+        call.say(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id2\r\nContent-Length: 7\r\n\r\nsurplus")
+        await soon(first.closed.get())
+        client.ask("/writing/x", "id2")
+        (await first.call()).answer(b"second")
+        assert (await client.answer()).body == b"second"
+        assert made.selection.outcomes == [AttemptOutcome.DONE, AttemptOutcome.DONE] and first.opened == 2
--- a/tests/test_edge_parsers.py
+++ b/tests/test_edge_parsers.py
@@ -134,7 +134,7 @@
     connection = link.connection
     assert not isinstance(connection, ConnectionOutcome)
     connection.connecting = False
-    link._written = True
+    link._length = 1  # as if a request had been written
     for piece in cuts:
         if piece and not carried.ends:
             link.on_data(piece)
