A stream's silent runner is left only where another one would take the stream

Cause: a stream that may be resumed was broken off after 1 s of silence or more, whether or not another runner would take it; with one runner, or with all others full, the client's answer was cut in the middle. Silence is no reason for that.

Change: edge/exchange.py asks the selection first, and stays where it names no other runner; the next silence asks again.

Test: test_a_silent_runner_is_borne_while_no_other_would_take_its_stream (refused, told to wait, the same runner named), red without the change.

--- a/larchgw/edge/exchange.py
+++ b/larchgw/edge/exchange.py
@@ -278,9 +278,16 @@
             return  # nothing is awaited of a runner's stream now
         now, service = self._context.now(), self.traits.service
         allowed = self._context.budget.may_repeat(now, service, self._context.dispatchers())
-        if allowed and self._may_run_again(self._runs + 1):
+        if allowed and self._may_run_again(self._runs + 1) and self._has_elsewhere(now):
             self._break_off(AttemptOutcome.SILENT)
 
+    def _has_elsewhere(self, now: float) -> bool:
+        """Whether another runner would take it now. Without one, silence is no reason to end its answer."""
+        traits, attempt = self.traits, self._attempt
+        expected = self._context.expected(traits.service, traits.model, traits.adapter)
+        choice = self._context.selection.choose(now, traits, self._candidates(), tuple(self._tried), expected)
+        return isinstance(choice, Send) and attempt is not None and choice.runner.id != attempt.runner
+
     # How attempts end
 
     def _break_off(self, outcome: AttemptOutcome) -> None:
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -22,7 +22,7 @@
     until,
 )
 
-from larchgw.decide.interface import AttemptOutcome, Refuse, Wait
+from larchgw.decide.interface import AttemptOutcome, Refuse, Send, Wait
 from larchgw.directory.records import HeldModel
 
 
@@ -307,6 +307,27 @@
         assert made.selection.outcomes == [AttemptOutcome.DONE]
 
 
+@pytest.mark.parametrize("elsewhere", [Refuse(0.2, "holders_full"), Wait(float("inf"), "holders_full"), None])
+@on_loop
+async def test_a_silent_runner_is_borne_while_no_other_would_take_its_stream(
+        elsewhere: Refuse | Wait | None) -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner, clock=FakeClock()) as made:
+        if elsewhere is None:  # the only runner there is, again
+            made.selection.script = [Send(made.records["i-1"])] * 3
+        client = await made.ask("/streaming/x")
+        call = await runner.call()
+        await begun(client, call, 1)
+        made.selection.script = made.selection.script if elsewhere is None else [elsewhere] * 2
+        for _ in range(15):
+            made.move(0.2)
+        assert made.selection.outcomes == [] and not made.selection.script
+        call.events(2)
+        call.end()
+        assert await rest(client) == (event(2), True)
+        assert runner.opened == 1
+
+
 @on_loop
 async def test_silence_before_the_first_event_is_borne_until_the_deadline() -> None:
     runner = ScriptedRunner("i-1")
