A stream without a length that is closed in the middle of an event is not whole

Cause: an answer without a length ends with its connection, and the kernel closes those of a runner that is killed as it closes any other. The rest of an event was then passed on and the client's answer ended as complete.

Change: such a rest makes the run count as broken off (edge/stream_relay.py): it goes on at another runner where it may, else the client's connection is closed without the last chunk. Streams in chunks may still end without an empty line.

Tests: test_edge_answers, answers without a length closed, reset, and closed in an event; the two last are red without the change.

--- a/larchgw/edge/runner_link.py
+++ b/larchgw/edge/runner_link.py
@@ -35,6 +35,11 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     length: int | None = None
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer tells its own end; else it ends with its connection."""
+        return self.length is not None or b"transfer-encoding" in self.headers
+
 
 class Carried(Protocol):
     """The request that a connection carries. Exactly one of `on_answer_end` and `on_lost` ends it."""
@@ -176,7 +181,7 @@
             self.close()
         elif not self._sent():
             self._lose(AttemptOutcome.CONNECT_FAILED)
-        elif ending is ConnectionOutcome.CLOSED and self._has_head and self._until_close():
+        elif ending is ConnectionOutcome.CLOSED and self._has_head and not self._coming.framed:
             self._whole, self._keep = True, False
             self._tell(garbled=False)
         else:
@@ -238,10 +243,6 @@
     def _is_ours(self) -> bool:
         return self._carried is not None and self._coming.headers.get(ATTEMPT_ID) == self._carried.name
 
-    def _until_close(self) -> bool:
-        coming = self._coming
-        return coming.length is None and b"transfer-encoding" not in coming.headers
-
     def _sent(self) -> bool:
         """Whether any of the request is with the kernel: a runner may run it before a long body's end."""
         return isinstance(self.connection, Connection) and self.connection.unsent < self._length
--- a/larchgw/edge/stream_relay.py
+++ b/larchgw/edge/stream_relay.py
@@ -11,7 +11,7 @@
 
 
 class StreamMismatch(Exception):
-    """A second run does not go on where the first one ended; nothing of it has been passed on."""
+    """What a run says can't be passed on: it doesn't go on where the first one ended, or it isn't whole."""
 
 
 class StreamRelay:
@@ -26,6 +26,7 @@
         self._head = AnswerHead()
         self._splitter = EventSplitter()
         self._step: int | None = None  # the distance of any two ids so far; 0: it varies
+        self._framed = False  # whether the present run tells its end, and doesn't just close
         self._continues = False  # whether the present run goes on from another one
         self._in_order = True  # whether every event has told an id above the one before it
         self.started = False
@@ -41,6 +42,7 @@
         """A run's answer begins. Raises StreamMismatch where other weights make it."""
         version = head.headers.get(VERSIONS, b"")
         self._splitter = EventSplitter()
+        self._framed = head.framed
         self._continues = self.started
         if not self._continues:
             self._head, self.version = head, version
@@ -60,6 +62,8 @@
     def complete(self) -> None:
         """The answer is whole. Raises StreamMismatch."""
         rest = self._splitter.rest()
+        if rest and not self._framed:
+            raise StreamMismatch("the connection was closed in the middle of an event")
         if rest:
             self._pass([parse(rest)])
         elif not self.started:
--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -9,15 +9,18 @@
 from asyncio_tests import on_loop
 from edge_stand_ins import (
     LONG_BODY,
+    Call,
     FakeClock,
     ScriptedRunner,
     configuration,
     edge,
+    event,
     soon,
     until,
 )
 
 from larchgw.decide.interface import AttemptOutcome
+from larchgw.edge.relay import HELD_BYTES
 
 LONG = configuration(body_bytes=2 * len(LONG_BODY))
 
@@ -98,3 +101,76 @@
         (await first.call()).answer(b"second")
         assert (await client.answer()).body == b"second"
         assert made.selection.outcomes == [AttemptOutcome.DONE, AttemptOutcome.DONE] and first.opened == 2
+
+
+# Answers without a length
+
+
+def say_unframed(call: Call, body: bytes, **fields: str) -> None:
+    call.head(Transfer_Encoding="", **fields)
+    call.say(body)
+
+
+@pytest.mark.parametrize("path", ["/read_only/x", "/writing/x"])
+@on_loop
+async def test_an_answer_without_a_length_is_whole_where_its_connection_is_closed(path: str) -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.ask(path)
+        call = await runner.call()
+        say_unframed(call, b"all of it")
+        call.close()
+        answer = await client.answer()
+        assert (answer.status, answer.body, answer.whole) == (200, b"all of it", True)
+
+
+@pytest.mark.parametrize("size", [9, 200_000])
+@on_loop
+async def test_an_answer_without_a_length_that_is_reset_is_never_taken_for_whole(size: int) -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask("/writing/x")
+        call = await first.call()
+        say_unframed(call, b"x" * size)
+        await until(lambda: made.selection.heads)
+        if size > HELD_BYTES:
+            assert (await client.head())[0] == 200
+        call.reset()
+        if size > HELD_BYTES:
+            assert not (await client.ended()).endswith(b"0\r\n\r\n")
+        else:
+            assert (await client.answer()).status == 502
+        assert second.unread == 0 and made.selection.outcomes == [AttemptOutcome.CUT]
+
+
+@on_loop
+async def test_a_stream_without_a_length_that_is_closed_in_the_middle_of_an_event_goes_on_elsewhere() -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask("/streaming/x")
+        call = await first.call()
+        say_unframed(call, event(1) + event(2) + event(3)[:6], Content_Type="text/event-stream")
+        assert (await client.head())[0] == 200
+        call.close()
+        call = await second.call()
+        assert call.headers["last-event-id"] == "2"
+        say_unframed(call, event(3), Content_Type="text/event-stream")
+        call.close()
+        body = b""
+        while data := await client.chunk():
+            body += data
+        assert body == event(1) + event(2) + event(3)
+
+
+@on_loop
+async def test_a_stream_without_a_length_closed_in_an_event_is_cut_where_it_may_not_go_on() -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask("/once/x")
+        call = await first.call()
+        say_unframed(call, event(1) + event(2)[:6], Content_Type="text/event-stream")
+        assert (await client.head())[0] == 200
+        call.close()
+        body = await client.ended()
+        assert event(1) in body and event(2)[:6] not in body and not body.endswith(b"0\r\n\r\n")
+        assert second.unread == 0 and made.selection.outcomes == [AttemptOutcome.GARBLED]
