A client's time runs from its request's first byte, and an edge without a configuration refuses nothing for good

An edge that knew no configuration applied default limits: 413 or 431, final answers, where the configuration may allow more.

Change: net/exchange.py notes when a request's first byte came (its only change), edge/proxy.py counts from there; before a configuration is known sizes are bounded by memory alone, and the answer is 503.

--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -31,6 +31,9 @@
 CLIENT_SHARE = 0.6  # of the descriptors, for clients; runners, rpc and readiness have the rest
 BODY_SHARE = 0.25  # of the memory, for bodies of requests that are still being read
 UNCONFIGURED_RETRY_S = 0.5
+# Before a configuration is known a request is read to its end and then told to come back, whatever the limits
+# will be: a 4xx would refuse for good what the configuration allows. Bodies share bounded memory then too.
+UNCONFIGURED = Limits(header_bytes=1 << 18, body_bytes=1 << 28, header_ms=10_000.0)
 DRAIN_LOOK_S = 0.05  # between two looks whether all has been answered and written
 SLOW_PIECE_S = 2.0  # for the next piece of a body, once the time for a head is over ...
 SLOW_BODY_S = 30.0  # ... up to this, for the largest bodies on slow links
@@ -102,7 +105,7 @@
     def listen(self, address: str) -> tuple[str, int]:
         """Takes clients at this "host:port". Returns where. Raises OSError and ValueError."""
         files = self._settings.limits.open_files - FILES_KEPT
-        limits = _server_limits(self._configuration.limits if self._configuration else Limits())
+        limits = _server_limits(self._configuration.limits if self._configuration else UNCONFIGURED)
         self._server = HttpServer(
             self.loop, self.net_counters, parse_address(address), self, cap=max(int(CLIENT_SHARE * files), 1),
             max_held=int(BODY_SHARE * self._settings.limits.memory_mb * (1 << 20)), limits=limits)
@@ -196,7 +199,8 @@
 
     def _traits(self, exchange: Exchange, route: Route, name: bytes) -> RequestTraits:
         self._numbers += 1
-        headers, arrived = exchange.headers, exchange.arrived
+        # The client's time runs from its first byte: a long body may take a good part of it.
+        headers, began = exchange.headers, exchange.began
         service = split_service(route, name)
         described = self._configuration.service(service) if self._configuration is not None else None
         pinned = route.pinned and described is not None and described.runtime is not None
@@ -205,8 +209,8 @@
         longest = route.deadline_ms / 1000.0
         target = (route.target_ms or route.deadline_ms) / 1000.0
         return RequestTraits(
-            number=self._numbers, route=route, service=service, arrived_at=arrived,
-            deadline_at=arrived + head_of.time_left(headers, longest), target_at=arrived + target,
+            number=self._numbers, route=route, service=service, arrived_at=exchange.arrived,
+            deadline_at=began + head_of.time_left(headers, longest), target_at=began + target,
             model=model, adapter=adapter, prompt_tokens=tokens_in, output_tokens=tokens_out,
             parts=head_of.parts_of(headers))
 
--- a/larchgw/net/exchange.py
+++ b/larchgw/net/exchange.py
@@ -15,10 +15,11 @@
     """One request and its answer: either `reply`, or `start`, any number of `send`, and `end`.
 
     `headers` holds each name once, in lower case; `fields` is what came. `on_drained` is called once all that
-    was sent has been written, where it is set.
+    was sent has been written, where it is set. `began` is when its first byte came, `arrived` its last one.
     """
 
-    __slots__ = ("link", "method", "target", "path", "headers", "fields", "body", "arrived", "keep", "error",
+    __slots__ = ("link", "method", "target", "path", "headers", "fields", "body", "began", "arrived", "keep",
+                 "error",
                  "extra", "done", "old", "on_drained")
 
     def __init__(self, link: Link, method: bytes = b"", target: bytes = b"") -> None:
@@ -27,7 +28,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.fields: Fields = []
         self.body = b""
-        self.arrived = link.server.loop.clock.now()
+        self.began = self.arrived = link.server.loop.clock.now()
         self.keep = True
         self.error: tuple[int, str] | None = None
         self.extra: Any = None
