Calls between processes: an answer is one only for its own method, with a result

Cause: whatever came with a call's number was its answer: one of another method, our own call come back (TCP may connect a port to itself while nobody listens there), an empty one. A call whose result is empty, demand, was so confirmed by its own echo, the others got None for a result. A client that was closed while it connected cancelled its callers: a loop that waited there would have ended.

Change: rpc/client.py compares kind and method, and ends the connection on what doesn't fit; an answer without a result is an error; callers of a closed client get RpcConnectionLost (not sent). rpc/server.py takes only calls.

--- a/larchgw/rpc/client.py
+++ b/larchgw/rpc/client.py
@@ -10,12 +10,13 @@
 
 from thrift.Thrift import TApplicationException, TMessageType
 
-from .codec import DecodeError, FrameReader, decode_message, encode_message
+from .codec import DecodeError, FrameReader, Message, decode_message, encode_message
 from .errors import RpcConnectionLost, RpcError, RpcRefused, RpcTimeout
 from .generated import Control
 
 log = logging.getLogger(__name__)
 CONNECT_TIMEOUT = 0.5  # seconds
+ANSWERS = (TMessageType.REPLY, TMessageType.EXCEPTION)
 MOST_UNSENT_BYTES = 24 << 20  # of calls without an answer that wait to be sent to one peer
 USER_TIMEOUT_MS = 1500  # unacknowledged bytes end a connection after this
 
@@ -28,13 +29,24 @@
     received: int = 0
 
 
+@dataclass(slots=True)
+class _Waiting:
+    """A call without its answer."""
+
+    method: str
+    answer: asyncio.Future[Any]
+
+
 class _Connection(asyncio.Protocol):
-    """A connection and the calls that wait on it."""
+    """A connection and the calls that wait on it, by their sequence numbers.
+
+    A client uses each number once: an answer that comes after its call was given up finds no other.
+    """
 
     def __init__(self, traffic: Traffic) -> None:
         self.transport: asyncio.Transport | None = None
         self._traffic = traffic
-        self.waiting: dict[int, asyncio.Future[Any]] = {}
+        self.waiting: dict[int, _Waiting] = {}
         self._frames = FrameReader()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -46,20 +58,32 @@
         self._traffic.received += len(data)
         try:
             for frame in self._frames.feed(data):
-                message = decode_message(frame)
-                future = self.waiting.pop(message.sequence, None)
-                if future is not None and not future.done():
-                    future.set_result(message.body)
+                self._answered(decode_message(frame))
         except DecodeError as error:
             log.warning("rpc: closing a connection: %s", error)
             self.close()
 
+    def _answered(self, message: Message) -> None:
+        """Raises DecodeError for what is no answer to the call that has its number.
+
+        An address may belong to another program by now, or the connection lead back to ourselves.
+        """
+        if message.kind not in ANSWERS:
+            raise DecodeError(f"a call of {message.method} where an answer is due")
+        call = self.waiting.get(message.sequence)
+        if call is None:
+            return
+        if message.method != call.method:
+            raise DecodeError(f"an answer of {message.method} to a call of {call.method}")
+        if not call.answer.done():
+            call.answer.set_result(message.body)
+
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
         waiting, self.waiting = self.waiting, {}
-        for future in waiting.values():
-            if not future.done():
-                future.set_exception(RpcConnectionLost(f"the connection ended: {error or 'closed'}"))
+        for call in waiting.values():
+            if not call.answer.done():
+                call.answer.set_exception(RpcConnectionLost(f"the connection ended: {error or 'closed'}"))
 
     def close(self) -> None:
         if self.transport is not None:
@@ -140,7 +164,8 @@
             raise RpcConnectionLost(f"{self.address}: the connection ended", sent=False)
         self._sequence = (self._sequence + 1) & 0x7FFFFFFF
         sequence = self._sequence
-        future = connection.waiting[sequence] = asyncio.get_running_loop().create_future()
+        future = asyncio.get_running_loop().create_future()
+        connection.waiting[sequence] = _Waiting(method, future)
         connection.transport.write(self._frame(method, TMessageType.CALL, sequence, argument))
         try:
             result = await future
@@ -151,7 +176,10 @@
         unavailable = getattr(result, "unavailable", None)
         if unavailable is not None:
             raise RpcRefused(f"{method} at {self.address}: {unavailable.reason}; {unavailable.remedy}")
-        return getattr(result, "success", None)
+        success = getattr(result, "success", None)
+        if success is None and hasattr(result, "success"):
+            raise RpcError(f"{method} at {self.address}: an answer without a result")
+        return success
 
     def _frame(self, method: str, kind: int, sequence: int, argument: Any) -> bytes:
         arguments = getattr(Control, method + "_args")
@@ -165,7 +193,14 @@
         if self._opening is None or self._opening.done():
             self._opening = asyncio.ensure_future(self._open())
             self._opening.add_done_callback(self._opened)
-        return await asyncio.shield(self._opening)
+        opening = self._opening
+        try:
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            caller = asyncio.current_task()
+            if opening.cancelled() and caller is not None and not caller.cancelling():
+                raise RpcConnectionLost(f"{self.address}: the client was closed", sent=False) from None
+            raise
 
     async def _open(self) -> _Connection:
         host, _, port = self.address.rpartition(":")
--- a/larchgw/rpc/server.py
+++ b/larchgw/rpc/server.py
@@ -14,6 +14,7 @@
 from .generated.ttypes import Unavailable
 
 log = logging.getLogger(__name__)
+CALLS = (TMessageType.CALL, TMessageType.ONEWAY)
 
 
 class _Session(asyncio.Protocol):
@@ -35,6 +36,8 @@
         try:
             for frame in self._frames.feed(data):
                 message = decode_message(frame)
+                if message.kind not in CALLS:
+                    raise DecodeError(f"an answer of {message.method} where a call is due")
                 task = asyncio.ensure_future(self._serve(message))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
