net: reading requests, body memory and the connection apart; no circle any more

Cause: exchange.py, clientlink.py and httpserver.py each needed the other two (kept apart by TYPE_CHECKING only), and Link held parsing, order, pacing, timers and answers in one class of 353 lines.

Change: an Exchange knows its connection as a ReplyChannel, a Link its server as a LinkOwner. Parsing and the checks of size and framing are in requestreader.py, fed bytes and tested without a socket; the memory for waiting bodies is in bodymemory.py. Behaviour is the same, but for one thing that no client sees: after a head with too many headers the parser's callback no longer raises inside the parser.

--- a/larchgw/net/clientlink.py
+++ b/larchgw/net/clientlink.py
@@ -1,59 +1,84 @@
-"""One client's connection: HTTP/1.1 parsed, requests in their order, limits and times, answers written."""
+"""One client's connection: its requests one at a time in their order, their limits and times, the answers."""
 
 from __future__ import annotations
 
 import socket
 from collections import deque
 from http import HTTPStatus
-from typing import TYPE_CHECKING
-
-import httptools
+from typing import Protocol
 
+from ..core.counters import Counters
 from ..core.deadlines import Deadline
-from .connection import CHUNK, Connection
+from .bodymemory import BodyMemory
+from .connection import Connection
 from .connection_outcome import ConnectionOutcome
-from .exchange import Exchange
+from .exchange import Exchange, Handler
 from .heads import CLOSE, Fields
+from .limits import ServerLimits
+from .loop import EventLoop
 from .replywriter import ReplyWriter
+from .requestreader import RequestReader
 
-if TYPE_CHECKING:
-    from .httpserver import HttpServer
-
-MAX_HEADERS = 100
 MAX_WAITING = 8  # requests read ahead on one connection, or bodies of the greatest size; then reading waits
 LOOK = 0.1  # seconds between two looks for the end of a connection of which nothing is read for now
-# Given twice, one of these is two requests in one: joined by what no value may hold, so that no reader takes
-# it for a value. Others are lists.
-SINGLE = frozenset((b"x-request-id", b"x-deadline-ms", b"x-tenant", b"x-key", b"x-cost-hint", b"x-retry",
-                    b"idempotency-key"))
 RETRY_AFTER = "0.5"  # seconds, where there is no memory for a request now
 WRITE_TIME = 30.0  # for a client to read an answer
 
 
+class LinkOwner(Protocol):
+    """What a client's connection needs of the server that let it in, and what it tells it."""
+
+    loop: EventLoop
+    counters: Counters
+    handler: Handler
+    bodies: BodyMemory
+    one_call: bool  # whether each connection is for one request
+    stopping: bool  # whether connections close behind their last answer
+    lingering: dict[Connection, float]
+
+    @property
+    def limits(self) -> ServerLimits:
+        """Those in force now."""
+
+    def holds(self, link: Link) -> bool:
+        """Whether the connection is still open to requests."""
+
+    def heard(self, link: Link) -> None:
+        """Bytes have come."""
+
+    def begun(self, link: Link) -> None:
+        """A request has begun to come in."""
+
+    def proven(self, link: Link) -> None:
+        """A first request has come in whole, or an error is owed."""
+
+    def rests(self, link: Link) -> None:
+        """All has been answered, and the next request may come."""
+
+    def drop(self, link: Link) -> None:
+        """The connection is over, or about to be."""
+
+
 class Link:
-    """A client's connection. The parser's callbacks only note what they see: they must not raise."""
+    """A client's connection."""
 
-    def __init__(self, server: HttpServer, sock: socket.socket) -> None:
+    def __init__(self, server: LinkOwner, sock: socket.socket) -> None:
         self.server = server
         self.current: Exchange | None = None
         self.waiting: deque[Exchange] = deque()
-        self._coming: Exchange | None = None
-        self._broken = False  # nothing after this point can be told apart
         self._advancing = False
         self._timer: Deadline | None = None
         self._look: Deadline | None = None
-        self._head = self._raw = 0
-        self._body = bytearray()
         self._writer: ReplyWriter | None = None  # of the answer that was begun
-        self._url = b""
-        self._parser = httptools.HttpRequestParser(self)
+        self._reader = RequestReader(self, server.bodies, lambda: server.limits)
         self.opened = self.heard = self._began = server.loop.clock.now()
         self.proven = False  # whether a request has come in whole
         self.connection = Connection(server.loop, sock, self)
         self._time(server.limits.first_s, ConnectionOutcome.SLOW)
 
     def idle(self) -> bool:
-        return self.current is None and not self.waiting and self._coming is None and not self._broken
+        reader = self._reader
+        return self.current is None and not self.waiting and reader.coming is None and not reader.stopped
 
     # From the connection
 
@@ -61,23 +86,11 @@
         pass
 
     def on_data(self, data: bytes) -> None:
-        if self._broken:
+        if self._reader.stopped:
             return
         self.heard = self.server.loop.clock.now()
-        if self in self.server.unproven:  # whoever still sends is no silent one: to the end of that line
-            self.server.unproven[self] = self.server.unproven.pop(self)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._break(400, "no upgrades here")
-        except httptools.HttpParserError as error:
-            self._break(400, f"not HTTP: {error}")
-        if self._coming is not None and not self._broken:
-            self._raw += len(data)
-            # A head that never ends is seen by its bytes alone: the parser tells of no header before its end.
-            limits = self.server.limits
-            if self._raw > (limits.raw_bytes if self._coming.method else limits.head_bytes + CHUNK):
-                self._break(400, "the request is too long")
+        self.server.heard(self)
+        self._reader.feed(data)
         self._pace()
         self.advance()
 
@@ -97,109 +110,58 @@
             exchange.done = True
             self.server.handler.on_client_gone(exchange)
 
-    # From the parser
+    # From the reader
 
-    def on_message_begin(self) -> None:
-        self._url, self._head, self._raw = b"", 0, 0
-        self._coming = Exchange(self)
-        self.server.standing.pop(self, None)
+    def new_exchange(self) -> Exchange:
+        return Exchange(self, self.server.loop.clock.now())
+
+    def on_begun(self) -> None:
+        self.server.begun(self)
         if self.proven:
             self._began = self.heard
             self._time(self.server.limits.message_s, ConnectionOutcome.SLOW)
 
-    def on_url(self, url: bytes) -> None:
-        self._url += url
-        self._head += len(url)
-        if self._head > self.server.limits.head_bytes:
-            self._url = b""
-            self._break(414, "the path is too long")
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._coming is None:
-            return
-        headers, original, name = self._coming.headers, name, name.lower()
-        self._head += len(name) + len(value)
-        value = value.strip(b" \t")  # the parser leaves what stands behind a value
-        if len(headers) >= MAX_HEADERS or self._head > self.server.limits.head_bytes:
-            self._break(431, "too many headers")
-        elif name in headers and name != b"cookie":
-            headers[name] += (b"\n" if name in SINGLE else b",") + value
-        else:
-            headers[name] = value
-        self._coming.fields.append((original, value))
-
-    def on_headers_complete(self) -> None:
-        coming = self._coming
-        if coming is None:
-            return
-        coming.method = self._parser.get_method()
-        coming.target, coming.path = self._url, self._url.partition(b"?")[0]
-        coming.keep = self._parser.should_keep_alive()
-        coming.old = self._parser.get_http_version() != "1.1"
-        length = coming.headers.get(b"content-length", b"0")
-        if b"transfer-encoding" in coming.headers and b"content-length" in coming.headers:
-            # Two lengths: whoever goes by the other one reads a second request out of the body.
-            self._break(400, "both Content-Length and Transfer-Encoding")
-        elif length.isdigit() and int(length) > self.server.limits.body_bytes:
-            self._too_large()
-        elif coming.headers.get(b"expect", b"").lower() == b"100-continue" and (
-                self.current is None and not self.waiting):
-            self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        if self._broken:
-            return
-        if len(self._body) + len(body) > self.server.limits.body_bytes:
-            self._too_large()
-        elif self.server.held + len(body) > self.server.max_held:
-            self.server.no_memory()
-            self._break(503, "no memory for the body")
-        else:
-            self._body += body
-            self.server.held += len(body)
-
-    def on_message_complete(self) -> None:
-        coming, self._coming = self._coming, None
-        if coming is None or self._broken:
-            return
-        coming.body, self._body = bytes(self._body), bytearray()
-        coming.arrived = self.server.loop.clock.now()
-        self.waiting.append(coming)
+    def on_request(self, exchange: Exchange) -> None:
+        exchange.arrived = self.server.loop.clock.now()
+        self.waiting.append(exchange)
         if not self.proven:
             self.proven = True
-            self.server.unproven.pop(self, None)
+            self.server.proven(self)
         self._time(None)
 
-    def _too_large(self) -> None:
-        self._break(413, f"the body is over {self.server.limits.body_bytes // 1024} KiB")
+    def on_refused(self, exchange: Exchange) -> None:
+        self.server.proven(self)  # it is owed an answer
+        self.server.begun(self)
+        self.waiting.append(exchange)
 
-    def _break(self, status: int, reason: str) -> None:
-        """The framing is in doubt: what came before is answered, then this error, then it closes."""
-        if self._broken:
-            return
-        self._broken, self._coming = True, None
-        self.server.unproven.pop(self, None)  # it is owed an answer
-        self.server.standing.pop(self, None)
-        self._drop_body()
-        error = Exchange(self)
-        error.error, error.keep = (status, reason), False
-        self.waiting.append(error)
+    def on_continue_expected(self) -> None:
+        if self.current is None and not self.waiting:
+            self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     # Moved to another process
 
     def movable(self, exchange: Exchange) -> bool:
-        """Whether nothing but this request, read whole and not answered, is on the connection."""
-        return (exchange is self.current and not self.waiting and self._coming is None and not self._broken
-                and not self.connection.busy())
+        return (exchange is self.current and not self.waiting and self._reader.coming is None
+                and not self._reader.stopped and not self.connection.busy())
+
+    def descriptor(self) -> int:
+        return self.connection.sock.fileno()
 
     def detach(self) -> None:
-        """Lets go of the connection, which goes on elsewhere."""
         self.server.loop.deadlines.drop(self._timer)
         self.server.loop.deadlines.drop(self._look)
         self.server.drop(self)
-        self.current, self._broken = None, True
+        self.current, self._reader.stopped = None, True
         self.connection.close()
 
+    def resume(self, method: bytes, target: bytes, keep: bool) -> Exchange:
+        """Goes on with a request that another process has read on this connection."""
+        self.proven = True
+        exchange = self.current = Exchange(self, self.server.loop.clock.now(), method, target)
+        exchange.keep = keep
+        self._time(None)
+        return exchange
+
     # One request at a time
 
     def advance(self) -> None:
@@ -210,7 +172,7 @@
         # Nor does one go on whose client has left: its end lies behind the request.
         while self.waiting and self.current is None and not (self.connection.busy() or self.connection.over):
             exchange = self.current = self.waiting.popleft()
-            self.server.held -= len(exchange.body)  # from here on it is the handler's to count
+            self.server.bodies.release(len(exchange.body))  # from here on it is the handler's to count
             if exchange.error is not None:
                 self.server.counters.bad.labels(self.server.handler.name, str(exchange.error[0])).inc()
                 status, reason = exchange.error
@@ -233,7 +195,7 @@
     def _look_for_end(self) -> None:
         """While nothing is read its client's end is not heard of, and what waits would be sent for nobody."""
         self._look = None
-        if self.connection.closed or self._broken:
+        if self.connection.closed or self._reader.stopped:
             return
         if self.connection.left():
             self.connection.close()
@@ -241,16 +203,16 @@
         else:
             self._pace()
 
-    def _drop_body(self) -> None:
-        self.server.held -= len(self._body)
-        self._body = bytearray()
-
     def _clear(self) -> None:
         """Lets go of what is still to be handled."""
-        self._drop_body()
-        self.server.held -= sum(len(x.body) for x in self.waiting)
+        self._reader.drop_body()
+        self.server.bodies.release(sum(len(x.body) for x in self.waiting))
         self.waiting.clear()
 
+    @property
+    def unsent(self) -> int:
+        return self.connection.unsent
+
     def reply(self, exchange: Exchange, status: int, body: bytes,
               headers: tuple[tuple[str, str], ...]) -> None:
         if exchange is not self.current:
@@ -304,7 +266,7 @@
     def retire(self) -> None:
         """Closes it if it rests. A request that lies in our socket came first: it is read and answered."""
         self.connection.read_now()
-        if self in self.server.links and self.idle():
+        if self.server.holds(self) and self.idle():
             self.close()
 
     def close(self) -> None:
@@ -313,18 +275,18 @@
         self.server.loop.deadlines.drop(self._look)
         self.server.drop(self)
         self._clear()
-        self._broken = True
+        self._reader.stopped = True
         self.connection.finish(self.server.lingering)
 
     def _rearm(self) -> None:
         """What the other side has to do next, and how long it may take. A job's own time is the core's."""
         if self.connection.unsent:
             self._time(WRITE_TIME, ConnectionOutcome.CLOGGED)
-        elif self._coming is not None:
+        elif self._reader.coming is not None:
             self._time(self.server.limits.message_s, ConnectionOutcome.SLOW)
         elif self.idle():
             if self.proven:
-                self.server.standing[self] = None
+                self.server.rests(self)
             self._time(self.server.limits.idle_s, ConnectionOutcome.IDLE)
         else:
             self._time(None)
@@ -340,11 +302,11 @@
         now, limits = self.server.loop.clock.now(), self.server.limits
         due, most = self._began + limits.message_s, self._began + limits.message_most_s
         comes = now < min(self.heard + limits.silence_s, most)
-        if ending is ConnectionOutcome.SLOW and self._coming is not None and (comes or now < due):
+        if ending is ConnectionOutcome.SLOW and self._reader.coming is not None and (comes or now < due):
             until = max(due, self.heard + limits.silence_s)
             self._time(max(min(until, most) - now, 0.0), ConnectionOutcome.SLOW)
-        elif ending is ConnectionOutcome.SLOW and self._coming is not None:
-            self._break(408, "the request came too slowly")
+        elif ending is ConnectionOutcome.SLOW and self._reader.coming is not None:
+            self._reader.refuse(408, "the request came too slowly")
             self.advance()
         elif ending in (ConnectionOutcome.SLOW, ConnectionOutcome.IDLE) and self.idle():
             self.retire()
--- a/larchgw/net/exchange.py
+++ b/larchgw/net/exchange.py
@@ -3,12 +3,40 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from .heads import Fields
 
-if TYPE_CHECKING:
-    from .clientlink import Link
+
+class ReplyChannel(Protocol):
+    """The connection that a request came on, as its answer and its move to another process need it."""
+
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that the kernel has not taken yet."""
+
+    def reply(self, exchange: Exchange, status: int, body: bytes,
+              headers: tuple[tuple[str, str], ...]) -> None:
+        """Writes the whole answer."""
+
+    def start(self, exchange: Exchange, status: int, reason: bytes, fields: Fields,
+              length: int | None) -> None:
+        """Begins an answer of `length` bytes, or in chunks where that is None."""
+
+    def send(self, exchange: Exchange, data: bytes) -> None:
+        """Writes the next bytes of the answer that was begun."""
+
+    def end(self, exchange: Exchange, complete: bool) -> None:
+        """Ends the answer that was begun."""
+
+    def movable(self, exchange: Exchange) -> bool:
+        """Whether nothing but this request, read whole and not answered, is on the connection."""
+
+    def descriptor(self) -> int:
+        """The socket's number."""
+
+    def detach(self) -> None:
+        """Lets go of the connection, which goes on elsewhere."""
 
 
 class Exchange:
@@ -22,13 +50,13 @@
                  "error",
                  "extra", "done", "old", "on_drained")
 
-    def __init__(self, link: Link, method: bytes = b"", target: bytes = b"") -> None:
+    def __init__(self, link: ReplyChannel, arrived: float, method: bytes = b"", target: bytes = b"") -> None:
         self.link, self.method, self.target = link, method, target
+        self.began = self.arrived = arrived
         self.path = target.partition(b"?")[0]
         self.headers: dict[bytes, bytes] = {}
         self.fields: Fields = []
         self.body = b""
-        self.began = self.arrived = link.server.loop.clock.now()
         self.keep = True
         self.error: tuple[int, str] | None = None
         self.extra: Any = None
@@ -61,7 +89,7 @@
     @property
     def unsent(self) -> int:
         """Bytes of answers on its connection that the kernel has not taken yet."""
-        return self.link.connection.unsent
+        return self.link.unsent
 
 
 class Handler(Protocol):
--- a/larchgw/net/httpserver.py
+++ b/larchgw/net/httpserver.py
@@ -4,9 +4,8 @@
 
 import socket
 
-import structlog
-
 from ..core.counters import Counters
+from .bodymemory import BodyMemory
 from .clientlink import Link
 from .connection import Connection
 from .exchange import Exchange, Handler
@@ -17,7 +16,6 @@
 __all__ = ["MAX_BODY", "Exchange", "Handler", "HttpServer", "Link", "ServerLimits"]
 
 NEWCOMER = 0.25  # seconds in which the first request of a good client comes in
-log = structlog.get_logger()
 
 
 class HttpServer:
@@ -29,13 +27,12 @@
         self.loop, self.counters, self.handler = loop, counters, handler
         self.limits = limits or ServerLimits()  # may be replaced; in force from the next bytes and waits on
         self.one_call = one_call  # on each connection
-        self.held, self.max_held = 0, max_held  # bytes of bodies that the handler does not have yet
+        self.bodies = BodyMemory(counters, handler.name, max_held)
         self.links: dict[Link, None] = {}
         # Both in order of age, so that at the cap each newcomer costs no search.
         self.unproven: dict[Link, None] = {}  # no whole request has come
         self.standing: dict[Link, None] = {}  # between requests
         self.lingering: dict[Connection, float] = {}  # answered, not yet closed; they hold descriptors
-        self._capped = False
         self.stopping = False
         self.listener = Listener(loop, counters, handler.name, address, cap, self._take,
                                  lambda: len(self.links) + len(self.lingering), self._make_room, inherited)
@@ -47,17 +44,33 @@
     def adopt(self, sock: socket.socket, method: bytes, target: bytes, keep: bool) -> Exchange:
         """A connection that another process had, and the request on it that it has read."""
         link = Link(self, sock)
-        self.links[link], link.proven = None, True
-        exchange = link.current = Exchange(link, method, target)
-        exchange.keep = keep
-        link._time(None)
-        return exchange
+        self.links[link] = None
+        return link.resume(method, target, keep)
+
+    # From the connections
+
+    def holds(self, link: Link) -> bool:
+        return link in self.links
+
+    def heard(self, link: Link) -> None:
+        if link in self.unproven:  # whoever still sends is no silent one: to the end of that line
+            self.unproven[link] = self.unproven.pop(link)
+
+    def begun(self, link: Link) -> None:
+        self.standing.pop(link, None)
+
+    def proven(self, link: Link) -> None:
+        self.unproven.pop(link, None)
+
+    def rests(self, link: Link) -> None:
+        self.standing[link] = None
 
     def drop(self, link: Link) -> None:
-        """The connection is over, or about to be."""
         for kept in (self.links, self.unproven, self.standing):
             kept.pop(link, None)
 
+    # How many there are
+
     def _make_room(self) -> bool:
         """Closes one connection that is owed nothing.
 
@@ -88,16 +101,10 @@
 
     def resize(self, cap: int, max_held: int) -> None:
         """Other caps; what stands idle above them is closed."""
-        self.listener.cap, self.max_held = cap, max_held
+        self.listener.cap, self.bodies.limit = cap, max_held
         while self.listener.count() > cap and self._make_room():
             pass
 
-    def no_memory(self) -> None:
-        self.counters.caps.labels(self.handler.name + "_bodies").inc()
-        if not self._capped:
-            self._capped = True
-            log.warning("cap.bodies", listener=self.handler.name, bytes=self.held, cap=self.max_held)
-
     def close_idle(self) -> None:
         newest = self.loop.clock.now() - NEWCOMER  # the first request of whoever came later is on its way
         for link in [x for x in self.links if x.idle() and (x.proven or x.opened < newest)]:
--- /dev/null
+++ b/larchgw/net/requestreader.py
@@ -0,0 +1,149 @@
+"""Reads HTTP/1.1 requests out of the bytes of one client's connection, and checks their sizes and framing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+
+from .bodymemory import BodyMemory
+from .connection import CHUNK
+from .exchange import Exchange
+from .limits import ServerLimits
+
+MAX_HEADERS = 100
+# Given twice, one of these is two requests in one: joined by what no value may hold, so that no reader takes
+# it for a value. Others are lists.
+SINGLE = frozenset((b"x-request-id", b"x-deadline-ms", b"x-tenant", b"x-key", b"x-cost-hint", b"x-retry",
+                    b"idempotency-key"))
+
+
+class RequestOwner(Protocol):
+    """Is told of what was read. Called from within the parser: none of these may raise."""
+
+    def new_exchange(self) -> Exchange:
+        """A request on this connection, of which nothing is known yet."""
+
+    def on_begun(self) -> None:
+        """The first byte of a request has come."""
+
+    def on_request(self, exchange: Exchange) -> None:
+        """A request has come in whole."""
+
+    def on_refused(self, exchange: Exchange) -> None:
+        """The framing is in doubt: `exchange.error` is to be answered, after which nothing more is read."""
+
+    def on_continue_expected(self) -> None:
+        """Its client waits for a word before it sends the body."""
+
+
+class RequestReader:
+    """The requests of one connection. The parser's callbacks only note what they see: they must not raise."""
+
+    def __init__(self, owner: RequestOwner, bodies: BodyMemory, limits: Callable[[], ServerLimits]) -> None:
+        self._owner, self._bodies, self._limits = owner, bodies, limits
+        self.coming: Exchange | None = None  # the request that has not come in whole
+        self.stopped = False  # nothing after this point can be told apart, or is wanted
+        self._head = self._raw = 0  # bytes of the present request: of its head, and of all as it came
+        self._url = b""
+        self._body = bytearray()
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """The next bytes of the connection."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.refuse(400, "no upgrades here")
+        except httptools.HttpParserError as error:
+            self.refuse(400, f"not HTTP: {error}")
+        if self.coming is not None and not self.stopped:
+            self._raw += len(data)
+            # A head that never ends is seen by its bytes alone: the parser tells of no header before its end.
+            limits = self._limits()
+            if self._raw > (limits.raw_bytes if self.coming.method else limits.head_bytes + CHUNK):
+                self.refuse(400, "the request is too long")
+
+    def refuse(self, status: int, reason: str) -> None:
+        """The framing is in doubt: what came before is answered, then this error, then it closes."""
+        if self.stopped:
+            return
+        self.stopped, self.coming = True, None
+        self.drop_body()
+        error = self._owner.new_exchange()
+        error.error, error.keep = (status, reason), False
+        self._owner.on_refused(error)
+
+    def drop_body(self) -> None:
+        """Lets go of the body that is coming in."""
+        self._bodies.release(len(self._body))
+        self._body = bytearray()
+
+    # From the parser
+
+    def on_message_begin(self) -> None:
+        if self.stopped:
+            return
+        self._url, self._head, self._raw = b"", 0, 0
+        self.coming = self._owner.new_exchange()
+        self._owner.on_begun()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._head += len(url)
+        if self._head > self._limits().head_bytes:
+            self._url = b""
+            self.refuse(414, "the path is too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        coming = self.coming
+        if coming is None:
+            return
+        headers, original, name = coming.headers, name, name.lower()
+        self._head += len(name) + len(value)
+        value = value.strip(b" \t")  # the parser leaves what stands behind a value
+        if len(headers) >= MAX_HEADERS or self._head > self._limits().head_bytes:
+            self.refuse(431, "too many headers")
+        elif name in headers and name != b"cookie":
+            headers[name] += (b"\n" if name in SINGLE else b",") + value
+        else:
+            headers[name] = value
+        coming.fields.append((original, value))
+
+    def on_headers_complete(self) -> None:
+        coming = self.coming
+        if coming is None:
+            return
+        coming.method = self._parser.get_method()
+        coming.target, coming.path = self._url, self._url.partition(b"?")[0]
+        coming.keep = self._parser.should_keep_alive()
+        coming.old = self._parser.get_http_version() != "1.1"
+        length = coming.headers.get(b"content-length", b"0")
+        if b"transfer-encoding" in coming.headers and b"content-length" in coming.headers:
+            # Two lengths: whoever goes by the other one reads a second request out of the body.
+            self.refuse(400, "both Content-Length and Transfer-Encoding")
+        elif length.isdigit() and int(length) > self._limits().body_bytes:
+            self._too_large()
+        elif coming.headers.get(b"expect", b"").lower() == b"100-continue":
+            self._owner.on_continue_expected()
+
+    def on_body(self, body: bytes) -> None:
+        if self.stopped:
+            return
+        if len(self._body) + len(body) > self._limits().body_bytes:
+            self._too_large()
+        elif self._bodies.reserve(len(body)):
+            self._body += body
+        else:
+            self.refuse(503, "no memory for the body")
+
+    def on_message_complete(self) -> None:
+        coming, self.coming = self.coming, None
+        if coming is None or self.stopped:
+            return
+        coming.body, self._body = bytes(self._body), bytearray()
+        self._owner.on_request(coming)
+
+    def _too_large(self) -> None:
+        self.refuse(413, f"the body is over {self._limits().body_bytes // 1024} KiB")
--- a/larchgw/upgrade/moving.py
+++ b/larchgw/upgrade/moving.py
@@ -39,7 +39,7 @@
         "attempts": [[_text(a.worker), a.sent_at - offset, a.started and a.started_at - offset, a.status]
                      for a in request.attempts],
     }
-    fds = [exchange.link.connection.sock.fileno()]
+    fds = [exchange.link.descriptor()]
     if out:
         link = out[0].carrier
         if out != request.attempts[-1:] or not isinstance(link, RunnerLink) or not link.movable():
--- /dev/null
+++ b/tests/test_request_reader.py
@@ -0,0 +1,105 @@
+"""The reader of HTTP requests without a socket: the same requests and refusals however the bytes come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import pytest
+
+from larchgw.core.counters import Counters
+from larchgw.net.bodymemory import BodyMemory
+from larchgw.net.exchange import Exchange, ReplyChannel
+from larchgw.net.limits import ServerLimits
+from larchgw.net.requestreader import MAX_HEADERS, RequestReader
+
+NO_CHANNEL = cast(ReplyChannel, None)
+LIMITS = ServerLimits(head_bytes=2000, body_bytes=100)
+
+
+@dataclass
+class Told:
+    """Notes what the reader tells."""
+
+    requests: list[Exchange] = field(default_factory=list)
+    refused: list[tuple[int, str]] = field(default_factory=list)
+    begun: int = 0
+    continues: int = 0
+
+    def new_exchange(self) -> Exchange:
+        return Exchange(NO_CHANNEL, 0.0)
+
+    def on_begun(self) -> None:
+        self.begun += 1
+
+    def on_request(self, exchange: Exchange) -> None:
+        self.requests.append(exchange)
+
+    def on_refused(self, exchange: Exchange) -> None:
+        assert exchange.error is not None and not exchange.keep
+        self.refused.append(exchange.error)
+
+    def on_continue_expected(self) -> None:
+        self.continues += 1
+
+
+def read(data: bytes, piece: int, memory: int = 1000) -> tuple[Told, BodyMemory]:
+    told, bodies = Told(), BodyMemory(Counters(), "test", memory)
+    reader = RequestReader(told, bodies, lambda: LIMITS)
+    for start in range(0, len(data), piece):
+        if not reader.stopped:
+            reader.feed(data[start:start + piece])
+    return told, bodies
+
+
+TWO = (b"POST /a?x=1 HTTP/1.1\r\nX-List: 1\r\nX-List: 2\r\nX-Key: 3\r\nX-Key: 4\r\n"
+       b"Content-Length: 5\r\n\r\nhello"
+       b"GET /b HTTP/1.0\r\nExpect: 100-continue\r\n\r\n")
+
+
+@pytest.mark.parametrize("piece", [1, 2, 7, 50, 10_000])
+def test_requests_are_the_same_in_pieces_of_any_size(piece: int) -> None:
+    told, bodies = read(TWO, piece)
+    first, second = told.requests
+    assert (first.method, first.target, first.path, first.body) == (b"POST", b"/a?x=1", b"/a", b"hello")
+    assert (first.headers[b"x-list"], first.headers[b"x-key"]) == (b"1,2", b"3\n4")
+    assert first.fields[0] == (b"X-List", b"1") and first.keep and not first.old
+    assert (second.path, second.keep, second.old) == (b"/b", False, True)
+    assert (told.begun, told.continues, told.refused, bodies.held) == (2, 1, [], 5)
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"no HTTP\r\n\r\n", 400),
+    (b"GET /" + b"x" * 3000 + b" HTTP/1.1\r\n\r\n", 414),
+    (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * 2000 + b"\r\n", 431),
+    (b"GET / HTTP/1.1\r\n" + b"".join(b"A%d: b\r\n" % i for i in range(MAX_HEADERS + 1)) + b"\r\n", 431),
+    (b"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + (b"60\r\n" + b"x" * 96 + b"\r\n") * 2, 413),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n", 400),
+])
+@pytest.mark.parametrize("piece", [1, 500, 100_000])
+def test_what_is_too_large_or_ambiguous_is_refused_once_and_holds_no_memory(
+        data: bytes, status: int, piece: int) -> None:
+    told, bodies = read(data + b"GET /next HTTP/1.1\r\n\r\n", piece)
+    assert [refused for refused, _ in told.refused] == [status]
+    assert bodies.held == sum(len(request.body) for request in told.requests)
+    assert all(request.path != b"/next" for request in told.requests)
+
+
+def test_a_body_beyond_the_memory_is_refused_and_counted() -> None:
+    told, bodies = read(TWO, 10_000, memory=4)
+    assert [status for status, _ in told.refused] == [503] and not told.requests
+    assert bodies.held == 0
+    counted: dict[str, Any] = bodies._counters.figures()
+    assert counted == {"larchgw_caps_total_test_bodies": 1.0}
+
+
+def test_a_limit_replaced_in_the_midst_of_a_request_counts_at_once() -> None:
+    told, bodies = Told(), BodyMemory(Counters(), "test", 1000)
+    limits = [ServerLimits(body_bytes=100)]
+    reader = RequestReader(told, bodies, lambda: limits[0])
+    reader.feed(b"POST / HTTP/1.1\r\nContent-Length: 20\r\n\r\n" + b"x" * 10)
+    limits[0] = ServerLimits(body_bytes=15)
+    reader.feed(b"x" * 10)
+    assert [status for status, _ in told.refused] == [413] and bodies.held == 0
