net: a runner's answer, report and keep-alive limit are modules without I/O, beside the link and the pool

Change: runneranswer.py (bytes to outcome, result, report), runnerreport.py and keepalive.py are tested without a socket; runnerlink.py knows its pool as a LinkPool; choosing a connection is three short methods. Behaviour is the same.

--- a/larchgw/upgrade/moving.py
+++ b/larchgw/upgrade/moving.py
@@ -15,7 +15,8 @@
 from ..fronts.platform import PlatformFront
 from ..interface import Status
 from ..net.httpserver import Exchange
-from ..net.runners import RunnerLink, Runners
+from ..net.runnerlink import RunnerLink
+from ..net.runners import Runners
 
 MAX_PACKET = 192 << 10
 MAX_FDS = 2
@@ -44,7 +45,7 @@
         link = out[0].carrier
         if out != request.attempts[-1:] or not isinstance(link, RunnerLink) or not link.movable():
             return None
-        told |= {"address": link.address, "answer": _text(bytes(link.raw))}
+        told |= {"address": link.address, "answer": _text(link.answer_so_far())}
         fds.append(link.connection.sock.fileno())  # type: ignore[union-attr]
     packet = json.dumps(told).encode()
     return (packet, fds) if len(packet) <= MAX_PACKET else None
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -21,7 +21,8 @@
 from larchgw.net.httpserver import Exchange, HttpServer
 from larchgw.net.listener import Listener
 from larchgw.net.loop import CLIENTS, FIRST, NEWCOMERS, READ, WORKERS, Loop
-from larchgw.net.runners import RunnerLink, Runners
+from larchgw.net.runnerlink import RunnerLink
+from larchgw.net.runners import Runners
 from larchgw.node import ASK_FIRST, Node
 
 
