Views: a late vote makes no primary of a member that follows a later view

Cause: a member whose proposed view got its last vote only after it had itself accepted a later one led the old view all the same. It then was primary of one epoch and follower of another over one log: a record that the later primary wrote at an index counted as the acknowledgement of its own proposal there.

Change: the view is led only if its primary has promised nothing above it. The view may be chosen; the one that descends from it is acted in.

Test: tests/test_replication_late_votes.py, red without the change (the member acts in epoch 2 while it follows view 3).

--- a/larchgw/replication/view_changes.py
+++ b/larchgw/replication/view_changes.py
@@ -225,10 +225,18 @@
             self._propose(now, ballot)
             return True
         if ballot.is_chosen and ballot.proposal is not None:
-            self.lead(now, ballot.proposal)
+            self._chosen(now, ballot.epoch, ballot.proposal)
             return True
         return False
 
+    def _chosen(self, now: float, epoch: int, view: View) -> None:
+        """The last vote may come after this member has itself agreed to a later view, and follows it: then
+        its own log is another's to write, and it must not lead."""
+        if self._witness.promised > epoch:
+            self._candidate.abandon(now)
+        else:
+            self.lead(now, view)
+
     def _propose(self, now: float, ballot: Ballot) -> None:
         base = ballot.base
         if self._me not in base.in_sync:
