Planned ends: a control process ends once the others have agreed to go on without it

Need: a planned end waited 0.4 s whatever the state. A backup that ended within a repair could be the last copy above survive, or the vote that made the majority.

Change: Member.leave hands the primary's role and the leases over for good and asks everyone in the view (message Leave, each 50 ms) to go on without it. The primary leaves it out of the in-sync set as soon as survive + 1 others hold all that is acknowledged, and answers Left once neither its copy nor, with those let go before, its vote is needed. A new primary knows of the wish and leaves it out with its first view. The vote stays, and who left in order is taken in again without the wait for members that were left out for silence. ControlNode.stop goes on listening until Member.has_left, for half of grace_period_s at most: an operator's call is still passed on, a check-in is refused and goes to another process.

Nothing acknowledged depends on it: a member killed while it leaves is a member that is killed.

Explored: courses and walks with planned ends and planned replacements, the exhaustive part with a planned end at any point; three new mutants.

--- a/larchgw/control/checkins.py
+++ b/larchgw/control/checkins.py
@@ -36,6 +36,11 @@
                  replicator: Replicator) -> None:
         self._directory, self._registry = directory, registry
         self._contact, self._replicator = contact, replicator
+        self._is_closed = False
+
+    def close(self) -> None:
+        """The process is about to end: runners are sent to another one from now on."""
+        self._is_closed = True
 
     async def checkin(self, runner: str, body: bytes) -> bool:
         """See http_api.ControlService."""
@@ -46,7 +51,7 @@
         return await self._acknowledge(runner, self._directory.leave(runner))
 
     async def _acknowledge(self, runner: str, outcome: CheckinOutcome) -> bool:
-        if self._contact.isolated():
+        if self._is_closed or self._contact.isolated():
             return False
         return not outcome.urgent or await self._replicate(runner)
 
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -60,7 +60,8 @@
 CONTACTS_TICK_S = 0.2
 PUBLISH_AFTER_S = 0.5  # after which a backup publishes a configuration that the primary has not
 RESERVE_TICK_S = 1.0  # compactions are at least some seconds apart
-HAND_OVER_S = 0.4  # after a planned end was told, for the others to take over
+LEAVE_SHARE = 0.5  # of the grace period; then it ends without the agreement of the others
+CALLS_END_S = 0.1  # after the others have agreed, for answers that are under way
 
 
 class ControlNode:
@@ -123,15 +124,32 @@
         self.swim.join(seed_gossip_addresses(settings))
 
     async def stop(self) -> None:
-        """Hands over what it is alone in doing, and ends."""
-        self.replicated.step_down()
+        """Hands over what it is alone in doing, and ends once the others go on without it.
+
+        Until then it listens: an operator's call is passed on to the new primary, and a runner's check-in is
+        refused, which sends the runner to another process at once. Nothing depends on the end being in
+        order; cut short, it is the loss of a process."""
+        self.checkins.close()
+        self.replicated.leave()
         self._gossip.leave()
+        if await self._until_left(LEAVE_SHARE * self.settings.time_limits.grace_period_s):
+            log.info("control: the others go on without this process")
+        else:
+            log.warning("control: ends without the agreement of the others")
         self._http.stop()
-        await asyncio.sleep(HAND_OVER_S)
+        await asyncio.sleep(CALLS_END_S)
         self.tasks.stop()
         self._rpc.stop()
         self.clients.close()
 
+    async def _until_left(self, seconds: float) -> bool:
+        """Whether the others have agreed to its end within this time."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        while not self.replicated.has_left and loop.time() < until:
+            await asyncio.sleep(TICK_S)
+        return self.replicated.has_left
+
     # ---- Calls from outside: http_api.ControlService ----
 
     async def operator_call(self, operation: str, built_on: int, body: bytes) -> Answer:
--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -45,9 +45,14 @@
         """A message of another member has come."""
         self._guard(lambda: self.member.receive(self._clock(), message))
 
-    def step_down(self) -> None:
-        """Hands the primary role over, before a planned end."""
-        self._guard(lambda: self.member.step_down(self._clock()))
+    def leave(self) -> None:
+        """A planned end is ahead; `has_left` tells when the others go on without this process."""
+        self._guard(lambda: self.member.leave(self._clock()))
+
+    @property
+    def has_left(self) -> bool:
+        """See Member.has_left."""
+        return self.member.has_left
 
     def lease(self, name: str) -> Lease | None:
         """The lease, while it is held here."""
--- a/larchgw/replication/explore_exhaustive.py
+++ b/larchgw/replication/explore_exhaustive.py
@@ -16,6 +16,7 @@
 MOST_TIMEOUTS = 3
 MOST_RESTARTS = 1
 MOST_CHANGES = 2
+MOST_LEAVES = 1
 BOOT_STEPS = 60  # messages after which the first view is at work
 
 
@@ -28,7 +29,8 @@
 
 
 class Exhaustive:
-    """Three machines, one of which may be lost; two changes, some timeouts and a restart at any point."""
+    """Three machines, one of which may be lost; two changes, some timeouts, a restart and a planned
+    end at any point."""
 
     def __init__(self) -> None:
         self.states: set[int] = set()
@@ -60,6 +62,8 @@
             world.deliver(0)
     for choice in path:
         _take(world, choice)
+        for address in world.machines:
+            world.end_if_left(address)
     return world
 
 
@@ -73,6 +77,8 @@
     elif choice.action == "restart":
         world.kill(machine.address)
         world.start(machine.address)
+    elif choice.action == "leave":
+        world.leave(machine.address)
     else:
         world.change(machine)
 
@@ -81,12 +87,14 @@
     taken = [choice.action for choice in path]
     choices = [Choice("deliver", number) for number in range(len(world.pending))]
     for number, machine in enumerate(world.machines.values()):
+        if taken.count("restart") < MOST_RESTARTS:
+            choices.append(Choice("restart", number))
         if machine.member is None:
             continue
+        if taken.count("leave") < MOST_LEAVES:
+            choices.append(Choice("leave", number))
         if taken.count("time out") < MOST_TIMEOUTS:
             choices.append(Choice("time out", number))
-        if taken.count("restart") < MOST_RESTARTS:
-            choices.append(Choice("restart", number))
         if taken.count("change") < MOST_CHANGES and machine.member.is_primary:
             choices.append(Choice("change", number))
     return choices
--- a/larchgw/replication/explore_faults.py
+++ b/larchgw/replication/explore_faults.py
@@ -11,6 +11,7 @@
 
 STEP = 0.05  # seconds between two decisions
 FIRST_BOOT = 0.35  # seconds in which the machines start for the first time
+GRACE = 1.5  # seconds from the wish to end to the end by force
 CALM = 2 * TERM + 4.0  # seconds after the last fault within which everything must work again
 
 
@@ -21,10 +22,12 @@
         self._world = world
         self._random = world.random
         self._due: list[tuple[float, Callable[[], None]]] = []  # ends of faults
+        self._leaving: dict[str, Callable[[], None]] = {}  # address -> what follows its end
         self._faults: list[Callable[[], None]] = [
             self._kill, self._lose_power, self._break_in_a_write, self._freeze, self._cut, self._cut_one_way,
             self._unreliable, self._wipe, self._wipe_one_and_power_off, self._kill_all, self._power_off_all,
-            self._replace, self._step_down, self._fill_disk, self._slow_disks,
+            self._replace, self._step_down, self._fill_disk, self._slow_disks, self._leave,
+            self._replace_in_order,
         ]
 
     def play(self, seconds: float, calm_between: float) -> None:
@@ -61,6 +64,8 @@
         self._due = [(at, end) for at, end in self._due if at > world.now]
         for end in ended:
             end()
+        for address in [address for address in self._leaving if world.end_if_left(address)]:
+            self._leaving.pop(address)()
         for machine in world.primaries():
             if self._random.random() < 0.5:
                 world.change(machine)
@@ -136,6 +141,40 @@
         if (machine := self._any()) is not None:
             self._world.step_down(machine)
 
+    def _leave(self) -> None:
+        if (machine := self._any()) is not None:
+            self._end_in_order(machine.address, partial(self._restart_later, machine.address))
+
+    def _replace_in_order(self) -> None:
+        """The new machine first, then the end of the old."""
+        machine = self._any()
+        if machine is not None and self._world.may_lose_a_disk():
+            self._start(self._world.new_machine().address)
+            ends_after = self._random.choice((0.0, 0.5, 2.0))
+            self._after(ends_after, partial(self._take_away_in_order, machine.address))
+
+    def _take_away_in_order(self, address: str) -> None:
+        if address not in self._world.gone and self._world.may_lose_a_disk():
+            self._end_in_order(address, partial(self._take_away, address))
+
+    def _take_away(self, address: str) -> None:
+        """Its disk goes too, unless others were lost meanwhile."""
+        if not self._world.is_seated(address) or self._world.may_lose_a_disk():
+            self._world.destroy(address)
+        else:
+            self._restart_later(address)
+
+    def _end_in_order(self, address: str, after: Callable[[], None]) -> None:
+        """Asks the process to end, and ends it by force after GRACE."""
+        if address not in self._leaving:
+            self._world.leave(address)
+            self._leaving[address] = after
+            self._after(GRACE, partial(self._end_by_force, address))
+
+    def _end_by_force(self, address: str) -> None:
+        if address in self._leaving:
+            self._world.kill(address)
+
     def _fill_disk(self) -> None:
         if (machine := self._any()) is not None:
             machine.disk.full = True
@@ -184,6 +223,10 @@
     # ---- afterwards ----
 
     def _end_faults(self) -> None:
+        for address, after in self._leaving.items():
+            self._world.kill(address)
+            after()
+        self._leaving = {}
         self._due = []
         self._heal()
         self._reliable()
--- a/larchgw/replication/explore_mutants.py
+++ b/larchgw/replication/explore_mutants.py
@@ -12,10 +12,12 @@
 
 from . import identity, member, view
 from .ballot import Ballot
+from .departure import Departure
 from .leadership import Leadership
 from .lease import LeaseHolder
 from .lease_witness import LeaseWitness
 from .replica import Replica
+from .view_changes import ViewChanges
 from .witness import Witness
 
 
@@ -109,7 +111,7 @@
 
 
 def _lets_anyone_in(original: Any) -> Any:
-    def may_enter(self: Leadership, now: float, candidate: str) -> bool:
+    def may_enter(self: Leadership, now: float, candidate: str, leaving: Any) -> bool:
         return candidate not in self.view.in_sync and self._peers[candidate].replicating
     return may_enter
 
@@ -126,27 +128,51 @@
     return remaining
 
 
+def _leads_by_a_late_vote(original: Any) -> Any:
+    def chosen(self: ViewChanges, now: float, epoch: int, chosen_view: view.View) -> None:
+        self.lead(now, chosen_view)
+    return chosen
+
+
+def _ends_without_agreement(original: Any) -> Any:
+    def is_over(self: Departure, accepted: view.View | None) -> bool:
+        return self.has_begun
+    return is_over
+
+
+def _agrees_to_every_end(original: Any) -> Any:
+    def can_spare(self: Leadership, now: float, leaver: str, spared: Any) -> bool:
+        return True
+    return can_spare
+
+
 MUTANTS = (
-    Mutant("acknowledges a record that one backup has", "walk", 4,
+    Mutant("acknowledges a record that one backup has", "walk", 6,
            Leadership, "commit_index", _commits_on_one_backup),
     Mutant("takes a replica in that lacks records", "walk", 11, Leadership, "_may_enter", _lets_anyone_in),
     Mutant("is ready before what it took over is acknowledged", "walk", 2, Leadership, "is_ready",
            lambda original: property(lambda self: True)),
-    Mutant("confirms reads without a quorum", "walk", 10,
+    Mutant("confirms reads without a quorum", "walk", 31,
            Leadership, "proven_round", _proves_by_its_own_word),
-    Mutant("ignores the views that promises report", "course", 33,
+    Mutant("ignores the views that promises report", "walk", 10,
            Ballot, "promise", _ignores_reported_views),
-    Mutant("promises an epoch again", "course", 6, Witness, "promise", _promises_anything),
-    Mutant("accepts a view below its promise", "walk", 440, Witness, "accept", _accepts_anything),
+    Mutant("promises an epoch again", "course", 21, Witness, "promise", _promises_anything),
+    Mutant("accepts a view below its promise", "walk", 1114, Witness, "accept", _accepts_anything),
     Mutant("keeps promises in memory only", "course", 0, Witness, "_store", _keeps_in_memory("_state")),
     Mutant("goes on as primary after a restart", "walk", 0, member, "establish", _leads_after_a_restart),
-    Mutant("keeps its vote after the loss of its disk", "walk", 8,
+    Mutant("keeps its vote after the loss of its disk", "walk", 11,
            member, "establish", _names_a_wiped_disk_as_before),
     Mutant("answers before its records are synced", "walk", 0, Replica, "sync", _always(None)),
-    Mutant("does not compare the epochs of records", "walk", 1, Replica, "follow", _ignores_divergence),
+    Mutant("does not compare the epochs of records", "walk", 10, Replica, "follow", _ignores_divergence),
     Mutant("counts one less than a majority as one", "walk", 0, view, "majority_of", _one_less_is_enough),
-    Mutant("does not wait a term after another holder", "course", 1,
+    Mutant("does not wait a term after another holder", "course", 0,
            LeaseHolder, "_another_acted", _always(False)),
     Mutant("grants a lease that another holds", "course", 0,
            LeaseWitness, "_remaining", _grants_known_fences),
+    Mutant("leads by a vote that came too late", "course", 97,
+           ViewChanges, "_chosen", _leads_by_a_late_vote),
+    Mutant("ends before the others have agreed", "course", 0,
+           Departure, "is_over", _ends_without_agreement),
+    Mutant("agrees to the end of a member in sync", "course", 0,
+           Leadership, "can_spare", _agrees_to_every_end),
 )
--- a/larchgw/replication/explore_walk.py
+++ b/larchgw/replication/explore_walk.py
@@ -48,6 +48,8 @@
             self._cut_or_heal()
         else:
             self._lose_a_disk()
+        for machine in self.running:
+            self.end_if_left(machine.address)
 
     def deliver(self, number: int) -> None:
         """The message under way with this number arrives."""
@@ -91,7 +93,7 @@
             self._stop(machine)
 
     def _stop(self, machine: Machine) -> None:
-        fate = self.random.randrange(5)
+        fate = self.random.randrange(6)
         if fate == 0:
             self.kill(machine.address)
         elif fate == 1:
@@ -100,6 +102,8 @@
             machine.disk.crash_after = self.random.randrange(4)
         elif fate == 3:
             self.step_down(machine)
+        elif fate == 4:
+            self.leave(machine.address)
         else:
             self.kill(machine.address)
             self.start(machine.address)
--- a/larchgw/replication/explore_world.py
+++ b/larchgw/replication/explore_world.py
@@ -146,15 +146,18 @@
     def may_lose_a_disk(self) -> bool:
         """Whether one more disk may be lost within what the system survives. Machines that are not yet, or
         not any more, in sync and witnesses count as lost."""
-        view = self.newest_view
-        if view is None:
+        if self.newest_view is None:
             return False
-        seated = [machine for machine in self.machines.values()
-                  if machine.id in view.in_sync and machine.id in view.witnesses
-                  and machine.id in view.former_witnesses]
+        seated = [address for address in self.machines if self.is_seated(address)]
         present = len(self.machines) - len(self.gone)
         return present - len(seated) < self.survive
 
+    def is_seated(self, address: str) -> bool:
+        """Whether the machine is in sync and a witness, of both sets while they change."""
+        view, member = self.newest_view, self.machines[address].id
+        return view is not None and member in view.in_sync and member in view.witnesses \
+            and member in view.former_witnesses
+
     @property
     def running(self) -> list[Machine]:
         """Machines whose process runs and is not frozen."""
@@ -304,9 +307,24 @@
         return True
 
     def step_down(self, machine: Machine) -> None:
-        """A planned end is ahead."""
+        """The disk is in trouble, or the operator wants another primary."""
         self._call(machine, lambda member, clock: member.step_down(clock))
 
+    def leave(self, address: str) -> None:
+        """A planned end is ahead."""
+        machine = self.machines[address]
+        if machine.member is not None and not machine.frozen:
+            self._call(machine, lambda member, clock: member.leave(clock))
+
+    def end_if_left(self, address: str) -> bool:
+        """The process ends if it may, and then nothing must depend on it; whether it does not run now."""
+        machine = self.machines[address]
+        if machine.member is not None and not machine.frozen and machine.member.has_left:
+            if self.newest_view is not None and machine.id in self.newest_view.in_sync:
+                raise Broken(f"{machine.name} has left, but is in sync in {self.newest_view}")
+            self.kill(address)
+        return machine.member is None
+
 
 def _snapshot(machine: Machine) -> bytes:
     return str(machine.version).encode()
--- a/larchgw/replication/leadership.py
+++ b/larchgw/replication/leadership.py
@@ -31,10 +31,11 @@
 
 class Leadership:
     """The primary of one view that a quorum has accepted. Renewed with each view it forms while it stays
-    primary; `before` is the one it continues."""
+    primary; `before` is the one it continues. `leaving`: who asked to be left out before a planned end; such
+    a member did nothing wrong, and may come back as soon as it likes."""
 
     def __init__(self, me: str, view: View, replica: Replica, outbox: Outbox, settings: MemberSettings,
-                 now: float, before: Leadership | None) -> None:
+                 now: float, before: Leadership | None, leaving: frozenset[str] = frozenset()) -> None:
         self.view = view
         self._me = me
         self._replica = replica
@@ -49,17 +50,17 @@
         self.joined: dict[str, float] = {}  # members that asked to be brought up to date -> when last
         self._left_out_at: dict[str, float] = {}
         if before is not None:
-            self._continue(before, now)
+            self._continue(before, now, leaving)
         for member in view.members:
             self._peer(member, now)
         self.refused_since: float | None = None
 
-    def _continue(self, before: Leadership, now: float) -> None:
+    def _continue(self, before: Leadership, now: float, leaving: frozenset[str]) -> None:
         self.round = before.round
         self.takeover_index = before.takeover_index
         self.joined = dict(before.joined)
         self._left_out_at = dict(before._left_out_at)
-        for member in set(before.view.backups) - set(self.view.backups):
+        for member in set(before.view.backups) - set(self.view.backups) - leaving:
             self._left_out_at[member] = now
         for member, peer in before._peers.items():
             self._peer(member, peer.heard_at)
@@ -115,31 +116,40 @@
         for member in view.members:
             self._peer(member, NEVER)
 
-    def standing(self, now: float, taken: frozenset[str]) -> Standing:
-        """For the next view. `taken`: identities whose address now belongs to another."""
+    def standing(self, now: float, taken: frozenset[str], leaving: frozenset[str]) -> Standing:
+        """For the next view. `taken`: identities whose address now belongs to another. `leaving`: members
+        that are about to end."""
         healthy = {member for member, peer in self._peers.items()
                    if member not in taken and self._is_healthy(now, peer)}
         ready = [member for member in self._peers
-                 if member in healthy and member not in taken and self._may_enter(now, member)]
+                 if member in healthy - leaving and self._may_enter(now, member, leaving)]
         gone = {member for member, peer in self._peers.items()
                 if member in taken or now - peer.heard_at > self._timing.witness_silence}
         addresses = {member: address for member in self._peers
                      if (address := self._outbox.address_of(member)) is not None}
-        return Standing(frozenset(healthy), tuple(sorted(ready)), frozenset(gone), addresses)
+        return Standing(frozenset(healthy), tuple(sorted(ready)), frozenset(gone), leaving, addresses)
+
+    def can_spare(self, now: float, member: str, spared: frozenset[str]) -> bool:
+        """Whether this member may end, and those `spared` before too: no acknowledgement waits for its copy,
+        and the others that are there are a quorum."""
+        if member in self.view.in_sync or member in self._proposed_backups:
+            return False
+        present = {other for other, peer in self._peers.items() if self._is_healthy(now, peer)}
+        return self.view.has_quorum((present | {self._me}) - spared - {member})
 
     def _is_healthy(self, now: float, peer: Peer) -> bool:
         if now - peer.heard_at > self._timing.backup_silence:
             return False
         return peer.overdue_at is None or now <= peer.overdue_at
 
-    def _may_enter(self, now: float, member: str) -> bool:
+    def _may_enter(self, now: float, member: str, leaving: frozenset[str]) -> bool:
         peer = self._peers[member]
         if member in self.view.in_sync or not peer.replicating:
             return False
         if peer.match < max(self._replica.committed, self.takeover_index):
             return False  # what was taken over may all be acknowledged, though this primary does not know yet
-        short = sum(self._is_healthy(now, self._peers[backup]) for backup in self.view.backups) \
-            < self._settings.survive
+        staying = [backup for backup in self.view.backups if backup not in leaving]
+        short = sum(self._is_healthy(now, self._peers[backup]) for backup in staying) < self._settings.survive
         return short or now - self._left_out_at.get(member, NEVER) >= self._timing.rejoin
 
     def forgive_silence(self, now: float) -> None:
@@ -261,7 +271,8 @@
                       for member, peer in sorted(self._peers.items()))
         return (self.view.epoch, self.round, self.takeover_index, frozenset(self._proposed_backups), peers)
 
-    def successor(self, now: float) -> str | None:
+    def successor(self, now: float, leaving: frozenset[str]) -> str | None:
         """The backup that would lose the least by becoming primary now."""
-        healthy = [member for member in self.view.backups if self._is_healthy(now, self._peers[member])]
+        healthy = [member for member in self.view.backups
+                   if member not in leaving and self._is_healthy(now, self._peers[member])]
         return max(healthy, key=lambda member: self._peers[member].match, default=None)
--- a/larchgw/replication/lease.py
+++ b/larchgw/replication/lease.py
@@ -95,7 +95,7 @@
         if view is not None and (self._fence or self._attempt is not None):
             self._send_release(view)
         self._give_up()
-        self._paused_until = now + rest
+        self._paused_until = max(self._paused_until, now + rest)
         self._next_at = None
 
     def tick(self, now: float, view: View | None, rank: int) -> None:
--- a/larchgw/replication/leases.py
+++ b/larchgw/replication/leases.py
@@ -56,7 +56,7 @@
         for holder in self._holders.values():
             holder.tick(now, view, rank)
 
-    def rest(self, now: float, view: View | None) -> None:
+    def rest(self, now: float, view: View | None, seconds: float) -> None:
         """Gives all leases up, and stands for none for a while."""
         for holder in self._holders.values():
-            holder.release(now, view, self._settings.timing.rest)
+            holder.release(now, view, seconds)
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -4,10 +4,12 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from math import inf
 from random import Random
 
 from .candidate import Candidate
 from .compaction import Compaction
+from .departure import Departure
 from .effects import Effects, NotPrimary, Role, Ticket
 from .follower import Follower
 from .identity import establish
@@ -28,6 +30,8 @@
     LeaseAnswer,
     LeaseAsk,
     LeaseRelease,
+    Leave,
+    Left,
     Message,
     Prepare,
     Probe,
@@ -74,6 +78,7 @@
                                   self._outbox, self._roster, self._follower, candidate, self._fail_tickets)
         self._leases = Leases(self._me, self._lease_witness, settings, self._outbox, random)
         self._compaction = Compaction(self._replica, settings, snapshot)
+        self._departure = Departure(self._me, self._outbox, self._timing)
         self._tickets = Tickets()
         self._contacts: tuple[str, ...] = settings.seeds
         self._effects = Effects()
@@ -120,6 +125,12 @@
         """The newest record of the log, acknowledged or not."""
         return self._replica.last_index
 
+    @property
+    def has_left(self) -> bool:
+        """Whether, after `leave`, no acknowledgement needs this member's copy, it has no role, and the others
+        are enough to decide without it."""
+        return self._views.leading is None and self._departure.is_over(self._witness.view)
+
     @property
     def acting_epoch(self) -> int | None:
         """The epoch in which this member acts as primary; None if it does not."""
@@ -127,7 +138,7 @@
 
     def progress(self) -> tuple[object, ...]:
         """What is kept in memory only, times left out; for explorations that compare states."""
-        return (self._replica.committed, *self._views.progress())
+        return (self._replica.committed, *self._views.progress(), *self._departure.progress())
 
     # ---- calls ----
 
@@ -195,11 +206,23 @@
         """Hands the primary's role to a backup, gives up leases, and stands for neither for some seconds.
         What is proposed and not acknowledged fails as possibly taken."""
         self._observe(now)
-        self._rest(now)
+        self._rest(now, self._timing.rest)
+        return self._finish(now)
+
+    def leave(self, now: float) -> Effects:
+        """A planned end is ahead: hands over as `step_down` does, for good, and asks to be left out of the
+        in-sync set until `has_left`. The vote stays. To be followed by ticks; safe to be cut short."""
+        self._observe(now)
+        self._departure.begin()
+        self._rest(now, inf)
+        self._departure.ask(now, self._witness.view)
         return self._finish(now)
 
     def lease(self, now: float, name: str) -> Lease | None:
-        """The lease, if it is held and may be acted on now; otherwise it is asked for from now on."""
+        """The lease, if it is held and may be acted on now; otherwise it is asked for from now on, unless
+        this member leaves."""
+        if self._departure.has_begun:
+            return None
         return self._leases.lease(now, name)
 
     def set_contacts(self, addresses: Iterable[str]) -> None:
@@ -236,6 +259,10 @@
                 self._views.accepted(sender, message)
             case Join():
                 self._on_join(now, sender, message)
+            case Leave():
+                self._views.leave(now, sender, message)
+            case Left():
+                self._departure.agreed(message)
             case TakeOver():
                 self._views.take_over(now, message)
             case LeaseAsk():
@@ -256,16 +283,19 @@
 
     def _on_join(self, now: float, sender: str, join: Join) -> None:
         self._roster.meet(join.member, join.address, self.view)
+        self._views.join(now, join)
         if self._views.leading is not None:
-            self._views.leading.join(now, join.member)
-        elif sender == join.member and self._follower.hears_primary(now) and self._witness.view is not None:
+            return
+        if sender == join.member and self._follower.hears_primary(now) and self._witness.view is not None:
             self._outbox.send(self._witness.view.primary, join)
 
     # ---- time ----
 
     def _on_tick(self, now: float) -> None:
         self._compaction.tick(now, self._delivered)
-        self._views.tick(now, self._contacts)
+        self._views.tick(now, self._contacts, self._departure.has_begun)
+        if self._departure.has_begun:
+            self._departure.ask(now, self._witness.view)
         self._leases.tick(now, self._witness.view, self._rank())
 
     def _rank(self) -> int:
@@ -274,9 +304,9 @@
             return 0
         return view.in_sync.index(self._me) if self._me in view.in_sync else len(view.in_sync)
 
-    def _rest(self, now: float) -> None:
-        self._views.rest(now)
-        self._leases.rest(now, self.view)
+    def _rest(self, now: float, seconds: float) -> None:
+        self._views.rest(now, seconds)
+        self._leases.rest(now, self.view, seconds)
 
     def _fail_tickets(self, reason: str) -> None:
         self._tickets.fail(reason, self._effects)
@@ -347,7 +377,7 @@
             log.error("the disk refuses writes (%s): free space in data_dir or replace the disk", error)
         self.disk_error = error
         self._outbox.drain_own()
-        self._rest(now)
+        self._rest(now, self._timing.rest)
         self._outbox.drain_own()
 
     def _observe(self, now: float) -> None:
--- a/larchgw/replication/messages.py
+++ b/larchgw/replication/messages.py
@@ -140,6 +140,20 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """A member is about to end: no acknowledgement shall wait for its copy."""
+
+    member: str
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The primary of `epoch` needs neither the copy nor the vote of the receiver: it may end."""
+
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class TakeOver:
     """The primary of `epoch` asks a backup to become primary at once."""
@@ -184,12 +198,13 @@
 
 
 Message = (Probe | ProbeReply | Prepare | Promise | Accept | Accepted | Heartbeat | HeartbeatReply | Append
-           | Install | AppendReply | Join | TakeOver | LeaseAsk | LeaseAnswer | LeaseRelease)
+           | Install | AppendReply | Join | Leave | Left | TakeOver | LeaseAsk | LeaseAnswer | LeaseRelease)
 
 _KINDS: dict[str, type[Any]] = {
     "probe": Probe, "probe_reply": ProbeReply, "prepare": Prepare, "promise": Promise, "accept": Accept,
     "accepted": Accepted, "heartbeat": Heartbeat, "heartbeat_reply": HeartbeatReply, "append": Append,
-    "install": Install, "append_reply": AppendReply, "join": Join, "take_over": TakeOver,
+    "install": Install, "append_reply": AppendReply, "join": Join, "leave": Leave, "left": Left,
+    "take_over": TakeOver,
     "lease_ask": LeaseAsk, "lease_answer": LeaseAnswer, "lease_release": LeaseRelease,
 }
 _KIND_OF = {cls: kind for kind, cls in _KINDS.items()}
--- a/larchgw/replication/planning.py
+++ b/larchgw/replication/planning.py
@@ -15,14 +15,19 @@
     healthy: frozenset[str]  # members of the view that answer and keep up
     ready: tuple[str, ...]  # not in sync, but hold everything acknowledged and may be taken in
     gone: frozenset[str]  # silent for long, or their address belongs to a new identity
+    leaving: frozenset[str]  # about to end, and asked that nothing depends on them
     addresses: Mapping[str, str]
 
 
-def failover_view(epoch: int, candidate: str, base: View, answered: Collection[str], minimum: int) -> View:
-    """The view of a new primary: the in-sync members that answered, and `minimum` of them at least. Those
-    that did not answer fill it up: they hold everything acknowledged, and one of them may come back."""
+def failover_view(epoch: int, candidate: str, base: View, answered: Collection[str],
+                  leaving: Collection[str], minimum: int) -> View:
+    """The view of a new primary: the in-sync members that answered and stay, and `minimum` of them at least.
+    Those that leave fill it up, and then those that did not answer: they hold everything acknowledged, and
+    one of them may come back."""
     others = [member for member in base.in_sync if member != candidate]
-    backups = _at_least(minimum - 1, [member for member in others if member in answered], others)
+    staying = [member for member in others if member in answered and member not in leaving]
+    present_first = sorted(others, key=lambda member: member not in answered)
+    backups = _at_least(minimum - 1, staying, present_first)
     return View(epoch, candidate, backups, base.witnesses, base.former_witnesses, base.addresses)
 
 
@@ -46,9 +51,11 @@
 
 
 def _next_backups(view: View, standing: Standing, minimum: int) -> tuple[str, ...]:
-    kept = [member for member in view.backups if member in standing.healthy]
-    absent = [member for member in view.backups if member not in standing.healthy]
-    likely_back_first = sorted(absent, key=lambda member: member in standing.gone)
+    staying = standing.healthy - standing.leaving
+    kept = [member for member in view.backups if member in staying]
+    spare = [member for member in view.backups if member not in staying]
+    likely_back_first = sorted(spare, key=lambda member: (member not in standing.healthy,
+                                                          member in standing.gone))
     return _at_least(minimum - 1, [*kept, *standing.ready], likely_back_first)
 
 
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -28,6 +28,7 @@
     forget: float = 5.0  # a member outside the view that stopped asking
     probe: float = 0.25  # to wait for answers to a probe
     lease_round: float = 0.3  # to wait for answers of witnesses to a request for a lease
+    leave: float = 0.05  # between two requests of a member that is about to end
     rest: float = 5.0  # after `step_down`, before a member stands for a role again
     pause: float = 0.25  # a gap between ticks that means the process itself did not run
 
--- a/larchgw/replication/view_changes.py
+++ b/larchgw/replication/view_changes.py
@@ -7,12 +7,25 @@
 
 from .ballot import Ballot
 from .candidate import Candidate
+from .departure import Departures
 from .follower import Follower
 from .leadership import Leadership
 from .lease_witness import LeaseWitness
-from .messages import Accept, Accepted, HeartbeatReply, Prepare, Probe, ProbeReply, Promise, TakeOver
+from .messages import (
+    Accept,
+    Accepted,
+    HeartbeatReply,
+    Join,
+    Leave,
+    Left,
+    Prepare,
+    Probe,
+    ProbeReply,
+    Promise,
+    TakeOver,
+)
 from .outbox import Outbox
-from .planning import failover_view, next_view, same_view
+from .planning import Standing, failover_view, next_view, same_view
 from .replica import Replica
 from .roster import Roster
 from .settings import MemberSettings
@@ -44,6 +57,7 @@
         self._candidate = candidate
         self._on_resign = on_resign
         self._review_at = 0.0
+        self._departures = Departures(self._timing)
         self.leading: Leadership | None = None  # while this member acts as primary
         self.rests_until = 0.0  # it does not stand before
 
@@ -55,7 +69,7 @@
     def progress(self) -> tuple[object, ...]:
         """What is kept in memory only, times left out; for explorations that compare states."""
         ballot = self._candidate.ballot
-        return (self._candidate.highest_epoch,
+        return (self._candidate.highest_epoch, *self._departures.progress(),
                 None if ballot is None else ballot.progress(),
                 None if self.leading is None else self.leading.progress())
 
@@ -120,6 +134,21 @@
         if view is not None and view.epoch == message.epoch and self._may_stand(now, view):
             self._candidate.start(now, view)
 
+    def join(self, now: float, join: Join) -> None:
+        """A member asks to be taken in."""
+        self._departures.returned(join.member)
+        if self.leading is not None:
+            self.leading.join(now, join.member)
+
+    def leave(self, now: float, sender: str, leave: Leave) -> None:
+        """A member is about to end. The primary agrees once nothing depends on it any more."""
+        self._departures.asked(now, leave.member)
+        if self.leading is None or not self.leading.has_contact(now):
+            return
+        if self.leading.can_spare(now, leave.member, self._departures.spared(now) - {leave.member}):
+            self._departures.spare(leave.member)
+            self._outbox.send(sender, Left(self.leading.view.epoch))
+
     # ---- views ----
 
     def adopt(self, now: float, view: View) -> None:
@@ -132,17 +161,17 @@
         """A quorum has accepted this view, in which this member is primary."""
         self._candidate.ballot = None
         self.leading = Leadership(self._me, view, self._replica, self._outbox, self._settings, now,
-                                  self.leading)
+                                  self.leading, self._departures.leaving(now))
         log.info("primary of view %d with backups %s, witnesses %s", view.epoch, view.backups, view.witnesses)
         self.leading.heartbeat(now)
         self.leading.replicate(now)
 
-    def rest(self, now: float) -> None:
+    def rest(self, now: float, seconds: float) -> None:
         """Hands the primary's role to a backup, and does not stand for a while."""
-        self.rests_until = now + self._timing.rest
+        self.rests_until = max(self.rests_until, now + seconds)
         if self.leading is None:
             return
-        successor = self.leading.successor(now)
+        successor = self.leading.successor(now, self._departures.leaving(now))
         if successor is not None:
             self._outbox.send(successor, TakeOver(self.leading.view.epoch))
         self._resign(now, "stepped down")
@@ -175,15 +204,16 @@
 
     # ---- time ----
 
-    def tick(self, now: float, contacts: tuple[str, ...]) -> None:
+    def tick(self, now: float, contacts: tuple[str, ...], leaves: bool) -> None:
         """Repeats what may have been lost, and looks whether the view should change. `contacts`: addresses
-        to ask for admission besides those of the view."""
+        to ask for admission besides those of the view, unless this member leaves."""
         self._candidate.tick(now)
         view = self._witness.view
         if self.leading is not None:
             self._tick_leading(now, self.leading)
         elif view is None or self._me not in view.in_sync:
-            self._follower.ask_to_join(now, contacts)
+            if not leaves:
+                self._follower.ask_to_join(now, contacts)
         elif self._may_stand(now, view) and now >= self._follower.suspects_at(view):
             self._candidate.see_epoch(self._witness.promised)
             self._candidate.probe(now, view)
@@ -207,13 +237,16 @@
     def _review(self, now: float, leading: Leadership) -> None:
         """Begins a ballot if the view should change, or if another's promise stands in its way."""
         overruled = leading.refused_since is not None and now - leading.refused_since >= self._timing.refused
-        standing = leading.standing(now, self._roster.replaced)
+        standing = self._standing(now, leading)
         change = next_view(leading.view.epoch + 1, leading.view, standing, self._settings.survive + 1)
         if change is None and not overruled:
             return
         self._candidate.see_epoch(self._witness.promised)
         self._candidate.start(now, leading.view)
 
+    def _standing(self, now: float, leading: Leadership) -> Standing:
+        return leading.standing(now, self._roster.replaced, self._departures.leaving(now))
+
     # ---- the ballot ----
 
     def progress_ballot(self, now: float) -> bool:
@@ -252,7 +285,7 @@
         minimum = self._settings.survive + 1
         leading = self.leading
         if leading is None or ballot.base.epoch != leading.view.epoch:
-            return failover_view(ballot.epoch, self._me, ballot.base, ballot.promised, minimum)
-        standing = leading.standing(now, self._roster.replaced)
-        change = next_view(ballot.epoch, leading.view, standing, minimum)
+            return failover_view(ballot.epoch, self._me, ballot.base, ballot.promised,
+                                 self._departures.leaving(now), minimum)
+        change = next_view(ballot.epoch, leading.view, self._standing(now, leading), minimum)
         return change if change is not None else same_view(ballot.epoch, leading.view)
--- /dev/null
+++ b/tests/test_control_end.py
@@ -0,0 +1,84 @@
+"""The planned end of a control process: the others must go on without it before it ends, and it must end."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from typing import Any
+
+from testtools import TestCase
+
+from larchgw.configuration.settings import NodeSettings, TimeLimits
+from larchgw.control.node import ControlNode
+from larchgw.emulator.virtual_loop import run
+
+GRACE_S = 8.0
+BODY = b'{"service":"s","address":"10.0.0.9:1","zone":"a","slots":1,"state":"ready","call_count":1}'
+
+
+class Part:
+    """A part of the node that notes its calls."""
+
+    def __init__(self, name: str, events: list[str]) -> None:
+        self._name, self._events = name, events
+
+    def __getattr__(self, call: str) -> Any:
+        return lambda *arguments: self._events.append(f"{self._name}.{call}")
+
+
+class Log(Part):
+    """The replicated log; the others agree to the end after `agreed_after` seconds."""
+
+    def __init__(self, events: list[str], agreed_after: float) -> None:
+        super().__init__("log", events)
+        self._agreed_after = agreed_after
+
+    @property
+    def has_left(self) -> bool:
+        return asyncio.get_running_loop().time() >= self._agreed_after
+
+
+class ControlEndTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.node = ControlNode(NodeSettings(
+            "core-1", "127.0.0.1", "a", spare_ports=[7660, 7675], first_boot=True,
+            seed_list=["127.0.0.1:8146"], data_dir=folder.name,
+            time_limits=TimeLimits(grace_period_s=GRACE_S)))
+        self.events: list[str] = []
+
+    def end(self, agreed_after: float) -> float:
+        """Stops the process; returns the seconds that it took."""
+        node: Any = self.node
+        node.replicated = Log(self.events, agreed_after)
+        for name in ("_gossip", "_http", "_rpc", "tasks", "clients"):
+            setattr(node, name, Part(name.strip("_"), self.events))
+
+        async def stop() -> float:
+            await self.node.stop()
+            return asyncio.get_running_loop().time()
+
+        return run(stop())
+
+    def test_it_ends_soon_after_the_others_have_agreed(self) -> None:
+        self.assertLess(self.end(agreed_after=0.2), 0.5)
+
+    def test_it_listens_and_takes_part_until_the_others_have_agreed(self) -> None:
+        self.end(agreed_after=2.0)
+        self.assertEqual(["log.leave", "gossip.leave", "http.stop"], self.events[:3])
+        self.assertEqual({"tasks.stop", "rpc.stop", "clients.close"}, set(self.events[3:]))
+
+    def test_without_their_agreement_it_ends_well_within_the_grace_period(self) -> None:
+        took = self.end(agreed_after=1000.0)
+        self.assertGreater(took, GRACE_S / 4)
+        self.assertLess(took, GRACE_S * 0.6)
+
+    def test_a_runner_that_checks_in_meanwhile_is_sent_to_another_process(self) -> None:
+        async def checkin() -> bool:
+            return await self.node.checkin("i-1", BODY)
+
+        self.assertTrue(asyncio.run(checkin()))
+        self.end(agreed_after=0.2)
+        self.assertFalse(asyncio.run(checkin()))
--- a/tests/test_replication_late_votes.py
+++ b/tests/test_replication_late_votes.py
@@ -6,7 +6,7 @@
 
 from larchgw.replication.explore_disk import SimulatedDisk
 from larchgw.replication.member import Member
-from larchgw.replication.messages import Accept, Accepted, Message, ProbeReply, Promise, encode
+from larchgw.replication.messages import Accept, Accepted, Leave, Message, ProbeReply, Promise, encode
 from larchgw.replication.settings import MemberSettings
 from larchgw.replication.view import View, first_view
 from larchgw.rpc.generated.ttypes import PeerMessage
@@ -48,3 +48,8 @@
     b.told(101.2, "c", Accept(later))
     b.told(101.3, "a", Accepted(2, True, 2))
     assert b.member.acting_epoch is None and b.member.view == later
+
+
+def test_a_member_that_is_not_primary_agrees_to_nobody_s_end() -> None:
+    b = Scripted()
+    assert ("c", "left") not in b.told(100.1, "c", Leave("c"))
--- a/tests/test_replication_parts.py
+++ b/tests/test_replication_parts.py
@@ -37,9 +37,9 @@
                 {member: member for member in members})
 
 
-def standing(healthy: str = "", ready: str = "", gone: str = "") -> Standing:
+def standing(healthy: str = "", ready: str = "", gone: str = "", leaving: str = "") -> Standing:
     addresses = {member: member for member in "abcdef"}
-    return Standing(frozenset(healthy), tuple(ready), frozenset(gone), addresses)
+    return Standing(frozenset(healthy), tuple(ready), frozenset(gone), frozenset(leaving), addresses)
 
 
 # ---- messages ----
@@ -178,9 +178,9 @@
 # ---- the next view ----
 
 def test_a_candidate_keeps_those_that_answered_and_fills_up_to_the_copies_needed() -> None:
-    assert set(failover_view(2, "b", VIEW, {"b", "c"}, 2).in_sync) == {"b", "c"}
-    assert len(failover_view(2, "b", VIEW, {"b"}, 2).in_sync) == 2
-    assert set(failover_view(2, "b", VIEW, {"a", "b", "c"}, 2).in_sync) == {"a", "b", "c"}
+    assert set(failover_view(2, "b", VIEW, {"b", "c"}, (), 2).in_sync) == {"b", "c"}
+    assert len(failover_view(2, "b", VIEW, {"b"}, (), 2).in_sync) == 2
+    assert set(failover_view(2, "b", VIEW, {"a", "b", "c"}, (), 2).in_sync) == {"a", "b", "c"}
 
 
 def test_a_silent_backup_is_left_out_only_while_enough_copies_remain() -> None:
@@ -245,6 +245,6 @@
     leading = leadership(log)
     leading.join(0.0, "d")
     leading.append_reply(0.0, "d", AppendReply(1, True, 0))
-    assert leading.standing(0.0, frozenset()).ready == ()
+    assert leading.standing(0.0, frozenset(), frozenset()).ready == ()
     leading.append_reply(0.0, "d", AppendReply(1, True, 1))
-    assert leading.standing(0.0, frozenset()).ready == ("d",)
+    assert leading.standing(0.0, frozenset(), frozenset()).ready == ("d",)
--- a/tests/test_runner_checkins.py
+++ b/tests/test_runner_checkins.py
@@ -99,6 +99,16 @@
 
         self.play(main())
 
+    def test_a_process_that_is_about_to_end_keeps_check_ins_and_acknowledges_none(self) -> None:
+        async def main() -> None:
+            self.assertTrue(await self.checkin())
+            self.checkins.close()
+            self.assertFalse(await self.checkin("draining"))
+            self.assertIs(Stage.DRAINING, self.stage())
+            self.assertFalse(await self.checkins.leave("i-1"))
+
+        self.play(main())
+
     def test_a_frozen_process_does_not_hold_an_acknowledgement_up_and_gets_a_hint(self) -> None:
         async def main() -> None:
             self.peers[0].hung = True
