explore check-ins: courses of cuts, freezes and restarts over the code that acknowledges runners

Change: control/explore*.py put the real pulls, handoff, directory, contact and check-ins of 3 and 5 control processes, 3 edges and 5 runners together in virtual time; every 20 ms they check what a process that is not isolated must know, what an edge must know, and who may acknowledge. Waiting pulls are woken in the order in which they came, and pullers start in the order of their peers, so that a course is repeated by its seed; the test of `_waiting` compares with an empty dict instead of an empty set, which is as strict.

--- /dev/null
+++ b/larchgw/control/explore.py
@@ -0,0 +1,87 @@
+"""`larchgw explore check-ins`: courses of faults in virtual time over the code that acknowledges runners, and
+mutants.
+
+The same seed plays the same courses; how many of them depends on the time given.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from dataclasses import dataclass, field
+from itertools import count
+
+from ..emulator.virtual_loop import run
+from ..replication.explore_mutants import Mutant
+from .explore_mutants import MUTANTS
+from .explore_world import Broken, World
+
+CONTROL = (3, 5)  # processes, by turns
+COURSE_SECONDS = 15.0
+
+
+@dataclass
+class Found:
+    """What an exploration has seen."""
+
+    states: int = 0
+    runs: int = 0
+    acknowledged: int = 0
+    broken: list[str] = field(default_factory=list)
+
+
+def course(seed: int) -> World:
+    """One course of faults and the recovery from it. Raises Broken."""
+    async def played() -> World:
+        world = World(seed, CONTROL[seed % len(CONTROL)])
+        await world.play(COURSE_SECONDS)
+        return world
+
+    return run(played())
+
+
+def explore(seconds: float, seed: int) -> Found:
+    """Explores for about so many seconds."""
+    found = Found()
+    until = time.monotonic() + seconds
+    for number in count(seed * 100_000):
+        if time.monotonic() >= until:
+            break
+        found.runs += 1
+        try:
+            world = course(number)
+        except Broken as broken:
+            found.broken.append(f"course {number}: {broken}")
+            continue
+        found.states += len(world.states)
+        found.acknowledged += len(world.acknowledged)
+    return found
+
+
+def caught(mutant: Mutant) -> bool:
+    """Whether the course that is meant to catch the mutant does."""
+    with mutant.active():
+        try:
+            course(mutant.seed)
+        except Broken:
+            return True
+    return False
+
+
+def main(seconds: float, seed: int) -> int:
+    """Explores, tries the mutants and prints what came of it; 0 if nothing is broken and every mutant is
+    caught."""
+    logging.disable(logging.CRITICAL)
+    try:
+        found = explore(seconds, seed)
+        missed = [mutant.name for mutant in MUTANTS if not caught(mutant)]
+    finally:
+        logging.disable(logging.NOTSET)
+    print(f"runs={found.runs} acknowledged={found.acknowledged}")
+    for reason in found.broken:
+        print(f"broken: {reason}")
+    for name in missed:
+        print(f"mutant not caught: {name}")
+    tried = len(MUTANTS)
+    print(f"explore: states={found.states} broken={len(found.broken)} mutants={tried - len(missed)}/{tried}")
+    return 1 if found.broken or missed else 0
--- a/larchgw/distribution/peers.py
+++ b/larchgw/distribution/peers.py
@@ -43,8 +43,8 @@
 
     def reconcile(self) -> None:
         """Starts and stops pullers so that they are those of the peers of now."""
-        wanted = set(self._peers())
-        for address in set(self._tasks) - wanted:
+        wanted = dict.fromkeys(self._peers())
+        for address in [address for address in self._tasks if address not in wanted]:
             self._stop(address)
         for address in wanted:
             if address not in self._tasks or self._tasks[address].done():
--- a/larchgw/distribution/pulls.py
+++ b/larchgw/distribution/pulls.py
@@ -33,7 +33,7 @@
         self._control = control
         self._gather_s = gather_s
         self._limit_bytes = limit_bytes
-        self._waiting: set[asyncio.Future[None]] = set()
+        self._waiting: dict[asyncio.Future[None], None] = {}  # the one that waits longest first
         self._wake_due: asyncio.TimerHandle | None = None
         registry.watch("", self._changed)
 
@@ -59,7 +59,7 @@
     def wake(self) -> None:
         """Lets waiting callers look again, as when `isolated` has changed."""
         self._wake_due = None
-        waiting, self._waiting = self._waiting, set()
+        waiting, self._waiting = self._waiting, {}
         for future in waiting:
             if not future.done():
                 future.set_result(None)
@@ -72,14 +72,14 @@
 
     async def _news(self, seconds: float) -> None:
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.add(future)
+        self._waiting[future] = None
         try:
             async with asyncio.timeout(seconds):
                 await future
         except TimeoutError:
             return
         finally:
-            self._waiting.discard(future)
+            self._waiting.pop(future, None)
 
     def _changed(self, entry: Entry) -> None:
         if self._waiting and self._wake_due is None:
--- a/tests/test_distribution_pulls.py
+++ b/tests/test_distribution_pulls.py
@@ -139,6 +139,6 @@
             await asyncio.sleep(0.1)
             waiting.cancel()
             await asyncio.sleep(0.0)
-            self.assertEqual(set(), self.service._waiting)
+            self.assertEqual({}, self.service._waiting)
 
         self.play(main())
