Distribution: a source that stays silent is told once, not several times a second

Change: the first failure is logged at INFO, what follows until the next answer at DEBUG, hints that are not taken too. Test: a_source_that_stays_down_is_told_once_until_it_has_answered.

--- a/larchgw/distribution/handoff.py
+++ b/larchgw/distribution/handoff.py
@@ -82,7 +82,7 @@
 
     async def _hand_to(self, peer: str) -> None:
         while batch := self.hints.first(peer, BATCH):
-            if not await self._push(peer, batch, HANDOVER_TIMEOUT_S):
+            if not await self._push(peer, batch, HANDOVER_TIMEOUT_S, logging.DEBUG):
                 return
             self.hints.delivered(peer, batch)
             await asyncio.sleep(PACE_S)
@@ -97,13 +97,14 @@
             self.hints.keep(peer, entries)
         return taken
 
-    async def _push(self, peer: str, entries: Sequence[Entry], timeout: float) -> bool:
+    async def _push(self, peer: str, entries: Sequence[Entry], timeout: float,
+                    level: int = logging.INFO) -> bool:
         if peer not in self._callers:
             self._callers[peer] = self._connect(peer)
         request = PushRequest(node_name=self._node_name, entries=list(entries))
         try:
             await self._callers[peer].call("push", request, timeout)
         except RpcError as error:
-            log.info("handoff: %s did not take %d entries: %s", peer, len(entries), error)
+            log.log(level, "handoff: %s did not take %d entries: %s", peer, len(entries), error)
             return False
         return True
--- a/larchgw/distribution/puller.py
+++ b/larchgw/distribution/puller.py
@@ -95,6 +95,7 @@
         self._returns = returns
         self._clock = clock
         self._learned: list[str] = []
+        self._silent: set[str] = set()  # addresses whose last call had no answer
         self._session: _Session | None = None
 
     @property
@@ -124,10 +125,14 @@
         try:
             reply = await self._pull(session)
         except RpcError as error:
-            log.info("pull: leaving %s: %s", source.address, error)
+            # Once, until it answers again: a control process asks a lost witness several times a second.
+            log.log(logging.DEBUG if source.address in self._silent else logging.INFO,
+                    "pull: leaving %s: %s", source.address, error)
+            self._silent.add(source.address)
             self._choice.failed(source.address)
             self._leave()
             return
+        self._silent.discard(source.address)
         if self._only_source and not self._is_current(reply, began):
             self._take_from_cut_off(session, reply)
             return
--- a/tests/test_distribution_puller.py
+++ b/tests/test_distribution_puller.py
@@ -264,6 +264,14 @@
         self.play(puller, 6.0, (2.0, restart))
         self.assertEqual(b"after", self.registry.get("view").value)
 
+    def test_a_source_that_stays_down_is_told_once_until_it_has_answered(self) -> None:
+        puller = self.puller(addresses=("a",))
+        self.peer("a").down = True
+        with self.assertLogs("larchgw.distribution.puller", "INFO") as told:
+            self.play(puller, 12.0, (5.0, lambda: setattr(self.peer("a"), "down", False)),
+                      (8.0, lambda: setattr(self.peer("a"), "down", True)))
+        self.assertEqual(2, len(told.output), told.output)
+
     def test_connections_that_are_left_are_closed(self) -> None:
         puller = self.puller(near="a")
         self.play(puller, 10.0, (2.0, lambda: setattr(self.peer("a"), "hung", True)),
