Contact is judged by the newest view that any process in touch knows, and its loss is logged

Cause: a witness that was replaced while it was frozen, and then cut off together with one remaining witness of three, knew two of three by its old view for the whole of the cut, and acknowledged check-ins and drains.

Change: each process publishes the view that it has accepted as the registry's entry `view`; contact and the addresses pulled from follow the newest.

Tests: one_that_was_left_out_of_the_view_is_not_in_contact_by_the_view_it_knows and an_older_view_takes_nothing_back, both red with the accepted view alone.

--- a/larchgw/control/contact.py
+++ b/larchgw/control/contact.py
@@ -37,7 +37,7 @@
 class PullContact:
     """Judges by the pulls from the other witnesses.
 
-    `me` is the identity of this member, `view` gives the last view that it has accepted, `proven_at` the time
+    `me` is the identity of this member, `view` gives the newest view that is known here, `proven_at` the time
     of `clock` at which the last pull from an address began that was answered in full, or None.
     """
 
@@ -64,11 +64,3 @@
     def _is_proven(self, address: str) -> bool:
         began = self._proven_at(address)
         return began is not None and self._clock() - began <= HEARD_WITHIN_S
-
-
-def other_witnesses(view: View | None, own_address: str) -> list[str]:
-    """Rpc addresses of the other processes whose agreement may count."""
-    if view is None:
-        return []
-    addresses = dict.fromkeys(view.addresses[name] for name in view.electors)
-    return [address for address in addresses if address != own_address]
--- /dev/null
+++ b/larchgw/control/newest_view.py
@@ -0,0 +1,49 @@
+"""The newest view that is known at a control process: whose majority decides on its contact.
+
+A member learns of a view from its primary. One that was left out while it was cut off may be in touch with
+a single witness of the view it knows and with none that would tell it of the next. Each process therefore
+publishes the view that it has accepted, and the pulls that prove contact bring it: a later view was accepted
+by a majority of the witnesses before it, so every majority that a process can prove contact with by its old
+view has a member that knows the later one.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from ..distribution.interface import VIEW
+from ..distribution.registry import Registry
+from ..replication.view import View
+from ..rpc.generated.ttypes import Entry
+
+
+class NewestView:
+    """`accepted` gives the view that this member has accepted last; the registry holds what others have."""
+
+    def __init__(self, accepted: Callable[[], View | None], registry: Registry) -> None:
+        self._accepted, self._registry = accepted, registry
+        self._heard: View | None = None
+        registry.watch(VIEW, self._hear)
+
+    def publish(self) -> None:
+        """Tells the other processes; without effect if they know it, or a later one."""
+        view = self._accepted()
+        if view is not None and (self._heard is None or self._heard.epoch < view.epoch):
+            self._registry.put(VIEW, json.dumps(view.to_json()).encode(), view.epoch)
+
+    def get(self) -> View | None:
+        """The view of the highest epoch; None while none is known."""
+        known = [view for view in (self._accepted(), self._heard) if view is not None]
+        return max(known, key=lambda view: view.epoch, default=None)
+
+    def other_witnesses(self, own_address: str) -> list[str]:
+        """Rpc addresses of the other processes whose agreement counts."""
+        view = self.get()
+        if view is None:
+            return []
+        addresses = dict.fromkeys(view.addresses[name] for name in view.electors)
+        return [address for address in addresses if address != own_address]
+
+    def _hear(self, entry: Entry) -> None:
+        self._heard = View.from_json(json.loads(entry.value))
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -44,8 +44,9 @@
 from ..storage.files import DiskFiles
 from . import http_api
 from .checkins import RunnerCheckins
-from .contact import PullContact, other_witnesses
+from .contact import PullContact
 from .disk import ControlDisk
+from .newest_view import NewestView
 from .operator import Answer, OperatorService
 from .operator_calls import OperatorCalls
 from .owners import is_watched, owner_name
@@ -86,13 +87,15 @@
         pull_settings = PullSettings.of(settings.time_limits).between_control()
         self.peers = PeerPullers(self.registry, RpcClient, self._peers_and_witnesses, pull_settings,
                                  self._dice, node_name=settings.node_name)
-        self.contact = PullContact(self.member.id, lambda: self.member.view, self.peers.proven_at)
+        self.view = NewestView(lambda: self.member.view, self.registry)
+        self.contact = PullContact(self.member.id, self.view.get, self.peers.proven_at)
         self.pulls = PullService(self.registry, self.contact.isolated, self._control_addresses)
         self.handoff = Handoff(RpcClient, self._peers_and_witnesses, node_name=settings.node_name)
         self.directory = Directory(self.registry, time.monotonic, settings.beat_ms / 1000.0, self._owner(),
                                    self._owner_lives)
         self.checkins = RunnerCheckins(self.directory, self.registry, self.contact, self.handoff)
         self._serial = 0
+        self._was_isolated = True
 
     # ---- Start and end ----
 
@@ -109,7 +112,7 @@
         await self._gossip.start()
         self._http = http_api.serve(self, settings.listen.control,
                                     http_status.rules(status.as_json, status.metrics))
-        self.tasks.every("replication", TICK_S, self.replicated.tick)
+        self.tasks.every("replication", TICK_S, self._tick_replication)
         self.tasks.every("directory", DIRECTORY_TICK_S, self._tick_directory)
         self.tasks.every("contacts", CONTACTS_TICK_S, self._tell_contacts)
         self.tasks.every("reserve", RESERVE_TICK_S, self.disk.keep_reserve)
@@ -193,8 +196,18 @@
         if record is not None:
             self.placement.see_runner(record)
 
+    def _tick_replication(self) -> None:
+        self.replicated.tick()
+        self.view.publish()
+
     def _tick_directory(self) -> None:
-        self.directory.tick(time.monotonic(), self.contact.isolated())
+        isolated = self.contact.isolated()
+        if isolated and not self._was_isolated:
+            log.warning("cut off from the majority of the control processes: runners are sent to others")
+        elif self._was_isolated and not isolated:
+            log.info("control: in contact with a majority")
+        self._was_isolated = isolated
+        self.directory.tick(time.monotonic(), isolated)
 
     # ---- Other control processes ----
 
@@ -210,7 +223,7 @@
 
     def _peers_and_witnesses(self) -> list[str]:
         """The peers, and the witnesses also while membership takes them for lost: they decide on contact."""
-        return list(dict.fromkeys([*self._peers(), *other_witnesses(self.member.view, self.address)]))
+        return list(dict.fromkeys([*self._peers(), *self.view.other_witnesses(self.address)]))
 
     def _tell_contacts(self) -> None:
         """The member asks these to be taken in, and the election goes on among them."""
--- a/larchgw/distribution/interface.py
+++ b/larchgw/distribution/interface.py
@@ -7,6 +7,7 @@
     runner/<id>         a RunnerRecord (larchgw/directory/records.py); major = call_count (above all counts
                         once it is gone), minor = its stage
     placer              JSON {"address": rpc address}; major = fence (placer.py)
+    view                JSON of the newest accepted view (replication/view.py); major = its epoch
     expected/<id>       what the placer has ordered at a runner (JSON); major = fence, minor = serial
 
     registry.Registry(origin: str)
@@ -36,4 +37,5 @@
 CONFIGURATION = "configuration"
 RUNNER = "runner/"
 PLACER = "placer"
+VIEW = "view"
 EXPECTED = "expected/"
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -11,7 +11,8 @@
 import testtools
 from scripted_peers import Peer, connecting, now
 
-from larchgw.control.contact import HEARD_WITHIN_S, PullContact, other_witnesses
+from larchgw.control.contact import HEARD_WITHIN_S, PullContact
+from larchgw.control.newest_view import NewestView
 from larchgw.distribution.peers import PeerPullers
 from larchgw.distribution.registry import Registry
 from larchgw.distribution.sources import PullSettings
@@ -80,7 +81,7 @@
         self.proven["b"] = self.proven["c"] = self.now
         self.assertTrue(self.contact.isolated())
         self.assertFalse(self.contact.is_majority({"b", "c"}))
-        self.assertEqual([], other_witnesses(None, "a"))
+        self.assertEqual([], NewestView(lambda: None, Registry("a.1")).other_witnesses("a"))
 
     def test_one_that_is_no_witness_does_not_count_itself(self) -> None:
         standby = self.of("d")
@@ -103,7 +104,8 @@
         self.proven.update(d=self.now, e=self.now)
         self.assertFalse(self.contact.isolated())
         self.assertTrue(self.contact.is_majority({"b", "d", "e"}))
-        self.assertEqual(["b", "c", "d", "e", "f"], other_witnesses(self.view, "a"))
+        newest = NewestView(lambda: self.view, Registry("a.1"))
+        self.assertEqual(["b", "c", "d", "e", "f"], newest.other_witnesses("a"))
 
     def test_processes_that_are_no_witnesses_make_no_majority(self) -> None:
         self.assertFalse(self.contact.is_majority({"x", "y", "z"}))
@@ -119,7 +121,8 @@
         self.registry = Registry("a.1")
         self.pullers = PeerPullers(self.registry, connecting(self.peers), lambda: ["b", "c"], SETTINGS,
                                    random.Random(1), clock=now)
-        self.contact = PullContact("a", lambda: first_view(["a", "b", "c"]), self.pullers.proven_at, now)
+        self.view = NewestView(lambda: first_view(["a", "b", "c"]), self.registry)
+        self.contact = PullContact("a", self.view.get, self.pullers.proven_at, now)
 
     def play(self, main: object) -> None:
         async def played() -> None:
@@ -195,6 +198,28 @@
 
         self.play(main)
 
+    def test_one_that_was_left_out_of_the_view_is_not_in_contact_by_the_view_it_knows(self) -> None:
+        """Left out while it was frozen, then cut off together with one witness out of three."""
+        later = View(7, "b", ("d", "e"), ("b", "d", "e"), ("b", "d", "e"), {name: name for name in "bde"})
+        self.peers[1].down = True
+
+        async def main() -> None:
+            await asyncio.sleep(2.0)
+            self.assertFalse(self.contact.isolated())
+            NewestView(lambda: later, self.peers[0].registry).publish()
+            await asyncio.sleep(0.1)
+            self.assertTrue(self.contact.isolated())
+            self.assertEqual(["b", "d", "e"], self.view.other_witnesses("a"))
+
+        self.play(main)
+
+    def test_an_older_view_takes_nothing_back(self) -> None:
+        later = View(7, "b", ("d", "e"), ("b", "d", "e"), ("b", "d", "e"), {name: name for name in "bde"})
+        NewestView(lambda: later, self.registry).publish()
+        self.view.publish()
+        self.assertEqual(later, self.view.get())
+        self.assertEqual(7, self.registry.get("view").major)  # type: ignore[union-attr]
+
     def test_an_answer_that_was_held_up_proves_contact_at_its_begin_alone(self) -> None:
         async def main() -> None:
             await asyncio.sleep(2.0)
