Explore: the operator's calls under races, lost answers, cancelled calls and failovers

`larchgw explore operator-calls` plays the real OperatorCalls, OperatorService, ConfigurationState and ReplicatedLog over real members on simulated disks and links, in virtual time, with 3 and 5 control processes. Checked: one acknowledged order a base version, an acknowledged order is never refused when sent again, what was refused or is invalid is never in force, a read is never older than what was acknowledged before it began, and all of it is served again after the last trouble.

--- a/larchgw/cli/explore.py
+++ b/larchgw/cli/explore.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+from importlib import import_module
+
 from .command import Command, UsageError, decimal, textual, whole
 
-PARTS = ("replication", "check-ins")
+PARTS = {  # name -> the module whose `main` explores it
+    "replication": "larchgw.replication.explore",
+    "check-ins": "larchgw.control.explore",
+    "operator-calls": "larchgw.lab.operator_calls.explore",
+}
 
 
 @textual
@@ -12,24 +18,17 @@
     """Explores orders of messages, losses, crashes and power losses; the last line counts states and faults.
 
     Args:
-        name: The part: replication, or check-ins (which of runners' calls are acknowledged, and who knows).
+        name: The part: replication, operator-calls, or check-ins (which calls of runners are acknowledged,
+            and who knows).
         seconds: How long to explore, in real time.
         seed: Of the random runs.
     """
     if name not in PARTS:
         raise UsageError(f"explore: no part {name!r}; there are {', '.join(PARTS)}")
     limit, first = decimal("seconds", seconds, 1.0), whole("seed", seed)
-    run = _run_checkins if name == "check-ins" else _run_replication
-    return Command(lambda: run(limit, first))
-
-
-def _run_replication(seconds: float, seed: int) -> int:
-    from ..replication.explore import main
-
-    return main(seconds, seed)
-
+    return Command(lambda: _run(PARTS[name], limit, first))
 
-def _run_checkins(seconds: float, seed: int) -> int:
-    from ..control.explore import main
 
-    return main(seconds, seed)
+def _run(module: str, seconds: float, seed: int) -> int:
+    status: int = import_module(module).main(seconds, seed)
+    return status
--- /dev/null
+++ b/larchgw/lab/operator_calls/checks.py
@@ -0,0 +1,100 @@
+"""What operators may rely on, checked by what was sent, what came back, and what is in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ...configuration.change import REPLACE
+from ...control.state import ConfigurationState, Order
+from ...replication.explore_checks import Broken
+
+DONE = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One order, however often it is sent. `version` is the number that it asks for."""
+
+    order: Order
+    version: int
+    is_valid: bool
+
+    def __str__(self) -> str:
+        sort = "whole" if self.order.operation == REPLACE else "change"
+        return f"{sort} {self.version} on {self.order.built_on} ({self.order.digest()[:6]})"
+
+
+class Checks:
+    """Watches one run."""
+
+    def __init__(self) -> None:
+        self._sent: dict[int, list[Sent]] = {}  # by the version asked for
+        self._acknowledged: dict[str, Sent] = {}  # by digest, in the order of the first acknowledgement
+        self._refused: set[str] = set()
+        self._won: dict[int, Sent] = {}  # base version -> what is, or was, in force on top of it
+        self._in_force: dict[int, Sent] = {}  # by version
+        self.answers: dict[int, int] = {}  # status -> how many operators saw it
+        self.newest_acknowledged = 0
+
+    @property
+    def acknowledged(self) -> list[Sent]:
+        """All acknowledged orders, the oldest first."""
+        return list(self._acknowledged.values())
+
+    def sends(self, sent: Sent) -> None:
+        """An operator is about to send this order for the first time."""
+        self._sent.setdefault(sent.version, []).append(sent)
+
+    def answered(self, sent: Sent, status: int) -> None:
+        """An operator got this answer to an order."""
+        self.answers[status] = self.answers.get(status, 0) + 1
+        if status == DONE:
+            self._accepted(sent)
+        elif 400 <= status < 500:
+            self._denied(sent, status)
+
+    def _accepted(self, sent: Sent) -> None:
+        digest = sent.order.digest()
+        if not sent.is_valid:
+            raise Broken(f"{sent} is invalid and was acknowledged")
+        if digest in self._refused:
+            raise Broken(f"{sent} was refused, and acknowledged later")
+        for other in self._acknowledged.values():
+            if other.order.built_on == sent.order.built_on and other != sent:
+                raise Broken(f"{other} and {sent} were both acknowledged")
+        self._acknowledged.setdefault(digest, sent)
+        self.newest_acknowledged = max(self.newest_acknowledged, sent.version)
+
+    def _denied(self, sent: Sent, status: int) -> None:
+        digest = sent.order.digest()
+        if digest in self._acknowledged:
+            raise Broken(f"{sent} was acknowledged, and got {status} when sent again")
+        if self._in_force.get(sent.version) == sent:
+            raise Broken(f"{sent} is or was in force, and got {status}")
+        self._refused.add(digest)
+
+    def read(self, acknowledged_before: int, version: int) -> None:
+        """A read gave `version`, 0 for none; it began when `acknowledged_before` was the newest."""
+        self.answers[DONE] = self.answers.get(DONE, 0) + 1
+        if version < acknowledged_before:
+            raise Broken(f"a read gave {version}; {acknowledged_before} was acknowledged before it began")
+        if version and version not in self._in_force:
+            raise Broken(f"a read gave {version}, which was never in force")
+
+    def in_force(self, process: str, state: ConfigurationState) -> None:
+        """A process has applied records."""
+        for sent in self._sent.get(state.version, []):
+            if state.taken(sent.order):
+                self._comes_into_force(process, sent)
+
+    def _comes_into_force(self, process: str, sent: Sent) -> None:
+        other = self._in_force.setdefault(sent.version, sent)
+        if other != sent:
+            raise Broken(f"{sent} is in force at {process}, {other} elsewhere")
+        winner = self._won.setdefault(sent.order.built_on, sent)
+        if winner != sent:
+            raise Broken(f"{sent} is in force at {process}, and so was {winner}")
+        if not sent.is_valid:
+            raise Broken(f"{sent} is invalid and in force at {process}")
+        if sent.order.digest() in self._refused:
+            raise Broken(f"{sent} was refused, and is in force at {process}")
--- /dev/null
+++ b/larchgw/lab/operator_calls/cluster.py
@@ -0,0 +1,312 @@
+"""Control processes on simulated disks and links; their members, logs and operator's calls are the real ones.
+
+Everything follows from one seed. A frozen process takes nothing in and sends nothing; its timers go on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+from typing import Any
+
+from ...control.operator import Answer, OperatorService
+from ...control.operator_calls import OperatorCalls
+from ...control.replicated_log import TICK_S, ReplicatedLog
+from ...control.state import ConfigurationState
+from ...replication.explore_disk import Crashed, SimulatedDisk
+from ...replication.member import Member
+from ...replication.settings import MemberSettings
+from ...rpc.client import RpcClient
+from ...rpc.errors import RpcConnectionLost, RpcTimeout
+from ...rpc.generated.ttypes import OperatorAnswer, OperatorCall, PeerMessage
+from ...runtime.clients import RpcClients
+from .checks import Checks
+
+COMPACT_RECORDS = 6  # so that snapshots are taken and sent all the time
+LEASE_TERM_S = 3.0
+CALM_DELAY_S = (0.0005, 0.004)
+CLOCKS_APART_S = 50.0  # clocks of different machines differ by up to this
+
+
+class Process:
+    """One life of a control process."""
+
+    def __init__(self, cluster: Cluster, address: str, disk: SimulatedDisk, first_boot: bool) -> None:
+        self.cluster, self.address, self.disk = cluster, address, disk
+        self.is_alive = True
+        self.is_frozen = False
+        self.held: list[Callable[[], None]] = []  # what came, or should go out, while it was frozen
+        self.tasks: list[asyncio.Task[None]] = []  # calls that are served
+        self._offset = cluster.random.uniform(0.0, CLOCKS_APART_S)
+        self.state = ConfigurationState()
+        settings = MemberSettings(
+            address, cluster.addresses, first_boot, f"{address}#{cluster.random.getrandbits(32):x}",
+            cluster.survive, LEASE_TERM_S, compact_records=COMPACT_RECORDS, batch_bytes=2000)
+        self.member = Member(settings, disk.ports(), self.state.snapshot, cluster.random)
+        clients = SimulatedClients(self)
+        self.log = ReplicatedLog(self.member, self.state, clients, self._changed, self._clock)
+        self.calls = OperatorCalls(self.member, OperatorService(self.state, self.log), clients)
+
+    def _clock(self) -> float:
+        return self.cluster.loop.time() + self._offset
+
+    def _changed(self) -> None:
+        self.cluster.checks.in_force(self.address, self.state)
+
+    def start(self) -> None:
+        """Takes up its disk, and ticks from now on."""
+        self.log.start()
+        self._changed()
+        self._tick()
+
+    def _tick(self) -> None:
+        if self.is_alive:
+            self.cluster.loop.call_later(TICK_S, self._tick)
+            if not self.is_frozen:
+                self.do(self.log.tick)
+
+    def do(self, step: Callable[[], None]) -> None:
+        """One step of this process, in which it may break off."""
+        if not self.is_alive:
+            return
+        if self.is_frozen:
+            self.held.append(partial(self.do, step))
+            return
+        try:
+            step()
+        except Crashed:
+            self.cluster.crash(self)
+        self.cluster.observe()
+
+    def serve(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Begins to serve a call from outside."""
+        self.do(lambda: self._spawn(call))
+
+    def _spawn(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        task = self.cluster.loop.create_task(self._guarded(call))
+        self.tasks.append(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.remove(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.cluster.fail(error)
+
+    async def _guarded(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        try:
+            await call()
+        except Crashed:
+            self.cluster.crash(self)
+
+    @property
+    def has_undecided(self) -> bool:
+        """Whether it is primary and has proposed what has not enough copies yet."""
+        return self.member.is_primary and self.member.last_index > self.member.committed_index
+
+    def digest(self) -> tuple[object, ...]:
+        """What its state comes to, seen from outside."""
+        member = self.member
+        return (self.address, self.state.version, member.committed_index, member.last_index,
+                member.acting_epoch, len(self.tasks))
+
+    def end(self) -> None:
+        """The process ends, and whatever it served with it."""
+        self.is_alive = False
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class SimulatedClients(RpcClients):
+    """The clients of one process."""
+
+    def __init__(self, process: Process) -> None:
+        super().__init__()
+        self._process = process
+
+    def get(self, address: str) -> RpcClient:
+        """See RpcClients."""
+        return SimulatedClient(self._process, address)
+
+
+class SimulatedClient(RpcClient):
+    """One process's calls to another one."""
+
+    def __init__(self, caller: Process, address: str) -> None:
+        super().__init__(address)
+        self._caller, self._cluster = caller, caller.cluster
+
+    def post(self, method: str, argument: Any) -> None:
+        """A message of the replication protocol; it may be lost or doubled."""
+        message: PeerMessage = argument
+        copies = 2 if self._cluster.random.random() < self._cluster.links.double else 1
+        for _ in range(copies):
+            self._cluster.transmit(self._caller, self.address, lambda receiver: receiver.log.receive(message))
+
+    async def call(self, method: str, argument: Any, timeout: float) -> Any:
+        """A call that is passed on. Raises RpcError."""
+        call: OperatorCall = argument
+        future: asyncio.Future[OperatorAnswer] = self._cluster.loop.create_future()
+        self._cluster.transmit(self._caller, self.address, lambda receiver: receiver.serve(
+            lambda: self._answer(receiver, call, future)))
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            raise RpcTimeout(f"{self.address}: no answer in {timeout:.2f} s") from None
+
+    async def _answer(self, receiver: Process, call: OperatorCall,
+                      future: asyncio.Future[OperatorAnswer]) -> None:
+        try:
+            answer = await receiver.calls.passed_on(call)
+        except asyncio.CancelledError:
+            _settle(future, RpcConnectionLost("the connection ended"))
+            raise
+        if self._caller.is_alive:
+            self._cluster.transmit(receiver, self._caller.address, lambda caller: _settle(future, answer))
+
+
+def _settle(future: asyncio.Future[Any], outcome: Any) -> None:
+    if future.done() or future.get_loop().is_closed():
+        return
+    if isinstance(outcome, Exception):
+        future.set_exception(outcome)
+    else:
+        future.set_result(outcome)
+
+
+def connected(sender: str, receiver: str) -> bool:
+    """No link is cut."""
+    return False
+
+
+@dataclass
+class Links:
+    """How the links behave at present. Operators are never cut off, though their answers may be lost."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    delay: tuple[float, float] = CALM_DELAY_S
+    lost_answers: float = 0.2
+    cut: Callable[[str, str], bool] = field(default=connected)
+
+
+class Cluster:
+    """The machines of one run, each with a disk and at most one process. Belongs to the running loop."""
+
+    def __init__(self, seed: int, machines: int) -> None:
+        self.random = Random(seed)
+        self.loop = asyncio.get_running_loop()
+        self.checks = Checks()
+        self.links = Links()
+        self.addresses = tuple(f"m{number}:1" for number in range(machines))
+        self.survive = machines // 2
+        self.disks = {address: SimulatedDisk() for address in self.addresses}
+        self.processes: dict[str, Process] = {}
+        self.states: set[int] = set()
+        self.failed: asyncio.Future[None] = self.loop.create_future()
+
+    # ---- machines ----
+
+    def start(self, address: str, first_boot: bool = False) -> None:
+        """Starts the machine's process, if none runs there."""
+        if address in self.processes:
+            return
+        try:
+            process = Process(self, address, self.disks[address], first_boot)
+            self.processes[address] = process
+            process.start()
+        except Crashed:
+            self.processes.pop(address, None)
+            self.disks[address].lose_power(self.random)
+
+    def kill(self, address: str, power: bool = False) -> None:
+        """The process ends; with its power, unsynced writes may be gone too."""
+        process = self.processes.pop(address, None)
+        if process is not None:
+            process.end()
+        if power:
+            self.disks[address].lose_power(self.random)
+
+    def crash(self, process: Process) -> None:
+        """The process has broken off in the middle of a write."""
+        if self.processes.get(process.address) is process:
+            self.kill(process.address, power=self.random.random() < 0.5)
+
+    def freeze(self, address: str) -> None:
+        """The process stands still."""
+        if address in self.processes:
+            self.processes[address].is_frozen = True
+
+    def thaw(self, address: str) -> None:
+        """The process goes on with what came meanwhile."""
+        process = self.processes.get(address)
+        if process is not None and process.is_frozen:
+            process.is_frozen = False
+            held, process.held = process.held, []
+            for step in held:
+                step()
+
+    @property
+    def primaries(self) -> list[str]:
+        """Machines whose process believes to be primary."""
+        return [address for address, process in self.processes.items() if process.member.is_primary]
+
+    # ---- links ----
+
+    def transmit(self, sender: Process, address: str, step: Callable[[Process], None]) -> None:
+        """Has the process at `address` carry out `step` after a while, unless it is lost on the way."""
+        if not sender.is_alive:
+            return
+        if sender.is_frozen:
+            sender.held.append(partial(self.transmit, sender, address, step))
+            return
+        if self.links.cut(sender.address, address) or self.random.random() < self.links.loss:
+            return
+        self.loop.call_later(self.random.uniform(*self.links.delay), self._arrive, address, step)
+
+    def _arrive(self, address: str, step: Callable[[Process], None]) -> None:
+        process = self.processes.get(address)
+        if process is not None:
+            process.do(partial(step, process))
+
+    async def call(self, address: str, operation: str, built_on: int, body: bytes,
+                   patience: float) -> Answer | None:
+        """An operator's call to a machine; None where no answer came."""
+        future: asyncio.Future[Answer] = self.loop.create_future()
+
+        async def serve(process: Process) -> None:
+            answer = await process.calls.operator_call(operation, built_on, body)
+            if process.is_frozen:
+                process.held.append(partial(self._reply, future, answer))
+            else:
+                self._reply(future, answer)
+
+        def arrive() -> None:
+            process = self.processes.get(address)
+            if process is not None:
+                process.serve(lambda: serve(process))
+
+        self.loop.call_later(self.random.uniform(*CALM_DELAY_S), arrive)
+        try:
+            async with asyncio.timeout(patience):
+                return await future
+        except TimeoutError:
+            return None
+
+    def _reply(self, future: asyncio.Future[Answer], answer: Answer) -> None:
+        if self.random.random() >= self.links.lost_answers:
+            self.loop.call_later(self.random.uniform(*CALM_DELAY_S), _settle, future, answer)
+
+    # ---- what is seen ----
+
+    def observe(self) -> None:
+        """Counts the states that the processes are in."""
+        self.states.add(hash(tuple(process.digest() for process in self.processes.values())))
+
+    def fail(self, error: BaseException) -> None:
+        """Something served has broken a property or ended in an error: the run ends with it."""
+        if not self.failed.done():
+            self.failed.set_exception(error)
--- /dev/null
+++ b/larchgw/lab/operator_calls/explore.py
@@ -0,0 +1,122 @@
+"""Runs under faults and the mistakes that they must catch; the same seed plays the same runs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass, field
+from functools import partial
+
+from ...emulator import virtual_loop
+from ...replication.explore_checks import Broken
+from .cluster import Cluster
+from .faults import Course
+from .mutants import MUTANTS, Mutant
+from .operators import Operators
+
+SIZES = (3, 5)  # control processes
+RUN_S = 20.0  # virtual seconds of troubles in one run
+OPERATORS = 4
+MOST_RUNS_A_MUTANT = 60  # every change to the code plays other runs under the same seed
+
+
+@dataclass
+class Found:
+    """What an exploration has seen."""
+
+    runs: int = 0
+    states: int = 0
+    acknowledged: int = 0
+    answers: dict[int, int] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+
+
+def play(seed: int) -> Cluster:
+    """One run of troubles and the recovery from it. Raises Broken."""
+    return virtual_loop.run(_play(seed))
+
+
+async def _play(seed: int) -> Cluster:
+    cluster = Cluster(seed, SIZES[seed % len(SIZES)])
+    course, operators = Course(cluster), Operators(cluster)
+    working = [cluster.loop.create_task(operators.work()) for _ in range(OPERATORS)]
+    for task in working:
+        task.add_done_callback(partial(_note_error, cluster))
+    course_task = cluster.loop.create_task(_course(course, operators, working))
+    try:
+        await asyncio.wait([course_task, cluster.failed], return_when=asyncio.FIRST_COMPLETED)
+        if cluster.failed.done():
+            cluster.failed.result()
+        await course_task
+    finally:
+        for address in list(cluster.processes):
+            cluster.kill(address)
+        for task in (course_task, *working):
+            task.cancel()
+    return cluster
+
+
+def _note_error(cluster: Cluster, task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and (error := task.exception()) is not None:
+        cluster.fail(error)
+
+
+async def _course(course: Course, operators: Operators, working: list[asyncio.Task[None]]) -> None:
+    await course.play(RUN_S)
+    operators.wanted = False
+    await asyncio.gather(*working)
+    operators.wanted = True
+    await course.recover(operators)
+
+
+def explore(seconds: float, seed: int) -> Found:
+    """Plays runs for about so many real seconds, one at least."""
+    found = Found()
+    until = time.monotonic() + seconds
+    number = seed * 100_000
+    while not found.runs or time.monotonic() < until:
+        found.runs += 1
+        try:
+            _add(found, play(number))
+        except (Broken, AssertionError) as error:
+            found.broken.append(f"seed {number}: {error}")
+        number += 1
+    return found
+
+
+def _add(found: Found, cluster: Cluster) -> None:
+    found.states += len(cluster.states)
+    found.acknowledged += len(cluster.checks.acknowledged)
+    for status, count in cluster.checks.answers.items():
+        found.answers[status] = found.answers.get(status, 0) + count
+
+
+def caught(mutant: Mutant) -> bool:
+    """Whether a run catches the mutant: the one named beside it, or one of those that follow."""
+    with mutant.active():
+        for seed in range(mutant.seed, mutant.seed + MOST_RUNS_A_MUTANT):
+            try:
+                play(seed)
+            except (Broken, AssertionError):
+                return True
+    return False
+
+
+def main(seconds: float, seed: int) -> int:
+    """Explores, tries the mutants and prints what came of it; 0 if nothing is broken and all are caught."""
+    logging.disable(logging.CRITICAL)
+    try:
+        found = explore(seconds, seed)
+        missed = [mutant.name for mutant in MUTANTS if not caught(mutant)]
+    finally:
+        logging.disable(logging.NOTSET)
+    answers = " ".join(f"{status}:{count}" for status, count in sorted(found.answers.items()))
+    print(f"runs={found.runs} acknowledged={found.acknowledged} answers={answers}")
+    for reason in found.broken:
+        print(f"broken: {reason}")
+    for name in missed:
+        print(f"mutant not caught: {name}")
+    count = len(MUTANTS)
+    print(f"explore: states={found.states} broken={len(found.broken)} mutants={count - len(missed)}/{count}")
+    return 1 if found.broken or missed else 0
--- a/tests/test_cli_system.py
+++ b/tests/test_cli_system.py
@@ -16,6 +16,7 @@
 from larchgw.cli import main
 from larchgw.cli.check import faults_of
 from larchgw.cli.command import UsageError
+from larchgw.cli.explore import PARTS
 from larchgw.cli.lab import EXPERIMENTS
 from larchgw.cli.main import call
 
@@ -166,8 +167,9 @@
         call(["explore", "nothing"])
 
 
-def test_an_exploration_that_finds_a_fault_ends_with_a_status_that_says_so(monkeypatch):
+@pytest.mark.parametrize("part", PARTS)
+def test_an_exploration_that_finds_a_fault_ends_with_a_status_that_says_so(monkeypatch, part):
     asked = []
-    monkeypatch.setattr("larchgw.replication.explore.main", lambda *called: asked.append(called) or 1)
-    assert call(["explore", "replication", "--seconds", "5", "--seed", "7"]) == 1
+    monkeypatch.setattr(f"{PARTS[part]}.main", lambda *called: asked.append(called) or 1)
+    assert call(["explore", part, "--seconds", "5", "--seed", "7"]) == 1
     assert asked == [(5.0, 7)]
--- /dev/null
+++ b/tests/test_operator_calls_explore.py
@@ -0,0 +1,77 @@
+"""The exploration of the operator's calls: nothing breaks; every mistake put in on purpose is caught."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from larchgw.control.state import ConfigurationState, Order
+from larchgw.lab.operator_calls import explore
+from larchgw.lab.operator_calls.checks import Checks, Sent
+from larchgw.lab.operator_calls.mutants import MUTANTS, Mutant
+from larchgw.replication.explore_checks import Broken
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_no_run_breaks_what_operators_rely_on(seed: int) -> None:
+    assert explore.play(seed).checks.acknowledged
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_a_mistake_put_in_on_purpose_is_caught(mutant: Mutant) -> None:
+    assert explore.caught(mutant)
+
+
+def test_a_run_is_repeated_by_its_seed() -> None:
+    first, second = explore.play(4), explore.play(4)
+    assert first.checks.answers == second.checks.answers
+    assert first.checks.acknowledged == second.checks.acknowledged
+    assert len(first.states) == len(second.states)
+
+
+def sent(version: int, built_on: int, mark: str = "a", is_valid: bool = True) -> Sent:
+    body = {"config_version": version, "routes": [], "services": [{"name": mark}]}
+    return Sent(Order("replace", built_on, json.dumps(body).encode()), version, is_valid)
+
+
+def in_force(*orders: Sent) -> ConfigurationState:
+    state = ConfigurationState()
+    for index, order in enumerate(orders):
+        state.apply(index + 1, order.order.encode())
+    return state
+
+
+def test_the_checks_see_each_kind_of_break() -> None:
+    first, rival, second = sent(1, 0), sent(1, 0, "rival"), sent(3, 1)
+    refused, bad, unknown = sent(5, 3), sent(6, 3, is_valid=False), sent(2, 1, "unseen")
+    checks = Checks()
+    for order in (first, rival, second, refused, bad):
+        checks.sends(order)
+    checks.in_force("a", in_force(first))
+    checks.answered(first, 200)
+    checks.in_force("a", in_force(first, second))
+    checks.answered(refused, 412)
+    checks.answered(rival, 503)
+    checks.read(1, 3)
+    for broken in (
+        lambda: checks.answered(rival, 200),
+        lambda: checks.answered(first, 412),
+        lambda: checks.answered(second, 409),  # in force, though not acknowledged yet
+        lambda: checks.answered(refused, 200),
+        lambda: checks.answered(bad, 200),
+        lambda: checks.read(1, 0),
+        lambda: checks.read(1, unknown.version),
+        lambda: checks.in_force("b", in_force(rival)),
+        lambda: checks.in_force("b", in_force(first, second, refused)),
+        lambda: checks.in_force("b", in_force(first, second, bad)),
+    ):
+        with pytest.raises(Broken):
+            broken()
+
+
+def test_the_last_line_tells_what_was_explored(capsys: pytest.CaptureFixture[str],
+                                               monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(explore, "MUTANTS", ())
+    assert explore.main(0.5, 1) == 0
+    assert capsys.readouterr().out.splitlines()[-1].startswith("explore: states=")
