--- /dev/null
+++ b/tests/test_edge_ready.py
@@ -0,0 +1,57 @@
+"""DRAIN: an edge is not ready from the moment of its SIGTERM, on a real port, and ends what it has begun."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from asyncio_tests import on_loop
+from configurations import example
+from edge_stand_ins import soon
+from tornado.httpclient import AsyncHTTPClient
+
+from larchgw.configuration.packing import pack
+from larchgw.configuration.settings import Listen, NodeSettings
+from larchgw.directory.records import RunnerRecord
+from larchgw.distribution.interface import CONFIGURATION, RUNNER
+from larchgw.edge import node as node_module
+from larchgw.edge.node import NOTICE_S, EdgeNode
+
+IP = "127.55.0.1"  # of this test alone
+COUNTED_AFTER_S = 4.0  # seconds from SIGTERM in which the platform must have missed two answers
+ASKED_EVERY_S = 1.0
+
+
+async def status(node: EdgeNode) -> int:
+    port = next(iter(node._ready_server._sockets.values())).getsockname()[1]
+    client = AsyncHTTPClient(force_instance=True)
+    try:
+        answer = await soon(client.fetch(f"http://{IP}:{port}/ready", raise_error=False))
+        return int(answer.code)
+    finally:
+        client.close()
+
+
+@on_loop
+async def test_an_edge_is_ready_once_it_knows_enough_and_not_from_its_sigterm_on(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_module, "NOTICE_S", 0.0)
+    settings = NodeSettings("edge-1", IP, "z", listen=Listen(front=f"{IP}:0", ready=f"{IP}:0"),
+                            spare_ports=[17660, 17675], seed_list=[f"{IP}:1"])
+    node = EdgeNode(settings)
+    await node.start()
+    assert await status(node) == 503
+    node.registry.put(CONFIGURATION, pack(example()), 1)
+    assert await status(node) == 503  # it knows no runner
+    node.registry.put(RUNNER + "i-1", RunnerRecord("i-1", "s", "10.0.0.1:1", "z").encode(), 1)
+    assert await status(node) == 200
+    stopping = asyncio.ensure_future(node.stop())
+    await asyncio.sleep(0)  # the handler of the signal has run; nothing else has
+    assert not node.is_ready()
+    assert await status(node) == 503
+    await soon(stopping)
+    assert await status(node) == 503
+
+
+def test_two_questions_of_the_platform_lie_in_the_time_before_an_edge_stops_listening() -> None:
+    assert 2 * ASKED_EVERY_S <= NOTICE_S < COUNTED_AFTER_S
--- a/tests/test_edge_streams.py
+++ b/tests/test_edge_streams.py
@@ -396,3 +396,26 @@
         first.close()
         assert (await client.answer()).status == 502
         assert second.unread == 0
+
+
+@on_loop
+async def test_a_stream_cut_at_any_byte_goes_on_with_no_piece_twice_and_none_missing() -> None:
+    """Also within the empty line that ends an event, and between the bytes of a chunk."""
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    whole = events(1, 2, 3)
+    async with edge(first, second) as made:
+        for size in range(len(event(1)), len(whole)):
+            client = await made.ask("/streaming/x", f"id{size}")
+            call = await first.call()
+            call.stream()
+            call.chunk(whole[:size])
+            assert (await client.head())[0] == 200
+            call.reset()
+            call = await second.call()
+            last = int(call.headers["last-event-id"])
+            assert last == whole[:size].count(b"\n\n")
+            call.stream()
+            call.events(*range(last + 1, 4))
+            call.end()
+            assert await rest(client) == (whole, True)
+            client.close()
--- a/tests/test_edge_terms.py
+++ b/tests/test_edge_terms.py
@@ -20,7 +20,7 @@
     until,
 )
 
-from larchgw.decide.interface import AttemptOutcome, Wait
+from larchgw.decide.interface import AttemptOutcome, Send, Wait
 from larchgw.directory.records import RunnerRecord
 
 SLACK_MS = 500  # by which a runner may be told more than the client has left
@@ -268,3 +268,38 @@
         assert call.headers["expect-version"] == "7"
         call.answer(b"second")
         assert (await client.answer()).body == b"second"
+
+
+# Runners that leave without draining
+
+
+@on_loop
+async def test_a_runner_that_left_without_draining_gets_nothing_more_and_ends_what_it_has() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        resting, running = await made.ask(name="a"), await made.ask(name="b")
+        calls = {call.id: call for call in (await runner.call(), await runner.call())}
+        calls["a"].answer()
+        assert (await resting.answer()).status == 200
+        del made.records["i-1"]
+        made.proxy.runners_changed()
+        await soon(runner.closed.get())  # the idle connection
+        resting.ask("/writing/x", "c")
+        assert (await resting.answer()).status == 503
+        calls["b"].answer(b"served on")
+        assert (await running.answer()).body == b"served on"
+        assert runner.unread == 0 and runner.opened == 2
+
+
+@on_loop
+async def test_a_request_whose_runner_leaves_while_its_connection_comes_up_goes_elsewhere() -> None:
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        def leaves(request: object, runners: object) -> Send:
+            return Send(made.records.pop("i-1"))
+
+        made.selection.script = [leaves]
+        client = await made.ask("/writing/x")
+        (await second.call()).answer(b"second")
+        assert (await client.answer()).body == b"second"
+        assert first.unread == 0 and made.selection.outcomes[0] is AttemptOutcome.UNSENT
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from larchgw.configuration.settings import NodeSettings
+from larchgw.control import node as control_node
 from larchgw.placement.model import LOADING, Order, OrderOutcome
 from larchgw.placement.orders import OrderClient
 
@@ -169,3 +171,16 @@
         return await client.order(order_at(address), 41)
 
     assert asyncio.run(KeepingRunner(answer, closes=True).serve(call)) is OrderOutcome.UNKNOWN
+
+
+def test_a_machine_is_one_holder_of_orders_whatever_its_name_and_across_restarts(tmp_path, monkeypatch):
+    """The owner that its orders name is the address of its control process."""
+    owners = []
+    monkeypatch.setattr(control_node, "OrderClient", owners.append)
+    for name, life in (("core-1", "a"), ("core-1", "b"), ("renamed", "c")):
+        folder = tmp_path / life
+        folder.mkdir()
+        settings = NodeSettings(name, "127.0.0.1", "z", spare_ports=[7660, 7675], first_boot=True,
+                                seed_list=["127.0.0.1:8146"], data_dir=str(folder))
+        control_node.ControlNode(settings)._make_placement()
+    assert owners == ["127.0.0.1:7660"] * 3
