--- a/larchgw/emulator/system/plays.py
+++ b/larchgw/emulator/system/plays.py
@@ -105,6 +105,8 @@
         group = [machine, *companions, *([starting] if starting else [])]
         async with asyncio.TaskGroup() as tasks:
             async with self._rig.cut_off(group, mute, deaf):
+                end = self._now() + self._lengths.hold_s
+                reading = tasks.create_task(self._reads_until(end, machine))
                 self._note(f"{role} {machine.place.name} is cut off for {self._lengths.hold_s:g} s")
                 for checkins in self._runners.checkins.values():
                     checkins.prefer(machine.control)
@@ -112,17 +114,24 @@
                 calling = tasks.create_task(stranded.change(self._addition(stranded)))
                 if starting is not None:
                     await self._rig.restart(starting)
-                await self._changes_until(self._now() + self._lengths.hold_s, machine, starting)
+                await self._changes_until(end, starting)
+                await reading
             taken = await calling
         self._note(f"{machine.place.name} is back; what was sent to it alone was {_verdict(taken)}")
 
-    async def _changes_until(self, end: float, machine: Machine, edge: Machine | None) -> None:
-        """Changes and reads, at the machine that is cut off and elsewhere, and requests at that edge."""
+    async def _reads_until(self, end: float, machine: Machine) -> None:
+        """Reads at the machine that is cut off, from the first moment on."""
+        while self._now() < end:
+            await self.operator.look(machine.control)
+            await asyncio.sleep(PAUSE_S)
+
+    async def _changes_until(self, end: float, edge: Machine | None) -> None:
+        """Changes and reads anywhere, and requests at that edge."""
         while self._now() < end:
             await self._change()
+            await self.operator.look()
             if edge is not None:
                 await self._clients.probe(edge, PROBED)
-            await asyncio.gather(self.operator.look(machine.control), self.operator.look())
             await asyncio.sleep(PAUSE_S)
 
     # Two operators under one number
