Links: a process whose trial was killed ends by itself

Cause: processes under test have sessions of their own, so a trial that was ended by SIGKILL left them running.

Change: where the socket of orders is closed, the process is told to end as by SIGTERM.

Tests: a loop without anybody to give orders; a trial that is killed leaves no process that has not begun to stop.

--- a/larchgw/faults/linked.py
+++ b/larchgw/faults/linked.py
@@ -1,13 +1,16 @@
 """`python -m larchgw.faults.linked FD ARGUMENT...`: `python -m larchgw ARGUMENT...` under links of a test.
 
-FD is an inherited datagram socket from which orders come; the first one lies there before the start.
+FD is an inherited datagram socket from which orders come; the first one lies there before the start. Once
+its other end is closed, the program is told to end.
 """
 
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import runpy
+import signal
 import socket
 import sys
 
@@ -22,10 +25,15 @@
     orders = socket.socket(fileno=int(descriptor))
     links = Links(random.Random(descriptor))
     links.apply(Order.decode(orders.recv(MOST_BYTES)))
-    asyncio.set_event_loop_policy(LinkedPolicy(links, orders))
+    asyncio.set_event_loop_policy(LinkedPolicy(links, orders, _end))
     sys.argv = ["larchgw", *arguments]
     runpy.run_module("larchgw", run_name="__main__", alter_sys=True)
 
 
+def _end() -> None:
+    """The test has ended and left this process behind."""
+    os.kill(os.getpid(), signal.SIGTERM)
+
+
 if __name__ == "__main__":
     main()
--- a/larchgw/faults/loop.py
+++ b/larchgw/faults/loop.py
@@ -21,9 +21,10 @@
     Tornado's streams and curl open sockets of their own and are not seen here.
     """
 
-    def __init__(self, links: Links, orders: socket.socket) -> None:
+    def __init__(self, links: Links, orders: socket.socket, on_left: Callable[[], None]) -> None:
+        """`on_left` is called once nobody is there to give orders any more."""
         super().__init__()
-        self._links, self._orders = links, orders
+        self._links, self._orders, self._on_left = links, orders, on_left
         orders.setblocking(False)
         self.add_reader(orders.fileno(), self._obey)
 
@@ -63,8 +64,9 @@
             message = self._orders.recv(MOST_BYTES)
         except BlockingIOError:
             return
-        if not message:  # whoever gave orders has ended
+        if not message:
             self.remove_reader(self._orders.fileno())
+            self._on_left()
             return
         self._links.apply(Order.decode(message))
         self._orders.send(DONE)
@@ -73,10 +75,10 @@
 class LinkedPolicy(asyncio.DefaultEventLoopPolicy):
     """Makes every loop of this process a `LinkedLoop`."""
 
-    def __init__(self, links: Links, orders: socket.socket) -> None:
+    def __init__(self, links: Links, orders: socket.socket, on_left: Callable[[], None]) -> None:
         super().__init__()
-        self._links, self._orders = links, orders
+        self._links, self._orders, self._on_left = links, orders, on_left
 
     def new_event_loop(self) -> asyncio.AbstractEventLoop:
         """A loop under these links."""
-        return LinkedLoop(self._links, self._orders)
+        return LinkedLoop(self._links, self._orders, self._on_left)
--- a/tests/test_faults_links.py
+++ b/tests/test_faults_links.py
@@ -253,7 +253,7 @@
     switchboard, links = Switchboard(), Links(random.Random(1))
     with switchboard.attach(OTHER) as orders:
         links.apply(Order.decode(orders.recv(65536)))
-        loop = LinkedLoop(links, orders)
+        loop = LinkedLoop(links, orders, lambda: None)
         try:
             loop.run_until_complete(asyncio.wait_for(scenario(switchboard), TEST_TIME))
         finally:
@@ -388,3 +388,16 @@
         switchboard.close()
 
     asyncio.run(asyncio.wait_for(scenario(), TEST_TIME))
+
+
+def test_a_process_whose_test_has_ended_is_told_so() -> None:
+    left: list[bool] = []
+    switchboard = Switchboard()
+    with switchboard.attach(OTHER) as orders:
+        orders.recv(65536)
+        loop = LinkedLoop(Links(random.Random(1)), orders, lambda: (left.append(True), loop.stop())[0])
+        switchboard.close()
+        loop.call_later(TEST_TIME, loop.stop)
+        loop.run_forever()
+        loop.close()
+    assert left == [True]
--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -7,9 +7,12 @@
 
 import asyncio
 import math
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
+from stand_ins import ROOT, until
 
 from larchgw.cli.command import UsageError
 from larchgw.cli.main import call
@@ -40,3 +43,16 @@
                                                                          complaint: str) -> None:
     with pytest.raises(UsageError, match=complaint):
         call(["try", "--system", *options])
+
+
+def test_processes_under_links_end_with_the_trial_that_started_them(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "larchgw", "try", "--system", "--fault", "cut-off",
+               "--folder", str(tmp_path)]
+    trial = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        logs = [tmp_path / f"control-{number}" / "log" for number in range(1, 6)]
+        until(lambda: all(log.exists() and "control: started" in log.read_text() for log in logs))
+    finally:
+        trial.kill()
+        trial.wait()
+    until(lambda: all("stopping" in log.read_text() for log in logs))
