Backoffs, ejections and the keep-alive limit no longer leave a float's range after hours

Seen: the new test of the keep-alive limit raised OverflowError at an age of some hours. 2.0 ** (age / 30 s) is out of range 8.5 hours after the last dead connection, and every send over HTTP asks for it. Looked for all other growing powers (grep for **): in choice.py 0.5 * 2**asks (over 1,024 failed lists in a row) and 0.15 * 2**fulls (as many answers "full" in a row from one box), in decide/ejection.py both doublings (1,024 ejections of 8 s are a runner that is dead for 2.3 hours; 1,024 backoffs of 1 s). net/discovery.py, edge/keep_time.py and choice.py's doubts were capped already.

Change: the counts stop growing where the longest time has long been reached; the keep-alive's exponent is capped at 64. All values below that are the same. decide/ejection.py: two lines and a constant.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -81,7 +81,7 @@
         if kind == ListKind.FAILED:
             # The list service is down for everybody: asking again at once, all together, keeps it down.
             self.ask_at = now + min(0.5 * 2**self.asks, 8.0) * self.random.uniform(0.5, 1.0)
-            self.asks += 1
+            self.asks = min(self.asks + 1, 4)  # 8 s; a float holds no power above 1,023
             self._tick_soon(now)
             return
         if kind != ListKind.CACHED:
@@ -581,7 +581,7 @@
         elif status == Status.FULL:
             # Full by others' jobs: step off for about as long as a slot takes to come free.
             self._alive(now, worker)
-            worker.fulls += 1
+            worker.fulls = min(worker.fulls + 1, 4)
             self.fleet.full(now, worker)
             self._less(now, worker, self.runs[0].value * min(0.15 * 2**worker.fulls, 2.0), self.fair)
         elif status in (Status.CONNECT_FAILED, Status.RESET):
--- a/larchgw/decide/ejection.py
+++ b/larchgw/decide/ejection.py
@@ -21,6 +21,7 @@
 BACKOFF_MOST_S = 1.0
 EJECTION_S = 1.0  # first ejection; a restart takes longer, a hiccup less
 EJECTION_MOST_S = 8.0
+MOST_DOUBLINGS = 16  # beyond both of the longest times; a float holds no more than 1,023
 PENALTY_LIMIT = 3.0
 PENALTY_DECAY_S = 5.0
 EJECTED_SHARE = 0.5  # at most: if more fail, the cause is not the runners
@@ -57,12 +58,12 @@
         if now < self.backoff_until:
             return
         self.backoff_until = now + min(BACKOFF_MOST_S, first_s * 2.0 ** self.backoffs)
-        self.backoffs += 1
+        self.backoffs = min(self.backoffs + 1, MOST_DOUBLINGS)
 
     def eject(self, now: float) -> None:
         """Leaves it out, twice as long as the last time."""
         self.ejected_until = now + min(EJECTION_MOST_S, EJECTION_S * 2.0 ** self.ejections)
-        self.ejections += 1
+        self.ejections = min(self.ejections + 1, MOST_DOUBLINGS)
         self.on_trial = True
         self.trial_sent = False
 
--- a/larchgw/net/keepalive.py
+++ b/larchgw/net/keepalive.py
@@ -6,6 +6,7 @@
 SETTLE = 0.005  # seconds that a connection must have stood, for a close right after an answer to be seen
 DISTRUST = 0.25  # share of its standing time that is still trusted when a kept connection proves dead
 REGAIN = 30.0  # seconds in which the trusted time doubles again
+MOST_DOUBLINGS = 64.0  # of it: more change nothing, and over 1,023 a float cannot hold
 
 
 class KeepAliveLimit:
@@ -28,5 +29,5 @@
         """The limit now."""
         if self._trusted == float("inf"):
             return self._idle_time
-        regained: float = 2.0 ** ((now - self._trusted_at) / REGAIN)
+        regained: float = 2.0 ** min((now - self._trusted_at) / REGAIN, MOST_DOUBLINGS)
         return min(self._idle_time, max(self._trusted, SETTLE) * regained)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,7 +4,7 @@
 from bench import Rig
 
 from larchgw import Dispatcher
-from larchgw.interface import JobClass, Member, Settings, Status
+from larchgw.interface import JobClass, ListKind, Member, Settings, Status
 
 
 def test_a_key_stays_with_its_holder():
@@ -144,3 +144,21 @@
     job = rig.request()
     rig.wait(2.0)
     assert sum(a[:2] == ("cancel", job) for a in rig.actions.log) == cancelled
+
+
+def test_a_list_that_fails_for_hours_is_asked_for_every_few_seconds():
+    """After 1,024 failures in a row the wait was out of a float's range, and nothing more was asked for."""
+    rig = Rig(1, must_subscribe=True)
+    for _ in range(2000):
+        rig.members(kind=ListKind.FAILED)
+        assert 0.25 <= rig.d.ask_at - rig.now <= 8.0
+    assert rig.d.ask_at - rig.now >= 4.0
+
+
+def test_a_worker_that_is_full_all_day_is_left_for_a_short_time_each_time():
+    rig = Rig(1)
+    worker = rig.d.workers[rig.ids[0]]
+    for _ in range(2000):
+        rig.end(rig.request(), Status.FULL)
+        assert rig.now < worker.off_until <= rig.now + 2.0 * rig.d.runs[0].value
+        rig.now = worker.off_until
--- a/tests/test_decide_ejection.py
+++ b/tests/test_decide_ejection.py
@@ -2,20 +2,30 @@
 
 from __future__ import annotations
 
+import math
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from larchgw.decide.ejection import EJECTED_SHARE, EJECTION_MOST_S, EJECTION_S, Ejection
+from larchgw.decide.ejection import (
+    BACKOFF_MOST_S,
+    EJECTED_SHARE,
+    EJECTION_MOST_S,
+    EJECTION_S,
+    Ejection,
+)
 from larchgw.decide.interface import AttemptOutcome
 
 RUNNERS = ["a", "b", "c", "d"]
 
 
-def fail(ejection: Ejection, now: float, runner: str) -> None:
+def fail(ejection: Ejection, now: float, runner: str,
+         outcome: AttemptOutcome = AttemptOutcome.SILENT) -> None:
     """Two sends that fail so."""
     for _ in range(2):
         ejection.sent(now, runner)
-        ejection.ended(now, runner, AttemptOutcome.SILENT)
+        ejection.ended(now, runner, outcome)
 
 
 def test_a_runner_that_goes_silent_is_left_out() -> None:
@@ -76,6 +86,21 @@
     assert ejection.backoff_until("a") < 0.06
 
 
+@pytest.mark.parametrize(("outcome", "backoff", "ejection_s"), [
+    (AttemptOutcome.FULL, BACKOFF_MOST_S, -math.inf),
+    (AttemptOutcome.CONNECT_FAILED, BACKOFF_MOST_S, EJECTION_MOST_S),
+    (AttemptOutcome.SILENT, -math.inf, EJECTION_MOST_S)])
+def test_a_runner_that_fails_for_hours_is_left_out_for_the_longest_time_each_time(
+        outcome: AttemptOutcome, backoff: float, ejection_s: float) -> None:
+    """After 1,024 doublings the time was out of a float's range: an attempt's end was lost in an error."""
+    ejection, now = Ejection(), 0.0
+    for _ in range(2000):
+        now += 10.0
+        fail(ejection, now, "a", outcome)
+    health = ejection._runners["a"]
+    assert (health.backoff_until, health.ejected_until) == (now + backoff, now + ejection_s)
+
+
 @given(events=st.lists(st.tuples(st.sampled_from(RUNNERS), st.sampled_from(list(AttemptOutcome)),
                                  st.floats(0.0, 2.0)), max_size=80))
 def test_at_most_the_share_is_ejected_and_all_come_back(
--- a/tests/test_runner_answer.py
+++ b/tests/test_runner_answer.py
@@ -147,3 +147,10 @@
     assert limit.at(200.0) == SETTLE, "else it would never be trusted again"
     limit.configure(0.5)
     assert limit.at(5000.0) == pytest.approx(0.05)
+
+
+def test_a_connection_that_died_long_ago_is_forgotten_however_long_ago_it_was() -> None:
+    """After 1,024 doublings the power was out of a float's range, and every send that asked for it failed."""
+    limit = KeepAliveLimit(15.0)
+    limit.proved_dead(0.0, 1.0)
+    assert [limit.at(age * 3600.0) for age in (1, 8, 9, 24, 24 * 365)] == [limit.at(3600.0)] * 5 == [12.0] * 5
