--- a/larchgw/replication/compaction.py
+++ b/larchgw/replication/compaction.py
@@ -8,6 +8,7 @@
 from .settings import MemberSettings
 
 DISK_RETRY_SECONDS = 5.0  # after a failed compaction
+POSTPONED_FACTOR = 2  # the log may grow to so many times its bounds while a member is sent a snapshot
 
 
 class Compaction:
@@ -19,12 +20,15 @@
         self._snapshot = snapshot
         self._retry_at = 0.0
 
-    def tick(self, now: float, delivered: int) -> None:
+    def tick(self, now: float, delivered: int, is_sending_snapshot: bool) -> None:
         """Compacts up to `delivered`, the last record handed out, if the log has grown past its bounds.
 
+        While a snapshot is being sent the log may grow further, so that its receiver finds the records after
+        it: otherwise compactions could outrun a slow transfer for ever.
         OSError if the disk refuses; it is tried again after some seconds."""
         records, size = self._replica.size
-        if records < self._settings.compact_records and size < self._settings.compact_bytes:
+        factor = POSTPONED_FACTOR if is_sending_snapshot else 1
+        if records < factor * self._settings.compact_records and size < factor * self._settings.compact_bytes:
             return
         if now < self._retry_at or delivered < self._replica.first_kept:
             return
--- a/larchgw/replication/explore_checks.py
+++ b/larchgw/replication/explore_checks.py
@@ -18,6 +18,7 @@
         self._primaries: dict[int, str] = {}  # epoch -> who acted in it
         self._highest_fence = 0
         self._holder_of: dict[int, str] = {}  # fence -> holder
+        self._snapshots: dict[bytes, int] = {}  # content -> version
         self._acted: dict[str, float] = {}  # holder -> when it last acted
 
     @property
@@ -46,6 +47,19 @@
         if index < acknowledged_before:
             raise Broken(f"{member} confirmed a read as of {index}; {acknowledged_before} was acknowledged")
 
+    def made_snapshot(self, version: int, content: bytes) -> None:
+        """A replica gives its state for a snapshot."""
+        self._snapshots.setdefault(content, version)
+
+    def installed(self, member: str, index: int, content: bytes) -> int:
+        """A replica takes a snapshot for its state; the version it stands for."""
+        version = self._snapshots.get(content)
+        if version is None:
+            raise Broken(f"{member} takes {content!r} for its state, which nobody gave for a snapshot")
+        if version != index:
+            raise Broken(f"{member} takes the state of {version} for that of {index}")
+        return version
+
     def acts(self, member: str, epoch: int) -> None:
         """A member acts as primary in this epoch. `member` names one life of its process."""
         other = self._primaries.setdefault(epoch, member)
--- a/larchgw/replication/explore_faults.py
+++ b/larchgw/replication/explore_faults.py
@@ -131,10 +131,11 @@
     def _unreliable(self) -> None:
         self._world.loss, self._world.double = self._random.choice(((0.05, 0.05), (0.3, 0.1), (0.0, 0.5)))
         self._world.delay = self._random.choice(((0.0005, 0.004), (0.001, 0.2), (0.0, 0.03)))
+        self._world.damage = self._random.choice((0.0, 0.0, 0.3))
         self._after(2.0, self._reliable)
 
     def _reliable(self) -> None:
-        self._world.loss = self._world.double = 0.0
+        self._world.loss = self._world.double = self._world.damage = 0.0
         self._world.delay = (0.0005, 0.004)
 
     def _step_down(self) -> None:
--- a/larchgw/replication/explore_mutants.py
+++ b/larchgw/replication/explore_mutants.py
@@ -10,13 +10,14 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from . import identity, member, view
+from . import identity, member, snapshot_transfer, view
 from .ballot import Ballot
 from .departure import Departure
 from .leadership import Leadership
 from .lease import LeaseHolder
 from .lease_witness import LeaseWitness
 from .replica import Replica
+from .snapshot_transfer import IncomingSnapshot, OutgoingSnapshot
 from .view_changes import ViewChanges
 from .witness import Witness
 
@@ -146,10 +147,30 @@
     return can_spare
 
 
+def _takes_pieces_as_they_come(original: Any) -> Any:
+    def fits(self: IncomingSnapshot, install: Any) -> bool:
+        return True
+    return fits
+
+
+def _sends_on_whatever_is_answered(original: Any) -> Any:
+    def answered(self: OutgoingSnapshot, index: int, offset: int) -> bool:
+        size = len(self.snapshot.content)
+        self.offset = min(self.offset + self._piece_bytes, max(0, size - self._piece_bytes))
+        return True
+    return answered
+
+
+def _all_one_transfer(original: Any) -> Any:
+    def transfer_of(install: Any) -> tuple[object, ...]:
+        return ("any",)
+    return transfer_of
+
+
 MUTANTS = (
     Mutant("acknowledges a record that one backup has", "walk", 6,
            Leadership, "commit_index", _commits_on_one_backup),
-    Mutant("takes a replica in that lacks records", "walk", 11, Leadership, "_may_enter", _lets_anyone_in),
+    Mutant("takes a replica in that lacks records", "walk", 24, Leadership, "_may_enter", _lets_anyone_in),
     Mutant("is ready before what it took over is acknowledged", "walk", 2, Leadership, "is_ready",
            lambda original: property(lambda self: True)),
     Mutant("confirms reads without a quorum", "walk", 31,
@@ -160,19 +181,26 @@
     Mutant("accepts a view below its promise", "walk", 1114, Witness, "accept", _accepts_anything),
     Mutant("keeps promises in memory only", "course", 0, Witness, "_store", _keeps_in_memory("_state")),
     Mutant("goes on as primary after a restart", "walk", 0, member, "establish", _leads_after_a_restart),
-    Mutant("keeps its vote after the loss of its disk", "walk", 11,
+    Mutant("keeps its vote after the loss of its disk", "walk", 15,
            member, "establish", _names_a_wiped_disk_as_before),
     Mutant("answers before its records are synced", "walk", 0, Replica, "sync", _always(None)),
     Mutant("does not compare the epochs of records", "walk", 10, Replica, "follow", _ignores_divergence),
+    Mutant("takes a piece of a snapshot at a wrong offset", "course", 29,
+           IncomingSnapshot, "_fits", _takes_pieces_as_they_come),
+    Mutant("does not verify a snapshot", "course", 3, snapshot_transfer, "_is_genuine", _always(True)),
+    Mutant("keeps the pieces of one snapshot for another", "course", 21,
+           snapshot_transfer, "_transfer_of", _all_one_transfer),
+    Mutant("leaves out what of a snapshot was lost", "course", 0,
+           OutgoingSnapshot, "answered", _sends_on_whatever_is_answered),
     Mutant("counts one less than a majority as one", "walk", 0, view, "majority_of", _one_less_is_enough),
-    Mutant("does not wait a term after another holder", "course", 0,
+    Mutant("does not wait a term after another holder", "course", 5,
            LeaseHolder, "_another_acted", _always(False)),
     Mutant("grants a lease that another holds", "course", 0,
            LeaseWitness, "_remaining", _grants_known_fences),
-    Mutant("leads by a vote that came too late", "course", 97,
+    Mutant("leads by a vote that came too late", "walk", 1231,
            ViewChanges, "_chosen", _leads_by_a_late_vote),
     Mutant("ends before the others have agreed", "course", 0,
            Departure, "is_over", _ends_without_agreement),
-    Mutant("agrees to the end of a member in sync", "course", 0,
+    Mutant("agrees to the end of a member in sync", "course", 1,
            Leadership, "can_spare", _agrees_to_every_end),
 )
--- a/larchgw/replication/explore_walk.py
+++ b/larchgw/replication/explore_walk.py
@@ -18,6 +18,7 @@
     def __init__(self, seed: int, machines: int, seeds: int, survive: int) -> None:
         super().__init__(seed, machines, seeds, survive)
         self.has_leases = False
+        self.damage = 0.03 * (seed % 2)
         self.pending: list[tuple[str, Envelope]] = []
         for address in self.machines:
             self.start(address, first_boot=True)
--- a/larchgw/replication/explore_world.py
+++ b/larchgw/replication/explore_world.py
@@ -12,6 +12,8 @@
 from functools import partial
 from random import Random
 
+from ..rpc.codec import MAX_FRAME_BYTES
+from ..rpc.generated.ttypes import PeerMessage
 from .effects import Effects, NotPrimary, Outgoing
 from .explore_checks import Broken, Checks
 from .explore_disk import Crashed, SimulatedDisk
@@ -23,6 +25,7 @@
 TICK = 0.02  # seconds
 LEASE = "placer"
 TERM = 3.0
+PIECE_BYTES = 16  # so that a snapshot goes in several pieces
 
 
 @dataclass
@@ -74,6 +77,10 @@
         self.has_leases = True
         self.loss = 0.0
         self.double = 0.0
+        self.damage = 0.0  # share of the pieces of snapshots that arrive altered
+        self.damaged = 0
+        self.most_body_bytes = MAX_FRAME_BYTES
+        self.filling_bytes = 120  # of a snapshot besides what it says
         self.delay = (0.0005, 0.004)
         self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self._queue: list[tuple[float, int, str, Envelope | None]] = []
@@ -92,14 +99,15 @@
         machine = self.machines[address]
         machine.life += 1
         settings = MemberSettings(address, self.seeds, first_boot, f"{address}#{machine.life}", self.survive,
-                                  TERM, compact_records=12, batch_bytes=200)
+                                  TERM, compact_records=12, batch_bytes=200, piece_bytes=PIECE_BYTES)
         machine.version = 0
         machine.proposals.clear()
         machine.reads.clear()
         machine.inbox.clear()
         machine.frozen = False
         try:
-            machine.member = Member(settings, machine.disk.ports(), partial(_snapshot, machine), self.random)
+            machine.member = Member(settings, machine.disk.ports(), partial(self._snapshot, machine),
+                                    self.random)
             if not first_boot:
                 machine.member.set_contacts(self.machines)
             self._carry_out(machine, machine.member.start(self.clock(machine)))
@@ -217,11 +225,16 @@
         """What the machine's monotonic clock shows."""
         return self.now + machine.clock_offset
 
+    def _snapshot(self, machine: Machine) -> bytes:
+        content = f"{machine.version} {machine.name} ".encode() + b"." * self.filling_bytes
+        self.checks.made_snapshot(machine.version, content)
+        return content
+
     # ---- what members hand out ----
 
     def _carry_out(self, machine: Machine, effects: Effects, written: float = 0.0) -> None:
         if effects.installed is not None:
-            machine.version = int(effects.installed[1])
+            machine.version = self.checks.installed(machine.name, *effects.installed)
         for index, record in effects.committed:
             self.checks.committed(machine.name, index, record)
             if index != machine.version + 1:
@@ -249,6 +262,8 @@
             if self.newest_view is None or member.acting_epoch > self.newest_view.epoch:
                 self.newest_view = member.view
         self._check_lease(machine, member)
+        if member.discarded_snapshots and not self.damaged:
+            raise Broken(f"{machine.name} has put a snapshot together wrongly")
         epoch = 0 if member.view is None else member.view.epoch
         machine.digest = (member.id, epoch, member.acting_epoch, member.committed_index, member.last_index)
         self.states.add(hash(tuple(other.digest for other in self.machines.values())))
@@ -261,11 +276,20 @@
     def _transmit(self, machine: Machine, outgoing: Outgoing, written: float) -> None:
         if self.cut(machine.address, outgoing.address) or self.random.random() < self.loss:
             return
-        if outgoing.address not in self.machines:
+        if outgoing.address not in self.machines or len(outgoing.message.body) > self.most_body_bytes:
             return
         copies = 2 if self.random.random() < self.double else 1
         for _ in range(copies):
-            self._push(written + self.random.uniform(*self.delay), outgoing.address, outgoing.message)
+            message = self._altered(outgoing.message)
+            self._push(written + self.random.uniform(*self.delay), outgoing.address, message)
+
+    def _altered(self, message: PeerMessage) -> PeerMessage:
+        """The message as it arrives: a piece of a snapshot may be damaged on its way."""
+        if message.kind != "install" or not self.damage or self.random.random() >= self.damage:
+            return message
+        self.damaged += 1
+        body = message.body[:-1] + bytes([message.body[-1] ^ 1])
+        return PeerMessage(message.sender, message.receiver, message.kind, body)
 
     def _push(self, after: float, address: str, message: Envelope | None) -> None:
         self._order += 1
@@ -324,7 +348,3 @@
                 raise Broken(f"{machine.name} has left, but is in sync in {self.newest_view}")
             self.kill(address)
         return machine.member is None
-
-
-def _snapshot(machine: Machine) -> bytes:
-    return str(machine.version).encode()
--- a/larchgw/replication/follower.py
+++ b/larchgw/replication/follower.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Iterable
 
-from .messages import Append, AppendReply, Heartbeat, HeartbeatReply, Install, Join
+from .messages import Append, AppendReply, Heartbeat, HeartbeatReply, Install, InstallReply, Join
 from .outbox import Outbox
 from .replica import Replica
 from .settings import Timing
+from .snapshot_transfer import IncomingSnapshot
 from .view import View
 from .witness import Witness
 
@@ -28,6 +29,7 @@
         self._matched_epoch = 0
         self._matched = 0  # the log is the primary's up to here, in `_matched_epoch`
         self.heard_at: float | None = None
+        self.incoming = IncomingSnapshot()
 
     def start(self, now: float) -> None:
         """Once, before any other call. A primary has as long to be heard as if it had just been."""
@@ -73,14 +75,27 @@
         self._outbox.send(sender, AppendReply(append.epoch, matched, index))
 
     def install(self, now: float, sender: str, install: Install) -> tuple[int, bytes] | None:
-        """A snapshot of the primary; returned if it replaced the log."""
+        """A piece of a snapshot of the primary; the snapshot is returned once it has replaced the log."""
         if not self._follows(sender, install.epoch):
             return None
         self.heard_at = now
-        replaced = self._replica.install(install.index, install.index_epoch, install.snapshot)
+        if self._replica.holds(install.index, install.index_epoch):
+            self._have_installed(sender, install)
+            return None
+        if not self.incoming.begin(install):
+            return None
+        snapshot = self.incoming.take(install)
+        if snapshot is None:
+            self._outbox.send(sender, InstallReply(install.epoch, install.index, self.incoming.offset))
+            return None
+        self._replica.install(install.index, install.index_epoch, snapshot)
+        self._have_installed(sender, install)
+        return install.index, snapshot
+
+    def _have_installed(self, sender: str, install: Install) -> None:
+        self.incoming.forget()
         self._match(install.epoch, install.index)
         self._outbox.send(sender, AppendReply(install.epoch, True, install.index))
-        return (install.index, install.snapshot) if replaced else None
 
     def ask_to_join(self, now: float, contacts: Iterable[str]) -> None:
         """While this member is not in sync it asks to be brought up to date, time and again."""
--- a/larchgw/replication/leadership.py
+++ b/larchgw/replication/leadership.py
@@ -4,11 +4,12 @@
 
 from dataclasses import dataclass
 
-from .messages import Accept, Append, AppendReply, Heartbeat, HeartbeatReply, Install
+from .messages import Accept, Append, AppendReply, Heartbeat, HeartbeatReply, InstallReply
 from .outbox import Outbox
 from .planning import Standing
 from .replica import Replica
 from .settings import MemberSettings
+from .snapshot_transfer import OutgoingSnapshot, Snapshot
 from .view import View
 
 NEVER = float("-inf")
@@ -27,6 +28,7 @@
     overdue_at: float | None = None  # when it no longer counts as keeping up
     replicating: bool = False
     told_view_at: float = NEVER
+    snapshot: OutgoingSnapshot | None = None  # on its way there; records wait until it is installed
 
 
 class Leadership:
@@ -209,25 +211,44 @@
             return
         if peer.in_flight and now < peer.resend_at:
             return
-        transfer = self._send_records(member, peer) / self._timing.slowest_link
+        if peer.snapshot is None and peer.next_index < self._replica.first_kept:
+            peer.snapshot = self._begin_snapshot()
+        sent = self._send_records(member, peer) if peer.snapshot is None \
+            else self._send_piece(member, peer.snapshot)
+        whole = sent if peer.snapshot is None else peer.snapshot.remaining_bytes
         peer.in_flight = True
-        peer.resend_at = now + self._timing.retransmit + transfer
+        peer.resend_at = now + self._timing.retransmit + sent / self._timing.slowest_link
         if peer.overdue_at is None:
-            peer.overdue_at = now + self._timing.backup_silence + transfer
+            peer.overdue_at = now + self._timing.backup_silence + whole / self._timing.slowest_link
 
     def _send_records(self, member: str, peer: Peer) -> int:
         replica = self._replica
         first = peer.next_index
-        if first < replica.first_kept:
-            index, epoch, snapshot = replica.snapshot()
-            self._outbox.send(member, Install(self.view.epoch, index, epoch, snapshot))
-            return len(snapshot)
         epochs, records = replica.batch(first, self._settings.batch_bytes)
         append = Append(self.view.epoch, first - 1, replica.epoch_at(first - 1), replica.committed,
                         epochs, records)
         self._outbox.send(member, append)
         return sum(map(len, records))
 
+    @property
+    def is_sending_snapshot(self) -> bool:
+        """Whether some member is being sent a snapshot: the records after it should be kept until then."""
+        return any(peer.snapshot is not None for peer in self._peers.values())
+
+    def _begin_snapshot(self) -> OutgoingSnapshot:
+        """A transfer of the newest snapshot, which is read once for all members that need it."""
+        newest = self._replica.first_kept - 1
+        shared = (peer.snapshot.snapshot for peer in self._peers.values() if peer.snapshot is not None)
+        snapshot = next((each for each in shared if each.index == newest), None)
+        if snapshot is None:
+            snapshot = Snapshot.of(*self._replica.snapshot())
+        return OutgoingSnapshot(self.view.epoch, snapshot, self._settings.piece_bytes)
+
+    def _send_piece(self, member: str, outgoing: OutgoingSnapshot) -> int:
+        install = outgoing.piece()
+        self._outbox.send(member, install)
+        return len(install.piece)
+
     def _tell_view(self, now: float, member: str, peer: Peer) -> None:
         if now - peer.told_view_at >= self._timing.heartbeat / 2:
             peer.told_view_at = now
@@ -250,11 +271,15 @@
             self._tell_view(now, sender, peer)
 
     def append_reply(self, now: float, sender: str, reply: AppendReply) -> None:
-        """A replica has answered records or a snapshot of this epoch."""
+        """A replica has answered records of this epoch, or has installed a snapshot."""
         peer = self._peers.get(sender)
         if peer is None or reply.epoch != self.view.epoch:
             return
         peer.heard_at = now
+        if peer.snapshot is not None:
+            if not reply.matched or reply.index < peer.snapshot.snapshot.index:
+                return  # a late answer to records that were sent before the snapshot
+            peer.snapshot = None
         if reply.matched:
             if reply.index > peer.match:
                 peer.match = reply.index
@@ -265,9 +290,20 @@
         peer.in_flight = False
         self._replicate_to(now, sender, peer)
 
+    def install_reply(self, now: float, sender: str, reply: InstallReply) -> None:
+        """A replica tells how far a snapshot of this epoch has come."""
+        peer = self._peers.get(sender)
+        if peer is None or reply.epoch != self.view.epoch:
+            return
+        peer.heard_at = now
+        if peer.snapshot is not None and peer.snapshot.answered(reply.index, reply.offset):
+            peer.in_flight = False
+            self._replicate_to(now, sender, peer)
+
     def progress(self) -> tuple[object, ...]:
         """Everything that answers have changed, times left out."""
-        peers = tuple((member, peer.match, peer.next_index, peer.round, peer.in_flight, peer.replicating)
+        peers = tuple((member, peer.match, peer.next_index, peer.round, peer.in_flight, peer.replicating,
+                       None if peer.snapshot is None else peer.snapshot.offset)
                       for member, peer in sorted(self._peers.items()))
         return (self.view.epoch, self.round, self.takeover_index, frozenset(self._proposed_backups), peers)
 
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -26,6 +26,7 @@
     Heartbeat,
     HeartbeatReply,
     Install,
+    InstallReply,
     Join,
     LeaseAnswer,
     LeaseAsk,
@@ -136,6 +137,11 @@
         """The epoch in which this member acts as primary; None if it does not."""
         return None if self._views.leading is None else self._views.leading.view.epoch
 
+    @property
+    def discarded_snapshots(self) -> int:
+        """Snapshots that came whole and did not agree with their checksum."""
+        return self._follower.incoming.discarded
+
     def progress(self) -> tuple[object, ...]:
         """What is kept in memory only, times left out; for explorations that compare states."""
         return (self._replica.committed, *self._views.progress(), *self._departure.progress())
@@ -242,6 +248,9 @@
                 self._follower.append(now, sender, message)
             case Install():
                 self._on_install(now, sender, message)
+            case InstallReply():
+                if self._views.leading is not None:
+                    self._views.leading.install_reply(now, sender, message)
             case AppendReply():
                 if self._views.leading is not None:
                     self._views.leading.append_reply(now, sender, message)
@@ -292,7 +301,9 @@
     # ---- time ----
 
     def _on_tick(self, now: float) -> None:
-        self._compaction.tick(now, self._delivered)
+        leading = self._views.leading
+        is_sending = leading is not None and leading.is_sending_snapshot
+        self._compaction.tick(now, self._delivered, is_sending)
         self._views.tick(now, self._contacts, self._departure.has_begun)
         if self._departure.has_begun:
             self._departure.ask(now, self._witness.view)
--- a/larchgw/replication/messages.py
+++ b/larchgw/replication/messages.py
@@ -115,12 +115,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Install:
-    """A snapshot that stands for all records up to `index`."""
+    """The piece at `offset` of a snapshot that stands for all records up to `index`; the whole has `size`
+    bytes and this checksum."""
 
     epoch: int
     index: int
     index_epoch: int
-    snapshot: bytes
+    offset: int
+    size: int
+    checksum: str
+    piece: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class InstallReply:
+    """Of the snapshot up to `index` the sender holds the first `offset` bytes: go on from there."""
+
+    epoch: int
+    index: int
+    offset: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,12 +211,14 @@
 
 
 Message = (Probe | ProbeReply | Prepare | Promise | Accept | Accepted | Heartbeat | HeartbeatReply | Append
-           | Install | AppendReply | Join | Leave | Left | TakeOver | LeaseAsk | LeaseAnswer | LeaseRelease)
+           | Install | InstallReply | AppendReply | Join | Leave | Left | TakeOver | LeaseAsk | LeaseAnswer
+           | LeaseRelease)
 
 _KINDS: dict[str, type[Any]] = {
     "probe": Probe, "probe_reply": ProbeReply, "prepare": Prepare, "promise": Promise, "accept": Accept,
     "accepted": Accepted, "heartbeat": Heartbeat, "heartbeat_reply": HeartbeatReply, "append": Append,
-    "install": Install, "append_reply": AppendReply, "join": Join, "leave": Leave, "left": Left,
+    "install": Install, "install_reply": InstallReply, "append_reply": AppendReply, "join": Join,
+    "leave": Leave, "left": Left,
     "take_over": TakeOver,
     "lease_ask": LeaseAsk, "lease_answer": LeaseAnswer, "lease_release": LeaseRelease,
 }
@@ -219,7 +234,7 @@
         if field.name == "records":
             header["lengths"] = [len(record) for record in value]
             blobs.extend(value)
-        elif field.name == "snapshot":
+        elif field.name == "piece":
             blobs.append(value)
         elif isinstance(value, View):
             header[field.name] = value.to_json()
@@ -248,7 +263,7 @@
         header["epochs"] = tuple(header["epochs"])
         header["records"] = _records(header.pop("lengths"), body, start)
     elif kind == "install":
-        header["snapshot"] = bytes(body[start:])
+        header["piece"] = bytes(body[start:])
     if header.get("view") is not None:
         header["view"] = View.from_json(header["view"])
     return header
--- a/larchgw/replication/replica.py
+++ b/larchgw/replication/replica.py
@@ -56,6 +56,10 @@
             return self._base_epoch
         return self._epochs[index - self._base_index - 1]
 
+    def holds(self, index: int, epoch: int) -> bool:
+        """Whether this record, or a snapshot that stands for it, is here already."""
+        return index <= self._base_index or index <= self.last_index and self.epoch_at(index) == epoch
+
     def snapshot(self) -> tuple[int, int, bytes]:
         """Index, epoch and content of the snapshot; index 0 and nothing if there is none."""
         held = self._journal.snapshot()
@@ -97,7 +101,7 @@
 
     def install(self, index: int, epoch: int, snapshot: bytes) -> bool:
         """Replaces the log by a snapshot, durable; False where the log holds that record already."""
-        if index <= self._base_index or index <= self.last_index and self.epoch_at(index) == epoch:
+        if self.holds(index, epoch):
             return False
         self._journal.install(index, _EPOCH.pack(epoch) + snapshot)
         self._synced = True
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from .snapshot_transfer import PIECE_BYTES
+
 
 @dataclass(frozen=True, slots=True)
 class Timing:
@@ -48,4 +50,5 @@
     compact_records: int = 1000  # a snapshot replaces the log once it holds so many records
     compact_bytes: int = 16 << 20  # or so many bytes
     batch_bytes: int = 1 << 20  # of records in one message, unless one alone is larger
+    piece_bytes: int = PIECE_BYTES  # of a snapshot in one message
     timing: Timing = field(default_factory=Timing)
--- /dev/null
+++ b/larchgw/replication/snapshot_transfer.py
@@ -0,0 +1,145 @@
+"""A snapshot on its way from the primary to a member that lacks records which are no longer kept.
+
+It goes in pieces, one under way at a time, so that heartbeats pass between them and no message grows with the
+state. The receiver says from where to go on; nothing is replaced before the whole is there and its checksum
+agrees. What is received lies in memory: a receiver that ends begins anew.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from dataclasses import dataclass
+
+from .messages import Install
+
+log = logging.getLogger(__name__)
+PIECE_BYTES = 256 << 10  # 26 ms on the slowest link: a heartbeat waits no longer behind it
+MOST_SNAPSHOT_BYTES = 24 << 20  # what a member sets aside for one; control/state_size.py keeps states below
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The state after record `index`, which was proposed in `epoch`."""
+
+    index: int
+    epoch: int
+    content: bytes
+    checksum: str
+
+    @classmethod
+    def of(cls, index: int, epoch: int, content: bytes) -> Snapshot:
+        """With its checksum."""
+        return cls(index, epoch, content, checksum_of(content))
+
+
+def checksum_of(content: bytes) -> str:
+    """What tells a whole snapshot from one that was put together wrongly."""
+    return hashlib.sha256(content).hexdigest()
+
+
+class OutgoingSnapshot:
+    """The sender's side: one snapshot for one member, kept until the member has it, though a newer one may
+    replace it on the disk meanwhile."""
+
+    def __init__(self, epoch: int, snapshot: Snapshot, piece_bytes: int) -> None:
+        self.snapshot = snapshot
+        self.offset = 0  # where the piece under way, or the next one, begins
+        self._epoch = epoch
+        self._piece_bytes = piece_bytes
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Bytes that have not been answered."""
+        return len(self.snapshot.content) - self.offset
+
+    def piece(self) -> Install:
+        """The message that carries the piece at `offset`."""
+        snapshot = self.snapshot
+        piece = snapshot.content[self.offset:self.offset + self._piece_bytes]
+        return Install(self._epoch, snapshot.index, snapshot.epoch, self.offset, len(snapshot.content),
+                       snapshot.checksum, piece)
+
+    def answered(self, index: int, offset: int) -> bool:
+        """Takes the receiver's answer; True if the next piece is to go at once.
+
+        An answer that does not go beyond the piece under way is an old one, or the receiver has begun anew.
+        Either way the piece is sent again only when its time is over: sending on every answer would keep
+        as many pieces under way as answers were doubled.
+        """
+        if index != self.snapshot.index or not 0 <= offset <= len(self.snapshot.content):
+            return False
+        goes_on = offset >= min(self.offset + self._piece_bytes, len(self.snapshot.content))
+        self.offset = offset
+        return goes_on
+
+
+class IncomingSnapshot:
+    """The receiver's side: at most one snapshot, as far as it has come. `discarded` counts those that were
+    whole and wrong."""
+
+    def __init__(self) -> None:
+        self.discarded = 0
+        self._transfer: tuple[object, ...] = ()
+        self._order = (0, 0)
+        self._content = bytearray()
+
+    @property
+    def offset(self) -> int:
+        """From where the sender is to go on."""
+        return len(self._content)
+
+    def forget(self) -> None:
+        """Nothing is being received any more."""
+        self._transfer = ()
+        self._content = bytearray()
+
+    def begin(self, install: Install) -> bool:
+        """Turns to the transfer that the piece belongs to; False if the piece is to be left alone.
+
+        A transfer of a higher epoch, or of a newer snapshot, takes the place of the one before.
+        """
+        if not 0 <= install.size <= MOST_SNAPSHOT_BYTES:
+            log.error("a snapshot of %d bytes is refused; the most is %d", install.size, MOST_SNAPSHOT_BYTES)
+            return False
+        transfer = _transfer_of(install)
+        if transfer == self._transfer:
+            return True
+        order = (install.epoch, install.index)
+        if order < self._order:
+            return False
+        self.forget()
+        self._transfer, self._order = transfer, order
+        return True
+
+    def take(self, install: Install) -> bytes | None:
+        """Takes a piece of the present transfer; the snapshot if this piece makes it whole.
+
+        The last piece is not kept: until the snapshot is durable, and `forget` is called, it can come again.
+        """
+        if not self._fits(install):
+            return None
+        if self.offset + len(install.piece) < install.size:
+            self._content += install.piece
+            return None
+        whole = bytes(self._content) + install.piece
+        if _is_genuine(whole, install.checksum):
+            return whole
+        log.error("a snapshot up to record %d is not what was sent; it is fetched again", install.index)
+        self.discarded += 1
+        self._content = bytearray()
+        return None
+
+    def _fits(self, install: Install) -> bool:
+        end = install.offset + len(install.piece)
+        is_useful = len(install.piece) > 0 or install.size == 0
+        return install.offset == self.offset and end <= install.size and is_useful
+
+
+def _transfer_of(install: Install) -> tuple[object, ...]:
+    """What all pieces of one transfer have in common."""
+    return install.epoch, install.index, install.index_epoch, install.size, install.checksum
+
+
+def _is_genuine(whole: bytes, checksum: str) -> bool:
+    return checksum_of(whole) == checksum
--- a/tests/test_replication_parts.py
+++ b/tests/test_replication_parts.py
@@ -17,6 +17,7 @@
     AppendReply,
     DecodeError,
     Install,
+    InstallReply,
     Promise,
     decode,
     encode,
@@ -52,7 +53,7 @@
 
 def test_views_and_snapshots_arrive_as_they_were_sent() -> None:
     promises = Promise(1, True, 1, None), Promise(1, True, 1, VIEW)
-    for message in (Accept(VIEW), Install(1, 2, 3, b"\0{"), *promises):
+    for message in (Accept(VIEW), Install(1, 2, 3, 4, 6, "sum", b"\0{"), InstallReply(1, 2, 3), *promises):
         assert decode(*encode(message, "x:1"))[0] == message
 
 
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -148,6 +148,7 @@
         self.known = self.world.checks.newest_acknowledged
         begin = Beginning("m0:1#anew", "m0:1", 1_800_000_000, self.known)
         refound(self.world.machines["m0:1"].disk.ports(), begin, str(self.known).encode())
+        self.world.checks.made_snapshot(self.known, str(self.known).encode())
         self.world.start("m0:1")
 
     def changes(self, seconds: float) -> int:
--- /dev/null
+++ b/tests/test_snapshot_transfer.py
@@ -0,0 +1,384 @@
+"""Snapshots on their way: bounded pieces that may be lost, doubled, reordered, altered or come from an old
+primary, and members that catch up while changes go on."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larchgw.replication.compaction import POSTPONED_FACTOR, Compaction
+from larchgw.replication.explore_disk import SimulatedDisk
+from larchgw.replication.explore_world import Machine, World
+from larchgw.replication.follower import Follower
+from larchgw.replication.leadership import Leadership
+from larchgw.replication.messages import AppendReply, Install, InstallReply, decode
+from larchgw.replication.outbox import Outbox
+from larchgw.replication.replica import Replica
+from larchgw.replication.settings import MemberSettings, Timing
+from larchgw.replication.snapshot_transfer import (
+    MOST_SNAPSHOT_BYTES,
+    PIECE_BYTES,
+    IncomingSnapshot,
+    OutgoingSnapshot,
+    Snapshot,
+)
+from larchgw.replication.view import View, first_view
+from larchgw.replication.witness import Witness
+from larchgw.rpc.client import RpcClient
+from larchgw.rpc.codec import MAX_FRAME_BYTES
+from larchgw.rpc.errors import RpcError
+from larchgw.rpc.generated.ttypes import ControlStatus, PeerMessage, StatusRequest
+from larchgw.rpc.server import RpcServer
+
+VIEW = first_view(["a", "b", "c"])
+CONTENT = b"0123456789"
+CHANGE_PERIOD = 0.25  # seconds: the pages have an operator change the configuration four times a second
+
+
+def outgoing(content: bytes = CONTENT, epoch: int = 1, index: int = 9, piece_bytes: int = 4
+             ) -> OutgoingSnapshot:
+    return OutgoingSnapshot(epoch, Snapshot.of(index, 1, content), piece_bytes)
+
+
+def pieces(content: bytes = CONTENT, epoch: int = 1, index: int = 9) -> list[Install]:
+    sent = outgoing(content, epoch, index)
+    found = []
+    for sent.offset in range(0, len(content), 4):
+        found.append(sent.piece())
+    return found
+
+
+def receive(incoming: IncomingSnapshot, install: Install) -> bytes | None:
+    return incoming.take(install) if incoming.begin(install) else None
+
+
+# ---- the receiver ----
+
+def test_pieces_in_order_make_the_snapshot() -> None:
+    incoming = IncomingSnapshot()
+    assert [receive(incoming, piece) for piece in pieces()] == [None, None, CONTENT]
+
+
+@given(st.integers(0, 1 << 30), st.binary(max_size=60))
+def test_whatever_is_lost_doubled_or_reordered_the_whole_snapshot_comes_or_none(seed: int,
+                                                                                content: bytes) -> None:
+    random = Random(seed)
+    sent, incoming = outgoing(content), IncomingSnapshot()
+    under_way = [sent.piece()]
+    for _ in range(2000):
+        if random.random() < 0.2 or not under_way:
+            under_way.append(sent.piece())  # its time is over
+        whole = receive(incoming, piece := under_way.pop(random.randrange(len(under_way))))
+        if whole is not None:
+            assert whole == content
+            assert incoming.discarded == 0
+            return
+        if random.random() < 0.2:
+            under_way.append(piece)
+        if random.random() < 0.8 and sent.answered(9, incoming.offset):
+            under_way.append(sent.piece())
+    raise AssertionError("the snapshot never came")
+
+
+def test_a_piece_that_was_altered_replaces_nothing_and_the_snapshot_is_fetched_again() -> None:
+    incoming = IncomingSnapshot()
+    first, second, last = pieces()
+    altered = Install(1, 9, 1, 4, 10, first.checksum, b"XXXX")
+    assert [receive(incoming, piece) for piece in (first, altered, last)] == [None, None, None]
+    assert (incoming.discarded, incoming.offset) == (1, 0)
+    assert [receive(incoming, piece) for piece in (first, second, last)] == [None, None, CONTENT]
+
+
+def test_a_transfer_of_a_higher_epoch_takes_the_place_of_a_partial_one() -> None:
+    incoming = IncomingSnapshot()
+    old, new = pieces(b"a" * 10, epoch=1), pieces(b"b" * 10, epoch=2)
+    receive(incoming, old[0])
+    assert receive(incoming, new[1]) is None and incoming.offset == 0
+    assert [receive(incoming, piece) for piece in new] == [None, None, b"b" * 10]
+
+
+def test_a_newer_snapshot_takes_the_place_of_a_partial_one_and_late_pieces_of_that_are_left_alone() -> None:
+    incoming = IncomingSnapshot()
+    old, new = pieces(b"a" * 10, index=9), pieces(b"b" * 10, index=12)
+    receive(incoming, old[0])
+    receive(incoming, new[0])
+    assert not incoming.begin(old[1])
+    assert incoming.offset == 4
+    assert [receive(incoming, piece) for piece in new[1:]] == [None, b"b" * 10]
+
+
+def test_the_last_piece_can_come_again_until_the_snapshot_is_durable() -> None:
+    incoming = IncomingSnapshot()
+    *first, last = pieces()
+    for piece in first:
+        receive(incoming, piece)
+    assert receive(incoming, last) == receive(incoming, last) == CONTENT
+
+
+@pytest.mark.parametrize("size", [-1, MOST_SNAPSHOT_BYTES + 1])
+def test_no_room_is_set_aside_for_a_snapshot_of_an_impossible_size(size: int) -> None:
+    assert not IncomingSnapshot().begin(Install(1, 9, 1, 0, size, "", b"x"))
+
+
+def test_a_piece_beyond_the_end_is_not_taken() -> None:
+    incoming = IncomingSnapshot()
+    assert receive(incoming, Install(1, 9, 1, 0, 4, "", b"12345")) is None
+    assert incoming.offset == 0
+
+
+# ---- the member that follows ----
+
+class Following:
+    """Member b of the first view, which lacks everything."""
+
+    def __init__(self) -> None:
+        self.disk = SimulatedDisk()
+        self.witness = Witness(self.disk.ports().witness)
+        self.witness.reset(VIEW)
+        self.replica = Replica(self.disk.ports().journal)
+        self.outbox = Outbox("b", "b")
+        for member in "abc":
+            self.outbox.learn(member, member)
+        self.follower = Follower("b", "b", self.witness, self.replica, self.outbox, Timing())
+
+    def install(self, install: Install, sender: str = "a") -> tuple[int, bytes] | None:
+        return self.follower.install(0.0, sender, install)
+
+    def answers(self) -> list[object]:
+        return [decode(sent.message.kind, sent.message.body)[0] for sent in self.outbox.drain()]
+
+
+def test_each_piece_is_answered_with_the_place_to_go_on_from_and_the_whole_as_matched() -> None:
+    member = Following()
+    installed = [member.install(piece) for piece in pieces()]
+    assert installed == [None, None, (9, CONTENT)]
+    assert member.answers() == [InstallReply(1, 9, 4), InstallReply(1, 9, 8), AppendReply(1, True, 9)]
+    assert Replica(member.disk.ports().journal).snapshot() == (9, 1, CONTENT)
+
+
+def test_pieces_of_an_old_primary_are_not_answered() -> None:
+    member = Following()
+    member.witness.promise(2, "c")
+    assert [member.install(piece) for piece in pieces()] == [None, None, None]
+    assert [member.install(piece, "c") for piece in pieces()] == [None, None, None]
+    assert member.answers() == [] and member.replica.last_index == 0
+
+
+def test_a_snapshot_that_is_there_already_is_not_fetched_again() -> None:
+    member = Following()
+    for piece in pieces():
+        member.install(piece)
+    member.answers()
+    assert member.install(pieces()[0]) is None
+    assert member.answers() == [AppendReply(1, True, 9)]
+
+
+def test_a_full_disk_keeps_what_came_and_the_last_piece_finishes_it_once_there_is_room() -> None:
+    member = Following()
+    *first, last = pieces()
+    for piece in first:
+        member.install(piece)
+    member.disk.full = True
+    with pytest.raises(OSError):
+        member.install(last)
+    assert member.replica.last_index == 0
+    member.disk.full = False
+    assert member.install(last) == (9, CONTENT)
+
+
+# ---- the primary ----
+
+class Leading:
+    """Member a, whose log begins after record 9; c asks to be taken in."""
+
+    def __init__(self, view: View = VIEW) -> None:
+        self.replica = Replica(SimulatedDisk().ports().journal)
+        for number in range(12):
+            self.replica.append(1, b"%d" % number)
+        self.replica.compact(9, CONTENT)
+        self.outbox = Outbox("a", "a")
+        self.outbox.learn("b", "b")
+        settings = MemberSettings("a", ("a", "b", "c"), True, "", 1, 3.0, piece_bytes=4)
+        self.leadership = Leadership("a", view, self.replica, self.outbox, settings, 0.0, None)
+
+    def sent(self) -> list[object]:
+        return [decode(sent.message.kind, sent.message.body)[0] for sent in self.outbox.drain()]
+
+    def answer(self, now: float, reply: AppendReply | InstallReply) -> list[object]:
+        if isinstance(reply, AppendReply):
+            self.leadership.append_reply(now, "b", reply)
+        else:
+            self.leadership.install_reply(now, "b", reply)
+        return self.sent()
+
+    def begin(self) -> None:
+        self.answer(0.0, AppendReply(1, False, 0))
+
+
+def test_the_answer_to_a_piece_brings_the_next_one_and_the_last_brings_the_records_after_it() -> None:
+    leading = Leading()
+    leading.begin()
+    assert leading.answer(0.1, InstallReply(1, 9, 4)) == [pieces()[1]]
+    assert leading.answer(0.2, InstallReply(1, 9, 8)) == [pieces()[2]]
+    assert leading.leadership.is_sending_snapshot
+    (append,) = leading.answer(0.3, AppendReply(1, True, 9))
+    assert (append.previous_index, len(append.records)) == (9, 3)
+    assert not leading.leadership.is_sending_snapshot
+
+
+def test_an_answer_that_comes_twice_or_late_puts_no_second_piece_under_way() -> None:
+    leading = Leading()
+    leading.begin()
+    leading.answer(0.1, InstallReply(1, 9, 4))
+    assert leading.answer(0.1, InstallReply(1, 9, 4)) == []
+    assert leading.answer(0.1, InstallReply(1, 9, 0)) == []
+    assert leading.answer(0.1, InstallReply(1, 8, 8)) == []
+    assert leading.answer(0.1, AppendReply(1, False, 0)) == []
+
+
+def test_a_receiver_that_begins_anew_is_sent_the_snapshot_from_its_start() -> None:
+    leading = Leading()
+    leading.begin()
+    leading.answer(0.1, InstallReply(1, 9, 4))
+    leading.answer(0.2, InstallReply(1, 9, 0))
+    leading.leadership.replicate(0.2 + Timing().retransmit + 0.1)
+    assert pieces()[0] in leading.sent()
+
+
+def test_a_compaction_in_the_middle_of_a_transfer_does_not_lose_it() -> None:
+    leading = Leading()
+    leading.begin()
+    leading.answer(0.1, InstallReply(1, 9, 4))
+    leading.replica.compact(12, b"newer")
+    assert leading.answer(0.2, InstallReply(1, 9, 8)) == [pieces()[2]]
+
+
+def test_compactions_wait_for_a_transfer_but_not_for_ever() -> None:
+    settings = MemberSettings("a", ("a",), True, "", 1, 3.0, compact_records=5)
+    replica = Replica(SimulatedDisk().ports().journal)
+    compaction = Compaction(replica, settings, lambda: b"state")
+    for number in range(5 * POSTPONED_FACTOR):
+        assert replica.size[0] == number
+        compaction.tick(1.0, replica.last_index, is_sending_snapshot=True)
+        replica.append(1, b"record")
+    compaction.tick(1.0, replica.last_index, is_sending_snapshot=True)
+    assert replica.size[0] == 0
+
+
+def test_one_snapshot_is_read_for_all_members_that_need_it() -> None:
+    leading = Leading()
+    leading.outbox.learn("c", "c")
+    leading.begin()
+    leading.leadership.append_reply(0.0, "c", AppendReply(1, False, 0))
+    held = [peer.snapshot.snapshot for peer in leading.leadership._peers.values() if peer.snapshot]
+    assert len(held) == 2 and held[0] is held[1]
+
+
+# ---- whole members in virtual time ----
+
+def started(filling_bytes: int) -> World:
+    world = World(1, 3, 3, 1)
+    world.filling_bytes = filling_bytes
+    for address in world.machines:
+        world.start(address, first_boot=True)
+    serve(world, 6.0)
+    return world
+
+
+def serve(world: World, seconds: float) -> int:
+    """Four changes a second; returns how many were acknowledged."""
+    before, end = world.acknowledged, world.now + seconds
+    while world.now < end:
+        for machine in world.primaries():
+            world.change(machine)
+        world.run(CHANGE_PERIOD)
+    return world.acknowledged - before
+
+
+def backup(world: World) -> Machine:
+    (primary,) = world.primaries()
+    return next(machine for machine in world.running if machine is not primary)
+
+
+def in_sync(world: World, address: str) -> bool:
+    (primary,) = world.primaries()
+    return world.machines[address].id in primary.member.view.in_sync
+
+
+def test_no_message_grows_with_the_snapshot() -> None:
+    """Before snapshots went in pieces a member that needed a larger one was never taken in again."""
+    world = started(filling_bytes=4000)
+    world.most_body_bytes = 1000
+    lost = backup(world).address
+    world.wipe(lost)
+    serve(world, 1.0)
+    world.start(lost)
+    serve(world, 6.0)
+    assert in_sync(world, lost)
+
+
+@pytest.mark.parametrize("loss,double", [(0.0, 0.0), (0.1, 0.1), (0.0, 0.5)])
+def test_a_wiped_member_catches_up_while_four_changes_a_second_go_on(loss: float, double: float) -> None:
+    world = started(filling_bytes=1000)
+    lost = backup(world).address
+    world.wipe(lost)
+    serve(world, 1.0)
+    world.loss, world.double = loss, double
+    world.start(lost)
+    assert serve(world, 20.0) >= 60
+    world.loss = world.double = 0.0
+    serve(world, 4.0)
+    assert in_sync(world, lost)
+
+
+def test_a_member_that_is_killed_in_the_middle_of_a_transfer_begins_anew_and_is_taken_in() -> None:
+    world = started(filling_bytes=4000)
+    lost = backup(world).address
+    world.wipe(lost)
+    serve(world, 1.0)
+    world.start(lost)
+    for _ in range(3):
+        world.run(0.5)
+        world.kill(lost)
+        world.start(lost)
+    serve(world, 6.0)
+    assert in_sync(world, lost)
+
+
+# ---- the transport ----
+
+class _Silent:
+    async def deliver(self, message: PeerMessage) -> None:
+        """Takes anything."""
+
+    async def status(self, request: StatusRequest) -> ControlStatus:
+        """Answers anything."""
+        return ControlStatus()
+
+
+def test_a_frame_over_the_limit_ends_the_connection_that_all_other_messages_use() -> None:
+    """Why no message of replication may grow with the state."""
+
+    async def play() -> None:
+        server = RpcServer(_Silent())
+        port = await server.start("127.0.0.1", 0)
+        client = RpcClient(f"127.0.0.1:{port}")
+        await client.call("status", StatusRequest(), 5.0)
+        body = b"x" * (MAX_FRAME_BYTES + 1)
+        try:
+            await client.send("deliver", PeerMessage("a", "b", "install", body))
+            with pytest.raises(RpcError):
+                await client.call("status", StatusRequest(), 5.0)
+        finally:
+            client.close()
+            server.stop()
+
+    asyncio.run(play())
+
+
+def test_a_piece_fits_a_frame_many_times_over() -> None:
+    assert PIECE_BYTES * 16 <= MAX_FRAME_BYTES
