A witness forgets its former seat before it takes a new one

Cause: a view that seats a witness was stored first, and that lease holders of its former seat count no more second. A member that ended between the two writes, or whose disk refused the second, was seated with its old holders, and granted to them at once after a restart, while others may have granted the lease in its absence.

Change: the order of the two writes; what is lost between them is one term. test_a_witness_that_ends_while_it_is_seated is red without it. Whole members on files that lose power at each changing call, are killed there, or fail there for a moment: what they have said (promises, accepted views, records, fences) binds them afterwards.

--- a/larchgw/replication/view_changes.py
+++ b/larchgw/replication/view_changes.py
@@ -178,17 +178,21 @@
 
     def _accept(self, now: float, view: View) -> bool:
         before = self._witness.view
+        is_new = before is None or before.epoch != view.epoch
+        if is_new and self._is_seated_by(view, before) and self._witness.may_accept(view):
+            self._lease_witness.seated(now)  # first: what is lost between the two writes is only a term
         if not self._witness.accept(view):
             return False
         self._roster.learn(view)
-        if before is not None and before.epoch == view.epoch:
+        if not is_new:
             return True
-        if self._me in view.witnesses and (before is None or self._me not in before.former_witnesses):
-            self._lease_witness.seated(now)
         if view.primary != self._me:
             self._resign(now, f"{view.primary} formed view {view.epoch}")
         return True
 
+    def _is_seated_by(self, view: View, before: View | None) -> bool:
+        return self._me in view.witnesses and (before is None or self._me not in before.former_witnesses)
+
     def _resign(self, now: float, reason: str) -> None:
         if self.leading is None:
             return
--- a/larchgw/replication/witness.py
+++ b/larchgw/replication/witness.py
@@ -51,14 +51,20 @@
         self._store(WitnessState(epoch, candidate, state.view))
         return True
 
-    def accept(self, view: View) -> bool:
-        """Accepts a view that no promise rules out. Of one epoch there is only one view, whoever was promised
+    def may_accept(self, view: View) -> bool:
+        """Whether no promise rules the view out. Of one epoch there is only one view, whoever was promised
         it here: its primary has the promises of a quorum."""
         state = self._state
         if state.view is not None and state.view.epoch == view.epoch:
             return state.promised == view.epoch
-        if view.epoch < state.promised:
+        return view.epoch >= state.promised
+
+    def accept(self, view: View) -> bool:
+        """Accepts the view if it may."""
+        if not self.may_accept(view):
             return False
+        if self._state.view is not None and self._state.view.epoch == view.epoch:
+            return True
         self._store(WitnessState(view.epoch, view.primary, view))
         return True
 
--- /dev/null
+++ b/tests/test_member_crashes.py
@@ -0,0 +1,266 @@
+"""A whole member on files that lose what a real disk may lose: its power is cut at every single call that
+changes the disk, and what it has said before binds it afterwards.
+
+The member is the backup b. Scripted primaries have it take records, a divergent tail, a snapshot in pieces, a
+compaction, promises, views and leases.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from faulty_files import FaultyFiles, PowerLost
+
+from larchgw.replication.effects import Effects
+from larchgw.replication.explore_disk import Crashed, SimulatedDisk
+from larchgw.replication.lease_witness import LeaseWitness
+from larchgw.replication.member import Member
+from larchgw.replication.messages import (
+    Accept,
+    Accepted,
+    Append,
+    AppendReply,
+    Heartbeat,
+    Install,
+    LeaseAnswer,
+    LeaseAsk,
+    LeaseRelease,
+    Message,
+    Prepare,
+    Promise,
+    decode,
+    encode,
+)
+from larchgw.replication.ports import Ports
+from larchgw.replication.settings import MemberSettings
+from larchgw.replication.snapshot_transfer import checksum_of
+from larchgw.replication.view import View, first_view
+from larchgw.replication.witness import Witness
+from larchgw.rpc.generated.ttypes import PeerMessage
+from larchgw.storage.cell import Cell
+from larchgw.storage.log import Log
+from larchgw.storage.reserve import Reserve
+
+SEEDS = ("a", "b", "c")
+FIRST = first_view(SEEDS)
+SECOND = View(2, "c", ("a", "b"), SEEDS, SEEDS, {member: member for member in SEEDS})
+THIRD = View(5, "c", ("a", "b"), SEEDS, SEEDS, {member: member for member in SEEDS})
+SNAPSHOT = b"the state after record 30"
+PIECE_BYTES = 10
+TERM = 3.0
+ACKNOWLEDGED_IN_FIRST = 7  # the last record of the first view that all its members had
+
+
+def record(epoch: int, index: int) -> bytes:
+    return f"record {index} of epoch {epoch} ".encode() * 4
+
+
+def append(epoch: int, previous: tuple[int, int], epochs: tuple[int, ...], commit: int) -> Append:
+    index = previous[0]
+    records = tuple(record(of, index + 1 + number) for number, of in enumerate(epochs))
+    return Append(epoch, index, previous[1], commit, epochs, records)
+
+
+def pieces(epoch: int) -> Iterator[Install]:
+    for offset in range(0, len(SNAPSHOT), PIECE_BYTES):
+        yield Install(epoch, 30, 2, offset, len(SNAPSHOT), checksum_of(SNAPSHOT),
+                      SNAPSHOT[offset:offset + PIECE_BYTES])
+
+
+def ask(fence: int, renewal: bool) -> LeaseAsk:
+    return LeaseAsk("placer", fence, renewal, 9, attempt=fence, acting=True)
+
+
+SCRIPT: tuple[tuple[str, Message], ...] = (
+    ("a", Heartbeat(1, 1, 0)),
+    ("a", append(1, (0, 0), (1, 1, 1), 0)),
+    ("a", append(1, (3, 1), (1, 1, 1, 1), 5)),
+    ("a", append(1, (7, 1), (1, 1), 7)),  # 8 and 9 are acknowledged by nobody
+    ("a", ask(70_000, renewal=False)),
+    ("c", Prepare(2)),
+    ("c", Accept(SECOND)),
+    ("c", Heartbeat(2, 1, 7)),
+    ("c", append(2, (7, 1), (2, 2), 7)),  # another 8 and 9
+    ("a", append(1, (9, 1), (1,), 9)),  # of the old primary
+    ("a", next(pieces(1))),
+    *(("c", piece) for piece in pieces(2)),
+    ("c", append(2, (30, 2), (2, 2, 2), 31)),
+    ("a", LeaseRelease("placer", 70_000)),
+    ("c", ask(140_000, renewal=False)),
+    ("c", append(2, (33, 2), (2, 2, 2), 36)),
+    ("a", Prepare(4)),
+    ("c", Prepare(5)),
+    ("c", Accept(THIRD)),
+    ("c", append(5, (36, 2), (5, 5), 38)),
+)
+
+
+@dataclass
+class Said:
+    """What others may rely on, as its messages left the member."""
+
+    promised: int = 0
+    accepted: int = 0
+    matched: tuple[int, int, bytes | None] = (0, 0, None)  # epoch of the view, index, record if not compacted
+    fence: int = 0
+    records: dict[int, bytes] = field(default_factory=dict)  # index -> what the primaries last sent
+
+    def hear(self, message: Message) -> None:
+        match message:
+            case Promise() if message.granted:
+                self.promised = max(self.promised, message.epoch)
+            case Accepted() if message.granted:
+                self.accepted = max(self.accepted, message.epoch)
+            case AppendReply() if message.matched:
+                self.matched = (message.epoch, message.index, self.records.get(message.index))
+            case LeaseAnswer() if message.granted:
+                self.fence = max(self.fence, message.attempt)
+            case _:
+                pass
+
+
+class Backup:
+    """Member b on its files, one life after the other."""
+
+    def __init__(self, files: FaultyFiles) -> None:
+        self.files = files
+        self.said = Said()
+        self.member: Member | None = None
+        self.version = 0
+
+    def start(self) -> None:
+        reserve = Reserve(self.files, "data")
+        log = Log.open(self.files, "data/log", segment_bytes=256)
+        cells = [Cell(self.files, "data", name, reserve) for name in ("identity", "witness", "leases")]
+        settings = MemberSettings("b", SEEDS, True, "b#new", 1, TERM, compact_records=6)
+        self.version = 0
+        self.member = Member(settings, Ports(cells[0], cells[1], cells[2], log), self.snapshot, Random(1))
+        self.carry_out(self.member.start(100.0))
+
+    def snapshot(self) -> bytes:
+        return SNAPSHOT if self.version == 30 else f"the state after record {self.version}".encode()
+
+    def play(self, before_step: Callable[[int], None] = lambda step: None) -> None:
+        """The script from its start; whoever has heard a part of it already hears it again."""
+        for number, (sender, message) in enumerate(SCRIPT):
+            before_step(number)
+            now = 100.0 + 0.01 * number
+            if isinstance(message, Append):
+                first = message.previous_index + 1
+                self.said.records.update(enumerate(message.records, first))
+            kind, body = encode(message, sender)
+            self.carry_out(self.member.receive(now, PeerMessage(sender, "b", kind, body)))
+            self.carry_out(self.member.tick(now + 0.005))
+
+    def carry_out(self, effects: Effects) -> None:
+        if effects.installed is not None:
+            self.version, content = effects.installed
+            assert content == self.snapshot()
+        for index, handed_out in effects.committed:
+            assert index == self.version + 1
+            assert handed_out == (record(2, index) if 8 <= index < 37 else
+                                  record(5 if index >= 37 else 1, index))
+            self.version = index
+        for outgoing in effects.messages:
+            message, _ = decode(outgoing.message.kind, outgoing.message.body)
+            self.said.hear(message)
+
+    def check_bound(self) -> None:
+        """Nothing that was said is forgotten, and nothing else is claimed."""
+        member, said = self.member, self.said
+        assert member is not None
+        assert not member.is_primary and member.acting_epoch is None
+        assert member._witness.promised >= max(said.promised, said.accepted)
+        if said.accepted:
+            assert member.view is not None and member.view.epoch >= said.accepted
+        epoch, index, matched = said.matched
+        is_of_this_view = member.view is not None and member.view.epoch == epoch
+        assert member.last_index >= (index if is_of_this_view else min(index, ACKNOWLEDGED_IN_FIRST))
+        if matched is not None and is_of_this_view and index >= member._replica.first_kept:
+            assert list(member._replica.read(index, index)) == [(index, matched)]
+        stored = member._lease_witness._leases.get("placer")
+        assert said.fence == 0 or stored is not None and stored.fence >= said.fence
+
+
+def calls_of_the_script() -> int:
+    backup = Backup(FaultyFiles())
+    backup.start()
+    backup.play()
+    assert backup.version == 38
+    return backup.files.calls
+
+
+def test_the_script_takes_the_member_through_snapshot_and_compaction() -> None:
+    backup = Backup(FaultyFiles())
+    backup.start()
+    backup.play()
+    assert backup.member._replica.first_kept > 31
+    assert backup.said.promised == 5 and backup.said.accepted == 5 and backup.said.fence == 140_000
+
+
+@pytest.mark.parametrize("end", [FaultyFiles.lose_power, FaultyFiles.kill_process])
+def test_a_member_that_ended_at_any_write_is_bound_by_all_it_said(end: Callable[[FaultyFiles], None]) -> None:
+    for cut_at in range(1, calls_of_the_script() + 1):
+        for seed in range(4):
+            backup = Backup(FaultyFiles(seed, strict=seed % 2 == 1))
+            backup.files.cut_at = cut_at
+            try:
+                backup.start()
+                backup.play()
+            except PowerLost:
+                pass
+            end(backup.files)
+            backup.files.cut_at = 0
+            backup.start()
+            backup.check_bound()
+            backup.play()
+            backup.check_bound()
+            assert backup.version == 38
+
+
+@pytest.mark.parametrize("call", ["write", "rename", "remove", "sync_file", "sync_folder", "truncate"])
+def test_a_member_whose_disk_fails_for_a_moment_is_bound_by_all_it_said(call: str) -> None:
+    for fails_at in range(len(SCRIPT)):
+        for seed in range(4):
+            backup = Backup(FaultyFiles(seed, strict=seed % 2 == 1))
+            backup.start()
+            backup.play(lambda step, backup=backup, at=fails_at, times=1 + seed // 2:
+                        backup.files.failing.update({call: times if step == at else 0}))
+            backup.files.failing.clear()
+            backup.files.lose_power()
+            backup.start()
+            backup.check_bound()
+
+
+def test_a_witness_that_ends_while_it_is_seated_grants_nothing_of_its_former_seat() -> None:
+    """It may have been away while others granted the lease: whom it granted to long ago says nothing."""
+    for crash_after in range(6):
+        disk = SimulatedDisk()
+        former = LeaseWitness(disk.ports().leases, TERM)
+        former.reset(from_first_boot=True)
+        former.ask(0.0, "x", LeaseAsk("placer", 70_000, False, 1, 1, acting=True), None)
+        outside = View(3, "a", ("c",), ("a", "c", "d"), ("a", "c", "d"), {each: each for each in "abcd"})
+        Witness(disk.ports().witness).reset(outside)
+        disk.cells["identity"] = b'{"id": "b"}'
+        seat = View(4, "a", ("b", "c"), ("a", "b", "c"), ("a", "c", "d"), {each: each for each in "abcd"})
+        disk.crash_after = crash_after
+        settings = MemberSettings("b", SEEDS, False, "b#new", 1, TERM)
+        try:
+            member = Member(settings, disk.ports(), lambda: b"", Random(1))
+            member.start(100.0)
+            kind, body = encode(Accept(seat), "a")
+            member.receive(100.0, PeerMessage("a", "b", kind, body))
+        except Crashed:
+            pass
+        disk.crash_after = None
+        member = Member(settings, disk.ports(), lambda: b"", Random(1))
+        member.start(101.0)
+        kind, body = encode(Accept(seat), "a")
+        member.receive(101.0, PeerMessage("a", "b", kind, body))
+        kind, body = encode(LeaseAsk("placer", 300_000, False, 4, 1, acting=False), "x")
+        effects = member.receive(101.1, PeerMessage("x", "b", kind, body))
+        (answer,) = [decode(sent.message.kind, sent.message.body)[0] for sent in effects.messages]
+        assert isinstance(answer, LeaseAnswer) and not answer.granted
