A configuration that members could not keep or pass on is refused before it is proposed

Need: orders of at most 7 MiB added up without bound, and every member keeps, sends and installs the whole.

Change: above 8 MiB as JSON an order gets 413 with field and remedy; the whole is written out for it only where the sizes of the one before and of the order leave a doubt.

--- a/larchgw/control/operator.py
+++ b/larchgw/control/operator.py
@@ -10,6 +10,7 @@
 
 from ..configuration.errors import ConfigurationError
 from .state import ConfigurationState, Order
+from .state_size import ConfigurationTooLarge, SizeLimit
 
 log = logging.getLogger(__name__)
 OK, NOT_FOUND, TOO_LARGE, UNCLEAR = 200, 404, 413, 503
@@ -58,6 +59,7 @@
     def __init__(self, state: ConfigurationState, replication: Replication) -> None:
         self.state, self.replication = state, replication
         self._one_at_a_time = asyncio.Lock()
+        self._size_limit = SizeLimit()
 
     async def read(self) -> Answer:
         """The newest configuration, whole."""
@@ -86,6 +88,10 @@
         fits = self.state.evaluate(order)
         if fits.is_error():
             return self._refused(fits.error)
+        try:
+            self._size_limit.check(self.state.current, order.body, fits.ok)
+        except ConfigurationTooLarge as error:
+            return self._refused(error)
         await self.replication.propose(order.encode())
         if self.state.taken(order):
             return self._accepted()
--- a/larchgw/control/state.py
+++ b/larchgw/control/state.py
@@ -12,6 +12,7 @@
 from ..configuration.errors import ConfigurationError
 from ..configuration.model import Configuration
 from ..configuration.validation import parse
+from .state_size import encoded
 
 log = logging.getLogger(__name__)
 MOST_TAKEN = 20_000  # orders remembered; one sent again after so many others gets 412
@@ -91,7 +92,7 @@
     def snapshot(self) -> bytes:
         """All of it, for `restore`."""
         raw = self.current.raw if self.current is not None else None
-        return json.dumps({"index": self.index, "configuration": raw, "taken": self._taken}).encode()
+        return encoded({"index": self.index, "configuration": raw, "taken": self._taken})
 
     def restore(self, data: bytes) -> None:
         """Becomes what a snapshot holds."""
--- /dev/null
+++ b/larchgw/control/state_size.py
@@ -0,0 +1,63 @@
+"""How large the operator's configuration may grow: each member keeps, sends, receives and installs it whole.
+
+An order may be small and what it makes too large, so the whole is measured before an order is proposed. What
+is in the log is never refused any more. The figures stand in docs/storage.md.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+
+from ..configuration.errors import ConfigurationError
+from ..configuration.model import Configuration
+
+MOST_CONFIGURATION_BYTES = 8 << 20  # as JSON; the memory that it takes stands in docs/storage.md
+_MOST_GROWTH = 4  # bytes of JSON that one byte of an order becomes at most: 1e15 -> 1000000000000000.0
+_HEAD_BYTES = 64  # a configuration's version, and names of fields that an order left out
+
+
+class ConfigurationTooLarge(ConfigurationError):
+    """The order is proper, but the configuration that it makes is too large to be kept and passed on."""
+
+    status = 413
+
+
+def encoded(raw: Mapping[str, object]) -> bytes:
+    """The JSON text whose length counts, and of which snapshots are made. `json.loads` reads it back, halves
+    of surrogate pairs included."""
+    return json.dumps(raw, separators=(",", ":"), ensure_ascii=False).encode("utf-8", "surrogatepass")
+
+
+class SizeLimit:
+    """Refuses configurations that are too large, without writing each one out as JSON: from the size of the
+    one before and of the order it knows a bound, and measures only where that does not do."""
+
+    def __init__(self, most_bytes: int = MOST_CONFIGURATION_BYTES) -> None:
+        self._most_bytes = most_bytes
+        self._bound_of: Configuration | None = None
+        self._bound = 0
+        self.measured = 0
+
+    def check(self, current: Configuration | None, body: bytes, wanted: Configuration) -> None:
+        """Raises ConfigurationTooLarge if `wanted`, which an order with this body makes of `current`, is too
+        large."""
+        bound = self._size_of(current) + _MOST_GROWTH * len(body) + _HEAD_BYTES
+        if bound > self._most_bytes:
+            bound = self._measure(wanted)
+        if bound > self._most_bytes:
+            raise ConfigurationTooLarge(
+                "configuration", f"{bound} bytes as JSON are over {self._most_bytes}",
+                "remove routes and services that are not used, in the same order or in one before")
+        self._bound_of, self._bound = wanted, bound
+
+    def _size_of(self, current: Configuration | None) -> int:
+        if current is None:
+            return 0
+        if current is not self._bound_of:
+            self._bound_of, self._bound = current, self._measure(current)
+        return self._bound
+
+    def _measure(self, configuration: Configuration) -> int:
+        self.measured += 1
+        return len(encoded(configuration.raw))
--- a/larchgw/replication/compaction.py
+++ b/larchgw/replication/compaction.py
@@ -26,12 +26,17 @@
         While a snapshot is being sent the log may grow further, so that its receiver finds the records after
         it: otherwise compactions could outrun a slow transfer for ever.
         OSError if the disk refuses; it is tried again after some seconds."""
-        records, size = self._replica.size
-        factor = POSTPONED_FACTOR if is_sending_snapshot else 1
-        if records < factor * self._settings.compact_records and size < factor * self._settings.compact_bytes:
+        if not self._has_outgrown(POSTPONED_FACTOR if is_sending_snapshot else 1):
             return
         if now < self._retry_at or delivered < self._replica.first_kept:
             return
         self._retry_at = now + DISK_RETRY_SECONDS
         self._replica.compact(delivered, self._snapshot())
         self._retry_at = now
+
+    def _has_outgrown(self, factor: int) -> bool:
+        records, size = self._replica.size
+        settings = self._settings
+        state = max(self._replica.snapshot_bytes, size)  # the records may hold what makes it large
+        return (records >= factor * settings.compact_records or size >= factor * settings.compact_bytes
+                or records * state >= factor * settings.compact_replay_bytes)
--- a/larchgw/replication/replica.py
+++ b/larchgw/replication/replica.py
@@ -19,6 +19,7 @@
         self._journal = journal
         self._base_index = 0
         self._base_epoch = 0
+        self._snapshot_bytes = 0
         self._epochs: list[int] = []  # of the records after the snapshot
         self._sizes: list[int] = []  # their bytes
         self._synced = False  # a process that was killed may have left records that were never synced
@@ -28,6 +29,7 @@
     def _load(self) -> None:
         held = self._journal.snapshot()
         self._base_index, self._base_epoch = (held[0], _epoch(held[1])) if held is not None else (0, 0)
+        self._snapshot_bytes = len(held[1]) if held is not None else 0
         self._epochs = []
         self._sizes = []
         for _, record in self._journal.read(self._base_index + 1, self._journal.last_index):
@@ -50,6 +52,11 @@
         """Records after the snapshot and their bytes."""
         return len(self._epochs), sum(self._sizes)
 
+    @property
+    def snapshot_bytes(self) -> int:
+        """Size of the snapshot; 0 if there is none."""
+        return self._snapshot_bytes
+
     def epoch_at(self, index: int) -> int:
         """The epoch of a record, from the snapshot's last on; 0 at index 0."""
         if index == self._base_index:
@@ -114,7 +121,7 @@
         self._journal.compact(index, _EPOCH.pack(epoch) + snapshot)
         del self._epochs[:index - self._base_index]
         del self._sizes[:index - self._base_index]
-        self._base_index, self._base_epoch = index, epoch
+        self._base_index, self._base_epoch, self._snapshot_bytes = index, epoch, len(snapshot)
 
     def read(self, first: int, last: int) -> list[tuple[int, bytes]]:
         """Records without their epochs."""
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -47,8 +47,10 @@
     fresh_identity: str
     survive: int
     lease_term: float  # seconds
-    compact_records: int = 1000  # a snapshot replaces the log once it holds so many records
+    compact_records: int = 100  # a snapshot replaces the log once it holds so many records
     compact_bytes: int = 16 << 20  # or so many bytes
+    compact_replay_bytes: int = 128 << 20  # or if records times the size of the state are so many: to take a
+    # record in after a restart costs time in proportion to the state (docs/storage.md)
     batch_bytes: int = 1 << 20  # of records in one message, unless one alone is larger
     piece_bytes: int = PIECE_BYTES  # of a snapshot in one message
     timing: Timing = field(default_factory=Timing)
--- a/tests/test_snapshot_transfer.py
+++ b/tests/test_snapshot_transfer.py
@@ -269,6 +269,20 @@
     assert replica.size[0] == 0
 
 
+def test_the_larger_the_state_the_fewer_records_are_left_to_take_in_after_a_restart() -> None:
+    settings = MemberSettings("a", ("a",), True, "", 1, 3.0, compact_replay_bytes=1000)
+    replica = Replica(SimulatedDisk().ports().journal)
+    compaction = Compaction(replica, settings, lambda: b"x" * 200)
+    replica.append(1, b"record")
+    replica.compact(1, b"x" * 200)
+    for number in range(5):
+        assert replica.size[0] == number
+        compaction.tick(1.0, replica.last_index, is_sending_snapshot=False)
+        replica.append(1, b"record")
+    compaction.tick(1.0, replica.last_index, is_sending_snapshot=False)
+    assert replica.size[0] == 0
+
+
 def test_one_snapshot_is_read_for_all_members_that_need_it() -> None:
     leading = Leading()
     leading.outbox.learn("c", "c")
--- /dev/null
+++ b/tests/test_state_size.py
@@ -0,0 +1,130 @@
+"""A configuration that no member could keep or pass on is refused before it is proposed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from faulty_files import FaultyFiles
+from hypothesis import given
+from hypothesis import strategies as st
+from test_control_operator import ScriptedReplication
+
+from larchgw.configuration.change import evaluate
+from larchgw.control.operator import MAX_ORDER_BYTES, Answer, OperatorService
+from larchgw.control.state import MOST_TAKEN, ConfigurationState, Order
+from larchgw.control.state_size import MOST_CONFIGURATION_BYTES, ConfigurationTooLarge, SizeLimit, encoded
+from larchgw.replication.compaction import POSTPONED_FACTOR, Compaction
+from larchgw.replication.replica import Replica
+from larchgw.replication.settings import MemberSettings
+from larchgw.replication.snapshot_transfer import MOST_SNAPSHOT_BYTES
+from larchgw.storage.log import LIMIT_BYTES, Log
+from larchgw.storage.segments import MAX_RECORD_BYTES
+
+DISK_BYTES = 128 * 1000 * 1000  # the smallest disk of a control machine
+SMALL_LIMIT = 2000
+
+
+def route(name: str, filling: int = 0) -> dict[str, Any]:
+    return {"name": name, "hostname": f"{name}.example", "path_start": "/" + "x" * filling + "/",
+            "kind": "read_only", "deadline_ms": 1000, "service": "s", "tries": 1}
+
+
+def whole(version: int, routes: int, filling: int) -> Order:
+    body = {"config_version": version, "services": [{"name": "s"}],
+            "routes": [route(f"r{number}", filling) for number in range(routes)]}
+    return Order("replace", -1, json.dumps(body).encode())
+
+
+def addition(version: int, name: str, filling: int) -> Order:
+    body = {"config_version": version, "add": {"routes": [route(name, filling)]}}
+    return Order("change", -1, json.dumps(body).encode())
+
+
+def submit(service: OperatorService, order: Order) -> Answer:
+    return asyncio.run(service.submit(order))
+
+
+def test_small_orders_that_add_up_to_too_much_are_refused_before_they_are_proposed() -> None:
+    state = ConfigurationState()
+    replication = ScriptedReplication(state)
+    service = OperatorService(state, replication)
+    assert submit(service, whole(1, 6, 1_100_000)).status == 200
+    assert submit(service, addition(2, "a", 1 << 20)).status == 200
+    taken = replication.index
+    refused = submit(service, addition(3, "b", 1 << 20))
+    detail = json.loads(refused.body)
+    assert (refused.status, detail["field"], detail["config_version"]) == (413, "configuration", 2)
+    assert str(MOST_CONFIGURATION_BYTES) in detail["error"] and "remove" in detail["error"]
+    assert replication.index == taken
+    shrunk = {"config_version": 3, "remove": {"routes": ["r0", "r1"]},
+              "add": {"routes": [route("b", 1 << 20)]}}
+    assert submit(service, Order("change", -1, json.dumps(shrunk).encode())).status == 200
+
+
+def test_the_size_is_measured_only_where_the_bound_does_not_do() -> None:
+    limit = SizeLimit(SMALL_LIMIT)
+    current = None
+    for version in range(1, 6):
+        order = whole(version, 1, 10)
+        wanted = evaluate(current, order.operation, order.built_on, order.body)
+        limit.check(current, order.body, wanted)
+        current = wanted
+    assert limit.measured <= 2
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats(allow_nan=False, allow_infinity=False) | st.integers() | st.text(),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(), inner, max_size=4), max_leaves=20)
+
+
+@given(JSON, st.sampled_from(["1e15", "-9E15", "0.1e16", "1E0", "12e14"]))
+def test_no_order_makes_more_than_the_bound_says(value: Any, number: str) -> None:
+    """The bound is of the order's own bytes, so that nothing too large passes unmeasured."""
+    body = f'{{"config_version":1,"routes":[],"services":[],"other":[{json.dumps(value)},{number}]}}'.encode()
+    raw = json.loads(body)
+    assert len(encoded(raw)) <= 4 * len(body) + 64
+
+
+@given(st.text(st.characters(exclude_categories=()), max_size=20))
+def test_any_text_of_a_configuration_survives_a_snapshot(text: str) -> None:
+    assert json.loads(encoded({"text": text})) == {"text": text}
+
+
+def test_a_configuration_at_the_limit_passes_and_one_byte_more_does_not() -> None:
+    order = whole(1, 1, 1000)
+    wanted = evaluate(None, order.operation, order.built_on, order.body)
+    size = len(encoded(wanted.raw))
+    SizeLimit(size).check(None, order.body, wanted)
+    with pytest.raises(ConfigurationTooLarge):
+        SizeLimit(size - 1).check(None, order.body, wanted)
+
+
+def test_the_bounds_fit_each_other() -> None:
+    """The largest order is a record; the largest state is a snapshot that a member sets room aside for."""
+    taken = {"f" * 64: 10 ** 15}
+    most_taken_bytes = MOST_TAKEN * len(encoded(taken))
+    assert MAX_ORDER_BYTES <= MOST_CONFIGURATION_BYTES
+    assert MAX_ORDER_BYTES + 4096 <= MAX_RECORD_BYTES
+    snapshot = MOST_CONFIGURATION_BYTES + most_taken_bytes + 4096
+    assert snapshot <= MOST_SNAPSHOT_BYTES
+    settings = MemberSettings("a", ("a",), True, "", 1, 3.0)
+    log = POSTPONED_FACTOR * settings.compact_bytes + 2 * MAX_RECORD_BYTES
+    assert snapshot + log <= LIMIT_BYTES
+    assert 2 * snapshot + log <= 0.6 * DISK_BYTES
+
+
+def test_large_configurations_replaced_again_and_again_never_take_half_of_the_disk() -> None:
+    files = FaultyFiles(capacity=DISK_BYTES)
+    log = Log.open(files, "data")
+    replica = Replica(log)
+    content = b"x" * (7 << 20)
+    compaction = Compaction(replica, MemberSettings("a", ("a",), True, "", 1, 3.0), lambda: content)
+    most = 0
+    for number in range(20):
+        replica.append(1, content[:5 << 20])
+        compaction.tick(float(number), replica.last_index, is_sending_snapshot=number % 2 == 0)
+        most = max(most, files.used())
+    assert replica.first_kept > 10 and most <= DISK_BYTES // 2
