--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -52,6 +52,12 @@
     return experiment(options)
 
 
+def _recovery(options: Options) -> Result:
+    from ..lab.recovery import experiment
+
+    return experiment(options)
+
+
 def _route(options: Options) -> Result:
     from ..lab.route import experiment
 
@@ -60,7 +66,7 @@
 
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
     "distribution": _distribution, "fleet": _fleet, "mass": _mass, "membership": _membership, "place": _place,
-    "room": _room, "room-cost": _room_cost, "route": _route}
+    "recovery": _recovery, "room": _room, "room-cost": _room_cost, "route": _route}
 
 
 @textual
@@ -69,7 +75,7 @@
     """Runs an experiment against models; the last line printed is NAME: figure=value ...
 
     Args:
-        name: The experiment: distribution, mass, membership, place, room, room-cost or route.
+        name: The experiment: distribution, mass, membership, place, recovery, room, room-cost or route.
         seed: The first seed.
         seeds: Runs of each kind.
         seconds: Length of a run, in the time that it plays in.
