--- a/larchgw/control/http_api.py
+++ b/larchgw/control/http_api.py
@@ -17,6 +17,8 @@
 from .operator import Answer
 
 MAX_BODY_BYTES = 64 << 20  # a configuration of many thousand routes
+SERVER_OPTIONS: dict[str, int] = {  # of Tornado's server; the times are seconds
+    "max_body_size": MAX_BODY_BYTES, "max_buffer_size": MAX_BODY_BYTES, "idle_connection_timeout": 60}
 _VERSION = re.compile(r"[0-9]{1,19}")  # int() would also take "-1", "1_0" and digits of other scripts
 
 
@@ -119,9 +121,7 @@
 def serve(service: ControlService, address: str,
           further: Sequence[Any] = ()) -> tornado.httpserver.HTTPServer:
     """Listens for the operator and for runners at "host:port", and for `further` rules. Raises OSError."""
-    server = tornado.httpserver.HTTPServer(
-        application(service, address, further), max_body_size=MAX_BODY_BYTES, max_buffer_size=MAX_BODY_BYTES,
-        idle_connection_timeout=60)
+    server = tornado.httpserver.HTTPServer(application(service, address, further), **SERVER_OPTIONS)
     host, port = parse_address(address)
     server.listen(port, host, backlog=512)
     return server
--- a/tests/test_control_http.py
+++ b/tests/test_control_http.py
@@ -1,9 +1,11 @@
 """The HTTP interface of a control process, to the operator and to runners."""
 
+import asyncio
 import json
 
 from tornado.testing import AsyncHTTPTestCase
 
+from larchgw.control import http_api
 from larchgw.control.http_api import application
 from larchgw.control.operator import Answer
 from larchgw.directory.checkins import CheckinError
@@ -38,9 +40,25 @@
         self.service = ScriptedService()
         return application(self.service, ADDRESS)
 
+    def get_httpserver_options(self):
+        return http_api.SERVER_OPTIONS
+
     def post(self, path, body=b"{}", **headers):
         return self.fetch(path, method="POST", body=body, headers=headers)
 
+    def raw(self, data, breaks_off=False):
+        """All that comes back for these bytes until the connection ends."""
+        async def exchange():
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.get_http_port())
+            writer.write(data)
+            if breaks_off:
+                writer.write_eof()
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+        return self.io_loop.run_sync(exchange, timeout=20.0)
+
     def test_a_configuration_reaches_the_service_with_the_version_it_builds_on(self):
         answer = self.post("/Config.Replace", b'{"config_version": 7}', **{"X-Built-On": "5"})
         self.assertEqual((200, b'{"config_version": 7}'), (answer.code, answer.body))
@@ -64,6 +82,17 @@
         self.post("/Config.Replace", **{"X-Built-On": str(2**63 - 1)})
         self.assertEqual([7, 2**63 - 1], [built_on for _, built_on, _ in self.service.calls])
 
+    def test_a_body_longer_than_any_that_is_read_is_refused_whatever_the_state_is(self):
+        answer = self.raw(b"POST /Config.Replace HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+                          % (http_api.MAX_BODY_BYTES + 1))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+        self.assertEqual([], self.service.calls)
+
+    def test_a_body_that_breaks_off_is_no_order(self):
+        self.raw(b'POST /Config.Replace HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n{"config_version"',
+                 breaks_off=True)
+        self.assertEqual([], self.service.calls)
+
     def test_what_the_service_refuses_or_leaves_unclear_is_answered_so(self):
         for status in (400, 412, 503):
             self.service.answer = Answer(status, b"{}")
--- a/tests/test_control_operator.py
+++ b/tests/test_control_operator.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from larchgw.control import state as state_module
 from larchgw.control.operator import OperatorService, ReplicationUnavailable
 from larchgw.control.replicated_log import ReplicatedLog
 from larchgw.control.state import ConfigurationState, Order
@@ -237,6 +238,27 @@
         self.assertEqual(3, other.index)
         self.assertTrue(other.taken(order))
 
+    def test_the_oldest_taken_orders_are_forgotten_first_also_after_a_restore(self):
+        self.patch(state_module, "MOST_TAKEN", 3)
+        orders = [replace(version, version - 1) for version in range(1, 7)]
+        kept, restored = ConfigurationState(), ConfigurationState()
+        for index, order in enumerate(orders[:4]):
+            kept.apply(index + 1, order.encode())
+        restored.restore(kept.snapshot())
+        for state in (kept, restored):
+            for index, order in enumerate(orders[4:]):
+                state.apply(index + 5, order.encode())
+            self.assertEqual([False] * 3 + [True] * 3, [state.taken(order) for order in orders])
+        self.assertEqual(kept.snapshot(), restored.snapshot())
+
+    def test_an_order_is_known_by_what_was_sent_not_by_what_it_means(self):
+        state = ConfigurationState()
+        state.apply(1, replace(5, 0).encode())
+        for body in (json.dumps(configuration(5), indent=1), json.dumps(configuration(5), sort_keys=True)):
+            self.assertFalse(state.taken(Order("replace", 0, body.encode())))
+        self.assertFalse(state.taken(Order("change", 0, replace(5, 0).body)))
+        self.assertFalse(state.taken(Order("replace", 4, replace(5, 0).body)))
+
     def test_an_empty_state_is_restored_as_empty(self):
         state = ConfigurationState()
         state.restore(ConfigurationState().snapshot())
