--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -90,13 +90,13 @@
 @on_loop
 async def test_a_surplus_answer_on_an_idle_connection_ends_it_whatever_request_it_names() -> None:
     first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
-    async with edge(first, second) as made:
+    async with edge(first, second, clock=FakeClock()) as made:
         client = await made.ask("/writing/x", "id1")
         call = await first.call()
         call.answer()
         assert (await client.answer()).status == 200
         call.say(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: id2\r\nContent-Length: 7\r\n\r\nsurplus")
-        await soon(first.closed.get())
+        await soon(first.closed.get())  # at once: the clock stands still
         client.ask("/writing/x", "id2")
         (await first.call()).answer(b"second")
         assert (await client.answer()).body == b"second"
