--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -65,6 +65,10 @@
     "second-loss": Group(
         main=troubles.SECOND_LOSS, beside=troubles.BESIDE_CUTS, starts=starts(2.0, 7.0, 30.0), length_s=42.0,
         plans=troubles.PLANS, always=(storm(38.0, 0.6),), closings=CLOSINGS),
+    "dense": Group(
+        main=troubles.RACES + troubles.SECOND_LOSS, beside=troubles.BESIDE_ANSWERS,
+        starts=starts(1.0, 2.5, 38.5), length_s=42.0, plans=troubles.RACE_PLANS, closings=CLOSINGS,
+        always=('kind = "config_race", count = 60, gap_s = 0.6', 'kind = "ack_lost", for_s = 38.0, x = 0.5')),
     "long": Group(
         main=troubles.LONG, beside=troubles.OTHERS, starts=starts(5.0, 14.0, 285.0), length_s=300.0,
         plans=troubles.LONG_PLANS, always=(storm(295.0, 0.25),), closings=CLOSINGS),
