--- a/tests/test_faults_links.py
+++ b/tests/test_faults_links.py
@@ -377,6 +377,21 @@
         {"c": ANSWERS_HELD}, {"c": ANSWERS_HELD}, {"a": SENT_HELD, "b": SENT_HELD}]
 
 
+def test_a_bad_link_is_healthy_again_when_it_is_told_so() -> None:
+    async def scenario() -> None:
+        switchboard = Switchboard()
+        await switchboard.impair(OTHER, [HOST], delay_ms=5.0, loss=0.5)
+        with switchboard.attach(OTHER) as orders:
+            assert Order.decode(orders.recv(65536)).links == {HOST: Link(delay_ms=5.0, loss=0.5)}
+        switchboard.detach(OTHER)
+        await switchboard.impair(OTHER, [HOST], delay_ms=0.0, loss=0.0)
+        with switchboard.attach(OTHER) as orders:
+            assert Order.decode(orders.recv(65536)).links == {}
+        switchboard.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), TEST_TIME))
+
+
 def test_a_process_that_starts_anew_is_under_the_links_of_before() -> None:
     async def scenario() -> None:
         switchboard = Switchboard()
