Words: a class is idempotent, deduplicated or at_most_once, as the settings say

Cause: the program translated the settings' three words into three of its own (safe, keyed, unsafe), with a table in the wire's codec and one in the emulator.

Nothing else.

--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -306,9 +306,9 @@
             slow = (w.pace - 1.0) * TRUST / (TRUST + now - w.pace_at)
             if now + slow * job.work > job.aim_at:
                 return False
-        if job.cls.effect == "unsafe" and (w.doubts or self.fleet.strange(now, w)):
+        if job.cls.effect == "at_most_once" and (w.doubts or self.fleet.strange(now, w)):
             return False  # a doubtful worker is tried with jobs that may be repeated
-        if w.bad and self.fleet.health.sick(now, w) and (w.pending > 0 or job.cls.effect == "unsafe"):
+        if w.bad and self.fleet.health.sick(now, w) and (w.pending > 0 or job.cls.effect == "at_most_once"):
             # A worker that fails fast has room at all times and draws job after job: one at a time, and none
             # that a failure would end.
             return False
@@ -327,13 +327,13 @@
         late = now >= job.request.give_up_at
         if job.done or late or not worker.ready or len(job.attempts) >= self.s.max_attempts:
             return False
-        effect = job.cls.effect
+        once = job.cls.effect == "at_most_once"
         for a in job.attempts:
             if a.state == NEVER_RAN:
                 continue
-            if a.worker is worker or (a.state == OUT and not self.s.second_copies) or effect == "unsafe":
+            if a.worker is worker or (a.state == OUT and not self.s.second_copies) or once:
                 return False
-            if effect == "keyed":
+            if job.cls.effect == "deduplicated":
                 group = job.cls.group
                 if (group == "zone" and a.worker.zone != worker.zone) or (
                         group == "cell" and a.worker.cell != worker.cell):
@@ -343,7 +343,7 @@
     def _window_end(self, job: Job, before: int | None = None) -> float:
         """Until when a send may go out: workers remember a repeat from the first send that may have run."""
         ran = (a.sent for a in job.attempts[:before] if a.state != NEVER_RAN)
-        first = next(ran, None) if job.cls.effect == "keyed" else None
+        first = next(ran, None) if job.cls.effect == "deduplicated" else None
         return float("inf") if first is None else first + job.cls.window - ARRIVE
 
     def may_begin(self, now: float, request: int, attempt: int) -> bool:
@@ -355,7 +355,7 @@
 
     def _may_refuse(self, job: Job) -> bool:
         """A refusal says that a retry is harmless."""
-        if job.cls.effect == "safe" or (job.cls.effect == "keyed" and job.cls.group == "all"):
+        if job.cls.effect == "idempotent" or (job.cls.effect == "deduplicated" and job.cls.group == "all"):
             return True
         return all(a.state == NEVER_RAN for a in job.attempts)
 
@@ -439,7 +439,7 @@
             return
         if len(job.attempts) >= self.s.max_attempts or now >= job.request.give_up_at - 0.01:
             self._finish(now, job)
-        elif job.cls.effect == "unsafe" and any(a.state != NEVER_RAN for a in job.attempts):
+        elif job.cls.effect == "at_most_once" and any(a.state != NEVER_RAN for a in job.attempts):
             self._finish(now, job)
         else:
             left = self.s.max_attempts - len(job.attempts)
@@ -723,14 +723,14 @@
         if silent and not attempt.lost:
             attempt.lost = True
             self.active -= job.request.slots
-        if not silent and watch is self.watch[0] and self.s.fifo and job.cls.effect == "safe":
+        if not silent and watch is self.watch[0] and self.s.fifo and job.cls.effect == "idempotent":
             watch.append((now + self._patience(job), attempt))  # others may still overtake it
         if job.done or job.out() > 1 or not silent or self.hedges < 1.0:
             return
         # Its worker has gone silent: a second copy where class, group and memory allow.
         if self.s.second_copies and self._place(now, job):
             self.hedges -= 1.0
-        elif not self.s.second_copies and self.s.can_cancel and job.cls.effect == "safe" and (
+        elif not self.s.second_copies and self.s.can_cancel and job.cls.effect == "idempotent" and (
                 len(job.attempts) < self.s.max_attempts and self._another(job)):
             # The last one is let run, and one that nobody else can take: nothing could follow it.
             self.act.cancel(job.request.id, attempt.index)
--- a/larchgw/emulator/load.py
+++ b/larchgw/emulator/load.py
@@ -10,6 +10,8 @@
 from math import exp, log, pi, sin, sqrt
 from statistics import NormalDist
 
+from ..interface import Effect
+
 LONGEST = 0.6  # of the give-up time
 
 
@@ -24,7 +26,7 @@
     stretch: float
     deadline: float
     worth: float
-    effect: str  # "safe" or "unsafe" to repeat
+    effect: Effect
     spread: float = 1.1  # coefficient of variation of the running time
     slots: tuple[tuple[int, float], ...] = ((1, 1.0),)  # slots, and the share of the class that takes them
     priority: int = 0
@@ -45,9 +47,9 @@
 
 
 # The classes that Lakeshore's dispatchers serve, in the middle of their ranges.
-PROOF = ClassSpec("proof", 0.48, 0.82, 1.0, 2.5, 10.0, 1.0, "safe")
-QUOTE = ClassSpec("quote", 0.29, 0.40, 0.8, 2.0, 5.0, 5.0, "safe", slots=((1, 0.8), (2, 0.2)))
-RELEASE = ClassSpec("release", 0.23, 4.8, 4.0, 2.0, 25.0, 8.0, "unsafe", slots=((1, 0.8), (2, 0.2)),
+PROOF = ClassSpec("proof", 0.48, 0.82, 1.0, 2.5, 10.0, 1.0, "idempotent")
+QUOTE = ClassSpec("quote", 0.29, 0.40, 0.8, 2.0, 5.0, 5.0, "idempotent", slots=((1, 0.8), (2, 0.2)))
+RELEASE = ClassSpec("release", 0.23, 4.8, 4.0, 2.0, 25.0, 8.0, "at_most_once", slots=((1, 0.8), (2, 0.2)),
                     priority=1)
 CLASSES = (PROOF, QUOTE, RELEASE)
 
--- a/larchgw/emulator/rules.py
+++ b/larchgw/emulator/rules.py
@@ -29,7 +29,7 @@
     """One request, as its client wrote it down."""
 
     request: str
-    unsafe: bool
+    at_most_once: bool
     at: float
     gives_up: float
     answers: list[tuple[float, str]] = field(default_factory=list)  # when, and "served", "refused", "failed"
@@ -75,7 +75,7 @@
                 lines.append(f"{t.request} had no answer")
             elif t.answers and t.answers[0][0] > t.gives_up + LATE:
                 lines.append(f"{t.request} was answered {t.answers[0][0] - t.gives_up:.3f} s late")
-            if t.unsafe and t.answers and t.answers[0][1] == "refused" and self.begun.get(t.request):
+            if t.at_most_once and t.answers and t.answers[0][1] == "refused" and self.begun.get(t.request):
                 lines.append(f"{t.request} was refused and may have run")
             if t.answers and t.answers[0][1] == "served" and not self.begun.get(t.request):
                 lines.append(f"{t.request} was served and no box had it")
@@ -92,11 +92,11 @@
                     twice = min(one.until, other.until) - other.at
                     lines.append(f"{request} was out twice for {twice:.3f} s")
             t = self.tries.get(request)
-            if t is not None and t.unsafe and sum(not s.never_ran for s in written) > 1:
+            if t is not None and t.at_most_once and sum(not s.never_ran for s in written) > 1:
                 lines.append(f"{request} may have run and was sent again")
         for request, begun in self.begun.items():
             t = self.tries.get(request)
-            if t is not None and t.unsafe and len(begun) > 1:
+            if t is not None and t.at_most_once and len(begun) > 1:
                 lines.append(f"{request} must not run twice and ran {len(begun)} times")
         return lines
 
--- a/larchgw/emulator/sockets/clients.py
+++ b/larchgw/emulator/sockets/clients.py
@@ -63,7 +63,7 @@
         now = self.time.now()
         sent = min(now, job.due) if not job.tries else now  # late by our own doing: the client sent it then
         job.tries.append(name)
-        record = self.records.tries[name] = Try(name, cls.effect == "unsafe", now, now + cls.deadline)
+        record = self.records.tries[name] = Try(name, cls.effect == "at_most_once", now, now + cls.deadline)
         left = cls.deadline - (now - sent)
         target = self.targets[job.zone % len(self.targets)]
         try:
@@ -82,7 +82,7 @@
         except OSError:
             record.excused = job.ended != ""
             job.ended = "failed"
-            return None if cls.effect == "unsafe" else self.load.backoff_s
+            return None if cls.effect == "at_most_once" else self.load.backoff_s
         answered_at = self.time.now()
         if link.keep:
             self._keep(target, link)
--- a/larchgw/emulator/sockets/settings.py
+++ b/larchgw/emulator/sockets/settings.py
@@ -11,9 +11,8 @@
 
 def dispatcher_settings(load: LoadSpec, zones: int, instances: int = 1) -> dict[str, Any]:
     """What a dispatcher's configuration holds under `settings` for such a load."""
-    effects = {"safe": "idempotent", "unsafe": "at_most_once"}
     return {
-        "requestClasses": [{"name": c.name, "aim": c.aim, "deadline": c.deadline, "effect": effects[c.effect],
+        "requestClasses": [{"name": c.name, "aim": c.aim, "deadline": c.deadline, "effect": c.effect,
                             "points": c.worth} for c in load.classes],
         "nInstances": instances, "areas": [f"room-{'abc'[i % 3]}" for i in range(zones)],
         "shapes": ["gen5", "gen4", "gen3"], "worthBy": "work",
--- a/larchgw/emulator/virtual/carrier.py
+++ b/larchgw/emulator/virtual/carrier.py
@@ -45,7 +45,7 @@
                     request.key, job.slots, cls.priority,
                     told=self._told.get(attempt.worker, GONE)[1] == box.up_since)
         self._out[id(attempt)] = (attempt, work, sent, box)
-        dial = 2.0 * way + 0.002 if cls.effect == "unsafe" else 0.0  # such jobs go over new connections
+        dial = 2.0 * way + 0.002 if cls.effect == "at_most_once" else 0.0  # such jobs go over new connections
         self._core.written(attempt)
         self._time.at(now + dial + way, lambda: self._arrive(attempt, work, box, way))
 
--- a/larchgw/emulator/virtual/clients.py
+++ b/larchgw/emulator/virtual/clients.py
@@ -64,7 +64,7 @@
                           cls.deadline - CLIENT_WAY, job.key, float(job.slots), repeat=bool(job.tries),
                           extra=job)
         job.tries.append(name)
-        self._records.tries[name] = Try(name, cls.effect == "unsafe", now, now + cls.deadline)
+        self._records.tries[name] = Try(name, cls.effect == "at_most_once", now, now + cls.deadline)
         self._by_try[name] = (job, dispatcher, request)
         self._time.at(now + CLIENT_WAY, lambda: self._take(dispatcher, request))
         self._time.at(now + cls.deadline, lambda: self._give_up(name))
@@ -106,7 +106,7 @@
             return  # it was on its way when its dispatcher died, and has been counted
         job = known[0]
         self._records.tries[name].excused = True
-        if len(job.tries) <= self._scenario.load.retries and not self._records.tries[name].unsafe:
+        if len(job.tries) <= self._scenario.load.retries and not self._records.tries[name].at_most_once:
             self._time.at(self._time.now() + self._scenario.load.backoff_s, lambda: self._ask(job))
         else:
             job.ended = "failed"
--- a/larchgw/fronts/gearman_jobs.py
+++ b/larchgw/fronts/gearman_jobs.py
@@ -125,7 +125,7 @@
             self._shed_results()
 
     def _safe(self, job_class: int) -> bool:
-        return self._settings.classes[job_class].effect == "safe"
+        return self._settings.classes[job_class].effect == "idempotent"
 
     # With the other process of an upgrade
 
--- a/larchgw/fronts/jobheaders.py
+++ b/larchgw/fronts/jobheaders.py
@@ -29,10 +29,10 @@
     tenant: bytes = b""
 
 
-def read_job(headers: Mapping[bytes, bytes], keyed: bool = False) -> JobHeaders:
+def read_job(headers: Mapping[bytes, bytes], deduplicated: bool = False) -> JobHeaders:
     """From headers by their names in small letters; ValueError names the one that is wrong.
 
-    `keyed`: the class's boxes drop repeats by Idempotency-Key, so a job without one cannot be sent on.
+    `deduplicated`: its class's boxes drop repeats by Idempotency-Key: a job without one cannot be sent on.
     """
     twice = next((n for n, value in headers.items() if b"\n" in value), None)
     if twice is not None:
@@ -43,7 +43,7 @@
     if not wait.isdigit() or not 0 < int(wait[:12]) <= LONGEST_WAIT_MS:
         raise ValueError("X-Deadline-Ms is missing or bad")
     once = headers.get(b"idempotency-key", b"")
-    if not ONCE.fullmatch(once) and (keyed or b"idempotency-key" in headers):
+    if not ONCE.fullmatch(once) and (deduplicated or b"idempotency-key" in headers):
         raise ValueError("Idempotency-Key is missing or bad")
     parts = headers.get(b"x-extras", b"").decode("latin-1").split(",")
     pairs = [part.partition("=") for part in parts if part.strip()]
--- a/larchgw/fronts/platform.py
+++ b/larchgw/fronts/platform.py
@@ -45,7 +45,7 @@
 
     def _take(self, exchange: Exchange, job_class: int) -> None:
         try:
-            job = read_job(exchange.headers, self._core.settings.classes[job_class].effect == "keyed")
+            job = read_job(exchange.headers, self._core.settings.classes[job_class].effect == "deduplicated")
         except ValueError as error:
             self._bad(exchange, 400, str(error))
             return
--- a/larchgw/interface.py
+++ b/larchgw/interface.py
@@ -8,9 +8,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
-from typing import Protocol
+from typing import Literal, Protocol
 
 WorkerId = bytes
+Effect = Literal["idempotent", "deduplicated", "at_most_once"]  # what a repeat of a job does
 
 
 class Status(IntEnum):
@@ -45,7 +46,7 @@
 
 @dataclass(slots=True)
 class JobClass:
-    """One class of jobs. `effect` is "safe", "keyed" or "unsafe" to repeat."""
+    """One class of jobs; `effect` says what a repeat does."""
 
     name: str
     aim: float  # full worth up to here ...
@@ -53,9 +54,9 @@
     worth: float = 1.0
     late_worth: float = 0.0  # ... and this share of it until the deadline
     stretch: float = 0.0  # the aim grows by this multiple of the job's own work
-    effect: str = "unsafe"
-    group: str = "all"  # keyed: who drops repeats: "all", one "zone" or one "cell"
-    window: float = 0.0  # keyed: for how long
+    effect: Effect = "at_most_once"
+    group: str = "all"  # deduplicated: who drops repeats: "all", one "zone" or one "cell"
+    window: float = 0.0  # deduplicated: for how long
     kind: int = -1  # the one kind of worker that runs it; -1: any
     priority: int = 0
     stream: bool = False
--- a/larchgw/lab/room_cost.py
+++ b/larchgw/lab/room_cost.py
@@ -40,7 +40,7 @@
 
 def settings() -> Settings:
     """Two classes with time enough to wait."""
-    return Settings([JobClass("proof", 100.0, 1000.0, 1.0, stretch=2.0, effect="safe"),
+    return Settings([JobClass("proof", 100.0, 1000.0, 1.0, stretch=2.0, effect="idempotent"),
                      JobClass("release", 100.0, 1000.0, 8.0, stretch=2.0)],
                     tells_start=True, can_cancel=True, max_attempts=3, worth_by_work=True)
 
--- a/larchgw/net/runnerlink.py
+++ b/larchgw/net/runnerlink.py
@@ -107,8 +107,8 @@
         left = max(int(1000 * (request.give_up_at - self.pool.loop.clock.now())), 1)
         key = b"X-Key: %016x\r\n" % request.key if request.key else b""
         # Boxes drop a repeat by this key alone; where clients give none, the job's own name serves.
-        keyed = self.pool.core.settings.classes[request.job_class].effect == "keyed"
-        once = request.once or (request.unique or request.name if keyed else b"")
+        deduplicated = self.pool.core.settings.classes[request.job_class].effect == "deduplicated"
+        once = request.once or (request.unique or request.name if deduplicated else b"")
         key += b"Idempotency-Key: %b\r\n" % once if once else b""
         return (b"POST %b HTTP/1.1\r\nHost: %b\r\nX-Request-Id: %b\r\n%bX-Deadline-Ms: %d\r\n"
                 b"Content-Length: %d\r\n\r\n"
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -62,7 +62,7 @@
 
     def send(self, attempt: Attempt) -> None:
         effect = self.core.settings.classes[attempt.request.job_class].effect
-        link = self._link(attempt.worker, new=effect == "unsafe")
+        link = self._link(attempt.worker, new=effect == "at_most_once")
         if isinstance(link, ConnectionOutcome):
             self.core.ended(attempt, End(status_of(link), why=link.value))
         else:
--- a/larchgw/simwire/checks.py
+++ b/larchgw/simwire/checks.py
@@ -1,6 +1,8 @@
 """Says which start-up setting cannot be."""
 
-from ..interface import Settings
+from typing import get_args
+
+from ..interface import Effect, Settings
 
 
 def check_settings(s: Settings) -> None:
@@ -10,7 +12,7 @@
     for c in s.classes:
         if c.aim <= 0 or c.deadline <= 0:
             raise ValueError(f"classes: {c.name!r} needs aim and deadline above 0")
-        if c.effect not in ("safe", "keyed", "unsafe"):
+        if c.effect not in get_args(Effect):
             raise ValueError(f"classes: {c.name!r} has the unknown effect {c.effect!r}")
         if c.group not in ("all", "zone", "cell"):
             raise ValueError(f"classes: {c.name!r} has the unknown group {c.group!r}")
--- a/larchgw/simwire/wire.py
+++ b/larchgw/simwire/wire.py
@@ -5,9 +5,9 @@
 import json
 import struct
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, get_args
 
-from ..interface import JobClass, Member, Note, Outcome, Request, Settings, Status, Tenant
+from ..interface import Effect, JobClass, Member, Note, Outcome, Request, Settings, Status, Tenant
 
 
 class WireError(ValueError):
@@ -44,7 +44,7 @@
     306: Status.CANCELLED,
     307: Status.MOOT,
 }
-EFFECTS = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
+EFFECTS: dict[str, Effect] = {effect: effect for effect in get_args(Effect)}  # the wire has the same words
 
 Event = tuple[int, int, Any]  # code, instance (or list number), content
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -104,7 +104,7 @@
 @pytest.mark.parametrize("early", [True, False])
 def test_a_repeat_is_decided_on_while_its_connection_can_come_up_within_the_window(window, early):
     """Whole seconds were kept free at the window's end: one of 0.6 s never allowed a repeat at all."""
-    rig = Rig(4, effect="keyed", window=window, dial_timeout=0.25, second_copies=False)
+    rig = Rig(4, effect="deduplicated", window=window, dial_timeout=0.25, second_copies=False)
     job = rig.request()
     rig.wait(window - 0.25 - (0.1 if early else 0.04))
     rig.end(job, Status.RESET)
@@ -112,7 +112,7 @@
 
 
 def test_a_repeat_whose_connection_is_late_may_begin_up_to_the_windows_end_and_not_after():
-    rig = Rig(4, effect="keyed", window=1.5, dial_timeout=0.25)
+    rig = Rig(4, effect="deduplicated", window=1.5, dial_timeout=0.25)
     job = rig.request()
     sent = rig.now
     rig.wait(0.5)
@@ -126,7 +126,7 @@
 
 
 def test_what_never_ran_opens_no_window():
-    rig = Rig(4, effect="keyed", window=0.6, dial_timeout=0.25)
+    rig = Rig(4, effect="deduplicated", window=0.6, dial_timeout=0.25)
     job = rig.request()
     rig.end(job, Status.CONNECT_FAILED)
     rig.wait(1.0)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -70,8 +70,8 @@
         pass
 
 
-SAFE = JobClass("p", 1.0, 5.0, effect="safe", stretch=2.0)
-RELEASE = JobClass("r", 1.0, 5.0, effect="unsafe", stretch=2.0)
+SAFE = JobClass("p", 1.0, 5.0, effect="idempotent", stretch=2.0)
+RELEASE = JobClass("r", 1.0, 5.0, effect="at_most_once", stretch=2.0)
 
 
 def test_the_first_end_counts_and_the_second_is_dropped_and_counted():
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -167,10 +167,10 @@
     ran_again.sent["r"].append(Sent("r", "b2", 6.0, until=7.0))
     ran_again.begun["r"].append(Begun("r", 6.1, "b2"))
     out_twice = records()
-    out_twice.tries["r"].unsafe = False
+    out_twice.tries["r"].at_most_once = False
     out_twice.sent["r"].append(Sent("r", "b2", 4.0, until=7.0))
     four = records()
-    four.tries["r"].unsafe = False
+    four.tries["r"].at_most_once = False
     four.sent["r"] = [Sent("r", "b1", float(n), until=n + 0.5) for n in range(4)]
     refused = records()
     refused.tries["r"].answers[0] = (5.0, "refused")
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -16,8 +16,8 @@
 from larchgw.interface import JobClass, ListKind, Member, Request, Status
 from larchgw.records import OUT, Worker
 
-SAFE = JobClass("proof", 1.0, 10.0, stretch=2.0, effect="safe")
-RELEASE = JobClass("release", 4.0, 25.0, worth=8.0, stretch=2.0, effect="unsafe")
+SAFE = JobClass("proof", 1.0, 10.0, stretch=2.0, effect="idempotent")
+RELEASE = JobClass("release", 4.0, 25.0, worth=8.0, stretch=2.0, effect="at_most_once")
 
 
 def boxes(count, kind=0):
@@ -328,7 +328,7 @@
 
 
 def told_by_probes(**changes):
-    return Settings([JobClass("p", 1.0, 5.0, effect="safe")], instances=4, can_probe=True, pull=True,
+    return Settings([JobClass("p", 1.0, 5.0, effect="idempotent")], instances=4, can_probe=True, pull=True,
                     slot_reports=0, price_probe=0.002, **changes)
 
 
@@ -410,7 +410,7 @@
 
 
 def test_the_homes_of_a_key_among_boxes_of_one_kind_are_none_for_a_class_that_runs_on_another():
-    classes = [JobClass(f"on{kind}", 1.0, 5.0, effect="safe", kind=kind) for kind in (0, 1)]
+    classes = [JobClass(f"on{kind}", 1.0, 5.0, effect="idempotent", kind=kind) for kind in (0, 1)]
     actions = Recorder()
     dispatcher = Dispatcher(Settings(classes, kinds=2, can_probe=True, pull=True, slot_reports=0), 1, actions)
     dispatcher.on_members(1.0, ListKind.FULL, [Member(b"k%d%d" % (n % 2, n), kind=n % 2) for n in range(8)])
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -99,7 +99,7 @@
 
 
 def test_a_worker_that_failed_a_job_gets_none_that_may_not_be_repeated_until_it_has_mended():
-    rig = Rig(4, effect="unsafe")
+    rig = Rig(4, effect="at_most_once")
     first = rig.request()
     bad = rig.where(first)
     rig.end(first, Status.ERROR)
@@ -136,7 +136,7 @@
 
 
 def test_a_report_of_errors_counts_as_a_failure_seen_and_the_same_report_once():
-    rig = Rig(4, effect="unsafe", fail_reports=0)
+    rig = Rig(4, effect="at_most_once", fail_reports=0)
     job = rig.request()
     bad = rig.where(job)
     rig.d.on_outcome(rig.now, Outcome(job, 0, bad, Status.OK, True, 0.1, (3.0, 1.0)))
@@ -183,7 +183,7 @@
 
 
 def test_a_job_that_cannot_be_done_in_the_time_it_has_is_refused_at_once():
-    rig = Rig(4, effect="unsafe")
+    rig = Rig(4, effect="at_most_once")
     for _ in range(8):
         end_after(rig, rig.request(), 2.0)
     rig.next += 1
--- a/tests/test_gearman.py
+++ b/tests/test_gearman.py
@@ -210,7 +210,7 @@
 
 def test_the_end_of_a_release_is_remembered_for_a_time_only_and_never_a_refusal() -> None:
     clock = Clock()
-    settings = Settings([JobClass("r", 1, 2), JobClass("p", 1, 2, effect="safe")])
+    settings = Settings([JobClass("r", 1, 2), JobClass("p", 1, 2, effect="idempotent")])
     jobs = gearman_jobs.Jobs(settings, clock, Counters(), 60.0)
     for number, kind in enumerate(AnswerKind):
         jobs.end(jobs.create(0, b"%d" % number, False), Answer(kind, b"x"))
@@ -224,7 +224,7 @@
 def test_with_no_room_to_remember_a_release_it_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(gearman_jobs, "MAX_REMEMBERED", 1)
     monkeypatch.setattr(gearman_jobs, "MAX_RESULT_BYTES", 8)
-    settings = Settings([JobClass("r", 1, 2), JobClass("p", 1, 2, effect="safe")])
+    settings = Settings([JobClass("r", 1, 2), JobClass("p", 1, 2, effect="idempotent")])
     jobs = gearman_jobs.Jobs(settings, Clock(), Counters(), 60.0)
     jobs.end(jobs.create(0, b"a", False), Answer(AnswerKind.SERVED, b"nine bytes"))
     assert jobs.full(0, b"b") and not jobs.full(0, b"") and not jobs.full(1, b"b")
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -24,7 +24,7 @@
     """One dispatcher with a planner, its hand on the clock, and boxes that do what they are told."""
 
     def __init__(self, boxes: int = 1, limit: float = 4.0, aim: float = 8.0, **room: Any) -> None:
-        classes = [JobClass("proof", 2.0, 10.0, 1.0, stretch=1.0, effect="safe"),
+        classes = [JobClass("proof", 2.0, 10.0, 1.0, stretch=1.0, effect="idempotent"),
                    JobClass("release", aim, 30.0, 8.0, stretch=1.0)]
         settings = Settings(classes, tells_start=True, can_cancel=True, max_attempts=3, worth_by_work=True,
                             slot_reports=0, warm_up=20.0, cold_from=0.2)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,11 +16,11 @@
 
 NEVER = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 CLASSES = [
-    JobClass("safe", 0.4, 3.0, 1.0, effect="safe", stretch=2.0),
-    JobClass("zone", 0.4, 3.0, 2.0, effect="keyed", group="zone", window=2.0, stretch=2.0),
-    JobClass("cell", 0.4, 3.0, 2.0, 0.5, effect="keyed", group="cell", window=2.0),
-    JobClass("all", 0.4, 3.0, 2.0, effect="keyed", group="all", window=1.2),
-    JobClass("unsafe", 0.4, 3.0, 5.0, effect="unsafe"),
+    JobClass("idempotent", 0.4, 3.0, 1.0, effect="idempotent", stretch=2.0),
+    JobClass("zone", 0.4, 3.0, 2.0, effect="deduplicated", group="zone", window=2.0, stretch=2.0),
+    JobClass("cell", 0.4, 3.0, 2.0, 0.5, effect="deduplicated", group="cell", window=2.0),
+    JobClass("all", 0.4, 3.0, 2.0, effect="deduplicated", group="all", window=1.2),
+    JobClass("at_most_once", 0.4, 3.0, 5.0, effect="at_most_once"),
 ]
 
 
@@ -53,22 +53,22 @@
             self.broken.append("3: sent to a draining worker")
         if not self.s.second_copies and any(t[2] is None for t in self.tries[request]):
             self.broken.append("2: two at once")
-        if before and cls.effect == "unsafe":
-            self.broken.append("2: unsafe repeated")
-        if before and cls.effect == "keyed":
+        if before and cls.effect == "at_most_once":
+            self.broken.append("2: at-most-once repeated")
+        if before and cls.effect == "deduplicated":
             if self.now > min(t[1] for t in before) + cls.window:
-                self.broken.append("2: keyed repeated when forgotten")
+                self.broken.append("2: deduplicated repeated when forgotten")
             for t in before:
                 if cls.group != "all" and getattr(self.members[t[0]], cls.group) != getattr(
                     self.members[worker], cls.group
                 ):
-                    self.broken.append("2: keyed repeated outside its group")
+                    self.broken.append("2: deduplicated repeated outside its group")
         self.tries[request].append([worker, self.now, None])
 
     def refuse(self, request: int, retry_after: float) -> None:
         super().refuse(request, retry_after)
         cls = self.s.classes[self.requests[request].job_class]
-        free = cls.effect == "safe" or (cls.effect == "keyed" and cls.group == "all")
+        free = cls.effect == "idempotent" or (cls.effect == "deduplicated" and cls.group == "all")
         if not free and self._may_have_run(request):
             self.broken.append("2: refused what may have run")
         self._close(request)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -103,7 +103,7 @@
 def test_settings_skip_what_is_unknown():
     s = wire.decode_settings(json.dumps(SETTINGS).encode())
     assert (s.instances, s.slot_reports, s.queue_reports, s.tells_start) == (3, 0, 1, True)
-    assert (s.classes[0].effect, s.classes[0].group, s.classes[0].stretch) == ("keyed", "zone", 2.0)
+    assert (s.classes[0].effect, s.classes[0].group, s.classes[0].stretch) == ("deduplicated", "zone", 2.0)
 
 
 @pytest.mark.parametrize(
