--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -15,8 +15,10 @@
 
 from .estimates import Fleet
 from .estimates.mixing import MASK, mix
+from .estimates.quotas import Quotas
 from .interface import Actions, ListKind, Member, Note, Outcome, Presence, Request, Settings, Status, WorkerId
 from .records import MAYBE_RAN, NEVER_RAN, OUT, Attempt, Job, Mean, Pair, Worker
+from .repeats import may_refuse, may_send, window_end
 from .room.interface import NOTHING_HELD, Room
 from .simwire.checks import check_settings
 
@@ -34,7 +36,6 @@
 FETCHES_SAVED = 0.15  # fetches that one home in the fleet saves for each job that crosses zones to it
 TRUST = 2.0  # seconds after which half of what was seen of a worker's pace is still trusted
 ORDER = 0.5  # seconds between two sends to a worker from which they come there in that order
-ARRIVE = 0.05  # seconds that a request takes from its first byte to its last one's arrival
 TICK = 0.02
 
 
@@ -57,7 +58,7 @@
         self.runs = [Mean(c.aim) for c in settings.classes]
         self.fetch = Mean(0.4 * settings.classes[0].aim)
         self.wait = Mean(settings.classes[0].aim / 4)
-        self.quota = [[0.0, 0.0] for _ in settings.tenants]
+        self.quotas = Quotas(settings)
         self.fleet = Fleet(settings, seed ^ MASK)  # estimates of what all dispatchers do
         self.hedges = 2.0
         self.active, self.window = 0.0, float("inf")  # slots out on workers that answer, and how many may be
@@ -72,7 +73,7 @@
         self.s = settings
         self.fleet.configure(settings)
         self.fair = max(GUESS / settings.instances, 1.0)
-        self.quota = [[0.0, 0.0] for _ in settings.tenants]
+        self.quotas = Quotas(settings)
 
     # The worker list
 
@@ -163,7 +164,7 @@
         slack = max(job.late_at - now, 0.0)
         job.spill_at = now + max(min(self.fetch.value, 0.5 * slack), self.crowd * slack)
         job.value = cls.worth / (1.0 if self.s.worth_by_work else mean.value * request.slots)
-        if self._over_share(now, request.tenant):
+        if self.quotas.over(now, request.tenant):
             job.value *= self.s.over_share_worth
         self.hedges = min(self.hedges + 0.1, 20.0)
         self.fleet.came(now, request.job_class, request.key)
@@ -190,19 +191,6 @@
             self.watch[self._watch_of(job)].append((now + self._patience(job), attempt))
             self._tick_soon(now)
 
-    def _over_share(self, now: float, tenant: int) -> bool:
-        """Whether a tenant's jobs come faster than our part of its quota."""
-        if tenant >= len(self.quota):
-            return False
-        rate = self.s.tenants[tenant].quota / self.s.instances
-        if rate <= 0:
-            return False
-        level = self.quota[tenant]
-        level[:] = max(0.0, level[0] - (now - level[1]) * rate), now
-        over = level[0] >= max(2.0 * rate, 3.0)
-        level[0] += not over
-        return over
-
     def _place(self, now: float, job: Job) -> bool:
         """Sends a job if the window is open and a worker has room for it."""
         open_ = self.fleet.reports.on or self.active <= 0 or (  # boxes tell of their room, or are to show it
@@ -316,54 +304,20 @@
             return False
         if self.fleet.crowded(now, job, w):
             return False
-        return self._may_send(now, job, w) and self.room.may_take(now, job, w)
-
-    # The four rules
-
-    def _may_send(self, now: float, job: Job, worker: Worker) -> bool:
-        """Rules 1 to 3 for one send. Every send passes here."""
-        if not job.attempts:
-            return worker.ready and not job.done
-        late = now >= job.request.give_up_at
-        if job.done or late or not worker.ready or len(job.attempts) >= self.s.max_attempts:
-            return False
-        once = job.cls.effect == "at_most_once"
-        for a in job.attempts:
-            if a.state == NEVER_RAN:
-                continue
-            if a.worker is worker or (a.state == OUT and not self.s.second_copies) or once:
-                return False
-            if job.cls.effect == "deduplicated":
-                group = job.cls.group
-                if (group == "zone" and a.worker.zone != worker.zone) or (
-                        group == "cell" and a.worker.cell != worker.cell):
-                    return False
-        return now + self.s.dial_timeout < self._window_end(job)  # its connection may come up late
-
-    def _window_end(self, job: Job, before: int | None = None) -> float:
-        """Until when a send may go out: workers remember a repeat from the first send that may have run."""
-        ran = (a.sent for a in job.attempts[:before] if a.state != NEVER_RAN)
-        first = next(ran, None) if job.cls.effect == "deduplicated" else None
-        return float("inf") if first is None else first + job.cls.window - ARRIVE
+        return may_send(self.s, now, job, w) and self.room.may_take(now, job, w)
 
     def may_begin(self, now: float, request: int, attempt: int) -> bool:
         """Whether the first byte of an attempt may still go out, though its connection came up late."""
         job = self.jobs.get(request)
         if job is None or job.done or attempt >= len(job.attempts):
             return False
-        return job.attempts[attempt].worker.ready and now < self._window_end(job, attempt)
-
-    def _may_refuse(self, job: Job) -> bool:
-        """A refusal says that a retry is harmless."""
-        if job.cls.effect == "idempotent" or (job.cls.effect == "deduplicated" and job.cls.group == "all"):
-            return True
-        return all(a.state == NEVER_RAN for a in job.attempts)
+        return job.attempts[attempt].worker.ready and now < window_end(job, attempt)
 
     # Sending and answering
 
     def _send(self, now: float, job: Job, worker: Worker) -> bool:
         request = job.request
-        if not self._may_send(now, job, worker):
+        if not may_send(self.s, now, job, worker):
             return False
         pair = self._hold_key(now, request.key, worker) if request.key else None
         attempt = Attempt(job, len(job.attempts), worker, pair, now)
@@ -418,7 +372,7 @@
         if job.done:
             return
         job.done = True
-        if self._may_refuse(job):
+        if may_refuse(job):
             self.act.refuse(job.request.id, min(self.s.max_retry_after, 0.25))
         else:
             self.act.fail(job.request.id)
--- /dev/null
+++ b/larchgw/repeats.py
@@ -0,0 +1,43 @@
+"""Rules 1 to 4: whether a job may be sent or sent again, until when, and whether it may be refused."""
+
+from __future__ import annotations
+
+from .interface import Settings
+from .records import NEVER_RAN, OUT, Job, Worker
+
+ARRIVE = 0.05  # seconds that a request takes from its first byte to its last one's arrival
+
+
+def may_send(s: Settings, now: float, job: Job, worker: Worker) -> bool:
+    """Rules 1 to 3 for one send. Every send passes here."""
+    if not job.attempts:
+        return worker.ready and not job.done
+    late = now >= job.request.give_up_at
+    if job.done or late or not worker.ready or len(job.attempts) >= s.max_attempts:
+        return False
+    once = job.cls.effect == "at_most_once"
+    for a in job.attempts:
+        if a.state == NEVER_RAN:
+            continue
+        if a.worker is worker or (a.state == OUT and not s.second_copies) or once:
+            return False
+        if job.cls.effect == "deduplicated":
+            group = job.cls.group
+            if (group == "zone" and a.worker.zone != worker.zone) or (
+                    group == "cell" and a.worker.cell != worker.cell):
+                return False
+    return now + s.dial_timeout < window_end(job)  # its connection may come up late
+
+
+def window_end(job: Job, before: int | None = None) -> float:
+    """Until when a send may go out: workers remember a repeat from the first send that may have run."""
+    ran = (a.sent for a in job.attempts[:before] if a.state != NEVER_RAN)
+    first = next(ran, None) if job.cls.effect == "deduplicated" else None
+    return float("inf") if first is None else first + job.cls.window - ARRIVE
+
+
+def may_refuse(job: Job) -> bool:
+    """A refusal says that a retry is harmless."""
+    if job.cls.effect == "idempotent" or (job.cls.effect == "deduplicated" and job.cls.group == "all"):
+        return True
+    return all(a.state == NEVER_RAN for a in job.attempts)
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -11,9 +11,10 @@
 from larchgw.estimates import ColdTurns, Fleet, Loads, Reports, Runs, Shrunk
 from larchgw.estimates.keys import Keys
 from larchgw.estimates.mixing import mix
+from larchgw.estimates.quotas import Quotas
 from larchgw.estimates.reports import AGAIN, MOST, SELDOM, SPENT
 from larchgw.estimates.works import Line
-from larchgw.interface import JobClass, ListKind, Member, Request, Status
+from larchgw.interface import JobClass, ListKind, Member, Request, Status, Tenant
 from larchgw.records import OUT, Worker
 
 SAFE = JobClass("proof", 1.0, 10.0, stretch=2.0, effect="idempotent")
@@ -479,3 +480,13 @@
     assert {w.id for w in d._ring(-1, -1)[1]} == set(d.workers)
     d.on_members(now, ListKind.FULL, [Member(b"%06d" % n, size=0.0) for n in range(3)])
     assert len({w.id for w in d._ring(-1, -1)[1]}) == 3
+
+
+def test_a_tenant_is_over_its_quota_beyond_two_seconds_of_it_and_less_so_with_time() -> None:
+    tenants = [Tenant("free"), Tenant("small", quota=4.0), Tenant("large", quota=40.0)]
+    quotas = Quotas(Settings([SAFE], tenants=tenants, instances=4))
+    over = [[quotas.over(100.0, tenant) for _ in range(30)].index(True) for tenant in (1, 2)]
+    assert over == [3, 20]  # three jobs at least, and two seconds of 10 jobs
+    assert not any(quotas.over(100.0, tenant) for tenant in (0, 3) for _ in range(30)), "they have no quota"
+    assert [quotas.over(101.0, 1) for _ in range(2)] == [False, True], "one has drained in a second"
+    assert not quotas.over(200.0, 2)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from larchgw import Dispatcher, Settings
+from larchgw import Dispatcher, Settings, choice
 from larchgw.estimates import Fleet
 from larchgw.interface import JobClass, ListKind, Member, Note, Outcome, Presence, Request, Status
 
@@ -172,15 +172,15 @@
 
 
 PLANTS = {
-    "1": ("_finish", lambda self, now, job: None),
-    "2": ("_may_refuse", lambda self, job: True),
-    "3": ("_set_ready", lambda self, worker, ready: setattr(worker, "ready", True)),
+    "1": (Dispatcher, "_finish", lambda self, now, job: None),
+    "2": (choice, "may_refuse", lambda job: True),
+    "3": (Dispatcher, "_set_ready", lambda self, worker, ready: setattr(worker, "ready", True)),
 }
 
 
 @pytest.mark.parametrize("rule", PLANTS)
 def test_the_check_catches_a_planted_violation(rule, monkeypatch):
-    monkeypatch.setattr(Dispatcher, *PLANTS[rule])
+    monkeypatch.setattr(*PLANTS[rule])
     caught = []
     for seed in range(12):
         judge = Judge(settings(True, True))
