A start publishes no configuration from its disk; the primary does, once it is certain

Change: control/publication.py. The primary publishes whatever the registry lacks, at each tick; a backup only what was committed in this life, 0.5 s later, as before.

Tests: test_publication.py, five; the first configuration of a start is red without `restored`.

--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -8,11 +8,10 @@
 import time
 
 from ..configuration.errors import SettingsError
-from ..configuration.packing import pack
 from ..configuration.settings import NodeSettings
 from ..directory.directory import Directory
 from ..distribution.handoff import Handoff
-from ..distribution.interface import CONFIGURATION, EXPECTED, RUNNER
+from ..distribution.interface import EXPECTED, RUNNER
 from ..distribution.peers import PeerPullers
 from ..distribution.placer import publish_placer
 from ..distribution.pulls import PullService
@@ -50,6 +49,7 @@
 from .operator import Answer, OperatorService
 from .operator_calls import OperatorCalls
 from .owners import is_watched, owner_name
+from .publication import ConfigurationPublisher
 from .replicated_log import TICK_S, ReplicatedLog
 from .rpc_service import RpcService
 from .state import ConfigurationState
@@ -59,7 +59,6 @@
 PLACER_LEASE = "placer"
 DIRECTORY_TICK_S = 0.25
 CONTACTS_TICK_S = 0.2
-PUBLISH_AFTER_S = 0.5  # after which a backup publishes a configuration that the primary has not
 RESERVE_TICK_S = 1.0  # compactions are at least some seconds apart
 LEAVE_SHARE = 0.5  # of the grace period; then it ends without the agreement of the others
 CALLS_END_S = 0.1  # after the others have agreed, for answers that are under way
@@ -83,6 +82,7 @@
         self.disk = ControlDisk.open(DiskFiles(), settings.data_dir)
         self.member = self._make_member()
         self.replicated = ReplicatedLog(self.member, self.state, self.clients, self._configuration_changed)
+        self.publisher = ConfigurationPublisher(self.state, self.registry, lambda: self.member.is_primary)
         self.operator = OperatorCalls(self.member, OperatorService(self.state, self.replicated), self.clients)
         pull_settings = PullSettings.of(settings.time_limits).between_control()
         self.peers = PeerPullers(self.registry, RpcClient, self._peers_and_witnesses, pull_settings,
@@ -105,6 +105,7 @@
         self.placement = self._make_placement()
         self.registry.watch(RUNNER, lambda entry: self._runner_changed(entry.key.removeprefix(RUNNER)))
         self.replicated.start()
+        self.publisher.restored()
         status = self._make_status()
         self._rpc = RpcServer(RpcService(self.pulls, self.replicated, self.placement, self.operator, status))
         await self._rpc.start(settings.ip, settings.port(RPC_PORT))
@@ -170,20 +171,11 @@
     # ---- What is published ----
 
     def _configuration_changed(self) -> None:
-        """Only the primary publishes at once, or each process would send the same to all."""
         current = self.state.current
         if current is None:
             return
         self.placement.configure(current)
-        if self.member.is_primary:
-            self._publish_configuration()
-        else:
-            asyncio.get_running_loop().call_later(PUBLISH_AFTER_S, self._publish_configuration)
-
-    def _publish_configuration(self) -> None:
-        current, held = self.state.current, self.registry.get(CONFIGURATION)
-        if current is not None and (held is None or held.major < self.state.index):
-            self.registry.put(CONFIGURATION, pack(current.raw), self.state.index)
+        self.publisher.committed(time.monotonic())
 
     def _publish_expected(self, runner: str, names: dict[str, float]) -> None:
         lease = self._placer_lease()
@@ -199,6 +191,7 @@
     def _tick_replication(self) -> None:
         self.replicated.tick()
         self.view.publish()
+        self.publisher.tick(time.monotonic())
 
     def _tick_directory(self) -> None:
         isolated = self.contact.isolated()
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,11 +1,66 @@
-"""A committed configuration goes out once, and smaller than it is."""
+"""A committed configuration goes out once, when it is certain to be the newest, and smaller than it is."""
 
 import json
 import random
 
 import testtools
+from configurations import body, example
 
 from larchgw.configuration.packing import pack, unpack
+from larchgw.control.publication import PUBLISH_AFTER_S, ConfigurationPublisher
+from larchgw.control.state import ConfigurationState, Order
+from larchgw.distribution.interface import CONFIGURATION
+from larchgw.distribution.registry import Registry
+
+
+class PublisherTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.is_primary = False
+        self.state, self.registry = ConfigurationState(), Registry("a.1")
+        self.publisher = ConfigurationPublisher(self.state, self.registry, lambda: self.is_primary)
+
+    def commit(self, index, version, now):
+        self.state.apply(index, Order("replace", -1, body(example(config_version=version))).encode())
+        self.publisher.committed(now)
+
+    def published(self):
+        entry = self.registry.get(CONFIGURATION)
+        return entry.major if entry is not None else None
+
+    def test_the_primary_publishes_at_once(self):
+        self.is_primary = True
+        self.commit(3, 7, now=1.0)
+        self.assertEqual(3, self.published())
+
+    def test_a_backup_publishes_what_the_primary_has_not(self):
+        self.commit(3, 7, now=1.0)
+        self.publisher.tick(1.0 + PUBLISH_AFTER_S - 0.01)
+        self.assertIsNone(self.published())
+        self.publisher.tick(1.0 + PUBLISH_AFTER_S)
+        self.assertEqual(3, self.published())
+
+    def test_what_a_start_finds_on_the_disk_is_left_to_the_primary(self):
+        """It is as old as the last snapshot; all may have started at once, with edges that know nothing."""
+        self.commit(3, 7, now=1.0)
+        self.publisher.restored()
+        for tenth in range(100):
+            self.publisher.tick(1.0 + tenth / 10.0)
+        self.assertIsNone(self.published())
+        self.is_primary = True
+        self.publisher.tick(12.0)
+        self.assertEqual(3, self.published())
+
+    def test_nothing_older_replaces_what_another_has_published(self):
+        self.registry.put(CONFIGURATION, b"newer", 9)
+        self.is_primary = True
+        self.commit(3, 7, now=1.0)
+        self.assertEqual(9, self.published())
+
+    def test_a_primary_without_a_configuration_publishes_nothing(self):
+        self.is_primary = True
+        self.publisher.tick(1.0)
+        self.assertIsNone(self.published())
 
 
 class PackingTest(testtools.TestCase):
