--- a/larchgw/lab/operator_calls/cluster.py
+++ b/larchgw/lab/operator_calls/cluster.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
@@ -19,6 +20,7 @@
 from ...replication.explore_disk import Crashed, SimulatedDisk
 from ...replication.member import Member
 from ...replication.settings import MemberSettings
+from ...replication.view import View
 from ...rpc.client import RpcClient
 from ...rpc.errors import RpcConnectionLost, RpcTimeout
 from ...rpc.generated.ttypes import OperatorAnswer, OperatorCall, PeerMessage
@@ -58,6 +60,7 @@
 
     def start(self) -> None:
         """Takes up its disk, and ticks from now on."""
+        self.member.set_contacts(self.cluster.addresses)
         self.log.start()
         self._changed()
         self._tick()
@@ -79,7 +82,7 @@
             step()
         except Crashed:
             self.cluster.crash(self)
-        self.cluster.observe()
+        self.cluster.observe(self)
 
     def serve(self, call: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Begins to serve a call from outside."""
@@ -177,6 +180,11 @@
         future.set_result(outcome)
 
 
+def _identity(disk: SimulatedDisk) -> str:
+    stored = disk.cells.get("identity")
+    return "" if stored is None else str(json.loads(stored)["id"])
+
+
 def connected(sender: str, receiver: str) -> bool:
     """No link is cut."""
     return False
@@ -206,6 +214,7 @@
         self.disks = {address: SimulatedDisk() for address in self.addresses}
         self.processes: dict[str, Process] = {}
         self.states: set[int] = set()
+        self._newest_view: View | None = None  # in which somebody acted as primary
         self.failed: asyncio.Future[None] = self.loop.create_future()
 
     # ---- machines ----
@@ -230,6 +239,22 @@
         if power:
             self.disks[address].lose_power(self.random)
 
+    def wipe(self, address: str) -> None:
+        """The process ends, and its disk is empty from now on."""
+        self.kill(address)
+        self.disks[address] = SimulatedDisk()
+
+    def may_lose_a_disk(self) -> bool:
+        """Whether one more disk may be lost within what the system survives; those whose successors are not
+        in sync and witnesses yet count as lost."""
+        view = self._newest_view
+        if view is None:
+            return False
+        names = [_identity(disk) for disk in self.disks.values()]
+        seated = [name for name in names if name in view.in_sync and name in view.witnesses
+                  and name in view.former_witnesses]
+        return len(names) - len(seated) < self.survive
+
     def crash(self, process: Process) -> None:
         """The process has broken off in the middle of a write."""
         if self.processes.get(process.address) is process:
@@ -302,8 +327,12 @@
 
     # ---- what is seen ----
 
-    def observe(self) -> None:
-        """Counts the states that the processes are in."""
+    def observe(self, process: Process) -> None:
+        """Counts the states that the processes are in, and notes the view in which this one acts."""
+        view, newest = process.member.view, self._newest_view
+        if process.member.acting_epoch is not None and view is not None:
+            if newest is None or view.epoch > newest.epoch:
+                self._newest_view = view
         self.states.add(hash(tuple(process.digest() for process in self.processes.values())))
 
     def fail(self, error: BaseException) -> None:
--- a/larchgw/lab/operator_calls/faults.py
+++ b/larchgw/lab/operator_calls/faults.py
@@ -26,7 +26,7 @@
         self._random = cluster.random
         faults: list[Callable[[], None]] = [
             self._kill, self._lose_power, self._break_in_a_write, self._freeze, self._cut, self._cut_one_way,
-            self._unreliable, self._leave, self._fill_disk, self._kill_all,
+            self._unreliable, self._leave, self._fill_disk, self._kill_all, self._wipe, self._wipe,
         ]
         # Some sorts only, so that a run may have many of the same and of what goes together.
         drawn = self._random.sample(faults, self._random.choice((1, 2, 4, len(faults))))
@@ -91,6 +91,12 @@
             self._cluster.kill(address, power=True)
             self._restart_later(address)
 
+    def _wipe(self) -> None:
+        if self._cluster.may_lose_a_disk():
+            address = self._any()
+            self._cluster.wipe(address)
+            self._restart_later(address)
+
     def _break_in_a_write(self) -> None:
         address = self._any()
         self._cluster.disks[address].crash_after = self._random.randrange(6)
