Views: the witnesses grow no further than survive asks, and a vote that leaves is given to another

Cause: the witnesses grew with every pair of new members and never shrink.

Change: they grow to 2 * survive + 1 and no further, unless zones or regions may be lost too. A member that leaves passes its vote on if a member in sync without a vote stands by, before the primary agrees to its end; so two planned replacements at once leave a group that bears the next loss at once. Without such a member the vote stays, as for a restart.

The exploration counted only members in sync with a vote as there, so with more machines than votes it never took a disk away; now it counts what is lost of the view: disks that are gone, and votes without a copy.

--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -244,7 +244,8 @@
         member_settings = MemberSettings(
             address=self.address, seeds=tuple(seed_rpc_addresses(settings)), first_boot=settings.first_boot,
             fresh_identity=fresh, survive=settings.survive.computers,
-            lease_term=settings.time_limits.lease_term_ms / 1000.0)
+            lease_term=settings.time_limits.lease_term_ms / 1000.0,
+            all_decide=settings.survive.zones > 0 or settings.survive.regions > 0)
         return Member(member_settings, self.disk.ports, self.state.snapshot, self._dice)
 
     def _make_placement(self) -> PlacementService:
--- a/larchgw/replication/explore_faults.py
+++ b/larchgw/replication/explore_faults.py
@@ -160,7 +160,7 @@
 
     def _take_away(self, address: str) -> None:
         """Its disk goes too, unless others were lost meanwhile."""
-        if not self._world.is_seated(address) or self._world.may_lose_a_disk():
+        if self._world.may_lose_a_disk(address):
             self._world.destroy(address)
         else:
             self._restart_later(address)
--- a/larchgw/replication/planning.py
+++ b/larchgw/replication/planning.py
@@ -31,15 +31,15 @@
     return View(epoch, candidate, backups, base.witnesses, base.former_witnesses, base.addresses)
 
 
-def next_view(epoch: int, view: View, standing: Standing, minimum: int) -> View | None:
+def next_view(epoch: int, view: View, standing: Standing, minimum: int, most_witnesses: int) -> View | None:
     """The change that the primary of `view` should make now; None if there is none. One step a view: the
-    in-sync set first, then the witnesses."""
+    in-sync set first, then the witnesses. `minimum`: copies of what is acknowledged."""
     backups = _next_backups(view, standing, minimum)
     if set(backups) != set(view.backups):
         return _changed(epoch, view, standing, backups, view.witnesses, view.former_witnesses)
     if view.is_joint:
         return _changed(epoch, view, standing, view.backups, view.witnesses, view.witnesses)
-    witnesses = _next_witnesses(view, standing)
+    witnesses = _next_witnesses(view, standing, most_witnesses)
     if set(witnesses) != set(view.witnesses):
         return _changed(epoch, view, standing, view.backups, witnesses, view.witnesses)
     return None
@@ -70,15 +70,17 @@
     return tuple(chosen)
 
 
-def _next_witnesses(view: View, standing: Standing) -> tuple[str, ...]:
-    """One lost witness replaced by an in-sync member that is none yet; else more witnesses, an odd number.
-    The set never shrinks: leases rely on it."""
-    spare = [member for member in view.in_sync
-             if member not in view.witnesses and (member == view.primary or member in standing.healthy)]
-    lost = [member for member in view.witnesses if member in standing.gone]
+def _next_witnesses(view: View, standing: Standing, most: int) -> tuple[str, ...]:
+    """One witness that is lost, or leaves, replaced by an in-sync member that is none yet; else more
+    witnesses, an odd number and no more than `most`. The set never shrinks, as leases rely on it: if it grew
+    with each machine that comes before the one that it replaces goes, those that went would soon be half of
+    it."""
+    staying = (standing.healthy | {view.primary}) - standing.leaving
+    spare = [member for member in view.in_sync if member not in view.witnesses and member in staying]
+    lost = [member for member in view.witnesses if member in standing.gone | standing.leaving]
     if lost and spare:
         return tuple(spare[0] if member == lost[0] else member for member in view.witnesses)
-    size = len(view.witnesses) + len(spare)
+    size = min(len(view.witnesses) + len(spare), most)
     size -= 1 - size % 2
     added = max(0, size - len(view.witnesses))
     return (*view.witnesses, *spare[:added])
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass, field
 
 from .snapshot_transfer import PIECE_BYTES
@@ -39,7 +40,9 @@
 class MemberSettings:
     """`seeds` are the rpc addresses of the first witnesses, the same and in the same order at all of them.
     `fresh_identity` is used if the disk is empty and this is not the first boot of a seed; it must be unique.
-    `survive` members may be lost at once: a record is acknowledged with survive + 1 copies at least."""
+    `survive` members may be lost at once: a record is acknowledged with survive + 1 copies at least, and
+    2 * survive + 1 decide. `all_decide`: more may be lost if they are near to one another, so every member in
+    sync is to have a vote."""
 
     address: str
     seeds: tuple[str, ...]
@@ -47,6 +50,7 @@
     fresh_identity: str
     survive: int
     lease_term: float  # seconds
+    all_decide: bool = False
     compact_records: int = 100  # a snapshot replaces the log once it holds so many records
     compact_bytes: int = 16 << 20  # or so many bytes
     compact_replay_bytes: int = 128 << 20  # or if records times the size of the state are so many: to take a
@@ -54,3 +58,13 @@
     batch_bytes: int = 1 << 20  # of records in one message, unless one alone is larger
     piece_bytes: int = PIECE_BYTES  # of a snapshot in one message
     timing: Timing = field(default_factory=Timing)
+
+    @property
+    def minimum_copies(self) -> int:
+        """Members in sync, at least."""
+        return self.survive + 1
+
+    @property
+    def most_witnesses(self) -> int:
+        """Up to which the witnesses grow by members that come."""
+        return sys.maxsize if self.all_decide else 2 * self.survive + 1
--- a/larchgw/replication/view_changes.py
+++ b/larchgw/replication/view_changes.py
@@ -25,7 +25,7 @@
     TakeOver,
 )
 from .outbox import Outbox
-from .planning import Standing, failover_view, next_view, same_view
+from .planning import failover_view, next_view, same_view
 from .replica import Replica
 from .roster import Roster
 from .settings import MemberSettings
@@ -141,10 +141,13 @@
             self.leading.join(now, join.member)
 
     def leave(self, now: float, sender: str, leave: Leave) -> None:
-        """A member is about to end. The primary agrees once nothing depends on it any more."""
+        """A member is about to end. The primary agrees once it has made what changes it can, and nothing
+        depends on the other any more."""
         self._departures.asked(now, leave.member)
         if self.leading is None or not self.leading.has_contact(now):
             return
+        if self._next_view(now, self.leading.view.epoch + 1, self.leading) is not None:
+            return
         if self.leading.can_spare(now, leave.member, self._departures.spared(now) - {leave.member}):
             self._departures.spare(leave.member)
             self._outbox.send(sender, Left(self.leading.view.epoch))
@@ -241,15 +244,16 @@
     def _review(self, now: float, leading: Leadership) -> None:
         """Begins a ballot if the view should change, or if another's promise stands in its way."""
         overruled = leading.refused_since is not None and now - leading.refused_since >= self._timing.refused
-        standing = self._standing(now, leading)
-        change = next_view(leading.view.epoch + 1, leading.view, standing, self._settings.survive + 1)
+        change = self._next_view(now, leading.view.epoch + 1, leading)
         if change is None and not overruled:
             return
         self._candidate.see_epoch(self._witness.promised)
         self._candidate.start(now, leading.view)
 
-    def _standing(self, now: float, leading: Leadership) -> Standing:
-        return leading.standing(now, self._roster.replaced, self._departures.leaving(now))
+    def _next_view(self, now: float, epoch: int, leading: Leadership) -> View | None:
+        standing = leading.standing(now, self._roster.replaced, self._departures.leaving(now))
+        return next_view(epoch, leading.view, standing, self._settings.minimum_copies,
+                         self._settings.most_witnesses)
 
     # ---- the ballot ----
 
@@ -286,10 +290,9 @@
         self._candidate.propose(view)
 
     def _compose(self, now: float, ballot: Ballot) -> View:
-        minimum = self._settings.survive + 1
         leading = self.leading
         if leading is None or ballot.base.epoch != leading.view.epoch:
             return failover_view(ballot.epoch, self._me, ballot.base, ballot.promised,
-                                 self._departures.leaving(now), minimum)
-        change = next_view(ballot.epoch, leading.view, self._standing(now, leading), minimum)
+                                 self._departures.leaving(now), self._settings.minimum_copies)
+        change = self._next_view(now, ballot.epoch, leading)
         return change if change is not None else same_view(ballot.epoch, leading.view)
