--- a/deploy/days/draw.py
+++ b/deploy/days/draw.py
@@ -69,6 +69,10 @@
         main=troubles.RACES + troubles.SECOND_LOSS, beside=troubles.BESIDE_ANSWERS,
         starts=starts(1.0, 2.5, 38.5), length_s=42.0, plans=troubles.RACE_PLANS, closings=CLOSINGS,
         always=('kind = "config_race", count = 60, gap_s = 0.6', 'kind = "ack_lost", for_s = 38.0, x = 0.5')),
+    "pairs": Group(
+        main=troubles.PAIRS, beside=troubles.BESIDE_ANSWERS, starts=starts(1.0, 4.0, 37.0), length_s=42.0,
+        plans=troubles.RACE_PLANS, closings=CLOSINGS,
+        always=('kind = "config_race", count = 30, gap_s = 1.2', storm(38.0, 0.5))),
     "long": Group(
         main=troubles.LONG, beside=troubles.OTHERS, starts=starts(5.0, 14.0, 285.0), length_s=300.0,
         plans=troubles.LONG_PLANS, always=(storm(295.0, 0.25),), closings=CLOSINGS),
--- a/deploy/days/troubles.py
+++ b/deploy/days/troubles.py
@@ -189,6 +189,30 @@
     'kind = "disk_full", count = 1, for_s = 4.0, how = "leader"',
 ]
 
+# Group `pairs`: two machines at once, and others soon after them; where only one may be lost, one is.
+PAIRS = [
+    *variants('kind = "node_kill", on = "core", count = 2, for_s = {}, how = "{}"',
+              (1.0, "power leader"), (3.0, "power seed meet"), (2.0, "leader race drain hard"),
+              (2.0, "power turn race")),
+    *variants('kind = "node_freeze", on = "core", count = 2, for_s = 5.0, how = "{}"',
+              "leader race drain", "reader meet"),
+    *variants('kind = "core_cut", count = 2, for_s = {}, how = "{}"',
+              (6.0, "leader race"), (6.0, "oldest lure"), (5.0, "one_way leader race"), (5.0, "both leader"),
+              (8.0, "all leader race"), (6.0, "seeds"), (12.0, "near leader lure"),
+              (5.0, "reset leader meet")),
+    *variants('kind = "replace_core", x = {}, how = "{}"',
+              (0.5, "oldest"), (0.5, "leader"), (1.0, "oldest"), (1.0, "planned leader"), (2.0, "seed")),
+    *variants('kind = "after_ack_wipe", for_s = {}, how = "{}"',
+              (0.8, ""), (0.8, "oldest"), (2.0, "power"), (1.0, "oldest"), (1.0, "race drain")),
+    *variants('kind = "after_ack_kill", count = {}, for_s = 1.0, how = "{}"',
+              (2, "timed"), (3, "kill timed"), (2, "")),
+    *variants('kind = "disk_full", count = 2, for_s = 5.0, how = "{}"', "", "leader"),
+    'kind = "disk_stall", count = 2, for_s = 4.0, how = "leader"',
+    'kind = "disk_slow", count = 3, x = 30.0, for_s = 5.0, how = "leader"',
+    'kind = "seed_turnover"',
+    'kind = "herd_kill", on = "core", share = 1.0, for_s = 0.8, how = "power"',
+]
+
 # Group `long`: hundreds of changes while machines restart, lose their disks or fill them.
 LONG = [
     *variants('kind = "roll_term", on = "core", gap_s = {}, how = "{}"', (2.0, ""), (3.0, "busy race")),
--- a/tests/test_drawn_days.py
+++ b/tests/test_drawn_days.py
@@ -15,7 +15,7 @@
 SEEDS = range(1, 4)
 
 
-GROUPS = ("mixed", "cut-off", "races", "second-loss", "dense", "long", "answers", "answers-of-pools")
+GROUPS = ("mixed", "cut-off", "races", "second-loss", "dense", "pairs", "long", "answers", "answers-of-pools")
 FAULTS_OF_POOLS = ("idle_race", "srv_lying_health", "srv_flap")  # not every site has the contracts for these
 
 
