Words: worker in place of box in net, estimates, choice and the modules beside them

Nothing else; no metric or log name changes (the field `box` of the log and the outcomes' texts are left).

--- a/larchgw/bans.py
+++ b/larchgw/bans.py
@@ -1,4 +1,4 @@
-"""Boxes taken out by hand, kept in a file: they stay out when this process does not."""
+"""Workers taken out by hand, kept in a file: they stay out when this process does not."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class BanFile:
-    """Box ids and when each was taken out. Without a folder nothing is kept."""
+    """Worker ids and when each was taken out. Without a folder nothing is kept."""
 
     def __init__(self, folder: str | None, name: str) -> None:
         self._path = Path(folder) / f"larchgw-{name.encode().hex()}.bans" if folder else None
--- a/larchgw/choice.py
+++ b/larchgw/choice.py
@@ -193,7 +193,7 @@
 
     def _place(self, now: float, job: Job) -> bool:
         """Sends a job if the window is open and a worker has room for it."""
-        open_ = self.fleet.reports.on or self.active <= 0 or (  # boxes tell of their room, or are to show it
+        open_ = self.fleet.reports.on or self.active <= 0 or (  # they tell of their room, or are to show it
             self.active + job.request.slots + self.room.kept(now, job) <= self.window)
         worker = self._choose(now, job) if open_ else None
         if worker is None:
@@ -600,13 +600,13 @@
     def on_probed(self, now: float, worker: WorkerId, status: int, latency: float,
                   report: Sequence[float]) -> None:
         """A worker answered a probe, or did not."""
-        box = self.workers.get(worker)
-        if box and status == Status.OK:
-            self.fleet.reports.heard(now, box, report)
-            self._alive(now, box)
-        elif box and self.fleet.reports.failed(now, worker) > 1 and box.ready:
-            self._suspect(now, box, 1.0)
-            for attempt in [a for job in self.jobs.values() for a in job.attempts if a.worker is box]:
+        known = self.workers.get(worker)
+        if known and status == Status.OK:
+            self.fleet.reports.heard(now, known, report)
+            self._alive(now, known)
+        elif known and self.fleet.reports.failed(now, worker) > 1 and known.ready:
+            self._suspect(now, known, 1.0)
+            for attempt in [a for job in self.jobs.values() for a in job.attempts if a.worker is known]:
                 self._check(now, attempt, self.watch[self._watch_of(attempt.job)])
 
     # Time
--- a/larchgw/estimates/cold.py
+++ b/larchgw/estimates/cold.py
@@ -1,12 +1,13 @@
-"""Turns at boxes that have just started, so that all dispatchers together do not push one over.
+"""Turns at workers that have just started, so that all dispatchers together do not push one over.
 
-The rule counts work: what is sent to a cold box within `tip_span` seconds must stay under `tip_multiple`
-times what the box can do at present. No dispatcher sees what the others send. One that kept a budget for
-each box would, as one of 200, wait minutes for its turn at any of them while all stand idle. So what falls
-to it at all cold boxes together is one budget, and each turn goes to a box drawn by its part of it: what
-comes to a box from all of them then scatters around its mean by its root, whatever their number.
+The rule counts work: what is sent to a cold worker within `tip_span` seconds must stay under `tip_multiple`
+times what the worker can do at present. No dispatcher sees what the others send. One that kept a budget for
+each worker would, as one of 200, wait minutes for its turn at any of them while all stand idle. So what falls
+to it at all cold workers together is one budget, and each turn goes to a worker drawn by its part of it: what
+comes to a worker from all of them then scatters around its mean by its root, whatever their number.
 
-That scatter is dear: four roots below the rule leave a box that has just started a sixth of what it can do.
+That scatter is dear: four roots below the rule leave a worker that has just started a sixth of what it
+can do.
 Where each dispatcher is told its rank, turns go by rota in place of lots: none scatter, but for jobs' sizes.
 """
 
@@ -27,30 +28,30 @@
 # one span in ten thousand over the rule.
 SAFE, ROOTS = 0.8, 3.0
 LOT_SAFE, LOT_ROOTS = 0.85, 4.0
-LARGE = 0.5  # of a box's budget: a job of more than that is not for it yet
-FIRST = 0.4  # of a mean job: what each of a few senders may have saved up for a box that has just started
+LARGE = 0.5  # of a worker's budget: a job of more than that is not for it yet
+FIRST = 0.4  # of a mean job: what each of a few senders may have saved up for a worker that has just started
 FEW = 3.0  # senders that may
 MANY = 10  # dispatchers from which lots are drawn
-PLANNED = 1.3  # of a box's present capacity: what turns by rota give it in mean jobs
+PLANNED = 1.3  # of a worker's present capacity: what turns by rota give it in mean jobs
 LARGE_TURNS = 4  # one of so many turns by rota may go to a job larger than the mean
-TRIES = 4  # boxes drawn until one may have the turn
-RECKON = 0.1  # seconds for which the sum over all cold boxes is kept
+TRIES = 4  # workers drawn until one may have the turn
+RECKON = 0.1  # seconds for which the sum over all cold workers is kept
 
 
 class ColdTurns:
-    """One dispatcher's budget at cold boxes, in mean jobs."""
+    """One dispatcher's budget at cold workers, in mean jobs."""
 
     def __init__(self, settings: Settings, seed: int, able: Callable[[Worker], float],
                  mean_job: Callable[[], float], flow: Callable[[], float],
                  uneven: Callable[[], float] = lambda: 1.0) -> None:
-        """`able`: slot seconds a second that this box can do when warm, as on a usual box.
+        """`able`: slot seconds a second that this worker can do when warm, as on a usual worker.
 
         `mean_job`: slot seconds of a job; `flow`: jobs a second that come to all dispatchers, 0 if not known.
         """
         self.s, self._able, self._mean_job, self._flow = settings, able, mean_job, flow
         self._uneven = uneven  # mean square of jobs' sizes over the square of their mean
         self._random = random.Random(seed)
-        self.boxes: dict[bytes, Worker] = {}
+        self.workers: dict[bytes, Worker] = {}
         self.tokens, self._at = 0.0, 0.0
         self.parts = 1  # processes that act as this one dispatcher
         self._turn: Worker | None = None
@@ -61,9 +62,9 @@
         self._used: dict[bytes, int] = {}  # by rota: the last turn of ours there that we have used
 
     def joined(self, now: float, worker: Worker) -> None:
-        """A box has started. Few senders give it a first small job at once: it shows that it works."""
+        """A worker has started. Few senders give it a first small job at once: it shows that it works."""
         self._accrue(now)
-        self.boxes[worker.id] = worker
+        self.workers[worker.id] = worker
         self._used.pop(worker.id, None)  # its turns are counted from its start
         self.tokens += FIRST * self._random.random() * min(1.0, FEW / self.s.instances)
         self._reckoned = -1.0
@@ -71,13 +72,13 @@
     def left(self, worker: Worker) -> None:
         """It is gone, or warm."""
         self._used.pop(worker.id, None)
-        if self.boxes.pop(worker.id, None) is not None:
+        if self.workers.pop(worker.id, None) is not None:
             self._reckoned = -1.0
         if self._turn is worker:
             self._turn = None
 
     def share(self, now: float, worker: Worker) -> float:
-        """The part of its capacity that a box has warmed up to at the least."""
+        """The part of its capacity that a worker has warmed up to at the least."""
         part = (now - worker.up_since) / max(self.s.warm_up, 1e-3)
         return self.s.cold_from + (1.0 - self.s.cold_from) * min(max(part, 0.0), 1.0)
 
@@ -98,11 +99,11 @@
     def mine(self, now: float, worker: Worker) -> int:
         """The number of the turn there that is ours and not used; 0 if there is none.
 
-        A turn lasts for as long as the box takes for a mean job. All read its start off the list, and reckon
-        with the same clock, so they agree on where turns begin; whose it is goes round by rank.
+        A turn lasts for as long as the worker takes for a mean job. All read its start off the list, and
+        reckon with the same clock, so they agree on where turns begin; whose it is goes round by rank.
         """
         age, warm_up = max(now - worker.up_since, 0.0), max(self.s.warm_up, 1e-3)
-        done = self.s.cold_from * age + (1.0 - self.s.cold_from) * age * age / (2.0 * warm_up)  # box seconds
+        done = self.s.cold_from * age + (1.0 - self.s.cold_from) * age * age / (2.0 * warm_up)  # seconds
         unit = max(self._mean_job(), 1e-3) / (PLANNED * max(self._able(worker), 1.0))
         unit = 2.0 ** round(log2(unit))  # estimates differ a little; most agree on the power of two
         number = int(done / unit) + 1
@@ -127,10 +128,10 @@
     def _reckon(self, now: float) -> None:
         if 0.0 <= now - self._reckoned < RECKON:
             return
-        for worker in [w for w in self.boxes.values() if now >= w.warm_at]:
+        for worker in [w for w in self.workers.values() if now >= w.warm_at]:
             self.left(worker)
         self._reckoned = now
-        self._drawn = [w for w in self.boxes.values() if w.ready]
+        self._drawn = [w for w in self.workers.values() if w.ready]
         self._sums = [] if self.rota() else list(accumulate(self.rate(now, w) for w in self._drawn))
         self._total = (self._sums[-1] if self._sums else 0.0) / self.s.instances / self.parts
 
@@ -142,13 +143,13 @@
         self.tokens = min(self.tokens, 1.0 + self._total * self.s.tip_span)
 
     def turn(self, now: float, draw: int, fit: Callable[[Worker], bool]) -> Worker | None:
-        """The cold box whose turn it is, drawn by what falls to it; `fit` says which may have one at all.
+        """The cold worker whose turn it is, drawn by what falls to it; `fit` says which may have one at all.
 
         `draw` is a hash of the job. Where dispatchers are many, it decides by lot whether the job goes to a
-        cold box: each of them has a job or two while its budget grows by a hundredth of one, and those that
-        have most jobs would have no more turns than the rest.
+        cold worker: each of them has a job or two while its budget grows by a hundredth of one, and those
+        that have most jobs would have no more turns than the rest.
         """
-        if not self.boxes:
+        if not self.workers:
             return None
         self._accrue(now)
         if self.rota():
@@ -172,7 +173,7 @@
         return self._drawn[bisect(self._sums, at) % len(self._drawn)]
 
     def may(self, now: float, worker: Worker, draw: int, cost: float) -> bool:
-        """Whether it is this box's turn, and a job of so many mean jobs may take it.
+        """Whether it is this worker's turn, and a job of so many mean jobs may take it.
 
         A lot is the drawn job's alone: others, whose keys have their home there, would come on top.
         """
@@ -189,7 +190,7 @@
         return self.tokens >= min(cost, 1.0)
 
     def spent(self, now: float, worker: Worker, cost: float) -> None:
-        """A job has gone to a cold box."""
+        """A job has gone to a cold worker."""
         self._accrue(now)
         if self.rota():
             self._used[worker.id] = self.mine(now, worker)
--- a/larchgw/estimates/fleet.py
+++ b/larchgw/estimates/fleet.py
@@ -17,26 +17,26 @@
 from .runs import Runs, Taken
 from .works import Works
 
-FAST = 1.2  # times the usual speed that is believed of a box which has just started
-SPREAD = 1.5  # homes of a key over the boxes that its jobs would fill if all were alike
+FAST = 1.2  # times the usual speed that is believed of a worker which has just started
+SPREAD = 1.5  # homes of a key over the workers that its jobs would fill if all were alike
 LONGER = 1.5  # times the expected wait that may well pass, and ...
 UNSEEN = 0.6  # ... of a mean job, for what came there that no list has shown yet
-MAX_KEYS = 64  # keys remembered for one box, where nothing tells of its size
+MAX_KEYS = 64  # keys remembered for one worker, where nothing tells of its size
 SPARE = 1  # homes of a key beyond those that its part of all jobs needs
-MOST_ORDERS = 4096  # keys for which the order of boxes is kept
-PLACES = 8  # boxes in it
+MOST_ORDERS = 4096  # keys for which the order of workers is kept
+PLACES = 8  # workers in it
 LIGHT, HEAVY = 0.25, 4.0  # sizes over the mean that are believed
 NEAR = 0.1  # share of that time where the wait is reckoned from reports, which are as old as a job is long
-HASTE = 0.5  # share of the time a job has left that its wait at a box is expected to take at the most
+HASTE = 0.5  # share of the time a job has left that its wait at a worker is expected to take at the most
 
 
 def _reads_weights(settings: Settings) -> bool:
-    """Of few dispatchers each knows at once of a good part of what is at a box; the list is a second old."""
+    """Of few dispatchers each knows at once much of what is at a worker; the list is a second old."""
     return settings.live_weights and settings.instances > MANY
 
 
 class Fleet:
-    """Loads, running times and turns at cold boxes, as one dispatcher sees them.
+    """Loads, running times and turns at cold workers, as one dispatcher sees them.
 
     Times are seconds on the module's clock. Same sights, same estimates: randomness comes from `seed`.
     """
@@ -48,9 +48,9 @@
         self._salt = self._random.getrandbits(64)
         self.keys = Keys()
         self.health = Health(settings)
-        self.boxes = 0  # that take work
+        self.ready = 0  # that take work
         self._orders: dict[tuple[int, int, int], list[Worker]] = {}  # by key, zone and kind
-        self._weights: dict[bytes, float] = {}  # as listed, where they tell of a box's size
+        self._weights: dict[bytes, float] = {}  # as listed, where they tell of a worker's size
         self.sizes: dict[bytes, float] = {}  # over the mean one
         self.runs = Runs(settings.classes)
         self.taken = Taken()
@@ -69,9 +69,9 @@
     # Told by the module
 
     def listed(self, now: float, listed: Sequence[tuple[Worker, float]], workers: Iterable[Worker]) -> None:
-        """The list gives these boxes these weights; `workers` are all that it has named."""
+        """The list gives these workers these weights; `workers` are all that it has named."""
         workers = [w for w in workers if w.ready]
-        self.boxes = len(workers)
+        self.ready = len(workers)
         if self.live:
             self.loads.told(now, listed)
             warm = [w for w in workers if now >= w.warm_at]
@@ -80,21 +80,21 @@
             self._sized(listed, workers)
 
     def _sized(self, listed: Sequence[tuple[Worker, float]], workers: Sequence[Worker]) -> None:
-        """Boxes are drawn by their size: drawn alike, the slow ones fill first and turn jobs away."""
+        """Workers are drawn by their size: drawn alike, the slow ones fill first and turn jobs away."""
         self._weights.update((w.id, max(size, 0.0)) for w, size in listed)
         told = [size for w in workers if (size := self._weights.get(w.id, 0.0)) > 0.0]
         mean = sum(told) / len(told) if told else 1.0
         self.sizes = {w.id: min(max(self._weights.get(w.id, mean) / mean, LIGHT), HEAVY) for w in workers}
 
     def started(self, now: float, worker: Worker) -> None:
-        """A box has started: it is cold, and holds nothing."""
+        """A worker has started: it is cold, and holds nothing."""
         self.loads.forget(worker.id)
         self.reports.forget(worker.id)
         if now < worker.warm_at:
             self.cold.joined(now, worker)
 
     def gone(self, worker: Worker) -> None:
-        """A box is no longer listed."""
+        """A worker is no longer listed."""
         self.cold.left(worker)
         self._weights.pop(worker.id, None)
         self.loads.forget(worker.id)
@@ -135,9 +135,9 @@
     # Asked by the module
 
     def able(self, worker: Worker) -> float:
-        """Slot seconds a second, as on a usual box, that it can do when warm.
+        """Slot seconds a second, as on a usual worker, that it can do when warm.
 
-        Its cores by its speed, of which no more than `FAST` is believed; or the least that boxes did.
+        Its cores by its speed, of which no more than `FAST` is believed; or the least that workers did.
         """
         if self.reports.on:
             return self.reports.able(worker)
@@ -146,7 +146,7 @@
         return self.taken.value
 
     def wait(self, now: float, job: Job, worker: Worker) -> float:
-        """Seconds that a job sent there now is expected to lose, by its wait and by the box being cold."""
+        """Seconds that a job sent there now is expected to lose, by its wait and by the worker being cold."""
         if self.reports.on:
             # One that is cold starts what comes in all its slots, but can do no more than its share of them.
             share = self.cold.share(now, worker) if now < worker.warm_at else 1.0
@@ -174,14 +174,14 @@
         return LONGER * self.wait(now, job, worker) + UNSEEN * self.runs.mean()
 
     def strange(self, now: float, worker: Worker) -> bool:
-        """Whether a box has held far less than others for a while: it may fail what it gets at once."""
+        """Whether a worker has held far less than others for a while: it may fail what it gets at once."""
         return self.live and now >= worker.warm_at and self.loads.strange(worker)
 
     def draw(self, now: float, job: Job, worker: Worker) -> bool:
-        """Whether a box that a job meets takes it: with the part of what comes that it should get.
+        """Whether a worker that a job meets takes it: with the part of what comes that it should get.
 
-        The verdict on a job and a box holds until the next list, or a job that waits would ask until it had a
-        yes, and everybody's waiting jobs would meet at the box that looks emptiest.
+        The verdict on a job and a worker holds until the next list, or a job that waits would ask until it
+        had a yes, and everybody's waiting jobs would meet at the worker that looks emptiest.
         """
         if not self.live:
             return True
@@ -191,11 +191,11 @@
         return mix((job.request.id ^ worker.point ^ self._salt) + self.loads.lists & MASK) < part * MASK
 
     def order(self, key: int, group: tuple[int, int], workers: Sequence[Worker]) -> Sequence[Worker]:
-        """The boxes for a key, the ones to try first first: the same at every dispatcher.
+        """The workers for a key, the ones to try first first: the same at every dispatcher.
 
-        Highest random weight (Thaler and Ravishankar), each box by what it can do. A key that comes often has
-        as many homes as its part of all jobs needs: of those in our zone first, then by our rank. `workers`
-        are the boxes of this zone and kind.
+        Highest random weight (Thaler and Ravishankar), each worker by what it can do. A key that comes often
+        has as many homes as its part of all jobs needs: of those in our zone first, then by our rank.
+        `workers` are those of this zone and kind.
         """
         found = self._orders.get((key, *group))
         if found is None:
@@ -204,18 +204,18 @@
             found = self._orders[key, *group] = sorted(
                 set(workers), reverse=True,
                 key=lambda w: log((mix(key ^ w.point) + 1) / (MASK + 2)) / self.reports.weight(w))[:PLACES]
-        first = min(int(self.keys.share(key) * self.boxes * SPREAD), len(found) - 1)
+        first = min(int(self.keys.share(key) * self.ready * SPREAD), len(found) - 1)
         start = (max(self.s.rank, 0) + key) % (first + 1) if first > 0 else 0
         homes = found[start:first + 1] + found[:start]
         homes.sort(key=lambda w: w.zone != self.s.zone)
         return homes + found[first + 1:first + 1 + SPARE]
 
     def kept(self, worker: Worker) -> float:
-        """Keys that a box is taken to hold, at the most."""
+        """Keys that a worker is taken to hold, at the most."""
         return self.reports.slots(worker) if self.reports.on else MAX_KEYS
 
     def unsettled(self) -> None:
-        """Boxes have come or gone, or can do more or less than was believed."""
+        """Workers have come or gone, or can do more or less than was believed."""
         self._orders.clear()
 
     def homes(self, key: int, most: int) -> Iterable[int]:
@@ -225,12 +225,12 @@
         """
         if not self.live:
             return ()  # what we have sent ourselves tells who holds it
-        first = min(int(self.keys.share(key) * self.boxes * SPREAD), most - 1)
+        first = min(int(self.keys.share(key) * self.ready * SPREAD), most - 1)
         start = self._random.randrange(first + 1) if first else 0
         return (*range(start, first + 1), *range(start), *range(first + 1, most))
 
     def speed(self, worker: Worker) -> float:
-        """What a box can do over the mean box, as far as its weight in the list tells."""
+        """What a worker can do over the mean worker, as far as its weight in the list tells."""
         if self.live:
             return self.loads.speed(worker)
         return self.sizes.get(worker.id, 1.0) if self.s.sized else 1.0
@@ -240,7 +240,7 @@
         return self.reports.others(now, worker) / self.reports.slots(worker) if self.reports.on else 0.0
 
     def turn(self, now: float, job: Job, fit: Callable[[Worker], bool]) -> Worker | None:
-        """The cold box whose turn it is with this job, if it is any one's and `fit` says yes to it."""
+        """The cold worker whose turn it is with this job, if it is any one's and `fit` says yes to it."""
         return self.cold.turn(now, self._lot(job), lambda w: fit(w) and not self.crowded(now, job, w))
 
     def may_warm(self, now: float, job: Job, worker: Worker) -> bool:
--- a/larchgw/estimates/health.py
+++ b/larchgw/estimates/health.py
@@ -1,4 +1,4 @@
-"""Which boxes fail what they get, by what was seen of them and how long ago."""
+"""Which workers fail what they get, by what was seen of them and how long ago."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 from ..interface import Settings
 from ..records import Worker
 
-BLAME, CLEAR = 0.5, 0.7  # what one failure adds to a box's share of failures, and what one success leaves
+BLAME, CLEAR = 0.5, 0.7  # what one failure adds to a worker's share of failures, and what one success leaves
 MEND = 8.0  # seconds in which what was seen of failures comes to count half
-SICK = 0.1  # share of failures from which a box is sick; in health it is under 0.001
-TRIAL = 4.0  # seconds between trials of a box that fails everything
-EPS = 0.2  # errors a second in a box's report that count as a failure seen
+SICK = 0.1  # share of failures from which a worker is sick; in health it is under 0.001
+TRIAL = 4.0  # seconds between trials of a worker that fails everything
+EPS = 0.2  # errors a second in a worker's report that count as a failure seen
 
 
 class Health:
@@ -21,7 +21,7 @@
         self.s = settings
 
     def share(self, now: float, worker: Worker) -> float:
-        """The share of jobs that this box fails."""
+        """The share of jobs that this worker fails."""
         return float(worker.bad * 0.5 ** ((now - worker.bad_at) / MEND)) if worker.bad else 0.0
 
     def sick(self, now: float, worker: Worker) -> bool:
@@ -33,7 +33,7 @@
             worker.bad, worker.bad_at = CLEAR * self.share(now, worker), now
 
     def failed(self, now: float, worker: Worker, workers: Iterable[Worker]) -> None:
-        """It has failed a job. If half of the boxes are sick, it is the jobs and not they."""
+        """It has failed a job. If half of the workers are sick, it is the jobs and not they."""
         ready = [w for w in workers if w.ready]
         if 2 * (sum(self.sick(now, w) for w in ready if w is not worker) + 1) > len(ready) + 1:
             return
--- a/larchgw/estimates/loads.py
+++ b/larchgw/estimates/loads.py
@@ -1,9 +1,9 @@
-"""What all dispatchers together have at each box, read off the weights in discovery's list.
+"""What all dispatchers together have at each worker, read off the weights in discovery's list.
 
-Where the settings say `weightSource: live`, a box's weight is its nominal size over 1 + requests held per
-core. Its nominal size is the highest weight that any box of its kind has shown, since one that holds nothing
-shows it whole. The list comes to everybody at once, so whoever reads it must not run to its emptiest box:
-callers compare a few boxes drawn at random.
+Where the settings say `weightSource: live`, a worker's weight is its nominal size over 1 + requests held per
+core. Its nominal size is the highest weight that any worker of its kind has shown, since one that holds
+nothing shows it whole. The list comes to everybody at once, so whoever reads it must not run to its emptiest
+worker: callers compare a few workers drawn at random.
 """
 
 from __future__ import annotations
@@ -14,22 +14,22 @@
 from ..interface import WorkerId
 from ..records import Worker
 
-CORES = 4.0  # of a box, until its weights show it
+CORES = 4.0  # of a worker, until its weights show it
 LEAST, SINGLE = 0.03, 0.6  # requests per core that can be the mark of one request alone
 LAG = 0.4  # seconds by which a weight is older than the list that brings it
-FADE = 3.0  # seconds in which half of what one list said of a box is forgotten for what it said of all
+FADE = 3.0  # seconds in which half of what one list said of a worker is forgotten for what it said of all
 SELDOM = 4.0  # seconds between two lists, at the most that is planned for
-SPARE = 0.2  # requests that come for a box beyond those that it ends
-BUSY = 1.5  # requests that a usual box must hold for one that holds few to stand out
+SPARE = 0.2  # requests that come for a worker beyond those that it ends
+BUSY = 1.5  # requests that a usual worker must hold for one that holds few to stand out
 STRANGE, SLOWLY = 0.35, 0.3  # share of the usual load below which one does, and the weight of the last list
-STEADY = 0.98  # share of the flow that is still believed at the next list when the boxes end less
+STEADY = 0.98  # share of the flow that is still believed at the next list when the workers end less
 SLOW_VOTE = 0.9  # what is left of a vote at the next list
 NEWS = 1.05  # times a nominal size that is more than noise
 KEEP = 4.0  # seconds of own sends and ends that are kept
 
 
 class Sight:
-    """What the list said last of one box, and what we ourselves sent and had back since."""
+    """What the list said last of one worker, and what we ourselves sent and had back since."""
 
     __slots__ = ("held", "own", "at", "changes", "power", "left", "room", "even", "long")
 
@@ -46,25 +46,25 @@
 
 
 class Loads:
-    """Requests held by boxes, ours and everybody's."""
+    """Requests held by workers, ours and everybody's."""
 
     def __init__(self) -> None:
         self.cores = CORES
         self.nominal: dict[int, float] = {}  # by kind
         self.sights: dict[WorkerId, Sight] = {}
-        self.usual = 0.0  # held per unit of size, over all boxes that take work
+        self.usual = 0.0  # held per unit of size, over all workers that take work
         self.every, self._last_list = 1.0, 0.0  # seconds between two lists, and when the last one came
         self.mean_size = 1.0
         self.lists = 0
         self.flow = 0.0  # jobs a second that come to all dispatchers
-        self._votes: dict[int, float] = {}  # boxes that spoke for so many cores, older ones for less
+        self._votes: dict[int, float] = {}  # workers that spoke for so many cores, older ones for less
         self.sure = False  # whether weights have shown the cores
 
     def told(self, now: float, listed: Sequence[tuple[Worker, float]]) -> None:
-        """The list gives these boxes these weights."""
+        """The list gives these workers these weights."""
         for worker, weight in listed:
             if weight > NEWS * self.nominal.get(worker.kind, 0.0):
-                # A box that is emptier than any seen before: what was read off the others was too little.
+                # A worker that is emptier than any seen before: what was read off the others was too little.
                 self._votes.clear()
             if weight > self.nominal.get(worker.kind, 0.0):
                 self.nominal[worker.kind] = weight
@@ -85,7 +85,7 @@
     def _count_cores(self, marks: list[float]) -> None:
         """The least load that a list shows is mostly that of one request, which is one over the cores.
 
-        Lists vote. A list in which no box has just one request, or none of a kind is idle, is outvoted.
+        Lists vote. A list in which no worker has just one request, or none of a kind is idle, is outvoted.
         """
         if not marks:
             return
@@ -98,10 +98,10 @@
         self.sure = True
 
     def sum_up(self, now: float, workers: Sequence[Worker], mean_job: float) -> None:
-        """Levels the boxes that take work: how much each should get until it shows in a list.
+        """Levels the workers that take work: how much each should get until it shows in a list.
 
-        What comes meanwhile is poured over the boxes like water: those that hold least for their speed get
-        most, and nobody's share is more than brings it to the common level. Who ran to the emptiest box
+        What comes meanwhile is poured over the workers like water: those that hold least for their speed get
+        most, and nobody's share is more than brings it to the common level. Who ran to the emptiest worker
         instead would meet everybody else there, for all have the same list (Dahlin, "Interpreting stale load
         information").
         """
@@ -146,7 +146,7 @@
             level = (coming + filled) / power
             if index + 1 == len(levels) or level <= levels[index + 1][0]:
                 break
-        # While boxes are lost or cold the rest end less than comes: the flow is what it was before.
+        # While workers are lost or cold the rest end less than comes: the flow is what it was before.
         self.flow = max(coming / self.period(), self.flow * STEADY)
         even = coming / sum(sight.power for _, sight in levels) if levels else 0.0
         for start, sight in levels:
@@ -167,11 +167,11 @@
         return sight is not None and 0.0 <= sight.long < STRANGE
 
     def speed(self, worker: Worker) -> float:
-        """Its nominal size over that of the mean box."""
+        """Its nominal size over that of the mean worker."""
         return self.nominal.get(worker.kind, 1.0) / self.mean_size
 
     def forget(self, worker: WorkerId) -> None:
-        """A box is gone, or another process now."""
+        """A worker is gone, or another process now."""
         self.sights.pop(worker, None)
 
     def changed(self, now: float, worker: WorkerId, slots: float) -> None:
--- a/larchgw/estimates/reports.py
+++ b/larchgw/estimates/reports.py
@@ -1,8 +1,8 @@
-"""What probes tell of boxes that report only when asked: whom to ask when, and what an answer is worth.
+"""What probes tell of workers that report only when asked: whom to ask when, and what an answer is worth.
 
 A report is refreshed now and then and comes late: it is about as old as a job is long. So it is not read as
-what a box holds now, but as what all others have there on the average; to that comes what is ours, which is
-known. A box that does not answer is asked again at once, and is gone if it is silent again.
+what a worker holds now, but as what all others have there on the average; to that comes what is ours, which
+is known. A worker that does not answer is asked again at once, and is gone if it is silent again.
 """
 
 from __future__ import annotations
@@ -16,22 +16,22 @@
 from ..records import Worker
 
 SPENT = 0.0008  # part of the result that probes may cost, by their price and the jobs that come
-OFTEN, SELDOM = 0.25, 2.0  # seconds between two probes of a box by one dispatcher, at the least and the most
-MOST = 12.0  # probes a second that a box gets from all dispatchers
-AGAIN = 0.05  # seconds until a box that did not answer is asked again
+OFTEN, SELDOM = 0.25, 2.0  # seconds between two probes of a worker by one dispatcher, at least and at most
+MOST = 12.0  # probes a second that a worker gets from all dispatchers
+AGAIN = 0.05  # seconds until a worker that did not answer is asked again
 ASKED = 2.0  # seconds after which a probe of which nothing was heard no longer counts as out
 LAG = 0.6  # seconds that a report is old when it comes, on the average
 GAIN = 0.4  # weight of the latest report
 STALE = 4.0  # seconds after which half of what reports said is forgotten
 KEEP = 2.0  # seconds of own sends and ends that are kept
-GUESS = 4.0  # slots of a box, until a report has come from one of its kind
+GUESS = 4.0  # slots of a worker, until a report has come from one of its kind
 SLOWLY = 0.02  # weight of the latest job in the pace of its kind
-NOT = float("-inf")  # when a box was asked, while no probe is out
-FULL = 0.7  # free slots below which a box may have jobs waiting
+NOT = float("-inf")  # when a worker was asked, while no probe is out
+FULL = 0.7  # free slots below which a worker may have jobs waiting
 
 
 class Sight:
-    """What is known of one box."""
+    """What is known of one worker."""
 
     __slots__ = ("others", "free", "at", "due", "asked", "fails", "last", "changes")
 
@@ -50,7 +50,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self._random = random.Random(seed)
         self.sights: dict[WorkerId, Sight] = {}
-        self.kinds: dict[int, float] = {}  # slots of a box of each kind: the most that were seen free
+        self.kinds: dict[int, float] = {}  # slots of a worker of each kind: the most that were seen free
         self.paces: dict[int, list[float]] = {}  # by kind: running times over the usual, and the weight used
         self.period = 0.5
         self._came, self._since, self._flow = 0, 0.0, 0.0
@@ -73,7 +73,7 @@
             self._came, self._since = 0, now
 
     def due(self, now: float, workers: Iterable[Worker]) -> list[WorkerId]:
-        """Boxes to ask now."""
+        """Workers to ask now."""
         if not self.on:
             return []
         asked = []
@@ -89,11 +89,11 @@
             self.period = self._every(len(self.sights))
         return asked
 
-    def _every(self, boxes: int) -> float:
-        """Seconds between two probes of a box."""
+    def _every(self, workers: int) -> float:
+        """Seconds between two probes of a worker."""
         rate = MOST / self.s.instances
         if self.s.price_probe > 0.0:
-            rate = min(rate, SPENT / self.s.price_probe * max(self._flow, 1.0) / max(boxes, 1))
+            rate = min(rate, SPENT / self.s.price_probe * max(self._flow, 1.0) / max(workers, 1))
         return min(max(1.0 / rate, OFTEN), SELDOM)
 
     def failed(self, now: float, worker: WorkerId) -> int:
@@ -109,14 +109,14 @@
     # What is heard
 
     def heard(self, now: float, worker: Worker, report: Sequence[float]) -> None:
-        """A box has answered a probe."""
+        """A worker has answered a probe."""
         sight = self.sights.get(worker.id)
         if sight is None:
             return
         sight.asked, sight.fails = NOT, 0
         sight.due = now + self.period * self._random.uniform(0.7, 1.3)
         if len(report) <= self.s.slot_reports or not any(report):
-            return  # an idle box has free slots: all naught is said by one that knows nothing yet
+            return  # an idle worker has free slots: all naught is said by one that knows nothing yet
         free = max(report[self.s.slot_reports], 0.0)
         self.kinds[worker.kind] = max(self.kinds.get(worker.kind, 0.0), free)
         new, sight.last = tuple(report) != sight.last, tuple(report)
@@ -151,22 +151,22 @@
             sight.changes.popleft()
 
     def forget(self, worker: WorkerId) -> None:
-        """A box is gone, or another process now."""
+        """A worker is gone, or another process now."""
         self.sights.pop(worker, None)
 
     # What it is worth
 
     def slots(self, worker: Worker) -> float:
-        """Slots of a box; never under one."""
+        """Slots of a worker; never under one."""
         return max(self.kinds.get(worker.kind, GUESS), 1.0)
 
     def able(self, worker: Worker) -> float:
-        """Slot seconds a second that it can do when warm, as on a usual box; never more than it has slots."""
+        """Slot seconds a second that it can do when warm, as on a usual one; never more than it has slots."""
         pace = self.paces.get(worker.kind)
         return self.slots(worker) / max(pace[0] if pace else 1.0, 1.0)
 
     def paced(self, worker: Worker, ratio: float) -> bool:
-        """A job ran there for so many times the usual; whether boxes of its kind weigh otherwise now."""
+        """A job ran there for so many times the usual; whether workers of its kind weigh otherwise now."""
         pace = self.paces.setdefault(worker.kind, [1.0, 0.0])
         pace[0] += SLOWLY * (min(ratio, 5.0) - pace[0])
         weight = 2.0 * log2(self.slots(worker) / max(pace[0], 0.1))
@@ -176,7 +176,7 @@
         return True
 
     def weight(self, worker: Worker) -> float:
-        """What a box of its kind can do, beside others."""
+        """What a worker of its kind can do, beside others."""
         pace = self.paces.get(worker.kind)
         return float(2.0 ** (pace[1] / 2.0)) if pace else 1.0
 
@@ -188,7 +188,7 @@
         return float(sight.others * 0.5 ** (max(now - sight.at, 0.0) / STALE))
 
     def wait(self, now: float, worker: Worker, slots: float, mean_run: float, share: float = 1.0) -> float:
-        """Seconds that a job of so many slots is expected to wait, or to run longer, at a box.
+        """Seconds that a job of so many slots is expected to wait, or to run longer, at a worker.
 
         `share`: the part of its slots that it can do justice to.
         """
--- a/larchgw/estimates/runs.py
+++ b/larchgw/estimates/runs.py
@@ -49,14 +49,14 @@
 
 
 class Taken:
-    """Slot seconds a second that warm boxes are seen to do, which is the least that they can."""
+    """Slot seconds a second that warm workers are seen to do, which is the least that they can."""
 
     def __init__(self) -> None:
         self.value = 0.0
         self._served, self._since = 0.0, 0.0
 
     def ran(self, work: float) -> None:
-        """A warm box ended a job of ours of so many slot seconds."""
+        """A warm worker ended a job of ours of so many slot seconds."""
         self._served += work
 
     def due(self, now: float) -> bool:
@@ -64,7 +64,7 @@
         return now - self._since > 1.0
 
     def sum_up(self, now: float, instances: int, warm: int) -> None:
-        """A second or more has passed; `warm` boxes serve for so many dispatchers."""
+        """A second or more has passed; `warm` workers serve for so many dispatchers."""
         if self._since and warm:
             seen = self._served / (now - self._since) * instances / warm
             self.value += (0.1 if self.value else 1.0) * (seen - self.value)
--- a/larchgw/estimates/works.py
+++ b/larchgw/estimates/works.py
@@ -41,7 +41,7 @@
         return max(self.xy, 0.0) / max(self.xx, TINY * TINY) * hint if self.n else hint
 
     def run(self, hint: float) -> float:
-        """Seconds that a job with this hint is expected to run on a usual box, with what adds to it."""
+        """Seconds that a job with this hint is expected to run on a usual worker, with what adds to it."""
         if not self.n:
             return hint
         slope = max(self.xy, 0.0) / max(self.xx, TINY * TINY)
@@ -65,5 +65,5 @@
         return line.run(hint), line.least(hint)
 
     def ended(self, job_class: int, hint: float, run: float) -> None:
-        """A job that neither waited nor fetched, as far as we know, ran for so long, as on a usual box."""
+        """A job that neither waited nor fetched, as far as we know, ran for so long, as on a usual worker."""
         self.lines[job_class].add(hint, run)
--- a/larchgw/fronts/agentcheck.py
+++ b/larchgw/fronts/agentcheck.py
@@ -21,8 +21,8 @@
 class AgentCheck:
     """Says one line to whoever connects, then closes.
 
-    `drain` while we stop, `down` while we know no box, else `up ready` with the share of the known boxes that
-    take new work: HAProxy makes that the weight. `up` and `ready` undo an earlier `down` and `drain`.
+    `drain` while we stop, `down` while we know no worker, else `up ready` with the share of the known workers
+    that take new work: HAProxy makes that the weight. `up` and `ready` undo an earlier `down` and `drain`.
     """
 
     name = "agent_check"
--- a/larchgw/fronts/jobheaders.py
+++ b/larchgw/fronts/jobheaders.py
@@ -32,7 +32,7 @@
 def read_job(headers: Mapping[bytes, bytes], deduplicated: bool = False) -> JobHeaders:
     """From headers by their names in small letters; ValueError names the one that is wrong.
 
-    `deduplicated`: its class's boxes drop repeats by Idempotency-Key: a job without one cannot be sent on.
+    `deduplicated`: its class's workers drop repeats by Idempotency-Key: a job without one cannot be sent on.
     """
     twice = next((n for n, value in headers.items() if b"\n" in value), None)
     if twice is not None:
--- a/larchgw/net/discovery.py
+++ b/larchgw/net/discovery.py
@@ -67,7 +67,7 @@
         self._zones, self._kinds = Names(self.named[0]), Names(self.named[1])
 
     def read(self, said: Any) -> Listing:
-        """ValueError if it is not a list of boxes."""
+        """ValueError if it is not a list of workers."""
         try:
             listing = Listing(int(said["version"]), bool(said["full"]), [], {})
             for entry in said["servers"]:
@@ -83,7 +83,7 @@
                 listing.addresses[worker] = (
                     parse_address(address) if address and presence == Presence.READY else None)
         except (KeyError, TypeError, AttributeError) as error:
-            raise ValueError(f"not a list of boxes: {type(error).__name__}: {error}") from error
+            raise ValueError(f"not a list of workers: {type(error).__name__}: {error}") from error
         return listing
 
 
--- a/larchgw/net/keepalive.py
+++ b/larchgw/net/keepalive.py
@@ -1,4 +1,4 @@
-"""How long a kept connection to a box may have stood idle and still be used."""
+"""How long a kept connection to a worker may have stood idle and still be used."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
         self.configure(idle_close)
 
     def configure(self, idle_close: float) -> None:
-        """Boxes close a connection that has stood so long."""
+        """Workers close a connection that has stood so long."""
         self._idle_time = max(min(IDLE_SHARE * idle_close, idle_close - IDLE_MARGIN), 0.1 * idle_close)
 
     def proved_dead(self, now: float, stood: float) -> float:
--- a/larchgw/net/runneranswer.py
+++ b/larchgw/net/runneranswer.py
@@ -1,4 +1,4 @@
-"""Reads what a box answers on one connection: lines of JSON about a job, or a report to a probe."""
+"""Reads what a worker answers on one connection: lines of JSON about a job, or a report to a probe."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     """Is told of signs of life, from within the parser."""
 
     def on_started(self) -> None:
-        """The box has begun to run the job."""
+        """The worker has begun to run the job."""
 
     def on_progress(self, share: float) -> None:
         """So much of the job is done."""
--- a/larchgw/net/runnerlink.py
+++ b/larchgw/net/runnerlink.py
@@ -106,7 +106,7 @@
         host = f"{self.address[0]}:{self.address[1]}".encode()
         left = max(int(1000 * (request.give_up_at - self.pool.loop.clock.now())), 1)
         key = b"X-Key: %016x\r\n" % request.key if request.key else b""
-        # Boxes drop a repeat by this key alone; where clients give none, the job's own name serves.
+        # Workers drop a repeat by this key alone; where clients give none, the job's own name serves.
         deduplicated = self.pool.core.settings.classes[request.job_class].effect == "deduplicated"
         once = request.once or (request.unique or request.name if deduplicated else b"")
         key += b"Idempotency-Key: %b\r\n" % once if once else b""
--- a/larchgw/net/runnerreport.py
+++ b/larchgw/net/runnerreport.py
@@ -1,4 +1,4 @@
-"""What boxes tell of their load, in the order and by the names that the settings give."""
+"""What workers tell of their load, in the order and by the names that the settings give."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 # The settings name the report's fields by the simulator's words, the sockets by these.
 FIELD = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
          "fail_rate": "eps"}
-SILENT = "silent"  # boxes that report nothing
+SILENT = "silent"  # workers that report nothing
 
 
 class ReportReader:
--- a/larchgw/net/runners.py
+++ b/larchgw/net/runners.py
@@ -1,4 +1,4 @@
-"""The transport to boxes that speak HTTP: one request at a time on each kept connection."""
+"""The transport to workers that speak HTTP: one request at a time on each kept connection."""
 
 from __future__ import annotations
 
@@ -18,12 +18,12 @@
 from .runnerlink import RunnerLink
 from .runnerreport import ReportReader
 
-IDLE_CLOSE = 15.0  # seconds after which boxes close idle connections, where the settings do not say
+IDLE_CLOSE = 15.0  # seconds after which workers close idle connections, where the settings do not say
 log = structlog.get_logger()
 
 
 class Runners:
-    """Addresses of the boxes, and the kept connections to each, newest last."""
+    """Addresses of the workers, and the kept connections to each, newest last."""
 
     name = "http"
 
@@ -48,7 +48,7 @@
         self.reports.configure(raw_settings.get("report", {}))
 
     def locate(self, worker: WorkerId, address: tuple[str, int] | None) -> None:
-        """Where a box is now, or that it wants nothing more."""
+        """Where a worker is now, or that it wants nothing more."""
         if address is None or self.addresses.get(worker) != address:
             for link in list(self.idle.get(worker, ())):
                 link.close()
@@ -107,8 +107,8 @@
             link.close()
 
     def _close_drained(self) -> None:
-        """Nothing more is sent to a box that drains: what waits there for its connection goes elsewhere, and
-        kept connections only hold descriptors."""
+        """Nothing more is sent to a worker that drains: what waits there for its connection goes elsewhere,
+        and kept connections only hold descriptors."""
         for link in [x for x in self.links if x.unsent()]:
             moved = link.address != self.addresses.get(link.worker)
             if moved or not self.core.boxes.open_to_work(link.worker):
--- a/larchgw/upgrade/handover.py
+++ b/larchgw/upgrade/handover.py
@@ -261,7 +261,7 @@
             self._timer = self.loop.deadlines.add(self.loop.clock.now() + PENDING_EVERY, self._tell_pending)
 
     def _weigh(self) -> None:
-        """The module counts what others have pending at a box as if it stood before its own."""
+        """The module counts what others have pending at a worker as if it stood before its own."""
         pending: dict[WorkerId, float] = {}
         for peer in self.peers:
             for worker, slots in peer.pending.items():
--- a/larchgw/upgrade/moving.py
+++ b/larchgw/upgrade/moving.py
@@ -23,7 +23,7 @@
 
 
 def pack(request: Request, core: Core) -> tuple[bytes, list[int]] | None:
-    """The packet and its descriptors: the client's, and the box's if an attempt is out. None if it stays.
+    """The packet and its descriptors: the client's, and the worker's if an attempt is out. None if it stays.
 
     Times go without the clock's `offset`, which is each process's own.
     """
--- a/larchgw/wsgi.py
+++ b/larchgw/wsgi.py
@@ -64,7 +64,7 @@
         return self._node.config.settings.classes[self._classes[job_class]].deadline
 
     def keyed(self, job_class: str) -> bool:
-        """Whether boxes drop repeats of this class by key; KeyError for an unknown class."""
+        """Whether workers drop repeats of this class by key; KeyError for an unknown class."""
         return self._node.config.settings.classes[self._classes[job_class]].effect == "deduplicated"
 
     def submit(self, job_class: str, body: bytes, *, target: str = "", name: str = "", wait: float = 0.0,
@@ -72,7 +72,7 @@
                repeat: bool = False, tenant: str = "", once: str = "") -> Future[Answer]:
         """Hands a job in; the future gets its one final answer. Cancelling it gives the job up.
 
-        `once`: the key by which boxes know a repeat of a deduplicated job; its name where left out.
+        `once`: the key by which workers know a repeat of a deduplicated job; its name where left out.
         ValueError for one that no header can carry.
         """
         number = self._classes[job_class]
