--- a/tests/test_edge_answers.py
+++ b/tests/test_edge_answers.py
@@ -174,3 +174,54 @@
         body = await client.ended()
         assert event(1) in body and event(2)[:6] not in body and not body.endswith(b"0\r\n\r\n")
         assert second.unread == 0 and made.selection.outcomes == [AttemptOutcome.GARBLED]
+
+
+# Bytes that stand where the rest of an answer is due
+
+
+@pytest.mark.parametrize("path", ["/streaming/x", "/once/x"])
+@pytest.mark.parametrize("whole", [True, False])
+@on_loop
+async def test_another_answer_in_the_middle_of_a_stream_is_no_part_of_it(path: str, whole: bool) -> None:
+    """Behind a whole event, or within one."""
+    first, second = ScriptedRunner("i-1"), ScriptedRunner("i-2")
+    async with edge(first, second) as made:
+        client = await made.ask(path)
+        call = await first.call()
+        call.stream()
+        call.events(1)
+        if not whole:
+            call.chunk(event(2)[:6])
+        call.answer(b"surplus")
+        assert (await client.head())[0] == 200 and await client.chunk() == event(1)
+        if path == "/once/x":
+            assert b"0\r\n\r\n" not in await client.ended() and second.unread == 0
+        else:
+            call = await second.call()
+            assert call.headers["last-event-id"] == "1"
+            call.stream()
+            call.events(2)
+            call.end()
+            assert await client.chunk() == event(2) and await client.chunk() == b""
+        assert made.selection.outcomes[0] is AttemptOutcome.GARBLED
+
+
+@on_loop
+async def test_what_comes_behind_the_last_chunk_is_no_part_of_a_stream() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        client = await made.ask("/streaming/x")
+        call = await runner.call()
+        call.stream()
+        call.events(1)
+        call.end()
+        call.events(2)
+        assert (await client.head())[0] == 200
+        assert await client.chunk() == event(1) and await client.chunk() == b""
+        client.ask("/streaming/x", "id2")
+        call = await runner.call()
+        assert runner.opened == 2
+        call.stream()
+        call.events(7)
+        call.end()
+        assert (await client.head())[0] == 200 and await client.chunk() == event(7)
--- a/tests/test_edge_terms.py
+++ b/tests/test_edge_terms.py
@@ -102,6 +102,24 @@
         assert (await client.answer()).status == 504
 
 
+@on_loop
+async def test_a_request_sent_ahead_says_what_is_left_once_its_turn_has_come() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner, clock=FakeClock()) as made:
+        client = await made.client()
+        client.ask(name="id1")
+        client.ask("/writing/x", "id2")
+        client.ask("/writing/x", "id3", X_Time_Left_Ms="2000")
+        first = await runner.call()
+        made.move(3.0)
+        first.answer()
+        call = await runner.call()
+        assert call.id == "id2" and 500 < left(call.headers) <= 1000
+        call.answer()
+        assert [(await client.answer()).status for _ in range(3)] == [200, 200, 503]
+        assert runner.unread == 0
+
+
 # GONE: nobody works for a client that has left
 
 
