A primary counts no copy of its own that is not durable; many records are handed out a few at a time

Cause, found by walk 1231 of the exploration: what a killed process had appended and not synced counted as its own copy once it led; it was acknowledged, lost with the power, and another record put in its place.

Records are handed out by the size of the state; calls end when their records have been handed out. The exploration checks that, that no vote goes against a promise sent before, and that a mutant's run is whole without the mutant: the run of two mutants had been caught by the fault above.

--- a/larchgw/replication/compaction.py
+++ b/larchgw/replication/compaction.py
@@ -37,6 +37,5 @@
     def _has_outgrown(self, factor: int) -> bool:
         records, size = self._replica.size
         settings = self._settings
-        state = max(self._replica.snapshot_bytes, size)  # the records may hold what makes it large
         return (records >= factor * settings.compact_records or size >= factor * settings.compact_bytes
-                or records * state >= factor * settings.compact_replay_bytes)
+                or records * self._replica.state_bytes >= factor * settings.compact_replay_bytes)
--- a/larchgw/replication/explore.py
+++ b/larchgw/replication/explore.py
@@ -56,6 +56,11 @@
     return world
 
 
+def run(kind: str, seed: int) -> World:
+    """One "walk" or "course"."""
+    return walk(seed) if kind == "walk" else course(seed)
+
+
 def explore(seconds: float, seed: int) -> Found:
     """Explores for about so many seconds."""
     found = Found()
@@ -76,10 +81,7 @@
     """Whether the run that is meant to catch the mutant does."""
     with mutant.active():
         try:
-            if mutant.by == "walk":
-                walk(mutant.seed)
-            else:
-                course(mutant.seed)
+            run(mutant.by, mutant.seed)
         except (Broken, AssertionError, IndexError):
             return True
     return False
--- a/larchgw/replication/explore_checks.py
+++ b/larchgw/replication/explore_checks.py
@@ -18,6 +18,7 @@
         self._primaries: dict[int, str] = {}  # epoch -> who acted in it
         self._highest_fence = 0
         self._holder_of: dict[int, str] = {}  # fence -> holder
+        self._promised: dict[str, int] = {}  # identity -> the highest epoch it promised to another
         self._snapshots: dict[bytes, int] = {}  # content -> version
         self._acted: dict[str, float] = {}  # holder -> when it last acted
 
@@ -60,6 +61,20 @@
             raise Broken(f"{member} takes the state of {version} for that of {index}")
         return version
 
+    def promised(self, member: str, epoch: int) -> None:
+        """A member has told another that it accepts nothing below `epoch`."""
+        self._promised[member] = max(self._promised.get(member, 0), epoch)
+
+    def accepted(self, member: str, epoch: int) -> None:
+        """A member has told another that it has accepted the view of `epoch`."""
+        if epoch < self._promised.get(member, 0):
+            raise Broken(f"{member} has accepted view {epoch} after it promised {self._promised[member]}")
+
+    def begins_to_act(self, member: str, epoch: int) -> None:
+        """A member becomes primary of `epoch`."""
+        if epoch < self._promised.get(member, 0):
+            raise Broken(f"{member} leads view {epoch} after it promised {self._promised[member]}")
+
     def acts(self, member: str, epoch: int) -> None:
         """A member acts as primary in this epoch. `member` names one life of its process."""
         other = self._primaries.setdefault(epoch, member)
--- a/larchgw/replication/explore_world.py
+++ b/larchgw/replication/explore_world.py
@@ -19,7 +19,7 @@
 from .explore_checks import Broken, Checks
 from .explore_disk import Crashed, SimulatedDisk
 from .member import Member
-from .messages import Envelope
+from .messages import Accepted, Envelope, Promise, decode
 from .settings import MemberSettings
 from .view import View
 
@@ -27,6 +27,7 @@
 LEASE = "placer"
 TERM = 3.0
 PIECE_BYTES = 16  # so that a snapshot goes in several pieces
+DELIVER_BYTES = 600  # so that records are handed out one to three at a time
 
 
 @dataclass
@@ -104,7 +105,7 @@
         machine.life += 1
         settings = MemberSettings(address, self.seeds, first_boot, f"{address}#{machine.life}", self.survive,
                                   TERM, compact_records=self.compact_records, batch_bytes=200,
-                                  piece_bytes=self.piece_bytes)
+                                  piece_bytes=self.piece_bytes, deliver_bytes=DELIVER_BYTES)
         machine.version = 0
         machine.proposals.clear()
         machine.reads.clear()
@@ -244,6 +245,8 @@
                 raise Broken(f"{machine.name} was handed record {index} after {machine.version}")
             machine.version = index
         for done in effects.done:
+            if done.index > machine.version:
+                raise Broken(f"{machine.name} ends a call as of {done.index}, but has {machine.version}")
             if done.ticket.number in machine.proposals:
                 built_on, record = machine.proposals.pop(done.ticket.number)
                 self.checks.acknowledged(done.index, built_on, record)
@@ -262,6 +265,8 @@
         assert member is not None
         if member.acting_epoch is not None:
             self.checks.acts(machine.name, member.acting_epoch)
+            if member.acting_epoch not in machine.digest[2:3]:
+                self.checks.begins_to_act(member.id, member.acting_epoch)
             if self.newest_view is None or member.acting_epoch > self.newest_view.epoch:
                 self.newest_view = member.view
         self._check_lease(machine, member)
@@ -277,6 +282,7 @@
             self.checks.holds_lease(self.now, member.id, lease.fence)
 
     def _transmit(self, machine: Machine, outgoing: Outgoing, written: float) -> None:
+        self._check_vote(outgoing.message)
         if self.cut(machine.address, outgoing.address) or self.random.random() < self.loss:
             return
         if outgoing.address not in self.machines or len(outgoing.message.body) > self.most_body_bytes:
@@ -287,6 +293,15 @@
             sent = written + len(message.body) / self.link_bytes
             self._push(sent + self.random.uniform(*self.delay), outgoing.address, message)
 
+    def _check_vote(self, message: Envelope) -> None:
+        if message.kind not in ("promise", "accepted"):
+            return
+        vote, _ = decode(message.kind, message.body)
+        if isinstance(vote, Promise) and vote.granted:
+            self.checks.promised(message.sender, vote.epoch)
+        elif isinstance(vote, Accepted) and vote.granted:
+            self.checks.accepted(message.sender, vote.epoch)
+
     def _altered(self, message: PeerMessage) -> PeerMessage:
         """The message as it arrives: a piece of a snapshot may be damaged on its way."""
         if message.kind != "install" or not self.damage or self.random.random() >= self.damage:
--- a/larchgw/replication/follower.py
+++ b/larchgw/replication/follower.py
@@ -70,6 +70,7 @@
         matched, index = self._replica.follow(append.previous_index, append.previous_epoch, append.epochs,
                                               append.records)
         if matched:
+            self.incoming.forget_up_to(index)
             self._match(append.epoch, index)
             self._learn_commit(append.epoch, append.commit)
         self._outbox.send(sender, AppendReply(append.epoch, matched, index))
@@ -80,6 +81,7 @@
             return None
         self.heard_at = now
         if self._replica.holds(install.index, install.index_epoch):
+            self._replica.sync()
             self._have_installed(sender, install)
             return None
         if not self.incoming.begin(install):
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -328,6 +328,7 @@
         self._settle(now)
         self._advance(now)
         self._deliver()
+        self._complete()
         self._note_role()
         effects, self._effects = self._effects, Effects()
         effects.messages = self._outbox.drain()
@@ -343,7 +344,7 @@
                 return
 
     def _advance(self, now: float) -> None:
-        """Acknowledges what has enough copies, and reads that are proven."""
+        """Counts as acknowledged what has enough copies."""
         leading = self._views.leading
         if leading is None:
             return
@@ -351,15 +352,27 @@
         if commit > self._replica.committed:
             self._replica.committed = commit
             leading.heartbeat(now)
-        self._tickets.acknowledge(self._replica.committed, self._effects)
-        if self._tickets.has_reads and leading.is_ready:
-            self_granted = self._witness.promised <= leading.view.epoch
-            self._tickets.confirm(leading.proven_round(self_granted), self._replica.committed, self._effects)
 
     def _deliver(self) -> None:
-        if self._replica.committed > self._delivered:
-            self._effects.committed.extend(self._replica.read(self._delivered + 1, self._replica.committed))
-            self._delivered = self._replica.committed
+        """Hands out acknowledged records, a few at a time where the state is large: the caller needs time for
+        each, and heartbeats must go on meanwhile."""
+        if self._delivered >= self._replica.committed:
+            return
+        most = max(1, self._settings.deliver_bytes // max(1, self._replica.state_bytes))
+        last = min(self._replica.committed, self._delivered + most)
+        self._effects.committed.extend(self._replica.read(self._delivered + 1, last))
+        self._delivered = last
+
+    def _complete(self) -> None:
+        """Ends the calls whose records have been handed out, and the reads that are proven."""
+        leading = self._views.leading
+        if leading is None:
+            return
+        self._tickets.acknowledge(self._delivered, self._effects)
+        has_all = leading.is_ready and self._delivered == self._replica.committed
+        if self._tickets.has_reads and has_all:
+            self_granted = self._witness.promised <= leading.view.epoch
+            self._tickets.confirm(leading.proven_round(self_granted), self._replica.committed, self._effects)
 
     def _note_role(self) -> None:
         view = self._witness.view
--- a/larchgw/replication/replica.py
+++ b/larchgw/replication/replica.py
@@ -53,9 +53,9 @@
         return len(self._epochs), sum(self._sizes)
 
     @property
-    def snapshot_bytes(self) -> int:
-        """Size of the snapshot; 0 if there is none."""
-        return self._snapshot_bytes
+    def state_bytes(self) -> int:
+        """A guess at the size of the state: that of the snapshot, or of the records, which may replace it."""
+        return max(self._snapshot_bytes, sum(self._sizes))
 
     def epoch_at(self, index: int) -> int:
         """The epoch of a record, from the snapshot's last on; 0 at index 0."""
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -56,6 +56,7 @@
     compact_bytes: int = 16 << 20  # or so many bytes
     compact_replay_bytes: int = 128 << 20  # or if records times the size of the state are so many: to take a
     # record in after a restart costs time in proportion to the state (docs/storage.md)
+    deliver_bytes: int = 8 << 20  # records times the size of the state that are handed out at a time
     batch_bytes: int = 1 << 20  # of records in one message, unless one alone is larger
     piece_bytes: int = PIECE_BYTES  # of a snapshot in one message
     timing: Timing = field(default_factory=Timing)
--- a/larchgw/replication/snapshot_transfer.py
+++ b/larchgw/replication/snapshot_transfer.py
@@ -94,6 +94,11 @@
         self._transfer = ()
         self._content = bytearray()
 
+    def forget_up_to(self, index: int) -> None:
+        """The log has come as far as `index` without a snapshot."""
+        if self._order[1] <= index:
+            self.forget()
+
     def begin(self, install: Install) -> bool:
         """Turns to the transfer that the piece belongs to; False if the piece is to be left alone.
 
--- a/larchgw/replication/view_changes.py
+++ b/larchgw/replication/view_changes.py
@@ -163,6 +163,7 @@
     def lead(self, now: float, view: View) -> None:
         """A quorum has accepted this view, in which this member is primary."""
         self._candidate.ballot = None
+        self._replica.sync()  # its own copy counts, also of what a life of this process before left unsynced
         self.leading = Leadership(self._me, view, self._replica, self._outbox, self._settings, now,
                                   self.leading, self._departures.leaving(now))
         log.info("primary of view %d with backups %s, witnesses %s", view.epoch, view.backups, view.witnesses)
--- a/tests/test_replication_explore.py
+++ b/tests/test_replication_explore.py
@@ -31,6 +31,7 @@
 
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
 def test_a_mistake_put_in_on_purpose_is_caught(mutant: Mutant) -> None:
+    explore.run(mutant.by, mutant.seed)  # nothing breaks without the mistake
     assert explore.caught(mutant)
 
 
@@ -45,12 +46,18 @@
     checks.committed("a", 1, b"one")
     checks.acknowledged(1, 0, b"one")
     checks.acts("a/1", 4)
+    checks.promised("a", 5)
+    checks.made_snapshot(7, b"state of 7")
     checks.holds_lease(0.0, "a", 2)
     for broken in (
         lambda: checks.committed("b", 1, b"other"),
         lambda: checks.acknowledged(2, 1, b"never handed out"),
         lambda: checks.read("b", checks.newest_acknowledged, 0),
         lambda: checks.acts("b/1", 4),
+        lambda: checks.accepted("a", 4),
+        lambda: checks.begins_to_act("a", 4),
+        lambda: checks.installed("b", 7, b"state of 8"),
+        lambda: checks.installed("b", 8, b"state of 7"),
         lambda: checks.holds_lease(9.0, "b", 1),
         lambda: checks.holds_lease(9.0, "b", 2),
         lambda: checks.holds_lease(2.9, "b", 3),
--- a/tests/test_replication_member.py
+++ b/tests/test_replication_member.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from larchgw.replication.explore_world import Machine, World
+from larchgw.replication.effects import Effects
+from larchgw.replication.explore_world import DELIVER_BYTES, Machine, World
 
 
 def started(machines: int = 3, seeds: int = 3, survive: int = 1) -> World:
@@ -160,3 +161,40 @@
     world.run(1.5)
     assert primary(world) is not machine
     assert serve(world, 0.5) > 3
+
+
+def test_a_restarted_member_is_handed_a_large_state_s_records_a_few_at_a_time() -> None:
+    """To take a record in takes time in proportion to the state, and heartbeats must go on between them."""
+    world = started()
+    world.kill(backups(world)[0].address)
+    serve(world, 1.0)
+    late = next(machine for machine in world.machines.values() if machine.member is None)
+    handed_out: list[int] = []
+    carry_out = world._carry_out
+
+    def watched(machine: Machine, effects: Effects, written: float = 0.0) -> None:
+        if machine is late:
+            handed_out.append(len(effects.committed))
+        carry_out(machine, effects, written)
+
+    world._carry_out = watched  # type: ignore[method-assign]
+    world.start(late.address)
+    serve(world, 3.0)
+    assert late.version == primary(world).version
+    assert max(handed_out) <= DELIVER_BYTES // world.filling_bytes
+
+
+def test_a_primary_counts_no_record_of_its_own_that_an_earlier_life_left_unsynced() -> None:
+    """It was acknowledged with such a copy, then lost with the power, and another one put in its place."""
+    world = World(1, 1, 1, 0)
+    (machine,) = world.machines.values()
+    world.start(machine.address, first_boot=True)
+    serve(world, 0.4)
+    world.kill(machine.address)
+    assert machine.disk.synced == len(machine.disk.records) > 0
+    machine.disk.synced -= 1  # killed between the append and the sync
+    world.start(machine.address)
+    while not world.primaries():
+        world.run(0.001)
+    assert machine.member.committed_index == machine.member.last_index
+    assert machine.disk.synced == len(machine.disk.records)
--- a/tests/test_snapshot_transfer.py
+++ b/tests/test_snapshot_transfer.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from random import Random
 
 import pytest
@@ -15,7 +16,7 @@
 from larchgw.replication.explore_world import Machine, World
 from larchgw.replication.follower import Follower
 from larchgw.replication.leadership import Leadership
-from larchgw.replication.messages import AppendReply, Install, InstallReply, decode
+from larchgw.replication.messages import AppendReply, DecodeError, Install, InstallReply, decode
 from larchgw.replication.outbox import Outbox
 from larchgw.replication.replica import Replica
 from larchgw.replication.settings import MemberSettings, Timing
@@ -190,6 +191,12 @@
     assert member.install(last) == (9, CONTENT)
 
 
+def test_a_whole_snapshot_as_earlier_versions_sent_it_is_dropped_as_unreadable() -> None:
+    header = json.dumps({"from": "a", "epoch": 1, "index": 9, "index_epoch": 1}).encode()
+    with pytest.raises(DecodeError):
+        decode("install", len(header).to_bytes(4, "big") + header + CONTENT)
+
+
 # ---- the primary ----
 
 class Leading:
