Orders to runners: kept connections again, with a body that curl can read only once

Change: the order's body is read once and cannot be sought in, so curl's silent repeat on a connection that dies ends with an error instead (the order may have been taken). Where curl opens a second connection and that is refused, the order counts as not sent only if its body was never read.

Tests: those of the silent repeat and of surplus answers as they were; two more, on a runner that refuses the second connection and on one connection for orders and reports.

--- a/larchgw/placement/orders.py
+++ b/larchgw/placement/orders.py
@@ -1,13 +1,16 @@
 """POST /order and GET /report at runners, by Tornado's client over curl.
 
 curl sends a request a second time, unasked, where a kept connection ends before a byte of its answer. The
-runner may have taken the first one: an order therefore always has a new connection. See docs/calls.md.
+runner may have taken the first one: the body of an order can therefore be read only once. See docs/calls.md.
 """
 
 from __future__ import annotations
 
 import json
 import logging
+from collections.abc import Mapping
+from io import BytesIO
+from types import MappingProxyType
 from typing import Any
 
 import pycurl
@@ -23,6 +26,8 @@
 MOST_ORDERS = 64  # under way at once
 MOST_REPORTS = 64  # the same; a call above these would wait inside the client, past the time it was meant for
 
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
 _OUTCOMES = {200: OrderOutcome.ALREADY_HELD, 202: OrderOutcome.ACCEPTED, 409: OrderOutcome.CONFLICT,
              412: OrderOutcome.FENCED, 421: OrderOutcome.OTHER_RUNNER}
 
@@ -36,11 +41,13 @@
 
     async def order(self, order: Order, fence: int) -> OrderOutcome:
         """Sends an order and tells what is known of its end. Raises nothing."""
+        body = _OrderBody(encode_order(order, self._owner, fence))
         try:
-            response = await self._call(order.runner, order.address, "/order",
-                                        encode_order(order, self._owner, fence))
+            response = await self._call(order.runner, order.address, "/order", method="POST",
+                                        headers={"Content-Type": "application/json"}, body=body.content,
+                                        prepare_curl_callback=body.install)
         except (HTTPClientError, OSError) as error:
-            return _failure(error)
+            return _failure(error, body)
         return outcome_of(response.code)
 
     async def report(self, runner: str, address: str) -> RunnerReport | None:
@@ -55,26 +62,34 @@
         """Ends all calls."""
         self._client.close()
 
-    async def _call(self, runner: str, address: str, path: str, body: bytes | None = None) -> HTTPResponse:
-        headers = {"X-Target-Runner": runner}
-        is_order = body is not None
-        if is_order:
-            headers["Content-Type"] = "application/json"
+    async def _call(self, runner: str, address: str, path: str, *, headers: Mapping[str, str] = NO_HEADERS,
+                    **options: Any) -> HTTPResponse:
         return await self._client.fetch(
-            f"http://{address}{path}", method="POST" if is_order else "GET", headers=headers, body=body,
+            f"http://{address}{path}", headers={"X-Target-Runner": runner, **headers},
             raise_error=False, follow_redirects=False, connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=REQUEST_TIMEOUT_S,
-            prepare_curl_callback=_on_new_connection if is_order else _on_any_connection)
+            request_timeout=REQUEST_TIMEOUT_S, **options)
+
+
+class _OrderBody:
+    """The body of one order, which curl can read once and not go back in: it cannot send the order again."""
+
+    def __init__(self, content: bytes) -> None:
+        self.content = content
+        self._unread = BytesIO(content)
+        self.was_read = False  # until then no byte of it can have reached a runner
 
+    def install(self, curl: pycurl.Curl) -> None:
+        """Makes curl read from here; for `prepare_curl_callback`."""
+        curl.setopt(pycurl.READFUNCTION, self._read)
+        curl.setopt(pycurl.SEEKFUNCTION, _refuse_to_seek)
 
-def _on_new_connection(curl: pycurl.Curl) -> None:
-    """No kept connection, so that curl has no reason to send it again."""
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    def _read(self, size: int) -> bytes:
+        self.was_read = True
+        return self._unread.read(size)
 
 
-def _on_any_connection(curl: pycurl.Curl) -> None:
-    """Kept connections too: a report may be read twice. Handles are used again, with what was set on them."""
-    curl.setopt(pycurl.FRESH_CONNECT, 0)
+def _refuse_to_seek(offset: int, origin: int) -> int:
+    return int(pycurl.SEEKFUNC_FAIL)
 
 
 def encode_order(order: Order, owner: str, fence: int) -> bytes:
@@ -107,6 +122,7 @@
         return None
 
 
-def _failure(error: Exception) -> OrderOutcome:
-    errno = getattr(error, "errno", None)
-    return OrderOutcome.UNSENT if errno == pycurl.E_COULDNT_CONNECT else OrderOutcome.UNKNOWN
+def _failure(error: Exception, body: _OrderBody) -> OrderOutcome:
+    """Not sent only if no connection came up, and curl had not given it to one that ended before."""
+    has_no_connection = getattr(error, "errno", None) == pycurl.E_COULDNT_CONNECT
+    return OrderOutcome.UNSENT if has_no_connection and not body.was_read else OrderOutcome.UNKNOWN
--- a/tests/test_placement_orders.py
+++ b/tests/test_placement_orders.py
@@ -91,9 +91,11 @@
 
     def __init__(self, *script, closes=False):
         self.script, self.seen, self.closes = list(script), [], closes
+        self.connections = 0
 
     async def serve(self, call):
         async def answer(reader, writer):
+            self.connections += 1
             try:
                 while True:
                     head = (await reader.readuntil(b"\r\n\r\n")).decode()
@@ -116,7 +118,7 @@
             finally:
                 writer.close()
 
-        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.server = server = await asyncio.start_server(answer, "127.0.0.1", 0)
         client = OrderClient("control-1")
         try:
             return await call(client, "{}:{}".format(*server.sockets[0].getsockname()))
@@ -144,6 +146,29 @@
     assert [path for path, _ in runner.seen] == ["/report", "/order"]
 
 
+def test_an_order_given_to_a_kept_connection_of_a_runner_that_then_refuses_may_have_been_taken():
+    """curl would open another connection for it; that this one is refused proves nothing of the first."""
+    async def call(client, address):
+        assert await client.report("i-7", address) is not None
+        runner.server.close()  # no new connection; the kept one goes on
+        return await client.order(order_at(address), 41)
+
+    runner = KeepingRunner(answered(200, REPORT), "reset")
+    assert asyncio.run(runner.serve(call)) is OrderOutcome.UNKNOWN
+    assert [path for path, _ in runner.seen] == ["/report", "/order"]
+
+
+def test_orders_and_reports_share_a_kept_connection():
+    """A new connection takes up a place of the runner for a moment: an order each would slow its requests."""
+    async def call(client, address):
+        await client.report("i-7", address)
+        return await client.order(order_at(address), 41), await client.order(order_at(address), 41)
+
+    runner = KeepingRunner(answered(200, REPORT), answered(202), answered(409))
+    assert asyncio.run(runner.serve(call)) == (OrderOutcome.ACCEPTED, OrderOutcome.CONFLICT)
+    assert runner.connections == 1
+
+
 def test_a_report_is_read_again_on_a_new_connection_where_a_kept_one_ends():
     async def call(client, address):
         await client.report("i-7", address)
