Explorations: one verdict for all three

control/explore.py, replication/explore.py and lab/operator_calls/explore.py ended with the same lines: run, try the mutants, print, exit status. replication/explore_verdict.py has them once; the printed lines are the same. Nothing of the roles uses it.

--- a/larchgw/control/explore.py
+++ b/larchgw/control/explore.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from dataclasses import dataclass, field
 from itertools import count
 
 from ..emulator.virtual_loop import run
 from ..replication.explore_mutants import Mutant
+from ..replication.explore_verdict import print_verdict
 from .explore_mutants import MUTANTS
 from .explore_world import Broken, World
 
@@ -29,6 +29,10 @@
     acknowledged: int = 0
     broken: list[str] = field(default_factory=list)
 
+    def counts(self) -> str:
+        """See explore_verdict.Seen."""
+        return f"runs={self.runs} acknowledged={self.acknowledged}"
+
 
 def course(seed: int) -> World:
     """One course of faults and the recovery from it. Raises Broken."""
@@ -71,17 +75,4 @@
 def main(seconds: float, seed: int) -> int:
     """Explores, tries the mutants and prints what came of it; 0 if nothing is broken and every mutant is
     caught."""
-    logging.disable(logging.CRITICAL)
-    try:
-        found = explore(seconds, seed)
-        missed = [mutant.name for mutant in MUTANTS if not caught(mutant)]
-    finally:
-        logging.disable(logging.NOTSET)
-    print(f"runs={found.runs} acknowledged={found.acknowledged}")
-    for reason in found.broken:
-        print(f"broken: {reason}")
-    for name in missed:
-        print(f"mutant not caught: {name}")
-    tried = len(MUTANTS)
-    print(f"explore: states={found.states} broken={len(found.broken)} mutants={tried - len(missed)}/{tried}")
-    return 1 if found.broken or missed else 0
+    return print_verdict(lambda: explore(seconds, seed), MUTANTS, caught)
--- a/larchgw/lab/operator_calls/explore.py
+++ b/larchgw/lab/operator_calls/explore.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import time
 from dataclasses import dataclass, field
 from functools import partial
 
 from ...emulator import virtual_loop
 from ...replication.explore_checks import Broken
+from ...replication.explore_verdict import print_verdict
 from .cluster import Cluster
 from .faults import Course
 from .mutants import MUTANTS, Mutant
@@ -31,6 +31,11 @@
     answers: dict[int, int] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
 
+    def counts(self) -> str:
+        """See explore_verdict.Seen."""
+        answers = " ".join(f"{status}:{count}" for status, count in sorted(self.answers.items()))
+        return f"runs={self.runs} acknowledged={self.acknowledged} answers={answers}"
+
 
 def play(seed: int) -> Cluster:
     """One run of troubles and the recovery from it. Raises Broken."""
@@ -105,18 +110,4 @@
 
 def main(seconds: float, seed: int) -> int:
     """Explores, tries the mutants and prints what came of it; 0 if nothing is broken and all are caught."""
-    logging.disable(logging.CRITICAL)
-    try:
-        found = explore(seconds, seed)
-        missed = [mutant.name for mutant in MUTANTS if not caught(mutant)]
-    finally:
-        logging.disable(logging.NOTSET)
-    answers = " ".join(f"{status}:{count}" for status, count in sorted(found.answers.items()))
-    print(f"runs={found.runs} acknowledged={found.acknowledged} answers={answers}")
-    for reason in found.broken:
-        print(f"broken: {reason}")
-    for name in missed:
-        print(f"mutant not caught: {name}")
-    count = len(MUTANTS)
-    print(f"explore: states={found.states} broken={len(found.broken)} mutants={count - len(missed)}/{count}")
-    return 1 if found.broken or missed else 0
+    return print_verdict(lambda: explore(seconds, seed), MUTANTS, caught)
--- a/larchgw/replication/explore.py
+++ b/larchgw/replication/explore.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import logging
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -15,6 +14,7 @@
 from .explore_exhaustive import Exhaustive
 from .explore_faults import Course
 from .explore_mutants import MUTANTS, Mutant
+from .explore_verdict import print_verdict
 from .explore_walk import Walk
 from .explore_world import World
 
@@ -38,6 +38,10 @@
     confirmed: int = 0
     broken: list[str] = field(default_factory=list)
 
+    def counts(self) -> str:
+        """See explore_verdict.Seen."""
+        return f"runs={self.runs} acknowledged={self.acknowledged} confirmed={self.confirmed}"
+
 
 def course(seed: int, recover: bool = True) -> World:
     """One course of faults, and the recovery from it."""
@@ -90,20 +94,7 @@
 def main(seconds: float, seed: int) -> int:
     """Explores, tries the mutants and prints what came of it; 0 if nothing is broken and every mutant is
     caught."""
-    logging.disable(logging.CRITICAL)
-    try:
-        found = explore(seconds, seed)
-        missed = [mutant.name for mutant in MUTANTS if not caught(mutant)]
-    finally:
-        logging.disable(logging.NOTSET)
-    print(f"runs={found.runs} acknowledged={found.acknowledged} confirmed={found.confirmed}")
-    for reason in found.broken:
-        print(f"broken: {reason}")
-    for name in missed:
-        print(f"mutant not caught: {name}")
-    count = len(MUTANTS)
-    print(f"explore: states={found.states} broken={len(found.broken)} mutants={count - len(missed)}/{count}")
-    return 1 if found.broken or missed else 0
+    return print_verdict(lambda: explore(seconds, seed), MUTANTS, caught)
 
 
 def _runs(seed: int) -> Iterator[tuple[str, Callable[[], World]]]:
