--- a/larchgw/net/client_connection.py
+++ b/larchgw/net/client_connection.py
@@ -314,10 +314,16 @@
             self._start_timeout(WRITE_TIMEOUT_S, ConnectionOutcome.CLOGGED)
 
     def end(self, exchange: Exchange, complete: bool) -> None:
-        """Ends the answer that was begun; the connection closes where it is not whole."""
+        """Ends the answer that was begun.
+
+        The connection closes where the answer is not whole, and where the server has begun to stop meanwhile.
+        """
         writer, self._writer = self._writer, None
-        if exchange is self.current and writer is not None:
-            self._finish_answer(writer.end(complete) and exchange.keep_alive)
+        if exchange is not self.current or writer is None:
+            return
+        self._finish_answer(writer.end(complete) and exchange.keep_alive)
+        if self.server.stopping:
+            self.retire()
 
     def retire(self) -> None:
         """Closes it if it rests. A request that lies in our socket came first: it is read and answered."""
