Losses: a command that reads where the value of requests is lost from edges' debug lines

Cause: which requests lose their value, when and why, could only be seen by reading lines one by one.

--- a/larchgw/cli/main.py
+++ b/larchgw/cli/main.py
@@ -16,6 +16,7 @@
 from .errors import UsageError
 from .explore import explore
 from .lab import lab
+from .losses import losses
 from .system import SYSTEM
 from .trial import trial
 
@@ -57,6 +58,7 @@
     "control": control,
     "check": check,
     "settings": settings,
+    "losses": losses,
     "try": trial,
     "lab": lab,
     "explore": explore,
--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
+from http import HTTPStatus
 
 import structlog
 
@@ -250,7 +251,7 @@
             return
         self._end_attempt(AttemptOutcome.DONE if status < 500 else AttemptOutcome.RUNNER_ERROR)
         self._context.counters.answers.labels(str(status), "runner").inc()
-        self._finish()
+        self._finish("answered")
 
     def on_lost(self, outcome: AttemptOutcome) -> None:
         """There is no (more) answer from the runner."""
@@ -286,6 +287,8 @@
             return
         if stream.started and not started:
             self._began(attempt)
+        elif self._trace is not None:
+            self._trace.received(now)
 
     def _began(self, attempt: Attempt) -> None:
         """The runner's answer has begun: its head, or a stream's first event, has come."""
@@ -406,14 +409,14 @@
         if self._trace is not None:
             self._trace.answered(self._context.now(), status, reason)
         self._exchange.reply(status, reason.encode() + b"\n", headers)
-        self._finish()
+        self._finish("refused" if status == HTTPStatus.SERVICE_UNAVAILABLE else "failed")
 
     def _truncate(self, reason: str) -> None:
         """The answer has begun and can't be completed: the client must see that it is incomplete."""
         self._context.counters.cut.inc()
         log.info("answer.truncated", reason=reason)
         self._exchange.end(complete=False)
-        self._finish()
+        self._finish("truncated")
 
     def client_gone(self) -> None:
         """The client has left: no answer is due any more, and the runner may stop."""
@@ -421,7 +424,7 @@
             return
         self._context.counters.gone.inc()
         self._cancel()
-        self._finish()
+        self._finish("left")
 
     def abandon(self) -> None:
         """The process ends: answers with what is known of the request now."""
@@ -435,11 +438,14 @@
             connection, self._connection = self._connection, None
             self._end_attempt(connection.cancel() if connection is not None else AttemptOutcome.UNSENT)
 
-    def _finish(self) -> None:
+    def _finish(self, end: str) -> None:
+        """No more happens to it; `end` says how it ended, for its trace."""
         self._is_finished = True
         self._stop_waiting()
         self._context.loop.deadlines.drop(self._deadline_timer)
         if self._stream_timeout is not None:
             self._stream_timeout.stop()
+        if self._trace is not None:
+            self._trace.finished(self._context.now(), end)
         self._exchange.extra = self._exchange.on_drained = None  # lets its body go at once
         self._context.closed(self)
--- a/larchgw/edge/trace.py
+++ b/larchgw/edge/trace.py
@@ -1,7 +1,8 @@
-"""Debug lines about one request: why it waited, what each attempt at a runner came to, what was answered.
+"""Debug lines about one request: why it waited, what each attempt at a runner came to, how it ended.
 
 They are written at level DEBUG only; at other levels a request has no trace and pays one test for it.
-Times are milliseconds since the request came.
+Times are milliseconds since the request came. `larchgw losses` reads the last line of each request,
+`request.ended`.
 """
 
 from __future__ import annotations
@@ -21,8 +22,15 @@
     def __init__(self, traits: RequestTraits, name: bytes) -> None:
         """Begins a trace of the request with these traits; `name` is its `X-Attempt-Id`."""
         self._name, self._traits = name.decode("latin-1"), traits
+        self._waiting_since: float | None = None
         self._reason = ""
+        self._waited_s: dict[str, float] = {}  # by reason
         self._sent_at = self._began_at = 0.0
+        self._answer_began_at: float | None = None
+        self._last_byte_at: float | None = None
+        self._longest_pause_s = 0.0
+        self._attempts_s = 0.0  # spent on attempts that failed before the answer began
+        self._outcomes: list[str] = []
 
     @classmethod
     def of(cls, traits: RequestTraits, name: bytes) -> RequestTrace | None:
@@ -31,21 +39,35 @@
 
     def waits(self, now: float, reason: str) -> None:
         """It waits; only a new reason is written."""
-        if reason != self._reason:
-            self._reason = reason
-            log.debug("request.waiting", reason=reason, **self._request(now))
+        if reason == self._reason:
+            return
+        self._stop_waiting(now)
+        self._reason, self._waiting_since = reason, now
+        log.debug("request.waiting", reason=reason, **self._request(now))
 
     def sent(self, now: float) -> None:
         """It goes to a runner."""
-        self._sent_at, self._began_at, self._reason = now, 0.0, ""
+        self._stop_waiting(now)
+        self._sent_at, self._began_at = now, 0.0
 
     def began(self, now: float) -> None:
         """The runner's answer has begun."""
-        self._began_at = now
+        self._began_at = self._last_byte_at = now
+        if self._answer_began_at is None:
+            self._answer_began_at = now
+
+    def received(self, now: float) -> None:
+        """Further bytes of the runner's answer have come."""
+        if self._last_byte_at is not None:
+            self._longest_pause_s = max(self._longest_pause_s, now - self._last_byte_at)
+            self._last_byte_at = now
 
     def ended(self, now: float, runner: str, outcome: AttemptOutcome) -> None:
         """The attempt at the runner is over."""
         traits = self._traits
+        self._outcomes.append(outcome.name)
+        if self._answer_began_at is None:
+            self._attempts_s += now - self._sent_at
         log.debug(
             "attempt.ended",
             runner=runner,
@@ -61,6 +83,38 @@
         """The dispatcher itself gave the final answer."""
         log.debug("request.answered", status=status, reason=reason, **self._request(now))
 
+    def finished(self, now: float, end: str) -> None:
+        """The request is over: writes all that it met on one line.
+
+        Args:
+            now: Seconds of the monotonic clock.
+            end: `answered` by a runner, `refused` or `failed` by the dispatcher, `truncated`, or `left` by
+                the client.
+        """
+        traits = self._traits
+        self._stop_waiting(now)
+        began_at = self._answer_began_at
+        log.debug(
+            "request.ended",
+            end=end,
+            outcomes=",".join(self._outcomes),
+            waited_ms=",".join(f"{name}:{round(s * 1000.0)}" for name, s in self._waited_s.items()),
+            failed_ms=round(self._attempts_s * 1000.0),
+            sent_ms=self._ms(self._sent_at) if self._sent_at else None,
+            began_ms=self._ms(began_at) if began_at is not None else None,
+            longest_pause_ms=round(self._longest_pause_s * 1000.0),
+            target_ms=self._ms(traits.target_at),
+            deadline_ms=self._ms(traits.deadline_at),
+            gap_aim_ms=traits.route.gap_aim_ms,
+            rank=traits.route.rank,
+            **self._request(now),
+        )
+
+    def _stop_waiting(self, now: float) -> None:
+        if self._waiting_since is not None:
+            self._waited_s[self._reason] = self._waited_s.get(self._reason, 0.0) + now - self._waiting_since
+        self._waiting_since, self._reason = None, ""
+
     def _request(self, now: float) -> dict[str, object]:
         traits = self._traits
         return {
--- a/tests/edge/test_trace.py
+++ b/tests/edge/test_trace.py
@@ -36,6 +36,28 @@
     ]
 
 
+def test_the_last_line_tells_where_the_time_of_a_request_went() -> None:
+    w = world()
+    with capture_logs() as lines:
+        trace = RequestTrace.of(w.request("m", "a1"), b"id7")
+        assert trace is not None
+        trace.waits(w.now, "no_holder")
+        trace.waits(w.now + 0.1, "loading")
+        trace.sent(w.now + 0.4)
+        trace.ended(w.now + 0.5, "i-1", AttemptOutcome.FULL)
+        trace.sent(w.now + 0.5)
+        trace.began(w.now + 0.6)
+        trace.received(w.now + 0.9)
+        trace.received(w.now + 1.0)
+        trace.ended(w.now + 1.0, "i-2", AttemptOutcome.DONE)
+        trace.finished(w.now + 1.0, "answered")
+    last = lines[-1]
+    assert last["event"] == "request.ended"
+    assert last["waited_ms"] == "no_holder:100,loading:300"
+    assert (last["outcomes"], last["end"]) == ("FULL,DONE", "answered")
+    assert (last["failed_ms"], last["began_ms"], last["longest_pause_ms"]) == (100, 600, 300)
+
+
 def test_no_trace_is_kept_where_debug_lines_are_not_written() -> None:
     before = structlog.get_config()["wrapper_class"]
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.INFO))
