--- a/larchgw/experiments/losses.py
+++ b/larchgw/experiments/losses.py
@@ -1,9 +1,10 @@
 """Where the value of requests is lost, by cause, from the dispatchers' debug lines. Pure.
 
 A dispatcher at level DEBUG writes one line `request.ended` for each request (`larchgw/edge/trace.py`). Each
-request that was not answered in time is given exactly one cause: what took the largest part of its time, or what
-ended it. Values are those that placement uses: a request of rank 0 is worth 1, of rank 1 a half, of rank 2 a
-third. A client's second try is a request of its own here, as a dispatcher cannot tell it from a first one.
+request that was not answered in time is given exactly one cause: what took the largest part of its time, or
+what ended it. Values are those that placement uses: a request of rank 0 is worth 1, of rank 1 a half, of
+rank 2 a third. A client's second try is a request of its own here, as a dispatcher cannot tell it from a
+first one.
 """
 
 from __future__ import annotations
