Distribution: a control process waits for its peers' own changes, not for what they heard

Cause: every control process pulls from every other and passed on whatever it had just heard, so that among nine each change was sent 72 times where 8 are needed; bytes between zones were the third price at the newest customer. Where an own update was superseded meanwhile nothing is claimed.

--- a/larchgw/distribution/pull_service.py
+++ b/larchgw/distribution/pull_service.py
@@ -2,6 +2,11 @@
 
 A caller that is up to date is kept waiting for the next change. Changes are gathered for GATHER_DELAY_S
 before the waiting callers are woken, all at once; each is then sent only what was stored after its cursor.
+
+Control processes pull from all others at once. Were each to pass on what it has just heard, every process
+would be sent every change by all of its peers, at the square of their number. So a peer asks, while it
+waits, for changes that the answering process made itself; those of others that it has not heard from them
+meanwhile come with its next pull, within the wait of one.
 """
 
 from __future__ import annotations
@@ -45,27 +50,38 @@
         self.registry = registry
         self._is_isolated = is_isolated
         self._control_addresses = control_addresses
-        self._gather_delay_s = gather_delay_s
         self._max_reply_bytes = max_reply_bytes
-        self._waiting: dict[asyncio.Future[None], None] = {}  # the one that waits longest first
-        self._wake_timer: asyncio.TimerHandle | None = None
-        registry.watch("", self._schedule_wake)
+        self._waiting_for_any_change = _WaitingCallers(gather_delay_s)
+        self._waiting_for_own_change = _WaitingCallers(gather_delay_s)
+        registry.watch("", self._on_change)
 
     async def pull(self, request: PullRequest) -> PullReply:
         """Answers at once if there are entries to send, or the caller has no cursor of this registry yet.
 
         Else it answers with the first change within the caller's wait, or without entries at its end.
         """
-        loop = asyncio.get_running_loop()
-        until = loop.time() + min((request.wait_ms or 0) / 1000.0, MAX_WAIT_S)
+        until = asyncio.get_running_loop().time() + min((request.wait_ms or 0) / 1000.0, MAX_WAIT_S)
         reply = self._reply(request)
         if cursor_key(self.registry.origin) not in (request.have or {}):
             return reply
-        while not reply.entries and not reply.isolated and loop.time() < until:
-            await self._wait_for_change(until - loop.time())
+        if request.own_changes_only:
+            return await self._next_own_change(request, reply, until)
+        while self._goes_on_waiting(reply, until):
+            await self._waiting_for_any_change.wait(until)
             reply = self._reply(request)
         return reply
 
+    async def _next_own_change(self, request: PullRequest, first: PullReply, until: float) -> PullReply:
+        """Waits on behalf of a caller that `first` has shown to be up to date, unless it has entries."""
+        position = self.registry.position
+        reply = first
+        while self._goes_on_waiting(reply, until):
+            await self._waiting_for_own_change.wait(until)
+            reply = self.registry.own_changes(position, request.prefixes or [], self._max_reply_bytes)
+            reply.upto = (first.upto or {}) | (reply.upto or {})
+            self._describe_this_process(reply)
+        return reply
+
     async def push(self, request: PushRequest) -> PushReply:
         """Merges entries that another process hands over; answers once they are in the registry."""
         self.registry.merge(request.entries or [])
@@ -73,29 +89,58 @@
 
     def wake(self) -> None:
         """Lets waiting callers look again, as when `is_isolated` has changed."""
-        self._wake_timer = None
-        waiting, self._waiting = self._waiting, {}
-        for future in waiting:
-            if not future.done():
-                future.set_result(None)
+        self._waiting_for_any_change.wake()
+        self._waiting_for_own_change.wake()
 
     def _reply(self, request: PullRequest) -> PullReply:
         reply = self.registry.delta(request.have or {}, request.prefixes or [], self._max_reply_bytes)
+        self._describe_this_process(reply)
+        return reply
+
+    def _describe_this_process(self, reply: PullReply) -> None:
         reply.isolated = self._is_isolated()
         reply.control = self._control_addresses()
-        return reply
 
-    async def _wait_for_change(self, timeout_s: float) -> None:
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting[future] = None
+    @staticmethod
+    def _goes_on_waiting(reply: PullReply, until: float) -> bool:
+        return not reply.entries and not reply.isolated and asyncio.get_running_loop().time() < until
+
+    def _on_change(self, entry: Entry) -> None:
+        self._waiting_for_any_change.schedule_wake()
+        if entry.origin == self.registry.origin:
+            self._waiting_for_own_change.schedule_wake()
+
+
+class _WaitingCallers:
+    """Callers that wait for one kind of change, woken together."""
+
+    def __init__(self, gather_delay_s: float) -> None:
+        self._gather_delay_s = gather_delay_s
+        self._futures: dict[asyncio.Future[None], None] = {}  # the one that waits longest first
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def wait(self, until: float) -> None:
+        """Returns when woken, or at `until` (seconds, the loop's clock)."""
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[None] = loop.create_future()
+        self._futures[future] = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(until - loop.time()):
                 await future
         except TimeoutError:
             return
         finally:
-            self._waiting.pop(future, None)
+            self._futures.pop(future, None)
+
+    def schedule_wake(self) -> None:
+        """Wakes those that wait once changes were gathered."""
+        if self._futures and self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(self._gather_delay_s, self.wake)
 
-    def _schedule_wake(self, entry: Entry) -> None:
-        if self._waiting and self._wake_timer is None:
-            self._wake_timer = asyncio.get_running_loop().call_later(self._gather_delay_s, self.wake)
+    def wake(self) -> None:
+        """Wakes all that wait."""
+        self._timer = None
+        futures, self._futures = self._futures, {}
+        for future in futures:
+            if not future.done():
+                future.set_result(None)
--- a/larchgw/distribution/puller.py
+++ b/larchgw/distribution/puller.py
@@ -106,7 +106,8 @@
             is_near: Whether an address is in the zone of this process.
             is_only_source: Whether nothing else fills the registry. Further addresses are then learned from
                 the replies, replies of a cut-off process are merged in part, and after `resync_after_s` out
-                of touch the registry is compared with a complete other one (resync.py).
+                of touch the registry is compared with a complete other one (resync.py). Where other pullers
+                fill it as well, changes made by a third process are not waited for here.
             hands_back_runners: Whether entries of runners that the process pulled from does not hold some
                 time after the change to it are pushed to it. After a restart of all control processes the
                 dispatchers are the only ones who know of a runner that crashed meanwhile.
@@ -173,6 +174,7 @@
             have=self.registry.vector() | session.cursors,
             wait_ms=round(self._settings.wait_s * 1000.0),
             prefixes=self._prefixes,
+            own_changes_only=None if self._is_only_source else True,
         )
         return await session.connection.call("pull", request, self._settings.timeout_s)
 
--- a/larchgw/distribution/registry.py
+++ b/larchgw/distribution/registry.py
@@ -78,6 +78,7 @@
         self.origin = Origin(origin)
         self._sequence = 0  # of this origin's last update
         self._position = 0  # of the entry that was stored last
+        self._own_superseded_at = 0  # position of the last entry that took the place of one of this origin's
         self._positions: dict[str, int] = {}
         self._entries: dict[str, Entry] = {}  # in the order of their positions
         self._keys: Any = SortedList()
@@ -158,6 +159,38 @@
         upto[own_cursor_key] = self._position
         return PullReply(entries=entries, upto=upto, more=False, isolated=False, control=[])
 
+    @property
+    def position(self) -> int:
+        """Where the entry that was stored last stands in the order in which entries were stored."""
+        return self._position
+
+    def own_changes(self, position: int, prefixes: Sequence[str], limit_bytes: int) -> PullReply:
+        """Returns the entries that this process itself has made since `position`.
+
+        Others' entries since then are left out, and the cursor stays at `position`, so that the next `delta`
+        has them. An own update that one of them has superseded is in neither, so that the reply claims none
+        after such a one.
+
+        Args:
+            position: Up to there the caller holds everything, or something newer.
+            prefixes: As for `delta`.
+            limit_bytes: As for `delta`; `more` is set where it was cut.
+        """
+        wanted_prefixes = tuple(prefixes) or ("",)
+        upto = {cursor_key(self.origin): position}
+        entries: list[Entry] = []
+        remaining_bytes = limit_bytes
+        for entry in self._stored_after(position):
+            if entry.origin != self.origin or not entry.key.startswith(wanted_prefixes):
+                continue
+            remaining_bytes -= encoded_size_bytes(entry)
+            if remaining_bytes < 0 and entries:
+                return PullReply(entries=entries, upto=upto, more=True, isolated=False, control=[])
+            entries.append(entry)
+        if entries and self._own_superseded_at <= position:
+            upto[self.origin] = self._sequence
+        return PullReply(entries=entries, upto=upto, more=False, isolated=False, control=[])
+
     def get(self, key: str) -> Entry | None:
         """Returns the entry that is held for the key."""
         return self._entries.get(key)
@@ -235,6 +268,8 @@
         self._keys_by_origin.setdefault(entry.origin, SortedDict())[entry.sequence] = entry.key
         if held is not None:
             self._discard(held)
+            if held.origin == self.origin != entry.origin:
+                self._own_superseded_at = self._position
         self._entries[entry.key] = entry
         self._positions[entry.key] = self._position
         self._unannounced.append(entry)
@@ -275,15 +310,17 @@
         return sorted(missing, key=lambda entry: self._positions[entry.key])
 
     def _missing_after(self, cursor: int, have: Mapping[str, int]) -> list[Entry]:
-        missing: list[Entry] = []
+        return [entry for entry in self._stored_after(cursor) if entry.sequence > have.get(entry.origin, 0)]
+
+    def _stored_after(self, position: int) -> list[Entry]:
+        """Returns the entries that were stored after a position, in that order."""
+        stored: list[Entry] = []
         for key in reversed(self._entries):
-            if self._positions[key] <= cursor:
+            if self._positions[key] <= position:
                 break
-            entry = self._entries[key]
-            if entry.sequence > have.get(entry.origin, 0):
-                missing.append(entry)
-        missing.reverse()
-        return missing
+            stored.append(self._entries[key])
+        stored.reverse()
+        return stored
 
     def _claimed_vector(self, have: Mapping[str, int], is_first_pull: bool) -> VersionVector:
         """Returns the vector, after the first pull only what of it is above `have`."""
--- a/larchgw/rpc/larchgw.thrift
+++ b/larchgw/rpc/larchgw.thrift
@@ -21,6 +21,7 @@
   2: map<string, i64> have
   3: i32 wait_ms
   4: list<string> prefixes  // prefixes of the keys requested; empty: all
+  5: bool own_changes_only  // wait for changes made by the answering process alone; others come with the next pull
 }
 
 // `upto` is the caller's version vector once it has merged `entries`.
