--- a/larchgw/cli/lab.py
+++ b/larchgw/cli/lab.py
@@ -41,12 +41,6 @@
     return experiment(options)
 
 
-def _fleet(options: Options) -> Result:
-    from ..experiments.fleet import experiment
-
-    return experiment(options)
-
-
 def _place(options: Options) -> Result:
     from ..experiments.place import experiment
 
@@ -67,7 +61,6 @@
 
 EXPERIMENTS: dict[str, Callable[[Options], Result]] = {
     "distribution": _distribution,
-    "fleet": _fleet,
     "mass": _mass,
     "membership": _membership,
     "place": _place,
