Routing: a client whose model is not loaded in time is told when to come back

Change: missing_model.py decides. A first try for which no load ends before its latency target is rejected early with a Retry-After at which the load should be done, and counts as waiting for placement until then (expected_returns.py). What waits otherwise is answered before its client leaves.

--- a/larchgw/edge/context.py
+++ b/larchgw/edge/context.py
@@ -13,6 +13,7 @@
 from ..routing.interface import Budget, ModelKey, RequestTraits, Selection
 from ..runner_directory.runner_record import RunnerRecord
 from .counters import EdgeCounters
+from .expected_returns import AwaitedLoad, ExpectedReturns
 from .runner_pool import RunnerPool
 
 MAX_FRUITLESS = 4  # once an attempt has ended, requests are decided anew until so many go on waiting
@@ -42,6 +43,7 @@
     dispatchers: Callable[[], int]
     on_wanted: Callable[[str, str, str], None]
     closed: Callable[[object], None]  # told of each request that has ended
+    returns: ExpectedReturns = field(default_factory=ExpectedReturns)
     waiting: WaitingRequests = field(init=False)
 
     def __post_init__(self) -> None:
@@ -52,6 +54,11 @@
         """The time, in seconds."""
         return self.loop.clock.now()
 
+    def awaited_loads(self) -> list[AwaitedLoad]:
+        """Returns the requests that wait for a load: those here, and those told to come back."""
+        here = [AwaitedLoad(traits.key, traits.deadline_at) for traits in self.waiting.traits()]
+        return here + self.returns.pending(self.now())
+
     def _holds(self, runner: str, traits: RequestTraits) -> bool:
         record = self.runners(traits.service).get(runner)
         return record is not None and (not traits.model or record.holds(traits.model, traits.adapter))
--- a/larchgw/edge/demand.py
+++ b/larchgw/edge/demand.py
@@ -7,6 +7,7 @@
 
 from ..routing.interface import ModelKey, RequestTraits
 from ..rpc.generated.ttypes import ModelDemand
+from .expected_returns import AwaitedLoad
 
 MAX_LINES = 100  # of a report, where that can be kept: beyond it adapters nobody asked for are summed up
 
@@ -25,21 +26,21 @@
         self._values[traits.key] = self._values.get(traits.key, 0.0) + 1.0 / (1 + max(traits.route.rank, 0))
 
     def collect(
-        self, now: float, waiting: Iterable[RequestTraits], at_runners: Mapping[ModelKey, int]
+        self, now: float, waiting: Iterable[AwaitedLoad], at_runners: Mapping[ModelKey, int]
     ) -> list[ModelDemand]:
         """Returns the lines of a report, and counts anew from here on.
 
         Args:
             now: Seconds of the monotonic clock.
-            waiting: Requests that wait for a runner.
+            waiting: Requests that wait for a load.
             at_runners: Requests at runners, by key.
         """
         waits: Counter[ModelKey] = Counter()
         urgency: dict[ModelKey, float] = {}
-        for traits in waiting:
-            waits[traits.key] += 1
-            left = traits.deadline_at - now
-            urgency[traits.key] = min(urgency.get(traits.key, left), left)
+        for awaited in waiting:
+            waits[awaited.key] += 1
+            left = awaited.deadline_at - now
+            urgency[awaited.key] = min(urgency.get(awaited.key, left), left)
         arrivals, values = self._arrivals, self._values
         self._arrivals, self._values = Counter(), {}
         running = (
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -184,7 +184,7 @@
     def demand(self) -> list[ModelDemand]:
         """What was asked for by model and adapter since the last call, and what waits and runs now."""
         at_runners = Counter(request.traits.key for request in self._open if request.at_runner)
-        return self._demand.collect(self.loop.clock.now(), self._context.waiting.traits(), at_runners)
+        return self._demand.collect(self.loop.clock.now(), self._context.awaited_loads(), at_runners)
 
     # From clients
 
--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -114,7 +114,7 @@
                 return False
             self._stop_waiting()
             if isinstance(choice, Reject):
-                self._give_up(choice.retry_after, choice.reason)
+                self._reject(now, choice)
             else:
                 self._send_to(now, choice)
         return True
@@ -134,7 +134,7 @@
         return same or runners
 
     def _wait(self, now: float, choice: Wait) -> None:
-        context, traits = self._context, self.traits
+        context = self._context
         if self._trace is not None:
             self._trace.waits(now, choice.reason)
         context.waiting.add(self)
@@ -142,11 +142,23 @@
         self._wait_timer = context.loop.deadlines.add(
             max(choice.until, now + MIN_WAIT_S), self._on_wait_timeout
         )
-        if traits.model and not self._demand_reported:
-            ready = [x for x in context.runners(traits.service).values() if x.stage < Stage.DRAINING]
-            if not any(runner.holds(traits.model, traits.adapter) for runner in ready):
-                self._demand_reported = True
-                context.on_wanted(traits.service, traits.model, traits.adapter)
+        self._report_missing_model()
+
+    def _reject(self, now: float, choice: Reject) -> None:
+        if choice.awaits_load:
+            self._context.returns.add(now, self.traits, choice.retry_after)
+            self._report_missing_model()
+        self._give_up(choice.retry_after, choice.reason)
+
+    def _report_missing_model(self) -> None:
+        """Reports demand at once if no runner holds what it asks for."""
+        context, traits = self._context, self.traits
+        if not traits.model or self._demand_reported:
+            return
+        ready = [x for x in context.runners(traits.service).values() if x.stage < Stage.DRAINING]
+        if not any(runner.holds(traits.model, traits.adapter) for runner in ready):
+            self._demand_reported = True
+            context.on_wanted(traits.service, traits.model, traits.adapter)
 
     def _on_wait_timeout(self) -> None:
         self._wait_timer = None
--- a/larchgw/routing/interface.py
+++ b/larchgw/routing/interface.py
@@ -107,10 +107,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """It cannot be served in time: answer 503 with Retry-After (`retry_after`, seconds)."""
+    """It cannot be served in time: answer 503 with Retry-After.
+
+    Attributes:
+        retry_after: Seconds.
+        reason: For logs and counters.
+        awaits_load: Whether its client is to come back once a load has ended, so that it goes on counting
+            as one that waits for the load.
+    """
 
     retry_after: float
     reason: str
+    awaits_load: bool = False
 
 
 Choice = Send | Wait | Reject
--- a/larchgw/routing/selection.py
+++ b/larchgw/routing/selection.py
@@ -16,6 +16,7 @@
 from ..runner_directory.runner_record import RunnerRecord, Stage
 from .affinity import Rendezvous, shared_prefix_hash
 from .interface import Attempt, AttemptOutcome, Choice, Reject, RequestTraits, Send, Wait
+from .missing_model import MIN_SERVICE_S, RECHECK_S, choose_without_holder, retry_after_s
 from .outlier_ejection import OutlierEjection
 from .pending_requests import PendingRequests
 from .prefill_rate import PrefillRates
@@ -26,12 +27,6 @@
 from .stream_timeouts import MIN_TIMEOUT_S, LastBytes, first_byte_timeout_s
 
 LOWEST_PRIORITY = 9  # of the Priority header; 0 is the most urgent
-RECHECK_S = 0.2  # a waiting request is decided anew at least this often
-MIN_SERVICE_S = 0.03  # no answer comes sooner than this
-MIN_RETRY_AFTER_S = 0.05  # shortest Retry-After
-RETRY_AFTER_SHARE = 1.0 / 3.0  # of the time left: clients honour Retry-After up to this
-MAX_WAIT_SHARE = 0.45  # of a request's time that it waits without a load under way
-OVERDUE_S = 2.5  # after its expected end a load is no longer waited for: two check-ins would have told of it
 ANSWERED = (AttemptOutcome.DONE, AttemptOutcome.RUNNER_ERROR, AttemptOutcome.FULL, AttemptOutcome.NOT_HELD)
 PRUNE_S = 2.0  # how often runners that are gone are forgotten
 
@@ -106,7 +101,7 @@
         ]
         candidates = self._candidates(holders, tried)
         if not candidates:
-            return self._wait_for_load(now, request, expected)
+            return self._wait_for_load(now, request, runners, expected)
         available = self._responsive(now, request, self._admitted(now, candidates))
         if not available:
             return self._wait_for_backoff(now, request, candidates, expected)
@@ -339,20 +334,18 @@
             (report.slots if report else record.slots) or self._service(record.service).slots or UNKNOWN_SLOTS
         )
 
-    def _wait_for_load(self, now: float, request: RequestTraits, expected: Mapping[str, float]) -> Choice:
-        """No runner holds the key: waits for a load that is under way, if it will be done in time."""
-        wait_until = request.arrived_at + MAX_WAIT_SHARE * (request.deadline_at - request.arrived_at)
-        last_start = request.deadline_at - MIN_SERVICE_S
-        expected_loads = [at for at in expected.values() if at > now - OVERDUE_S]
-        if expected_loads:
-            done = min(expected_loads)
-            if done < last_start:
-                return Wait(min(max(done, now + MIN_SERVICE_S), now + RECHECK_S), "loading")
-            return self._reject(now, request, done, "loads_too_late")
-        soonest = now + self._service(request.service).least_load_s(request.model)
-        if now < wait_until and soonest < last_start:
-            return Wait(min(wait_until, now + RECHECK_S), "no_holder")
-        return self._reject(now, request, soonest, "no_holder")
+    def _wait_for_load(
+        self,
+        now: float,
+        request: RequestTraits,
+        runners: Mapping[str, RunnerRecord],
+        expected: Mapping[str, float],
+    ) -> Choice:
+        """No runner holds the key."""
+        is_model_held = bool(request.adapter) and any(
+            record.stage < Stage.DRAINING and record.holds(request.model, "") for record in runners.values()
+        )
+        return choose_without_holder(now, request, expected, self._service(request.service), is_model_held)
 
     def _wait_for_backoff(
         self,
@@ -373,8 +366,7 @@
     @staticmethod
     def _reject(now: float, request: RequestTraits, until: float, reason: str) -> Reject:
         """Rejects with the time after which it may be worth asking again."""
-        max_after_s = RETRY_AFTER_SHARE * max(0.0, request.deadline_at - now)
-        return Reject(min(max(MIN_RETRY_AFTER_S, until - now), max(MIN_RETRY_AFTER_S, max_after_s)), reason)
+        return Reject(retry_after_s(now, request, until), reason)
 
     def _prune(self, now: float, service: str, runners: Mapping[str, RunnerRecord]) -> None:
         """Drops what is known of runners of the service that are gone."""
