--- a/larchgw/routing/selection.py
+++ b/larchgw/routing/selection.py
@@ -21,12 +21,12 @@
 from .pending_requests import PendingRequests
 from .prefill_rate import PrefillRates
 from .prefix_cache import PrefixCaches, prefix_ids
+from .priority import priority
 from .reported_load import ReportedLoads
 from .service_terms import UNKNOWN_SLOTS, ServiceTerms, all_terms
 from .stale_keys import StaleKeys
 from .stream_timeouts import MIN_TIMEOUT_S, LastBytes, first_byte_timeout_s
 
-LOWEST_PRIORITY = 9  # of the Priority header; 0 is the most urgent
 ANSWERED = (AttemptOutcome.DONE, AttemptOutcome.RUNNER_ERROR, AttemptOutcome.FULL, AttemptOutcome.NOT_HELD)
 PRUNE_S = 2.0  # how often runners that are gone are forgotten
 
@@ -115,7 +115,7 @@
             wait_s = self._expected_wait_s(now, request, chosen)
             if wait_s > self._max_queueing_s(now, request) and self._are_half_full(now, holders):
                 return self._reject(now, request, now + wait_s, "overload")
-        return Send(chosen, min(LOWEST_PRIORITY, max(0, request.route.rank)))
+        return Send(chosen, priority(request.route))
 
     def sent(self, attempt: Attempt) -> None:
         """The attempt is on its way; it counts as pending."""
