Routing: the expected time of a load has its turn at the weight store

Change: before a load is ordered, two others are counted ahead of it, by the configuration's loads_per_s.

--- a/larchgw/routing/missing_model.py
+++ b/larchgw/routing/missing_model.py
@@ -20,7 +20,6 @@
 MIN_RETRY_AFTER_S = 0.05  # shortest Retry-After
 RETRY_AFTER_SHARE = 1.0 / 3.0  # of the time left: clients honour Retry-After up to this
 OVERDUE_S = 2.5  # after its expected end a load is no longer waited for: two check-ins would have told of it
-ORDER_S = 0.3  # from the first request for a model until a runner has begun to load it
 ADAPTER_S = 0.15  # from the first request for an adapter until dispatchers know that it is loaded
 RETURN_MARGIN_S = 0.1  # from the expected end of a load until dispatchers know of it
 EARLY_SHARE = 0.2  # of the time to the target: a rejection within a quarter of it is early for the client
@@ -86,7 +85,7 @@
         return _Load(max(min(ordered), now), True)
     if is_model_held:
         return _Load(now + ADAPTER_S, False)
-    return _Load(now + ORDER_S + terms.load_s.get(request.model, 0.0), False)
+    return _Load(now + terms.usual_load_s(request.model), False)
 
 
 def _is_first_try(request: RequestTraits) -> bool:
