Routing: only what was at no runner yet is sent away for a load

Cause: by reading, a resumed stream without a holder could be rejected, which cuts it, or given up by the patience that counts for its first byte. Change: such a request waits as before; the decision is split by what is known of the load.

--- a/larchgw/routing/missing_model.py
+++ b/larchgw/routing/missing_model.py
@@ -48,7 +48,9 @@
     request: RequestTraits,
     expected: Mapping[str, float],
     terms: ServiceTerms,
+    *,
     is_model_held: bool,
+    is_first_send: bool,
 ) -> Choice:
     """Returns whether the request waits for a load or is rejected, and for how long.
 
@@ -58,19 +60,42 @@
         expected: Runner id -> when an ordered load of what it asks for is expected to be done there.
         terms: Of the request's service.
         is_model_held: Whether a runner holds the model, so that only the adapter is missing.
+        is_first_send: Whether it was at no runner yet. Else it may have run, and its answer may have begun:
+            it is not sent away, and its client's patience is not known.
     """
     load = _soonest_load(now, request, expected, terms, is_model_held)
-    least_load_s = terms.least_load_s(request.model)
-    early_until = request.arrived_at + EARLY_SHARE * (request.target_at - request.arrived_at)
-    may_return = now <= early_until and _is_first_try(request)
-    if load.done_at <= request.target_at - MIN_SERVICE_S:
-        if load.is_ordered or is_model_held or not may_return:
-            return _wait(now, request, load, least_load_s)
-        if now < early_until - MIN_SERVICE_S:
-            return Wait(min(early_until - MIN_SERVICE_S, now + RECHECK_S), "no_holder")
-    if may_return and _is_in_time_on_return(now, request, load):
-        return _reject(now, request, load.done_at + RETURN_MARGIN_S, "awaits_load", awaits_load=True)
-    return _wait(now, request, load, least_load_s)
+    if is_first_send and _is_early(now, request) and _is_first_try(request):
+        choice = _choose_early(now, request, load, is_model_held)
+        if choice is not None:
+            return choice
+    leaves_at = request.arrived_at + _patience_s(request) if is_first_send else request.deadline_at
+    if load.is_ordered:
+        return _wait_for_load(now, request, load.done_at, leaves_at)
+    return _wait_for_order(now, request, terms.least_load_s(request.model), leaves_at)
+
+
+def _choose_early(now: float, request: RequestTraits, load: _Load, is_model_held: bool) -> Choice | None:
+    """Decides on a first try that is still early; None: it waits as any other."""
+    is_in_time = load.done_at <= request.target_at - MIN_SERVICE_S
+    if is_in_time and (load.is_ordered or is_model_held):
+        return None
+    last_look = _early_until(request) - MIN_SERVICE_S
+    if is_in_time and now < last_look:
+        return Wait(min(last_look, now + RECHECK_S), "no_holder")
+    if not _is_in_time_on_return(now, request, load):
+        return None
+    return Reject(
+        retry_after_s(now, request, load.done_at + RETURN_MARGIN_S), "awaits_load", awaits_load=True
+    )
+
+
+def _early_until(request: RequestTraits) -> float:
+    return request.arrived_at + EARLY_SHARE * (request.target_at - request.arrived_at)
+
+
+def _is_early(now: float, request: RequestTraits) -> bool:
+    """Whether a rejection now costs its client little."""
+    return now <= _early_until(request)
 
 
 def _soonest_load(
@@ -101,19 +126,21 @@
     return load.done_at + RETURN_MARGIN_S <= returns_at + target_s - MIN_SERVICE_S
 
 
-def _wait(now: float, request: RequestTraits, load: _Load, least_load_s: float) -> Choice:
-    """Waits for the load, as long as its client does."""
-    leaves_at = request.arrived_at + _patience_s(request)
-    if load.is_ordered:
-        if load.done_at < leaves_at - MIN_SERVICE_S and now < leaves_at:
-            until = min(max(load.done_at, now + MIN_SERVICE_S), now + RECHECK_S, leaves_at)
-            return Wait(until, "loading")
-        return _reject(now, request, load.done_at, "loads_too_late")
+def _wait_for_load(now: float, request: RequestTraits, done_at: float, leaves_at: float) -> Choice:
+    """Waits for an ordered load, if it is done before the client leaves."""
+    if now < leaves_at and done_at < leaves_at - MIN_SERVICE_S:
+        return Wait(min(max(done_at, now + MIN_SERVICE_S), now + RECHECK_S, leaves_at), "loading")
+    return Reject(retry_after_s(now, request, done_at), "loads_too_late")
+
+
+def _wait_for_order(now: float, request: RequestTraits, least_load_s: float, leaves_at: float) -> Choice:
+    """Waits for a load to be ordered, for part of the request's time and no longer than the client does."""
     time_s = request.deadline_at - request.arrived_at
     wait_until = min(request.arrived_at + MAX_WAIT_SHARE * time_s, leaves_at)
-    if now < wait_until and now + least_load_s < request.deadline_at - MIN_SERVICE_S:
+    soonest = now + least_load_s
+    if now < wait_until and soonest < request.deadline_at - MIN_SERVICE_S:
         return Wait(min(wait_until, now + RECHECK_S), "no_holder")
-    return _reject(now, request, now + least_load_s, "no_holder")
+    return Reject(retry_after_s(now, request, soonest), "no_holder")
 
 
 def _patience_s(request: RequestTraits) -> float:
@@ -127,12 +154,6 @@
     return min(left_s, silence_s - PATIENCE_MARGIN_S)
 
 
-def _reject(
-    now: float, request: RequestTraits, until: float, reason: str, awaits_load: bool = False
-) -> Reject:
-    return Reject(retry_after_s(now, request, until), reason, awaits_load)
-
-
 def retry_after_s(now: float, request: RequestTraits, until: float) -> float:
     """Returns the Retry-After, in seconds, for a request that may be worth sending again at `until`."""
     longest_s = RETRY_AFTER_SHARE * max(0.0, request.deadline_at - now)
--- a/larchgw/routing/selection.py
+++ b/larchgw/routing/selection.py
@@ -101,7 +101,7 @@
         ]
         candidates = self._candidates(holders, tried)
         if not candidates:
-            return self._wait_for_load(now, request, runners, expected)
+            return self._wait_for_load(now, request, runners, tried, expected)
         available = self._responsive(now, request, self._admitted(now, candidates))
         if not available:
             return self._wait_for_backoff(now, request, candidates, expected)
@@ -339,13 +339,21 @@
         now: float,
         request: RequestTraits,
         runners: Mapping[str, RunnerRecord],
+        tried: Sequence[str],
         expected: Mapping[str, float],
     ) -> Choice:
         """No runner holds the key."""
         is_model_held = bool(request.adapter) and any(
             record.stage < Stage.DRAINING and record.holds(request.model, "") for record in runners.values()
         )
-        return choose_without_holder(now, request, expected, self._service(request.service), is_model_held)
+        return choose_without_holder(
+            now,
+            request,
+            expected,
+            self._service(request.service),
+            is_model_held=is_model_held,
+            is_first_send=not tried,
+        )
 
     def _wait_for_backoff(
         self,
--- a/tests/routing/test_missing_model.py
+++ b/tests/routing/test_missing_model.py
@@ -26,11 +26,22 @@
 
 
 def choose(
-    asked: RequestTraits, after_s: float = 0.0, done_s: float | None = None, is_model_held: bool = False
+    asked: RequestTraits,
+    after_s: float = 0.0,
+    done_s: float | None = None,
+    is_model_held: bool = False,
+    is_first_send: bool = True,
 ) -> Choice:
     """Decides `after_s` after the request came; a load ends `done_s` after it came, None: none is ordered."""
     expected = {} if done_s is None else {"a": asked.arrived_at + done_s}
-    return choose_without_holder(asked.arrived_at + after_s, asked, expected, TERMS, is_model_held)
+    return choose_without_holder(
+        asked.arrived_at + after_s,
+        asked,
+        expected,
+        TERMS,
+        is_model_held=is_model_held,
+        is_first_send=is_first_send,
+    )
 
 
 def test_first_try_is_rejected_at_once_to_come_back_when_the_load_is_done() -> None:
@@ -89,3 +100,12 @@
     asked = request(target_s=0.4, deadline_s=3.0)
     choice = choose(asked, done_s=1.8)
     assert isinstance(choice, Wait)
+
+
+def test_request_that_was_at_a_runner_is_not_sent_away() -> None:
+    assert isinstance(choose(request(), done_s=1.5, is_first_send=False), Wait)
+
+
+def test_stream_that_is_resumed_waits_for_a_load_beyond_the_patience_for_a_first_byte() -> None:
+    assert isinstance(choose(request(), after_s=4.0, done_s=5.0, is_first_send=False), Wait)
+    assert isinstance(choose(request(), after_s=4.0, done_s=5.0), Reject)
