--- a/tests/replication/test_member.py
+++ b/tests/replication/test_member.py
@@ -70,6 +70,21 @@
     assert serve(cluster, 2.0) > 10
 
 
+@pytest.mark.parametrize("killed", [1, 2, 3])
+def test_members_killed_at_once_serve_on_with_all_that_was_acknowledged(
+    killed: int,
+) -> None:
+    cluster = started()
+    serve(cluster, 1.0)
+    committed = primary(cluster).member.committed_index
+    for address in list(cluster.machines)[:killed]:
+        cluster.kill(address)
+    for address in list(cluster.machines)[:killed]:
+        cluster.start(address)
+    assert serve(cluster, 2.0) > 10
+    assert primary(cluster).member.committed_index >= committed + 10
+
+
 def test_one_disk_is_lost_while_all_others_lose_power() -> None:
     cluster = started()
     cluster.wipe(primary(cluster).address)
