--- a/larchgw/edge/expected_returns.py
+++ b/larchgw/edge/expected_returns.py
@@ -34,9 +34,8 @@
 
     def add(self, now: float, traits: RequestTraits, retry_after_s: float) -> None:
         """A client was told to come back after so many seconds."""
-        returns_at = now + retry_after_s
-        target_s = traits.target_at - traits.arrived_at
-        self._returns.append((returns_at, AwaitedLoad(traits.key, returns_at + target_s)))
+        # Its own deadline and not an earlier one: placement gives up loads that end after it.
+        self._returns.append((now + retry_after_s, AwaitedLoad(traits.key, traits.deadline_at)))
 
     def pending(self, now: float) -> list[AwaitedLoad]:
         """Returns those that are still to come back."""
