--- a/larchgw/routing/missing_model.py
+++ b/larchgw/routing/missing_model.py
@@ -65,7 +65,7 @@
     """
     load = _soonest_load(now, request, expected, terms, is_model_held)
     if is_first_send and _is_early(now, request) and _is_first_try(request):
-        choice = _choose_early(now, request, load, is_model_held)
+        choice = _choose_early(now, request, load, terms.usual_order_s, is_model_held)
         if choice is not None:
             return choice
     leaves_at = request.arrived_at + _patience_s(request) if is_first_send else request.deadline_at
@@ -74,12 +74,18 @@
     return _wait_for_order(now, request, terms.least_load_s(request.model), leaves_at)
 
 
-def _choose_early(now: float, request: RequestTraits, load: _Load, is_model_held: bool) -> Choice | None:
-    """Decides on a first try that is still early; None: it waits as any other."""
+def _choose_early(
+    now: float, request: RequestTraits, load: _Load, usual_order_s: float, is_model_held: bool
+) -> Choice | None:
+    """Decides on a first try that is still early; None: it waits as any other.
+
+    A load that would be in time but is not ordered when such loads usually are may not be ordered at all, so
+    that the client is sent away while that is early. Where the early time is shorter, it tells nothing.
+    """
     is_in_time = load.done_at <= request.target_at - MIN_SERVICE_S
-    if is_in_time and (load.is_ordered or is_model_held):
-        return None
     last_look = _early_until(request) - MIN_SERVICE_S
+    if is_in_time and (load.is_ordered or is_model_held or last_look - request.arrived_at < usual_order_s):
+        return None
     if is_in_time and now < last_look:
         return Wait(min(last_look, now + RECHECK_S), "no_holder")
     if not _is_in_time_on_return(now, request, load):
--- a/larchgw/routing/service_terms.py
+++ b/larchgw/routing/service_terms.py
@@ -33,10 +33,15 @@
         """The shortest time in which a runner without the model may come to hold it."""
         return RELOAD_SHARE * self.load_s.get(model, 0.0)
 
-    def usual_load_s(self, model: str) -> float:
-        """How long a load that is not ordered yet usually takes, with its turn at the weight store."""
+    @property
+    def usual_order_s(self) -> float:
+        """How long it usually takes until a load begins, with its turn at the weight store."""
         turn_s = QUEUED_LOADS / self.loads_per_s if self.loads_per_s > 0.0 else 0.0
-        return ORDER_S + turn_s + self.load_s.get(model, 0.0)
+        return ORDER_S + turn_s
+
+    def usual_load_s(self, model: str) -> float:
+        """How long a load that is not ordered yet usually takes."""
+        return self.usual_order_s + self.load_s.get(model, 0.0)
 
 
 def service_terms(service: Service) -> ServiceTerms:
--- a/tests/routing/test_missing_model.py
+++ b/tests/routing/test_missing_model.py
@@ -73,6 +73,15 @@
     assert choice.awaits_load
 
 
+def test_patient_request_waits_where_loads_are_usually_ordered_later_than_it_is_early() -> None:
+    asked = request(target_s=4.0, deadline_s=10.0)
+    slow_store = ServiceTerms(load_s={"m": 1.0}, loads_per_s=2.0)
+    choice = choose_without_holder(
+        asked.arrived_at + 0.79, asked, {}, slow_store, is_model_held=False, is_first_send=True
+    )
+    assert isinstance(choice, Wait)
+
+
 def test_request_for_a_missing_adapter_of_a_held_model_waits() -> None:
     assert isinstance(choose(request(), is_model_held=True), Wait)
 
