Routing: nobody is sent away where a load ordered at once would be in time

Change: an unordered load counts as too late only if even the quickest would be. Where loads take longer than targets, as at the newest customer, decisions are the same.

--- a/larchgw/routing/missing_model.py
+++ b/larchgw/routing/missing_model.py
@@ -65,7 +65,7 @@
     """
     load = _soonest_load(now, request, expected, terms, is_model_held)
     if is_first_send and _is_early(now, request) and _is_first_try(request):
-        choice = _choose_early(now, request, load, terms.usual_order_s, is_model_held)
+        choice = _choose_early(now, request, load, terms, is_model_held)
         if choice is not None:
             return choice
     leaves_at = request.arrived_at + _patience_s(request) if is_first_send else request.deadline_at
@@ -75,7 +75,7 @@
 
 
 def _choose_early(
-    now: float, request: RequestTraits, load: _Load, usual_order_s: float, is_model_held: bool
+    now: float, request: RequestTraits, load: _Load, terms: ServiceTerms, is_model_held: bool
 ) -> Choice | None:
     """Decides on a first try that is still early; None: it waits as any other.
 
@@ -84,7 +84,11 @@
     """
     is_in_time = load.done_at <= request.target_at - MIN_SERVICE_S
     last_look = _early_until(request) - MIN_SERVICE_S
-    if is_in_time and (load.is_ordered or is_model_held or last_look - request.arrived_at < usual_order_s):
+    if is_in_time and (
+        load.is_ordered or is_model_held or last_look - request.arrived_at < terms.usual_order_s
+    ):
+        return None
+    if not load.is_ordered and not is_in_time and _could_be_in_time(now, request, terms):
         return None
     if is_in_time and now < last_look:
         return Wait(min(last_look, now + RECHECK_S), "no_holder")
@@ -95,6 +99,11 @@
     )
 
 
+def _could_be_in_time(now: float, request: RequestTraits, terms: ServiceTerms) -> bool:
+    """Whether a load ordered at once, ahead of all others, would be done before the latency target."""
+    return now + terms.quickest_load_s(request.model) <= request.target_at - MIN_SERVICE_S
+
+
 def _early_until(request: RequestTraits) -> float:
     return request.arrived_at + EARLY_SHARE * (request.target_at - request.arrived_at)
 
--- a/larchgw/routing/service_terms.py
+++ b/larchgw/routing/service_terms.py
@@ -9,6 +9,7 @@
 # A model that the runner held before comes back from its own disk in about this share of its load time.
 RELOAD_SHARE = 0.2
 ORDER_S = 0.3  # from the first request for a model until a runner may begin to load it
+QUICKEST_ORDER_S = 0.1  # the same at best
 QUEUED_LOADS = 2.0  # that are ahead of a load at the weight store
 UNKNOWN_SLOTS = 4  # of a service whose configuration names none, until a runner tells
 
@@ -39,6 +40,10 @@
         turn_s = QUEUED_LOADS / self.loads_per_s if self.loads_per_s > 0.0 else 0.0
         return ORDER_S + turn_s
 
+    def quickest_load_s(self, model: str) -> float:
+        """How long a load from the weight store takes at least that is not ordered yet."""
+        return QUICKEST_ORDER_S + self.load_s.get(model, 0.0)
+
     def usual_load_s(self, model: str) -> float:
         """How long a load that is not ordered yet usually takes."""
         return self.usual_order_s + self.load_s.get(model, 0.0)
--- a/tests/routing/test_missing_model.py
+++ b/tests/routing/test_missing_model.py
@@ -82,6 +82,15 @@
     assert isinstance(choice, Wait)
 
 
+def test_request_waits_where_a_load_could_be_in_time_though_it_usually_is_not() -> None:
+    quick_load = ServiceTerms(load_s={"m": 0.5}, loads_per_s=4.0)
+    asked = request(target_s=0.8, deadline_s=5.0)
+    choice = choose_without_holder(
+        asked.arrived_at, asked, {}, quick_load, is_model_held=False, is_first_send=True
+    )
+    assert isinstance(choice, Wait)
+
+
 def test_request_for_a_missing_adapter_of_a_held_model_waits() -> None:
     assert isinstance(choose(request(), is_model_held=True), Wait)
 
