Edge: expected returns that are over go also while no report is made

Cause: by reading, they were dropped only when a demand report was made, and none is while no placer is known, so they grew meanwhile. Change: those at the head that are over go at each new one. Measured: the edge's tests pass.

--- a/larchgw/edge/expected_returns.py
+++ b/larchgw/edge/expected_returns.py
@@ -34,6 +34,9 @@
 
     def add(self, now: float, traits: RequestTraits, retry_after_s: float) -> None:
         """A client was told to come back after so many seconds."""
+        # Here as well as in `pending`: nobody asks for them while there is no placer.
+        while self._returns and self._returns[0][0] <= now:
+            self._returns.popleft()
         # Its own deadline and not an earlier one: placement gives up loads that end after it.
         self._returns.append((now + retry_after_s, AwaitedLoad(traits.key, traits.deadline_at)))
 
