--- a/deploy/sites/draw_system.py
+++ b/deploy/sites/draw_system.py
@@ -2,9 +2,9 @@
 
     python deploy/sites/draw_system.py SITE.toml SEED TARGET.toml
 
-varies the weight store, load times, memory, adapters, latency targets, load and what counts. The names of
-days and the troubles stay, so that `fleetbench run TARGET.toml DAY` plays one of them. The file `wire.json` of
-SITE must lie beside TARGET.
+varies the weight store, load times, memory, adapters, latency targets, load and what counts. Days keep their
+names and troubles, so that `fleetbench run TARGET.toml DAY` plays one of them. The file `wire.json` of SITE
+must lie beside TARGET.
 """
 
 from __future__ import annotations
