--- a/larchgw/control/assembly.py
+++ b/larchgw/control/assembly.py
@@ -37,6 +37,7 @@
 from .majority_contact import PullContact
 from .operator_calls import OperatorCallRouter
 from .operator_service import OperatorService
+from .order_permits import LeaseOrderPermits
 from .periodic_work import PeriodicWork
 from .placer_role import PlacerRole
 from .publication import ConfigurationPropagation, ConfigurationPublisher
@@ -239,6 +240,7 @@
     placer = PlacerRole(
         address,
         replication.log.lease,
+        LeaseOrderPermits(replication.log),
         registry,
         directory,
         PlacementSettings(limits.ceiling_window_s, limits.origin_rate_cap),
--- a/larchgw/control/placer_role.py
+++ b/larchgw/control/placer_role.py
@@ -14,14 +14,12 @@
 from ..placement.model import PlacementSettings
 from ..placement.orders import OrderClient
 from ..placement.service import PlacementService
-from ..placement.service_runtime import PlacementRuntime
+from ..placement.service_runtime import OrderPermits, PlacementRuntime
 from ..placement.summary import PlacementSummary
 from ..replication.lease import Lease
 from ..rpc.generated.ttypes import DemandReport
 from ..runner_directory.directory import RunnerDirectory
-
-PLACER_LEASE = "placer"
-"""Name of the lease whose holder is the placer."""
+from .order_permits import PLACER_LEASE
 
 
 class PlacerRole:
@@ -36,6 +34,7 @@
         self,
         own_address: str,
         lease: Callable[[str], Lease | None],
+        permits: OrderPermits,
         registry: Registry,
         directory: RunnerDirectory,
         settings: PlacementSettings,
@@ -46,12 +45,13 @@
         Args:
             own_address: Rpc address of this process; names it in orders to runners and in the registry.
             lease: Gives the lease of that name while this process holds it.
+            permits: Says when an order may be sent to a runner.
             registry: Where the placer and the loads that it expects are published.
             directory: The runners.
             settings: Limits of placement.
             random_source: Breaks ties between plans.
         """
-        self._own_address, self._lease = own_address, lease
+        self._own_address, self._lease, self._permits = own_address, lease, permits
         self._registry, self._directory = registry, directory
         self._settings, self._random_source = settings, random_source
         self._expected_loads_serial = 0
@@ -62,6 +62,7 @@
             PlacementRuntime(
                 clock=time.monotonic,
                 lease=self.current_lease,
+                permits=self._permits,
                 calls=OrderClient(self._own_address),
                 publish=self.publish_expected_loads,
                 random_source=self._random_source,
--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -84,6 +84,18 @@
         """The lease of that name, while this process is its holder."""
         return self.member.lease(self._clock(), name)
 
+    async def announce(self, lease_name: str, target: str) -> None:
+        """Announces an act on `target` under a lease; then `act_permitted_until` says until when to begin it.
+
+        Raises:
+            ReplicationUnavailableError: The lease is not held, or no quorum of witnesses answers.
+        """
+        await self._call(lambda now: self.member.announce(now, lease_name, target))
+
+    def act_permitted_until(self, lease_name: str, target: str) -> float:
+        """See Member.act_permitted_until; on the clock of this log."""
+        return self.member.act_permitted_until(self._clock(), lease_name, target)
+
     async def wait_until_decided(self) -> None:
         """Returns once no record that was proposed here is undecided.
 
--- a/larchgw/experiments/place.py
+++ b/larchgw/experiments/place.py
@@ -95,7 +95,7 @@
     def __init__(self, world: World) -> None:
         self._world = world
 
-    async def order(self, order: Order, fence: int) -> OrderOutcome:
+    async def order(self, order: Order, fence: int, begin_by_s: float) -> OrderOutcome:
         """As the runner's status says."""
         self._world.orders += 1
         runner = self._world.find(order.runner_id, order.address)
--- a/larchgw/model_checking/replication/machine.py
+++ b/larchgw/model_checking/replication/machine.py
@@ -38,6 +38,7 @@
         version: Index of the newest record that the process has applied.
         proposals: Its own proposals that are not decided, by the number of their call.
         reads: By the number of the call, the newest acknowledged index when the read began.
+        announcements: Numbers of its calls that announce acts and have not ended.
         digest: What its state comes to, seen from outside.
     """
 
@@ -51,6 +52,7 @@
     version: int = 0
     proposals: dict[int, Proposal] = field(default_factory=dict)
     reads: dict[int, int] = field(default_factory=dict)
+    announcements: set[int] = field(default_factory=set)
     digest: tuple[object, ...] = ()
 
     @property
@@ -68,5 +70,6 @@
         self.version = 0
         self.proposals.clear()
         self.reads.clear()
+        self.announcements.clear()
         self.inbox.clear()
         self.is_frozen = False
--- a/larchgw/placement/lease_watch.py
+++ b/larchgw/placement/lease_watch.py
@@ -38,10 +38,10 @@
     def current(self) -> Lease | None:
         """Returns the lease; None if this process may not order.
 
-        It may only while the lease lasts longer than an order may take to arrive.
+        Each order needs a permit besides (`OrderPermits`), which sees to it that it arrives in time.
         """
         lease, now_s = self._usable_lease(), self._runtime.clock()
-        if lease is not None and lease.expires_at - now_s <= self._runtime.settings.order_timeout_s:
+        if lease is not None and lease.expires_at <= now_s:
             lease = None
         fencing_token = lease.fencing_token if lease is not None else None
         if fencing_token != self.fencing_token:
--- a/larchgw/placement/load_rate_limit.py
+++ b/larchgw/placement/load_rate_limit.py
@@ -80,7 +80,7 @@
         self._begun_by.extend([now_s] * min(loads, self._limit))
 
     def assume_exhausted(self, now_s: float) -> None:
-        """Allows nothing for one window: a predecessor may have used all of it until now."""
+        """Allows nothing until one window after `now_s`: a predecessor may have used all of it until then."""
         self._exhausted_until = now_s + self._window_s
 
     def assume_unused(self) -> None:
--- a/larchgw/placement/orders.py
+++ b/larchgw/placement/orders.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Mapping
 from io import BytesIO
 from types import MappingProxyType
@@ -49,9 +50,15 @@
         self._owner = owner
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_ORDERS + MAX_REPORTS)
 
-    async def order(self, order: Order, fencing_token: int) -> OrderOutcome:
-        """Sends an order and returns what is known of it then; raises nothing."""
-        body = _OrderBody(encode_order(order, self._owner, fencing_token))
+    async def order(self, order: Order, fencing_token: int, begin_by_s: float) -> OrderOutcome:
+        """Sends an order and returns what is known of it then; raises nothing.
+
+        Args:
+            order: The order.
+            fencing_token: Of the lease under which it was planned.
+            begin_by_s: Its body leaves this process by then, on the monotonic clock, or not at all.
+        """
+        body = _OrderBody(encode_order(order, self._owner, fencing_token), begin_by_s)
         try:
             response = await self._call(
                 order.runner_id,
@@ -99,19 +106,28 @@
 
 
 class _OrderBody:
-    """The body of one order, which curl can read once and not go back in: it cannot send the order again."""
+    """The body of one order, which curl can read once and not go back in: it cannot send the order again.
+
+    curl reads it when the connection is up. Where that took too long, it is refused, and curl ends the
+    connection: a runner takes no order of which the body is missing.
+    """
 
-    def __init__(self, content: bytes) -> None:
+    def __init__(self, content: bytes, begin_by_s: float) -> None:
         self.content = content
         self._unread = BytesIO(content)
+        self._begin_by_s = begin_by_s
         self.was_read = False  # until then no byte of it can have reached a runner
+        self.was_refused = False
 
     def install(self, curl: pycurl.Curl) -> None:
         """Makes curl read from here; for `prepare_curl_callback`."""
         curl.setopt(pycurl.READFUNCTION, self._read)
         curl.setopt(pycurl.SEEKFUNCTION, _refuse_to_seek)
 
-    def _read(self, size: int) -> bytes:
+    def _read(self, size: int) -> bytes | int:
+        if not self.was_read and time.monotonic() >= self._begin_by_s:
+            self.was_refused = True
+            return int(pycurl.READFUNC_ABORT)
         self.was_read = True
         return self._unread.read(size)
 
@@ -163,6 +179,7 @@
 
 
 def _failure(error: Exception, body: _OrderBody) -> OrderOutcome:
-    """Unsent only if no connection came up, and curl had not given the order to one that ended before."""
+    """Unsent only if no connection came up in time, and none that ended before was given the order."""
     has_no_connection = getattr(error, "errno", None) == pycurl.E_COULDNT_CONNECT
-    return OrderOutcome.UNSENT if has_no_connection and not body.was_read else OrderOutcome.UNKNOWN
+    is_unsent = (has_no_connection or body.was_refused) and not body.was_read
+    return OrderOutcome.UNSENT if is_unsent else OrderOutcome.UNKNOWN
--- a/larchgw/placement/reconciler.py
+++ b/larchgw/placement/reconciler.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Callable, Container
 
 from ..configuration.model import Configuration
 from ..identifiers import RunnerId
@@ -102,6 +102,11 @@
         self.load_limiter.confirm(now_s, state.id)
         del self._runners[state.id]
 
+    def postpone_orders(self, free_at_s: Callable[[RunnerId], float]) -> None:
+        """Orders nothing at a runner before its `free_at_s`: another placer may have ordered there lately."""
+        for state in self._runners.values():
+            state.backoff_until_s = max(state.backoff_until_s, free_at_s(state.id))
+
     def lease_lost(self, now_s: float) -> None:
         """Drops what is known of all runners: another process may order there from now on."""
         for state in self._runners.values():
--- a/larchgw/placement/runner_exchange.py
+++ b/larchgw/placement/runner_exchange.py
@@ -17,7 +17,7 @@
 
 log = structlog.get_logger()
 
-MAX_ORDER_QUEUE_S = 0.3  # that an order waits while MAX_ORDERS are in flight; later, it is planned anew
+MAX_ORDER_QUEUE_S = 0.3  # from planning to sending, while others are in flight; later, it is planned anew
 
 
 class RunnerExchange:
@@ -57,7 +57,7 @@
             self._reconciler.receive_report(self._clock(), state.id, report)
 
     async def send_order(self, order: Order, fencing_token: int) -> None:
-        """Sends an order that the reconciler has noted, when fewer than MAX_ORDERS are in flight.
+        """Announces an order that the reconciler has noted, and sends it; MAX_ORDERS at a time.
 
         Args:
             order: The order.
@@ -65,14 +65,16 @@
         """
         planned_at_s = self._clock()
         async with self._order_slots:
+            await self._runtime.permits.announce(order.runner_id)
             lease = self._lease_watch.current()  # read again: it may have ended while this waited
             if lease is None or lease.fencing_token != fencing_token:
                 return
-            if self._clock() - planned_at_s > MAX_ORDER_QUEUE_S:
+            begin_by_s = self._runtime.permits.permitted_until_s(order.runner_id)
+            if self._clock() >= min(begin_by_s, planned_at_s + MAX_ORDER_QUEUE_S):
                 outcome = OrderOutcome.UNSENT
             else:
                 log.info("order.sent", runner=order.runner_id, action=order.action.value, model=order.name)
-                outcome = await self._runtime.calls.order(order, fencing_token)
+                outcome = await self._runtime.calls.order(order, fencing_token, begin_by_s)
         if fencing_token != self._lease_watch.fencing_token:
             return
         if outcome is OrderOutcome.FENCED:
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -34,6 +34,7 @@
 BUSY_PERIOD_S = 0.05  # between rounds while an order is in progress or a request waits
 IDLE_PERIOD_S = 0.25
 MAX_PLANNING_SHARE = 0.1  # of the time is spent on planning, however large the deployment
+LATE_ORDER_S = 0.3  # for which an order of an earlier life of this process may be on its way at its start
 REPORTS_TIMEOUT_S = (
     0.5  # after acquiring the lease: most runners have answered by then, and load choices see them
 )
@@ -50,7 +51,7 @@
         """
         settings = runtime.settings
         self._clock, self._load_window_s = runtime.clock, settings.load_window_s
-        self._spawn = runtime.spawn
+        self._spawn, self._permits = runtime.spawn, runtime.permits
         self._demand = DemandTracker(runtime.clock)
         self._planner = Planner(settings, runtime.random_source)
         self._reconciler = Reconciler(
@@ -161,8 +162,11 @@
 
     def _lease_acquired(self, now_s: float, fencing_token: int) -> None:
         log.info("placement.started", fencing_token=fencing_token, runners=len(self._reconciler.runners))
-        if now_s - self._started_at_s < self._load_window_s:
-            self._reconciler.load_limiter.assume_exhausted(now_s)
+        self._reconciler.postpone_orders(self._permits.free_at_s)
+        # Loads that were ordered before this process ran, by an earlier life of it too, were not seen.
+        unseen_until_s = max(self._started_at_s + LATE_ORDER_S, self._permits.unknown_orders_until_s())
+        if now_s - unseen_until_s < self._load_window_s:
+            self._reconciler.load_limiter.assume_exhausted(unseen_until_s)
 
     def _lease_lost(self, now_s: float) -> None:
         self._reconciler.lease_lost(now_s)
--- a/larchgw/placement/service_runtime.py
+++ b/larchgw/placement/service_runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -27,13 +28,51 @@
 class RunnerCalls(Protocol):
     """Calls to runners; `orders.OrderClient` is the implementation."""
 
-    async def order(self, order: Order, fencing_token: int) -> OrderOutcome:
-        """Sends an order; raises nothing."""
+    async def order(self, order: Order, fencing_token: int, begin_by_s: float) -> OrderOutcome:
+        """Sends an order, or not at all if it is not begun by then (monotonic clock); raises nothing."""
 
     async def report(self, runner_id: RunnerId, address: str) -> RunnerReport | None:
         """Reads a runner's report; None if it gave none."""
 
 
+class OrderPermits(Protocol):
+    """When orders may be sent: two placers keep a term apart at each runner.
+
+    Times are on the runtime's clock.
+    """
+
+    async def announce(self, runner_id: RunnerId) -> None:
+        """Announces an order to a runner; `permitted_until_s` tells what came of it. Raises nothing."""
+
+    def permitted_until_s(self, runner_id: RunnerId) -> float:
+        """Until when an announced order may be sent; minus infinity if it may not."""
+
+    def free_at_s(self, runner_id: RunnerId) -> float:
+        """From when on an order may be announced: another placer may have ordered there lately."""
+
+    def unknown_orders_until_s(self) -> float:
+        """When the last order of another placer that nobody has told may have arrived at a runner."""
+
+
+class UnrestrictedOrderPermits:
+    """Permits every order: for a placer that never has another beside it."""
+
+    async def announce(self, runner_id: RunnerId) -> None:
+        """See OrderPermits."""
+
+    def permitted_until_s(self, runner_id: RunnerId) -> float:
+        """See OrderPermits."""
+        return math.inf
+
+    def free_at_s(self, runner_id: RunnerId) -> float:
+        """See OrderPermits."""
+        return -math.inf
+
+    def unknown_orders_until_s(self) -> float:
+        """See OrderPermits."""
+        return -math.inf
+
+
 _tasks: set[asyncio.Task[None]] = set()  # the event loop itself holds its tasks weakly
 
 
@@ -62,6 +101,7 @@
         spawn: Runs a call beside the loop.
         settings: Limits of the deployment.
         random_source: Breaks ties between runners.
+        permits: Says when an order may be sent to a runner.
     """
 
     clock: Callable[[], float]
@@ -71,3 +111,4 @@
     spawn: Callable[[Coroutine[Any, Any, None]], None] = spawn_task
     settings: PlacementSettings = field(default_factory=PlacementSettings)
     random_source: random.Random = field(default_factory=random.Random)
+    permits: OrderPermits = field(default_factory=UnrestrictedOrderPermits)
--- a/larchgw/replication/effects.py
+++ b/larchgw/replication/effects.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingCall:
-    """Stands for one `propose` or `confirm` until an Effects lists it as done or failed.
+    """Stands for one `propose`, `confirm` or `announce` until an Effects lists it as done or failed.
 
     Attributes:
         number: Unique within one member.
@@ -33,7 +33,7 @@
 
     Attributes:
         call: The call.
-        index: Where the proposed record is, or as of which record the read is confirmed.
+        index: Where the proposed record is, or as of which record the read is confirmed; 0 for `announce`.
     """
 
     call: PendingCall
--- a/larchgw/replication/effects_collector.py
+++ b/larchgw/replication/effects_collector.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from .effects import CommittedRecord, Effects, InstalledSnapshot, PendingCall, Role
 from .leadership import Leadership
 from .outbound_messages import OutboundMessages
@@ -38,6 +40,18 @@
         """A call that ends once a quorum has granted the heartbeat `heartbeat_round` or a later one."""
         return self._pending_calls.add_read(heartbeat_round)
 
+    def add_announcement(self) -> PendingCall:
+        """A call that ends with `end_announcements` or `fail_announcements`."""
+        return self._pending_calls.add_announcement()
+
+    def end_announcements(self, calls: Iterable[PendingCall]) -> None:
+        """A quorum of witnesses remembers the acts that these calls announced."""
+        self._pending_calls.end_announcements(calls, self._effects)
+
+    def fail_announcements(self, calls: Iterable[PendingCall], reason: str) -> None:
+        """The acts that these calls announced must not be begun."""
+        self._pending_calls.fail_announcements(calls, reason, self._effects)
+
     def fail_calls(self, reason: str) -> None:
         """The member is primary no more."""
         self._pending_calls.fail(reason, self._effects)
--- a/larchgw/replication/lease.py
+++ b/larchgw/replication/lease.py
@@ -4,12 +4,16 @@
 
 from dataclasses import dataclass
 from enum import Enum, auto
+from math import inf
 from random import Random
+from typing import Protocol
 
 import structlog
 
 from ..identifiers import FencingToken
-from .lease_acceptor import NOBODY, UNKNOWN
+from .effects import PendingCall
+from .lease_acceptor import GRANT_SHARE
+from .lease_acts import ACT_WINDOW_S, ActAnnouncement, PredecessorActs, separation_s
 from .messages import LeaseRelease, LeaseReply, LeaseRequest
 from .outbound_messages import OutboundMessages
 from .settings import MemberSettings
@@ -17,9 +21,8 @@
 
 log = structlog.get_logger()
 
-USABLE_TERM_SHARE = 0.7  # from before the lease was asked for; the rest covers clocks that run differently
-RENEWALS_PER_TERM = 5
-HANDOVER_TERMS = 1.05  # how long a new holder waits before it acts, in terms
+USABLE_GRANT_SHARE = 0.9  # from before the lease was asked for; the rest covers clocks that run differently
+RENEWALS_PER_GRANT = 5
 FENCING_TOKENS_PER_EPOCH = 1 << 16  # tokens of a later view are above all of an earlier one
 
 
@@ -45,6 +48,19 @@
     expires_at: float
 
 
+class AnnouncementCalls(Protocol):
+    """Where calls that announce an act are made and ended; `EffectsCollector` is the implementation."""
+
+    def add_announcement(self) -> PendingCall:
+        """A call that ends with one of the two below."""
+
+    def end_announcements(self, calls: list[PendingCall]) -> None:
+        """A quorum of witnesses remembers these acts."""
+
+    def fail_announcements(self, calls: list[PendingCall], reason: str) -> None:
+        """These acts must not be begun."""
+
+
 @dataclass(slots=True)
 class _Attempt:
     """One round of requests to the witnesses."""
@@ -52,6 +68,8 @@
     number: int
     fencing_token: int
     is_acting: bool
+    targets: tuple[str, ...]
+    calls: list[PendingCall]
     view: View
     asked_at: float
     ends_at: float
@@ -85,18 +103,18 @@
     Transitions:
 
     - NOT_ELECTED to ELECTED: a quorum of witnesses grants a new fencing token. Each witness grants to one
-      holder at a time, for one term, so two members are never both granted by a quorum within a term.
-    - ELECTED to ACTING: a quorum has stored that this member acts under its token. If another member acted
-      last, or may have, this is asked for only `HANDOVER_TERMS` after the election. The wait is needed
-      because the former holder may still act on its grant until its own clock says that the term is over: a
-      witness that restarted, or that joined with the view, has forgotten when it granted. After a whole term
-      on a clock that counts time spent frozen, no grant made before the election is still good.
-    - ACTING to ACTING: renewed `RENEWALS_PER_TERM` times a term. A grant is used for `USABLE_TERM_SHARE` of
-      the term from before it was asked for, hence never longer than any witness keeps it.
+      holder at a time, for `GRANT_SHARE` of a term, so that a holder that is lost has a successor soon.
+    - ELECTED to ACTING: a quorum has stored that this member acts under its token. Where a quorum does not
+      know what was announced lately, this is asked for only once all acts of others are a term old.
+    - ACTING to ACTING: renewed `RENEWALS_PER_GRANT` times a grant. A grant is used for `USABLE_GRANT_SHARE`
+      of its time from before it was asked for, hence never longer than any witness keeps it.
+    - ACTING to ELECTED: a quorum has granted another, higher token to it; somebody may have acted in between.
     - to NOT_ELECTED: the grant has run out, or the lease is released.
 
-    Every act carries the fencing token, so that those who receive acts refuse those of an earlier holder,
-    should one arrive late.
+    Before each act its target is announced (`announce`), and the act is begun before `act_permitted_until`.
+    A target on which another has acted lately is left alone until `target_free_at`. `lease_acts` says why
+    acts of two holders on one target are then a term apart. Every act carries the fencing token, so that
+    those who receive acts refuse those of an earlier holder, should one arrive late.
 
     Times are seconds of the member's clock. `rank` staggers candidates: 0 for a view's primary.
 
@@ -111,6 +129,7 @@
         settings: MemberSettings,
         outbound: OutboundMessages,
         random_source: Random,
+        calls: AnnouncementCalls,
     ) -> None:
         """Begins without the lease.
 
@@ -120,19 +139,26 @@
             settings: The term and time-outs.
             outbound: Takes the requests to the witnesses.
             random_source: Staggers candidates.
+            calls: Where announcements are made and ended.
         """
         self.name = name
         self._member_id = member_id
-        self._term_s = settings.lease_term_s
+        self._grant_s = settings.lease_term_s * GRANT_SHARE
+        self._separation_s = separation_s(settings.lease_term_s)
         self._timing = settings.timing
         self._outbound = outbound
         self._random_source = random_source
+        self._calls = calls
         self._attempt: _Attempt | None = None
         self._attempts = 0
         self._state = LeaseState.NOT_ELECTED
         self._fencing_token = 0  # that it was elected under; 0 while NOT_ELECTED
+        self._elected_by_attempt = 0  # the first attempt that asked for that token
+        self._elected_view: View | None = None  # whose quorum granted it last
         self._expires_at = 0.0
-        self._may_act_at = 0.0
+        self._predecessors = PredecessorActs(self._separation_s)
+        self._permitted_until: dict[str, float] = {}  # by target that was announced
+        self._to_announce: list[tuple[str, PendingCall]] = []
         self._next_attempt_at: float | None = None
         self._highest_token = 0
         self._no_candidacy_until = 0.0
@@ -147,6 +173,36 @@
             return Lease(self.name, FencingToken(self._fencing_token), self._expires_at)
         return None
 
+    def announce(self, now: float, target: str, view: View | None) -> PendingCall:
+        """Announces an act on `target`.
+
+        Once the call is done, `act_permitted_until` tells until when the act may be begun.
+        """
+        call = self._calls.add_announcement()
+        if self.lease(now) is None or view is None:
+            self._calls.fail_announcements([call], "the lease is not held")
+            return call
+        self._to_announce.append((target, call))
+        if self._attempt is None:
+            self._begin_attempt(now, view)
+        return call
+
+    def act_permitted_until(self, now: float, target: str) -> float:
+        """Until when an act on `target` may be begun; minus infinity if it may not."""
+        if self.lease(now) is None or now < self.target_free_at(target):
+            return -inf
+        return self._permitted_until.get(target, -inf)
+
+    def target_free_at(self, target: str) -> float:
+        """When acts of others on `target` are a term old; infinite while this member is not elected."""
+        return self._predecessors.free_at(target) if self._is_elected else inf
+
+    def unknown_acts_until(self) -> float:
+        """When the last act of another that no witness told may have been begun; infinite if not elected."""
+        if not self._is_elected:
+            return inf
+        return self._predecessors.all_free_at - self._separation_s + ACT_WINDOW_S
+
     def release(self, now: float, view: View | None, pause_s: float) -> None:
         """Gives the lease up and does not stand for it for a while."""
         if view is not None and (self._is_elected or self._attempt is not None):
@@ -164,7 +220,7 @@
         if self._is_elected and now >= self._expires_at:
             self._lose(now)
         if self._next_attempt_at is None:
-            self._next_attempt_at = now + rank * self._timing.lease_round_s
+            self._next_attempt_at = now + rank * self._timing.lease_stagger_s
         if self._attempt is None and now >= self._next_attempt_at:
             self._begin_attempt(now, view)
 
@@ -172,14 +228,16 @@
         """Its holder, or a candidate without success, has given the lease up."""
         if self._is_elected or self._attempt is not None or self._next_attempt_at is None:
             return
-        stagger = (rank + self._random_source.random()) * self._timing.lease_round_s
-        self._next_attempt_at = min(self._next_attempt_at, max(now, self._no_candidacy_until) + stagger)
+        self._next_attempt_at = min(
+            self._next_attempt_at, max(now, self._no_candidacy_until) + self._stagger_s(rank)
+        )
 
     def receive_reply(self, now: float, sender: str, reply: LeaseReply, rank: int) -> None:
         """A witness has answered."""
         attempt = self._attempt
         self._highest_token = max(self._highest_token, reply.fencing_token)
         if attempt is None or reply.attempt != attempt.number:
+            self._receive_late_reply(now, sender, reply)
             return
         attempt.replies[sender] = reply
         if attempt.granted():
@@ -187,17 +245,36 @@
         elif len(attempt.replies) >= len(attempt.view.electors):
             self._fail(now, rank)
 
+    def _receive_late_reply(self, now: float, sender: str, reply: LeaseReply) -> None:
+        """A witness answers after a quorum has granted: it may know more than the quorum does."""
+        if self._elected_view is None or reply.attempt < self._elected_by_attempt:
+            return
+        if reply.granted and reply.acts is not None:
+            self._predecessors.observe(now, sender, reply.acts)
+            self._predecessors.settle(self._elected_view)
+            self._plan_begin_of_acts(now)
+
     def _begin_attempt(self, now: float, view: View) -> None:
         self._attempts += 1
-        is_acting = self._is_elected and now >= self._may_act_at
+        token = self._next_token(view)
+        is_renewal = token == self._fencing_token
+        is_acting = is_renewal and self._is_elected and now >= self._predecessors.all_free_at
+        announced, self._to_announce = (self._to_announce, []) if is_acting else ([], self._to_announce)
+        targets = tuple(dict.fromkeys(target for target, _ in announced))
         self._attempt = _Attempt(
-            self._attempts, self._next_token(view), is_acting, view, now, now + self._timing.lease_round_s, {}
-        )
-        self._highest_token = max(self._highest_token, self._attempt.fencing_token)
-        is_renewal = self._attempt.fencing_token == self._fencing_token
-        request = LeaseRequest(
-            self.name, self._attempt.fencing_token, is_renewal, view.epoch, self._attempts, is_acting
+            number=self._attempts,
+            fencing_token=token,
+            is_acting=is_acting,
+            targets=targets,
+            calls=[call for _, call in announced],
+            view=view,
+            asked_at=now,
+            ends_at=now + self._timing.lease_round_s,
+            replies={},
         )
+        self._highest_token = max(self._highest_token, token)
+        acts = ActAnnouncement(targets, is_acting and now >= self._predecessors.settled_at)
+        request = LeaseRequest(self.name, token, is_renewal, view.epoch, self._attempts, is_acting, acts)
         for member in view.electors:
             self._outbound.send(member, request)
 
@@ -212,32 +289,50 @@
 
     def _granted(self, now: float, attempt: _Attempt) -> None:
         self._attempt = None
-        if not self._is_elected:
-            self._may_act_at = now + HANDOVER_TERMS * self._term_s if self._another_acted(attempt) else now
-            self._state = LeaseState.ELECTED
-        self._fencing_token = attempt.fencing_token
-        self._expires_at = attempt.asked_at + USABLE_TERM_SHARE * self._term_s
+        if attempt.fencing_token != self._fencing_token:
+            self._elect(attempt)
+        self._elected_view = attempt.view
+        self._expires_at = attempt.asked_at + USABLE_GRANT_SHARE * self._grant_s
+        for witness, reply in attempt.replies.items():
+            if reply.granted and reply.acts is not None:
+                self._predecessors.observe(now, witness, reply.acts)
+        self._predecessors.settle(attempt.view)
         if attempt.is_acting and self._state is not LeaseState.ACTING:
             self._state = LeaseState.ACTING
             log.info("lease.acquired", lease=self.name, fencing_token=self._fencing_token)
-        renewal = attempt.asked_at + self._term_s / RENEWALS_PER_TERM
-        if self._state is LeaseState.ACTING:
-            self._next_attempt_at = renewal
-        else:
-            self._next_attempt_at = min(renewal, max(now, self._may_act_at))
-
-    def _another_acted(self, attempt: _Attempt) -> bool:
-        """Whether somebody else acted last, as far as a quorum knows."""
-        granted = [reply for reply in attempt.replies.values() if reply.granted]
-        if any(reply.actor == UNKNOWN for reply in granted):
-            return True
-        last = max(granted, key=lambda reply: reply.acting_token)
-        return last.actor not in (NOBODY, self._member_id)
+        self._permit(attempt)
+        self._next_attempt_at = attempt.asked_at + self._grant_s / RENEWALS_PER_GRANT
+        if self._to_announce:
+            self._next_attempt_at = now
+        self._plan_begin_of_acts(now)
+
+    def _elect(self, attempt: _Attempt) -> None:
+        """A quorum has granted a new token. What others announced before is told with the grants."""
+        self._state = LeaseState.ELECTED
+        self._fencing_token = attempt.fencing_token
+        self._elected_by_attempt = attempt.number
+        self._predecessors = PredecessorActs(self._separation_s)
+        self._permitted_until = {}
+
+    def _permit(self, attempt: _Attempt) -> None:
+        """A quorum remembers the acts that the attempt announced."""
+        until = attempt.asked_at + ACT_WINDOW_S
+        self._permitted_until = {
+            target: end for target, end in self._permitted_until.items() if end > attempt.asked_at
+        }
+        self._permitted_until.update(dict.fromkeys(attempt.targets, until))
+        self._calls.end_announcements(attempt.calls)
+
+    def _plan_begin_of_acts(self, now: float) -> None:
+        """While ELECTED, the next attempt is due as soon as acts of others are old enough."""
+        if self._state is LeaseState.ELECTED and self._next_attempt_at is not None:
+            self._next_attempt_at = min(self._next_attempt_at, max(now, self._predecessors.all_free_at))
 
     def _fail(self, now: float, rank: int) -> None:
         attempt, self._attempt = self._attempt, None
         if attempt is None:
             return
+        self._calls.fail_announcements(attempt.calls, "no quorum of witnesses has answered")
         if self._is_elected:
             self._next_attempt_at = now + self._timing.heartbeat_interval_s
             return
@@ -246,8 +341,10 @@
         if attempt.only_outdated():
             self._next_attempt_at = now
             return
-        stagger = (rank + self._random_source.random()) * self._timing.lease_round_s
-        self._next_attempt_at = now + attempt.remaining_refusal_s() + stagger
+        self._next_attempt_at = now + attempt.remaining_refusal_s() + self._stagger_s(rank)
+
+    def _stagger_s(self, rank: int) -> float:
+        return (rank + self._random_source.random()) * self._timing.lease_stagger_s
 
     def _lose(self, now: float) -> None:
         log.warning("lease.expired", lease=self.name, fencing_token=self._fencing_token)
@@ -255,9 +352,16 @@
         self._next_attempt_at = now
 
     def _give_up(self) -> None:
+        calls = [call for _, call in self._to_announce]
+        if self._attempt is not None:
+            calls += self._attempt.calls
+        self._calls.fail_announcements(calls, "the lease is given up")
         self._state = LeaseState.NOT_ELECTED
         self._fencing_token = 0
+        self._elected_view = None
         self._attempt = None
+        self._to_announce = []
+        self._permitted_until = {}
 
     def _send_release(self, view: View) -> None:
         for member in view.electors:
--- a/larchgw/replication/lease_acceptor.py
+++ b/larchgw/replication/lease_acceptor.py
@@ -1,7 +1,7 @@
 """A witness's side of leases.
 
 Durable: the highest fencing token of each lease and who acted last. In memory: whom it granted to, and until
-when.
+when, and which acts were announced to it lately (`lease_acts`).
 """
 
 from __future__ import annotations
@@ -9,14 +9,19 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from math import inf
 from typing import Any
 
+from .lease_acts import ActMemory, separation_s
 from .messages import LeaseRelease, LeaseReply, LeaseRequest
 from .ports import Cell
 from .view import View
 
 NOBODY = ""  # this witness was there from the first boot on and has seen nobody act
 UNKNOWN = "?"  # this witness came later: others may have acted
+GRANT_SHARE = 1 / 3  # of a term, to a holder that announces its acts: after that another may be elected
+
+_ACTS_KEY = "acts"  # in the cell, beside the leases
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +33,16 @@
         holder: The member that it was granted to; empty if this witness does not know.
         acting_token: The highest under which a holder acted, as far as this witness was asked.
         actor: Who acted under it: a member, NOBODY or UNKNOWN.
+        is_announcing: Whether the actor announces its acts; members of earlier versions do not.
+        is_settled: Whether the actor has waited out the acts of all holders before it.
     """
 
     fencing_token: int = 0
     holder: str = ""
     acting_token: int = 0
     actor: str = UNKNOWN
+    is_announcing: bool = False
+    is_settled: bool = False
 
     def to_json(self) -> dict[str, Any]:
         """As it is stored; the keys never change."""
@@ -44,26 +53,50 @@
             "actor": self.actor,
         }
 
+    def acts_to_json(self) -> dict[str, Any]:
+        """What is stored of the actor's announcements, beside `to_json`: earlier versions skip it there."""
+        return {"announcing": self.is_announcing, "settled": self.is_settled}
+
     @classmethod
-    def from_json(cls, value: Mapping[str, Any]) -> StoredLease:
-        """Reads what `to_json` gave."""
-        return cls(value["fence"], value["holder"], value["acting_fence"], value["actor"])
+    def from_json(cls, value: Mapping[str, Any], acts: Mapping[str, Any]) -> StoredLease:
+        """Reads what `to_json` and `acts_to_json` gave; `acts` is empty where an earlier version wrote it."""
+        return cls(
+            value["fence"],
+            value["holder"],
+            value["acting_fence"],
+            value["actor"],
+            acts.get("announcing", False),
+            acts.get("settled", False),
+        )
 
 
 @dataclass(slots=True)
 class _Grant:
+    """A grant in force.
+
+    Attributes:
+        holder: Whom it was given to.
+        fencing_token: The token that was granted.
+        granted_at: When it was given or renewed.
+        duration_s: For how long others that announce their acts are refused.
+    """
+
     holder: str
     fencing_token: int
-    expires_at: float
+    granted_at: float
+    duration_s: float
 
 
 class LeaseAcceptor:
-    """Grants each lease to one holder at a time, for one term. Times are seconds of the member's clock.
+    """Grants each lease to one holder at a time, and remembers announced acts.
+
+    Times are seconds of the member's clock. A grant lasts `GRANT_SHARE` of a term: a holder that is lost is
+    soon succeeded, and the announced acts (`lease_acts`) keep two holders a term apart at each target. A
+    holder of an earlier version announces nothing: it may act on anything for a term, and has its grant for
+    a whole one.
 
     After a restart, or as a new witness, it grants nothing for one whole term to a member other than the
-    stored
-    holder: it may have forgotten a grant, or counts now in place of a witness that made one. Without this,
-    two members could each have a quorum of grants within one term.
+    stored holder: the holder, which it has forgotten or never knew, is to keep its lease.
     """
 
     def __init__(self, cell: Cell, term_s: float) -> None:
@@ -71,18 +104,24 @@
 
         Args:
             cell: Where the leases are stored.
-            term_s: For how long a grant is good.
+            term_s: The term that is kept between acts of two holders.
         """
         self._cell = cell
         self._term_s = term_s
         self._grants: dict[str, _Grant] = {}
+        self._acts: dict[str, ActMemory] = {}
         self._closed_until = 0.0
+        self._restarted_at = -inf
+        self._joined_at = -inf
         stored = cell.load()
         value: dict[str, Any] = {"from_first_boot": False, "leases": {}}
         if stored is not None:
             value = json.loads(stored)
         self._from_first_boot = bool(value["from_first_boot"])
-        self._leases = {name: StoredLease.from_json(lease) for name, lease in value["leases"].items()}
+        acts = value.get(_ACTS_KEY, {})
+        self._leases = {
+            name: StoredLease.from_json(lease, acts.get(name, {})) for name, lease in value["leases"].items()
+        }
 
     def reset(self, from_first_boot: bool) -> None:
         """Begins anew with a new identity. `from_first_boot`: no lease can have been granted before."""
@@ -90,12 +129,17 @@
         self._store({})
 
     def observe_restart(self, now: float) -> None:
-        """Grants made before are forgotten: for one term only the holder stored last is granted to."""
+        """Grants and announcements made before are forgotten.
+
+        For one term only the holder stored last is granted to.
+        """
         self._closed_until = now + self._term_s
+        self._restarted_at = now
 
     def join_as_witness(self, now: float) -> None:
-        """Becomes a witness of a view: grants of those who decided before are not known here for one term."""
+        """Becomes a witness of a view: what those who decided before granted and heard is not known here."""
         self._closed_until = now + self._term_s
+        self._joined_at = now
         self._grants = {}
         self._store({name: replace(lease, holder="") for name, lease in self._leases.items()})
 
@@ -103,15 +147,19 @@
         """Grants, renews or refuses. What is granted is stored before the call returns."""
         stored = self._leases.get(request.name, self._default)
         stale = view is not None and request.view_epoch < view.epoch
-        remaining = self._remaining(now, request.name, sender, stored)
+        remaining = self._remaining(now, request, sender, stored)
         known = request.is_renewal and (sender, request.fencing_token) == (
             stored.holder,
             stored.fencing_token,
         )
         granted = not stale and remaining <= 0.0 and (known or request.fencing_token > stored.fencing_token)
+        known_acts = None
         if granted:
+            memory = self._acts.setdefault(request.name, ActMemory(separation_s(self._term_s)))
+            if request.acts is not None:
+                known_acts = memory.known_to(now, sender, self._complete_since(sender, stored))
             self._record(request, sender, stored)
-            self._grants[request.name] = _Grant(sender, request.fencing_token, now + self._term_s)
+            self._record_acts(now, request, sender, memory)
         return LeaseReply(
             request.name,
             request.attempt,
@@ -121,6 +169,7 @@
             stored.acting_token,
             max(0.0, remaining),
             view if stale else None,
+            known_acts,
         )
 
     def release(self, sender: str, release: LeaseRelease) -> None:
@@ -133,26 +182,63 @@
     def _default(self) -> StoredLease:
         return StoredLease(actor=NOBODY if self._from_first_boot else UNKNOWN)
 
-    def _remaining(self, now: float, name: str, sender: str, stored: StoredLease) -> float:
-        """Seconds for which another may hold the lease."""
-        grant = self._grants.get(name)
+    def _remaining(self, now: float, request: LeaseRequest, sender: str, stored: StoredLease) -> float:
+        """Seconds for which another may hold the lease.
+
+        A member of an earlier version does not ask about acts: it waits until a whole term after the grant.
+        """
+        grant = self._grants.get(request.name)
         if grant is not None:
-            return 0.0 if grant.holder == sender else grant.expires_at - now
+            if grant.holder == sender:
+                return 0.0
+            duration_s = grant.duration_s if request.acts is not None else self._term_s
+            return grant.granted_at + duration_s - now
         if sender == stored.holder:
             return 0.0
         return self._closed_until - now
 
+    def _complete_since(self, sender: str, stored: StoredLease) -> float:
+        """Since when every announcement that `sender` must know of is remembered here.
+
+        A restart forgets them. That matters unless nobody has acted, or `sender` itself acted last and had
+        waited out the acts of others before. Where the actor did not announce its acts, it may go on acting
+        for a term.
+        """
+        has_only_own_acts = stored.actor == sender and stored.is_settled
+        if stored.actor == NOBODY or has_only_own_acts:
+            return self._joined_at
+        unannounced_s = 0.0 if stored.is_announcing else self._term_s
+        return max(self._joined_at, self._restarted_at + unannounced_s)
+
+    def _record_acts(self, now: float, request: LeaseRequest, sender: str, memory: ActMemory) -> None:
+        duration_s = self._term_s
+        if request.acts is not None:
+            duration_s *= GRANT_SHARE
+            memory.record(now, sender, request.acts.targets)
+        elif request.is_acting:
+            memory.allow_unannounced(now + self._term_s)
+        self._grants[request.name] = _Grant(sender, request.fencing_token, now, duration_s)
+
     def _record(self, request: LeaseRequest, sender: str, stored: StoredLease) -> None:
         lease = replace(stored, fencing_token=request.fencing_token, holder=sender)
         if request.is_acting:
-            lease = replace(lease, acting_token=request.fencing_token, actor=sender)
+            lease = replace(
+                lease,
+                acting_token=request.fencing_token,
+                actor=sender,
+                is_announcing=request.acts is not None,
+                is_settled=request.acts is not None and request.acts.is_settled,
+            )
         if lease != stored:
             self._store({**self._leases, request.name: lease})
 
     def _store(self, leases: dict[str, StoredLease]) -> None:
-        value = {
+        value: dict[str, Any] = {
             "from_first_boot": self._from_first_boot,
             "leases": {name: lease.to_json() for name, lease in leases.items()},
         }
+        acts = {name: lease.acts_to_json() for name, lease in leases.items() if lease.is_announcing}
+        if acts:
+            value[_ACTS_KEY] = acts
         self._cell.store(json.dumps(value).encode())
         self._leases = leases
--- /dev/null
+++ b/larchgw/replication/lease_acts.py
@@ -0,0 +1,190 @@
+"""Acts under a lease: announced before they are begun, remembered by witnesses, waited out by a new holder.
+
+A holder acts on one target at a time, such as a runner that it sends an order to. Before an act it announces
+the target to a quorum of witnesses, with a renewal of its lease, and may begin the act within `ACT_WINDOW_S`
+of having asked. A new holder learns from the witnesses that elect it what was announced lately, and leaves
+each of these targets alone until a whole term has passed since the last act on it can have arrived. All other
+targets are free at once.
+
+Why no act is missed:
+
+- A witness that has granted a fencing token, which is durable, refuses announcements under any lower one. So
+  at a witness that both quorums have in common, an announcement of the former holder came before the grant
+  to the new one, and is reported with it.
+- A witness that restarted, or became a witness later, has forgotten earlier announcements. It says for how
+  long it knows them all; what it may have missed ended `ACT_WINDOW_S` after that began, and the new holder
+  waits for it at every target, unless a quorum of other witnesses knows more.
+
+Neither depends on how long a grant lasts, which only decides how soon a lost holder is succeeded.
+
+Times are seconds on a monotonic clock that counts time spent frozen.
+
+Source: the rule ONE of the rules page; Paxos Made Simple (Lamport, 2001), section 2.2, for the argument of
+the two quorums; Leases (Gray and Cheriton, 1989).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import inf
+from typing import Any
+
+from .view import View
+
+ACT_WINDOW_S = 0.25  # after an announcement was asked for: until then the act must have been begun
+ACT_DELIVERY_S = 0.3  # an act that has begun has arrived by then
+HANDOVER_TERMS = 1.05  # between acts of two holders on one target, in terms: clocks may run differently
+
+
+def separation_s(term_s: float) -> float:
+    """Seconds from an announcement to the first act of another holder on the same target."""
+    return HANDOVER_TERMS * term_s + ACT_WINDOW_S + ACT_DELIVERY_S
+
+
+@dataclass(frozen=True, slots=True)
+class ActAnnouncement:
+    """What a request for a lease says of the sender's acts.
+
+    Attributes:
+        targets: It is about to act on these, and only on these.
+        is_settled: No act of another holder is younger than the separation of two holders.
+    """
+
+    targets: tuple[str, ...] = ()
+    is_settled: bool = False
+
+    def to_json(self) -> dict[str, Any]:
+        """As it is sent; the keys never change."""
+        return {"targets": list(self.targets), "settled": self.is_settled}
+
+    @classmethod
+    def from_json(cls, value: Mapping[str, Any]) -> ActAnnouncement:
+        """Reads what `to_json` gave; raises KeyError, TypeError or ValueError for anything else."""
+        return cls(tuple(map(str, value["targets"])), bool(value["settled"]))
+
+
+@dataclass(frozen=True, slots=True)
+class KnownActs:
+    """What a witness knows of the acts of holders other than the one that it answers.
+
+    Attributes:
+        known_s: It knows every announcement made to it in the last so many seconds; below zero, acts that
+            were not announced may be begun for so long from now on.
+        ages_s: Target -> seconds since the last announcement of an act on it.
+    """
+
+    known_s: float
+    ages_s: Mapping[str, float]
+
+    def to_json(self) -> dict[str, Any]:
+        """As it is sent; the keys never change."""
+        return {"known": self.known_s, "ages": dict(self.ages_s)}
+
+    @classmethod
+    def from_json(cls, value: Mapping[str, Any]) -> KnownActs:
+        """Reads what `to_json` gave; raises KeyError, TypeError or ValueError for anything else."""
+        ages = {str(target): float(age_s) for target, age_s in value["ages"].items()}
+        return cls(float(value["known"]), ages)
+
+
+@dataclass(frozen=True, slots=True)
+class _Announced:
+    holder: str
+    at: float
+
+
+class ActMemory:
+    """What one witness remembers of announced acts under one lease; in memory only."""
+
+    def __init__(self, separation: float) -> None:
+        """Begins with nothing announced.
+
+        Args:
+            separation: Seconds for which an announcement matters.
+        """
+        self._separation_s = separation
+        self._last_by_target: dict[str, _Announced] = {}
+        self._unannounced_until = -inf
+
+    def record(self, now: float, holder: str, targets: tuple[str, ...]) -> None:
+        """Notes that `holder` is about to act on `targets`."""
+        for target in targets:
+            self._last_by_target[target] = _Announced(holder, now)
+
+    def allow_unannounced(self, until: float) -> None:
+        """Notes that a holder which announces nothing may act on anything until then."""
+        self._unannounced_until = max(self._unannounced_until, until)
+
+    def known_to(self, now: float, sender: str, complete_since: float) -> KnownActs:
+        """What is to be told to `sender`.
+
+        Args:
+            now: The time.
+            sender: A holder, or a candidate.
+            complete_since: All announcements that were made since then are remembered.
+        """
+        self._last_by_target = {
+            target: announced
+            for target, announced in self._last_by_target.items()
+            if now - announced.at < self._separation_s
+        }
+        known_s = now - max(complete_since, self._unannounced_until)
+        ages_s = {
+            target: now - announced.at
+            for target, announced in self._last_by_target.items()
+            if announced.holder != sender
+        }
+        return KnownActs(min(known_s, self._separation_s), ages_s)
+
+
+class PredecessorActs:
+    """What a new holder has learned of acts of others, from the witnesses that granted its fencing token."""
+
+    def __init__(self, separation: float) -> None:
+        """Begins with nothing learned.
+
+        Args:
+            separation: Seconds between an announcement and the first act of another holder on its target.
+        """
+        self._separation_s = separation
+        self._complete_since: dict[str, float] = {}  # by witness
+        self._announced_at: dict[str, float] = {}  # by target
+        self._all_free_at = inf  # of targets on which no witness told an act
+
+    def observe(self, now: float, witness: str, acts: KnownActs) -> None:
+        """Takes in what a witness told with its grant.
+
+        What it tells later is about the same acts, as it has refused any others since its first grant.
+        """
+        complete_since = now - acts.known_s
+        if witness in self._complete_since:
+            complete_since = min(complete_since, self._complete_since[witness])
+        else:
+            for target, age_s in acts.ages_s.items():
+                self._announced_at[target] = max(self._announced_at.get(target, -inf), now - age_s)
+        self._complete_since[witness] = complete_since
+
+    def settle(self, view: View) -> None:
+        """Works out when targets of which nobody told an act are free, from the quorum that knows most."""
+        informed: list[str] = []
+        for witness, complete_since in sorted(self._complete_since.items(), key=lambda item: item[1]):
+            informed.append(witness)
+            if view.has_quorum(informed):
+                self._all_free_at = min(self._all_free_at, complete_since + self._separation_s)
+                return
+
+    @property
+    def all_free_at(self) -> float:
+        """When targets are free of which no witness told an act; infinite before a quorum has answered."""
+        return self._all_free_at
+
+    @property
+    def settled_at(self) -> float:
+        """When all targets are free."""
+        return max([self._all_free_at, *map(self.free_at, self._announced_at)])
+
+    def free_at(self, target: str) -> float:
+        """When this target may be acted on."""
+        announced_at = self._announced_at.get(target, -inf)
+        return max(self._all_free_at, announced_at + self._separation_s)
--- a/larchgw/replication/lease_table.py
+++ b/larchgw/replication/lease_table.py
@@ -4,7 +4,8 @@
 
 from random import Random
 
-from .lease import Lease, LeaseHolder
+from .effects import PendingCall
+from .lease import AnnouncementCalls, Lease, LeaseHolder
 from .lease_acceptor import LeaseAcceptor
 from .messages import LeaseRelease, LeaseReply, LeaseRequest
 from .outbound_messages import OutboundMessages
@@ -25,6 +26,7 @@
         settings: MemberSettings,
         outbound: OutboundMessages,
         random_source: Random,
+        calls: AnnouncementCalls,
     ) -> None:
         """Begins without any lease.
 
@@ -34,7 +36,9 @@
             settings: The term and time-outs.
             outbound: Takes requests and replies.
             random_source: Staggers candidates.
+            calls: Where announcements of acts are made and ended.
         """
+        self._calls = calls
         self._member_id = member_id
         self._acceptor = acceptor
         self._settings = settings
@@ -44,14 +48,41 @@
 
     def lease(self, now: float, name: str) -> Lease | None:
         """The lease, if it is held and may be acted on now; otherwise it is asked for from now on."""
+        return self._holder(name).lease(now)
+
+    def announce(self, now: float, name: str, target: str, view: View | None) -> PendingCall:
+        """Announces an act; see `LeaseHolder.announce`."""
+        return self._holder(name).announce(now, target, view)
+
+    def act_permitted_until(self, now: float, name: str, target: str) -> float:
+        """Until when an announced act may be begun; see `LeaseHolder.act_permitted_until`."""
+        return self._holder(name).act_permitted_until(now, target)
+
+    def target_free_at(self, name: str, target: str) -> float:
+        """When acts of others on `target` are old enough; see `LeaseHolder.target_free_at`."""
+        return self._holder(name).target_free_at(target)
+
+    def unknown_acts_until(self, name: str) -> float:
+        """When unknown acts of others ended; see `LeaseHolder.unknown_acts_until`."""
+        return self._holder(name).unknown_acts_until()
+
+    def _holder(self, name: str) -> LeaseHolder:
         holder = self._holders.get(name)
         if holder is None:
-            holder = LeaseHolder(name, self._member_id, self._settings, self._outbound, self._random_source)
-            self._holders[name] = holder
-        return holder.lease(now)
+            holder = self._holders[name] = LeaseHolder(
+                name, self._member_id, self._settings, self._outbound, self._random_source, self._calls
+            )
+        return holder
 
     def handle_request(self, now: float, sender: str, message: LeaseRequest, view: View | None) -> None:
-        """A holder or candidate asks this witness. OSError if the answer cannot be made durable."""
+        """A holder or candidate asks this witness. OSError if the answer cannot be made durable.
+
+        A member that only becomes a witness with the asker's view does not answer before it has accepted that
+        view: what it knows of earlier acts counts from then.
+        """
+        is_ahead = view is None or message.view_epoch > view.epoch
+        if is_ahead and (view is None or self._member_id not in view.former_witnesses):
+            return
         self._outbound.send(sender, self._acceptor.handle_request(now, sender, message, view))
 
     def receive_reply(self, now: float, sender: str, reply: LeaseReply, rank: int) -> None:
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -229,13 +229,14 @@
             raise
         call = self._parts.effects.add_proposal(index)
         leading.replicate(now)
-        return call, self._finish(now)
+        return call, self._finish_call(now)
 
     def confirm(self, now: float) -> tuple[PendingCall, Effects]:
         """Begins a read: done once it is proven that nobody else has acknowledged anything before this call.
 
         Raises:
             NotPrimaryError: This member is not primary.
+            OSError: The disk refuses one of this member's own votes; then nothing is proven.
         """
         self._observe_time(now)
         leading = self._parts.role.leading
@@ -243,7 +244,7 @@
             raise NotPrimaryError(self._member_id, self.primary)
         leading.heartbeat(now)
         call = self._parts.effects.add_read(leading.round)
-        return call, self._finish(now)
+        return call, self._finish_call(now)
 
     def step_down(self, now: float) -> Effects:
         """Hands the primary's role to a backup, gives up leases, and tries for neither for some seconds.
@@ -251,8 +252,7 @@
         What is proposed and not acknowledged fails as possibly committed.
         """
         self._observe_time(now)
-        self._give_up_roles(now, self._timing.step_down_pause_s)
-        return self._finish(now)
+        return self._guarded(now, lambda: self._give_up_roles(now, self._timing.step_down_pause_s))
 
     def leave(self, now: float) -> Effects:
         """Prepares a planned end, to be followed by ticks until `has_left`; safe to be cut short.
@@ -261,9 +261,7 @@
         """
         self._observe_time(now)
         self._parts.graceful_leave.begin()
-        self._give_up_roles(now, inf)
-        self._parts.graceful_leave.request(now, self._parts.witness.view)
-        return self._finish(now)
+        return self._guarded(now, lambda: self._begin_leaving(now))
 
     def lease(self, now: float, name: str) -> Lease | None:
         """The lease, if it is held and may be acted on now.
@@ -274,6 +272,31 @@
             return None
         return self._parts.leases.lease(now, name)
 
+    def announce(self, now: float, name: str, target: str) -> tuple[PendingCall, Effects]:
+        """Announces an act on `target` under the lease `name`.
+
+        Once the call is done, `act_permitted_until` tells until when the act may be begun. It fails where the
+        lease is not held, or no quorum of witnesses answers.
+
+        Raises:
+            OSError: The disk of this member, as one of the witnesses, refuses to store the lease.
+        """
+        self._observe_time(now)
+        call = self._parts.leases.announce(now, name, target, self._parts.witness.view)
+        return call, self._finish_call(now)
+
+    def act_permitted_until(self, now: float, name: str, target: str) -> float:
+        """Until when an act on `target` may be begun; minus infinity if it may not. Read before each act."""
+        return self._parts.leases.act_permitted_until(now, name, target)
+
+    def target_free_at(self, name: str, target: str) -> float:
+        """From when on this member, as holder of the lease, may act on `target`, where others did lately."""
+        return self._parts.leases.target_free_at(name, target)
+
+    def unknown_acts_until(self, name: str) -> float:
+        """When the last act of another that this member, as the holder, was not told may have been begun."""
+        return self._parts.leases.unknown_acts_until(name)
+
     def set_contacts(self, addresses: Iterable[str]) -> None:
         """Sets rpc addresses of members known from elsewhere, to be asked for admission besides the seeds."""
         self._contacts = tuple(dict.fromkeys((*addresses, *self._settings.seeds)))
@@ -296,6 +319,10 @@
             self._parts.views.reset_silence(now)
         self._last_call_at = now
 
+    def _begin_leaving(self, now: float) -> None:
+        self._give_up_roles(now, inf)
+        self._parts.graceful_leave.request(now, self._parts.witness.view)
+
     def _give_up_roles(self, now: float, pause_s: float) -> None:
         self._parts.role.step_down(now, pause_s)
         self._parts.leases.give_up_all(now, self.view, pause_s)
@@ -314,6 +341,14 @@
         parts.effects.update_role(self._current_role())
         return parts.effects.take(parts.outbound)
 
+    def _finish_call(self, now: float) -> Effects:
+        """As `_finish`, for a call that raises what the disk refuses."""
+        try:
+            return self._finish(now)
+        except OSError as error:
+            self._handle_disk_error(now, error)
+            raise
+
     def _process_own_messages(self, now: float) -> None:
         """Counts this member's own votes, and takes its view change as far as it comes."""
         while True:
--- a/larchgw/replication/member_parts.py
+++ b/larchgw/replication/member_parts.py
@@ -101,7 +101,7 @@
         voter=voter,
         views=ViewChanges(identity.id, settings, witness, follower, candidate, role, voter),
         lease_acceptor=lease_acceptor,
-        leases=LeaseTable(identity.id, lease_acceptor, settings, outbound, random_source),
+        leases=LeaseTable(identity.id, lease_acceptor, settings, outbound, random_source, effects),
         graceful_leave=GracefulLeave(identity.id, outbound, timing),
         compaction=Compaction(replica, settings, snapshot),
         effects=effects,
--- a/larchgw/replication/message_codec.py
+++ b/larchgw/replication/message_codec.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from .errors import MessageDecodeError
+from .lease_acts import ActAnnouncement, KnownActs
 from .messages import (
     Accept,
     Accepted,
@@ -46,6 +47,7 @@
 _RECORD_LENGTHS_KEY = "lengths"
 _VIEW_KEY = "view"
 _EPOCHS_KEY = "epochs"
+_ACTS_KEY = "acts"  # left out where it is None: members of earlier versions know no such key
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +140,7 @@
             "view_epoch": "view_epoch",
             "attempt": "attempt",
             "is_acting": "acting",
+            "acts": _ACTS_KEY,
         },
     ),
     _WireFormat(
@@ -152,12 +155,18 @@
             "acting_token": "acting_fence",
             "remaining_s": "remaining",
             "view": _VIEW_KEY,
+            "acts": _ACTS_KEY,
         },
     ),
     _WireFormat("lease_release", LeaseRelease, {"name": "name", "fencing_token": "fence"}),
 )
 _FORMAT_BY_TYPE = {wire_format.message_type: wire_format for wire_format in _FORMATS}
 _FORMAT_BY_KIND = {wire_format.kind: wire_format for wire_format in _FORMATS}
+_NESTED_TYPES = (View, ActAnnouncement, KnownActs)
+_ACTS_TYPE_BY_KIND: Mapping[str, type[ActAnnouncement] | type[KnownActs]] = {
+    "lease_ask": ActAnnouncement,
+    "lease_answer": KnownActs,
+}
 _ATTRIBUTES_BY_KIND = {wire_format.kind: wire_format.attributes for wire_format in _FORMATS}
 
 
@@ -167,7 +176,9 @@
     header: dict[str, Any] = {_SENDER_KEY: address}
     for attribute, key in wire_format.keys.items():
         value = getattr(message, attribute)
-        header[key] = value.to_json() if isinstance(value, View) else value
+        if key == _ACTS_KEY and value is None:
+            continue
+        header[key] = value.to_json() if isinstance(value, _NESTED_TYPES) else value
     payload: Sequence[bytes] = ()
     if isinstance(message, Append):
         payload = message.records
@@ -211,6 +222,8 @@
         header[_VIEW_KEY] = View.from_json(header[_VIEW_KEY])
     if _EPOCHS_KEY in header:
         header[_EPOCHS_KEY] = tuple(header[_EPOCHS_KEY])
+    if _ACTS_KEY in header:
+        header[_ACTS_KEY] = _ACTS_TYPE_BY_KIND[kind].from_json(header[_ACTS_KEY])
     attributes = _ATTRIBUTES_BY_KIND[kind]
     return {attributes[key]: value for key, value in header.items()}
 
--- a/larchgw/replication/messages.py
+++ b/larchgw/replication/messages.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from .lease_acts import ActAnnouncement, KnownActs
 from .view import View
 
 
@@ -276,6 +277,7 @@
         view_epoch: The epoch of the view whose witnesses are asked.
         attempt: Number of the sender's attempt.
         is_acting: Whether the sender acts under the token, or is about to.
+        acts: The acts that it is about to begin; None from members of versions that announce none.
     """
 
     name: str
@@ -284,6 +286,7 @@
     view_epoch: int
     attempt: int
     is_acting: bool
+    acts: ActAnnouncement | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,6 +302,7 @@
         acting_token: The token under which it acted.
         remaining_s: Seconds until the witness is free to grant.
         view: A newer view that the sender of the request lacks.
+        acts: What is known of acts of others; None where the lease is not granted, or the request had none.
     """
 
     name: str
@@ -309,6 +313,7 @@
     acting_token: int
     remaining_s: float
     view: View | None
+    acts: KnownActs | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/larchgw/replication/pending_calls.py
+++ b/larchgw/replication/pending_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 
 from .effects import CallDone, CallFailed, Effects, PendingCall
 
@@ -28,6 +29,18 @@
         self._reads.append((heartbeat_round, call))
         return call
 
+    def add_announcement(self) -> PendingCall:
+        """Done once it is passed to `end_announcements`."""
+        return self._next()
+
+    def end_announcements(self, calls: Iterable[PendingCall], effects: Effects) -> None:
+        """A quorum of witnesses remembers the acts that these calls announced."""
+        effects.done.extend(CallDone(call, 0) for call in calls)
+
+    def fail_announcements(self, calls: Iterable[PendingCall], reason: str, effects: Effects) -> None:
+        """The acts that these calls announced must not be begun."""
+        effects.failed.extend(CallFailed(call, reason, False) for call in calls)
+
     @property
     def has_reads(self) -> bool:
         """Whether reads wait for a proof."""
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -30,6 +30,7 @@
     witness_silence_s: After which a witness is replaced, if an in-sync member can take its place.
     forget_peer_s: After which a member outside the view that stopped asking is forgotten. pre_vote_s: To wait
     for replies to a pre-vote. lease_round_s: To wait for replies of the witnesses to a lease request.
+    lease_stagger_s: Between candidates for a lease, by rank: some round trips with a write at the witnesses.
     leave_interval_s: Between two requests of a member that is about to end. step_down_pause_s: After
     `step_down`, before a member tries for a role again. process_pause_s: A gap between calls that means that
     the process itself did not run.
@@ -53,6 +54,7 @@
     forget_peer_s: float = 5.0
     pre_vote_s: float = 0.25
     lease_round_s: float = 0.3
+    lease_stagger_s: float = 0.1
     leave_interval_s: float = 0.05
     step_down_pause_s: float = 5.0
     process_pause_s: float = 0.25
@@ -66,14 +68,14 @@
     same order at all of them. first_boot: Whether the system is started for the first time. fresh_identity:
     Its identity if the disk is empty and this is not the first boot of a seed; must be unique.
     tolerated_failures: Members that may be lost at once. A record is acknowledged with one copy more at
-    least, and twice as many and one witnesses decide. lease_term_s: For how long a lease is granted, in
-    seconds. all_in_sync_vote: Whether every in-sync member is to be a witness: more than `tolerated_failures`
-    may be lost if they share a failure domain. compact_records: A snapshot replaces the log once it holds so
-    many records, compact_bytes: or so many bytes, compact_replay_bytes: or once records times the size of the
-    state are so many: to apply a record after a restart costs time in proportion to the state
-    (docs/storage.md). deliver_bytes: Records times the size of the state that are handed out at a time.
-    batch_bytes: Records in one message, unless one alone is larger. chunk_bytes: Bytes of a snapshot in one
-    message. timing: Intervals and time-outs.
+    least, and twice as many and one witnesses decide. lease_term_s: Between acts of two holders of a
+    lease on one target, in seconds. all_in_sync_vote: Whether every in-sync member is to be a witness: more
+    than `tolerated_failures` may be lost if they share a failure domain. compact_records: A snapshot replaces
+    the log once it holds so many records, compact_bytes: or so many bytes, compact_replay_bytes: or once
+    records times the size of the state are so many: to apply a record after a restart costs time in
+    proportion to the state (docs/storage.md). deliver_bytes: Records times the size of the state that are
+    handed out at a time. batch_bytes: Records in one message, unless one alone is larger. chunk_bytes: Bytes
+    of a snapshot in one message. timing: Intervals and time-outs.
     """
 
     address: str
