Placement: a new placer counts the loads that were announced before, instead of a pause of five seconds

Cause: a placer whose process was killed and came back, or that had started lately, ordered no load from the weight store for a whole window, since it could not know what had been ordered before.

Change: each load from the store is announced as a target of its own; witnesses remember announcements for the window of the limit and a second, and tell a new holder also of its own earlier life. Where a quorum remembers a whole window, the loads in it are counted and nothing is guessed at; else the pause lasts until one window after the time from which a quorum remembers everything.

--- a/larchgw/control/order_permits.py
+++ b/larchgw/control/order_permits.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from ..identifiers import RunnerId
-from ..replication.lease_acts import ACT_DELIVERY_S
+from ..placement.load_rate_limit import LoadHistory
+from ..replication.lease_acts import ACT_DELIVERY_S, ACT_WINDOW_S
 from .errors import ReplicationUnavailableError
 from .replicated_log import ReplicatedLog
 
 PLACER_LEASE = "placer"
 """Name of the lease whose holder is the placer."""
+STORE_LOAD_PREFIX = "store-load/"
+"""Before the fencing token and a serial number: each load from the weight store is announced as a target."""
 
 
 class LeaseOrderPermits:
@@ -26,11 +29,17 @@
             log: Knows the lease and its witnesses.
         """
         self._log = log
+        self._store_loads = 0
 
-    async def announce(self, runner_id: RunnerId) -> None:
+    async def announce(self, runner_id: RunnerId, is_store_load: bool) -> None:
         """Announces an order to a runner; where that fails, `permitted_until_s` permits none."""
+        targets = [str(runner_id)]
+        lease = self._log.lease(PLACER_LEASE)
+        if is_store_load and lease is not None:
+            self._store_loads += 1
+            targets.append(f"{STORE_LOAD_PREFIX}{lease.fencing_token}/{self._store_loads}")
         try:
-            await self._log.announce(PLACER_LEASE, runner_id)
+            await self._log.announce(PLACER_LEASE, targets)
         except ReplicationUnavailableError:
             return
 
@@ -42,6 +51,13 @@
         """From when on this process may order at a runner that another process has ordered at lately."""
         return self._log.member.target_free_at(PLACER_LEASE, runner_id)
 
-    def unknown_orders_until_s(self) -> float:
-        """When the last order of another process that this one knows nothing of may have arrived."""
-        return self._log.member.unknown_acts_until(PLACER_LEASE) + ACT_DELIVERY_S
+    def load_history(self) -> LoadHistory:
+        """Loads from the weight store that were ordered before this holding of the lease."""
+        history = self._log.member.act_history(PLACER_LEASE)
+        longest_s = ACT_WINDOW_S + ACT_DELIVERY_S
+        begun_by_s = tuple(
+            announced_at + longest_s
+            for target, announced_at in history.announced_at.items()
+            if target.startswith(STORE_LOAD_PREFIX)
+        )
+        return LoadHistory(history.complete_since + longest_s, begun_by_s)
--- a/larchgw/control/replicated_log.py
+++ b/larchgw/control/replicated_log.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import structlog
 
@@ -84,13 +84,13 @@
         """The lease of that name, while this process is its holder."""
         return self.member.lease(self._clock(), name)
 
-    async def announce(self, lease_name: str, target: str) -> None:
-        """Announces an act on `target` under a lease; then `act_permitted_until` says until when to begin it.
+    async def announce(self, lease_name: str, targets: Sequence[str]) -> None:
+        """Announces an act on `targets` under a lease; `act_permitted_until` says until when to begin it.
 
         Raises:
             ReplicationUnavailableError: The lease is not held, or no quorum of witnesses answers.
         """
-        await self._call(lambda now: self.member.announce(now, lease_name, target))
+        await self._call(lambda now: self.member.announce(now, lease_name, targets))
 
     def act_permitted_until(self, lease_name: str, target: str) -> float:
         """See Member.act_permitted_until; on the clock of this log."""
--- a/larchgw/model_checking/replication/cluster.py
+++ b/larchgw/model_checking/replication/cluster.py
@@ -361,7 +361,7 @@
         if member.target_free_at(LEASE_NAME, target) > clock:
             return
         try:
-            call, effects = member.announce(clock, LEASE_NAME, target)
+            call, effects = member.announce(clock, LEASE_NAME, (target,))
         except OSError:
             return
         except SimulatedCrashError:
--- a/larchgw/model_checking/replication/mutants.py
+++ b/larchgw/model_checking/replication/mutants.py
@@ -28,8 +28,8 @@
 ReturnT = TypeVar("ReturnT")
 FollowResult = tuple[bool, int]
 Establish = Callable[[Cell, MemberSettings, Witness, LeaseAcceptor], identity.Identity]
-KnownTo = Callable[[ActMemory, float, str, float], KnownActs]
-Announce = Callable[[LeaseHolder, float, str, view.View | None], PendingCall]
+KnownTo = Callable[[ActMemory, float, str, float, float], KnownActs]
+Announce = Callable[[LeaseHolder, float, Sequence[str], view.View | None], PendingCall]
 Follow = Callable[[Replica, int, int, Sequence[int], Sequence[bytes]], FollowResult]
 
 
@@ -191,8 +191,10 @@
 
 
 def _tells_no_targets(original: KnownTo) -> KnownTo:
-    def known_to(self: ActMemory, now: float, sender: str, complete_since: float) -> KnownActs:
-        return replace(original(self, now, sender, complete_since), ages_s={})
+    def known_to(
+        self: ActMemory, now: float, sender: str, complete_since: float, remembered_since: float
+    ) -> KnownActs:
+        return replace(original(self, now, sender, complete_since, remembered_since), ages_s={})
 
     return known_to
 
@@ -211,9 +213,11 @@
 
 
 def _permits_at_once(original: Announce) -> Announce:
-    def announce(self: LeaseHolder, now: float, target: str, accepted_view: view.View | None) -> PendingCall:
-        call = original(self, now, target, accepted_view)
-        self._permitted_until[target] = now + ACT_WINDOW_S
+    def announce(
+        self: LeaseHolder, now: float, targets: Sequence[str], accepted_view: view.View | None
+    ) -> PendingCall:
+        call = original(self, now, targets, accepted_view)
+        self._permitted_until.update(dict.fromkeys(targets, now + ACT_WINDOW_S))
         return call
 
     return announce
--- a/larchgw/placement/load_rate_limit.py
+++ b/larchgw/placement/load_rate_limit.py
@@ -11,6 +11,7 @@
 
 import math
 from collections.abc import Set
+from dataclasses import dataclass
 
 from ..identifiers import RunnerId
 
@@ -18,10 +19,26 @@
 MARGIN_SHARE = 0.1  # of the limit, kept back for loads that a predecessor began unseen; one at least
 
 
+@dataclass(frozen=True, slots=True)
+class LoadHistory:
+    """Loads that were ordered before, as far as it is known.
+
+    Attributes:
+        complete_since_s: Every load that can have begun later is among `begun_by_s`.
+        begun_by_s: For each load, the latest time at which it can have begun.
+    """
+
+    complete_since_s: float
+    begun_by_s: tuple[float, ...]
+
+
 class LoadRateLimiter:
     """Sliding-window limit on loads from the weight store.
 
     Source: the rule COST of the rules; `loads_per_s` of the configuration.
+
+    Attributes:
+        has_complete_history: Whether all loads of predecessors are counted: none needs to be guessed at.
     """
 
     def __init__(self, loads_per_s: float, window_s: float, rate_factor: float) -> None:
@@ -37,6 +54,7 @@
         self._reserved_at: dict[RunnerId, float] = {}  # when its order was sent; outcome not seen
         self._begun_by: list[float] = []  # latest times at which loads can have begun
         self._exhausted_until = -math.inf
+        self.has_complete_history = False
         self.set_rate(loads_per_s)
 
     def set_rate(self, loads_per_s: float) -> None:
@@ -79,8 +97,17 @@
         """Counts loads that another process ordered, begun at `now_s` at the latest."""
         self._begun_by.extend([now_s] * min(loads, self._limit))
 
+    def adopt(self, now_s: float, history: LoadHistory) -> None:
+        """Counts the loads that predecessors ordered, in place of what was observed of them.
+
+        While the history does not reach back one window, nothing is allowed.
+        """
+        self._begun_by = list(history.begun_by_s)
+        self._exhausted_until = history.complete_since_s + self._window_s
+        self.has_complete_history = now_s > self._exhausted_until
+
     def assume_exhausted(self, now_s: float) -> None:
-        """Allows nothing until one window after `now_s`: a predecessor may have used all of it until then."""
+        """Allows nothing for one window: a predecessor may have used all of it until now."""
         self._exhausted_until = now_s + self._window_s
 
     def assume_unused(self) -> None:
--- a/larchgw/placement/order_tracker.py
+++ b/larchgw/placement/order_tracker.py
@@ -123,7 +123,8 @@
         if not report.is_occupied:
             state.order_count, state.poll_count = report.order_count, 0
             return
-        if not state.is_predecessor_order_counted:
+        is_counted = state.is_predecessor_order_counted or self._load_limiter.has_complete_history
+        if not is_counted:
             self._load_limiter.observe_loads(now_s)  # the order of a predecessor may be a load from the store
         state.is_predecessor_order_counted = True
 
--- a/larchgw/placement/reconciler.py
+++ b/larchgw/placement/reconciler.py
@@ -155,6 +155,11 @@
         capacity = self.capacities.get(state.record.service)
         return self._durations.expected_s(order, state, capacity)
 
+    def loads_from_store(self, order: Order) -> bool:
+        """Returns whether an order loads weights that its runner is not known to have held."""
+        state = self._runners.get(order.runner_id)
+        return state is None or state.loads_from_store(order)
+
     def _loads_in_progress(self) -> int:
         return sum(state.is_loading_from_store for state in self._runners.values())
 
--- a/larchgw/placement/runner_exchange.py
+++ b/larchgw/placement/runner_exchange.py
@@ -65,7 +65,7 @@
         """
         planned_at_s = self._clock()
         async with self._order_slots:
-            await self._runtime.permits.announce(order.runner_id)
+            await self._runtime.permits.announce(order.runner_id, self._reconciler.loads_from_store(order))
             lease = self._lease_watch.current()  # read again: it may have ended while this waited
             if lease is None or lease.fencing_token != fencing_token:
                 return
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -34,7 +34,6 @@
 BUSY_PERIOD_S = 0.05  # between rounds while an order is in progress or a request waits
 IDLE_PERIOD_S = 0.25
 MAX_PLANNING_SHARE = 0.1  # of the time is spent on planning, however large the deployment
-LATE_ORDER_S = 0.3  # for which an order of an earlier life of this process may be on its way at its start
 REPORTS_TIMEOUT_S = (
     0.5  # after acquiring the lease: most runners have answered by then, and load choices see them
 )
@@ -64,6 +63,7 @@
         self._records: dict[str, RunnerRecord] = {}
         self._started_at_s = runtime.clock()
         self._next_plan_at_s = 0.0
+        self._is_load_history_read = False
         self._request_waits = asyncio.Event()
 
     # ---- What other packages tell it ----
@@ -129,6 +129,8 @@
         """Plans, and sends the next orders."""
         if self._configuration is None:
             return
+        if not self._is_load_history_read:
+            self._read_load_history(now_s)
         self._demand.expire()
         orders = self._planner.plan(
             now_s,
@@ -141,6 +143,13 @@
             self._reconciler.start_order(now_s, order)
             self._spawn(self._exchange.send_order(order, fencing_token))
 
+    def _read_load_history(self, now_s: float) -> None:
+        """Counts the loads of predecessors, once more witnesses than a quorum had time to tell of them."""
+        self._is_load_history_read = True
+        history = self._permits.load_history()
+        if history is not None:
+            self._reconciler.load_limiter.adopt(now_s, history)
+
     def _has_enough_reports(self, now_s: float) -> bool:
         """Whether reports of the runners have come, or those that are missing had time enough."""
         runners = self._reconciler.runners.values()
@@ -163,11 +172,11 @@
     def _lease_acquired(self, now_s: float, fencing_token: int) -> None:
         log.info("placement.started", fencing_token=fencing_token, runners=len(self._reconciler.runners))
         self._reconciler.postpone_orders(self._permits.free_at_s)
-        # Loads that were ordered before this process ran, by an earlier life of it too, were not seen.
-        unseen_until_s = max(self._started_at_s + LATE_ORDER_S, self._permits.unknown_orders_until_s())
-        if now_s - unseen_until_s < self._load_window_s:
-            self._reconciler.load_limiter.assume_exhausted(unseen_until_s)
+        self._is_load_history_read = False
+        if now_s - self._started_at_s < self._load_window_s:
+            self._reconciler.load_limiter.assume_exhausted(now_s)
 
     def _lease_lost(self, now_s: float) -> None:
         self._reconciler.lease_lost(now_s)
+        self._reconciler.load_limiter.has_complete_history = False
         self._publisher.reset()
--- a/larchgw/placement/service_runtime.py
+++ b/larchgw/placement/service_runtime.py
@@ -10,6 +10,7 @@
 from typing import Any, Protocol
 
 from ..identifiers import RunnerId
+from .load_rate_limit import LoadHistory
 from .model import Order, OrderOutcome, PlacementSettings, RunnerReport
 
 
@@ -41,7 +42,7 @@
     Times are on the runtime's clock.
     """
 
-    async def announce(self, runner_id: RunnerId) -> None:
+    async def announce(self, runner_id: RunnerId, is_store_load: bool) -> None:
         """Announces an order to a runner; `permitted_until_s` tells what came of it. Raises nothing."""
 
     def permitted_until_s(self, runner_id: RunnerId) -> float:
@@ -50,14 +51,14 @@
     def free_at_s(self, runner_id: RunnerId) -> float:
         """From when on an order may be announced: another placer may have ordered there lately."""
 
-    def unknown_orders_until_s(self) -> float:
-        """When the last order of another placer that nobody has told may have arrived at a runner."""
+    def load_history(self) -> LoadHistory | None:
+        """The loads that were ordered before this process held the lease; None where nobody remembers any."""
 
 
 class UnrestrictedOrderPermits:
     """Permits every order: for a placer that never has another beside it."""
 
-    async def announce(self, runner_id: RunnerId) -> None:
+    async def announce(self, runner_id: RunnerId, is_store_load: bool) -> None:
         """See OrderPermits."""
 
     def permitted_until_s(self, runner_id: RunnerId) -> float:
@@ -68,9 +69,9 @@
         """See OrderPermits."""
         return -math.inf
 
-    def unknown_orders_until_s(self) -> float:
+    def load_history(self) -> LoadHistory | None:
         """See OrderPermits."""
-        return -math.inf
+        return None
 
 
 _tasks: set[asyncio.Task[None]] = set()  # the event loop itself holds its tasks weakly
--- a/larchgw/replication/lease.py
+++ b/larchgw/replication/lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 from math import inf
@@ -13,7 +14,7 @@
 from ..identifiers import FencingToken
 from .effects import PendingCall
 from .lease_acceptor import GRANT_SHARE
-from .lease_acts import ACT_WINDOW_S, ActAnnouncement, PredecessorActs, separation_s
+from .lease_acts import ACT_WINDOW_S, ActAnnouncement, ActHistory, PredecessorActs, separation_s
 from .messages import LeaseRelease, LeaseReply, LeaseRequest
 from .outbound_messages import OutboundMessages
 from .settings import MemberSettings
@@ -158,7 +159,7 @@
         self._expires_at = 0.0
         self._predecessors = PredecessorActs(self._separation_s)
         self._permitted_until: dict[str, float] = {}  # by target that was announced
-        self._to_announce: list[tuple[str, PendingCall]] = []
+        self._to_announce: list[tuple[tuple[str, ...], PendingCall]] = []
         self._next_attempt_at: float | None = None
         self._highest_token = 0
         self._no_candidacy_until = 0.0
@@ -173,8 +174,8 @@
             return Lease(self.name, FencingToken(self._fencing_token), self._expires_at)
         return None
 
-    def announce(self, now: float, target: str, view: View | None) -> PendingCall:
-        """Announces an act on `target`.
+    def announce(self, now: float, targets: Sequence[str], view: View | None) -> PendingCall:
+        """Announces an act on `targets`.
 
         Once the call is done, `act_permitted_until` tells until when the act may be begun.
         """
@@ -182,7 +183,7 @@
         if self.lease(now) is None or view is None:
             self._calls.fail_announcements([call], "the lease is not held")
             return call
-        self._to_announce.append((target, call))
+        self._to_announce.append((tuple(targets), call))
         if self._attempt is None:
             self._begin_attempt(now, view)
         return call
@@ -197,11 +198,9 @@
         """When acts of others on `target` are a term old; infinite while this member is not elected."""
         return self._predecessors.free_at(target) if self._is_elected else inf
 
-    def unknown_acts_until(self) -> float:
-        """When the last act of another that no witness told may have been begun; infinite if not elected."""
-        if not self._is_elected:
-            return inf
-        return self._predecessors.all_free_at - self._separation_s + ACT_WINDOW_S
+    def act_history(self) -> ActHistory:
+        """The acts before this holding of the lease, as far as witnesses remember them."""
+        return self._predecessors.history() if self._is_elected else ActHistory(inf, {})
 
     def release(self, now: float, view: View | None, pause_s: float) -> None:
         """Gives the lease up and does not stand for it for a while."""
@@ -260,7 +259,9 @@
         is_renewal = token == self._fencing_token
         is_acting = is_renewal and self._is_elected and now >= self._predecessors.all_free_at
         announced, self._to_announce = (self._to_announce, []) if is_acting else ([], self._to_announce)
-        targets = tuple(dict.fromkeys(target for target, _ in announced))
+        targets = tuple(
+            dict.fromkeys(target for announced_targets, _ in announced for target in announced_targets)
+        )
         self._attempt = _Attempt(
             number=self._attempts,
             fencing_token=token,
--- a/larchgw/replication/lease_acceptor.py
+++ b/larchgw/replication/lease_acceptor.py
@@ -99,13 +99,15 @@
     stored holder: the holder, which it has forgotten or never knew, is to keep its lease.
     """
 
-    def __init__(self, cell: Cell, term_s: float) -> None:
+    def __init__(self, cell: Cell, term_s: float, act_memory_s: float = 0.0) -> None:
         """Reads what is stored.
 
         Args:
             cell: Where the leases are stored.
             term_s: The term that is kept between acts of two holders.
+            act_memory_s: Announced acts are remembered for so long at least.
         """
+        self._retention_s = max(separation_s(term_s), act_memory_s)
         self._cell = cell
         self._term_s = term_s
         self._grants: dict[str, _Grant] = {}
@@ -155,9 +157,11 @@
         granted = not stale and remaining <= 0.0 and (known or request.fencing_token > stored.fencing_token)
         known_acts = None
         if granted:
-            memory = self._acts.setdefault(request.name, ActMemory(separation_s(self._term_s)))
+            memory = self._acts.setdefault(request.name, ActMemory(self._retention_s))
             if request.acts is not None:
-                known_acts = memory.known_to(now, sender, self._complete_since(sender, stored))
+                known_acts = memory.known_to(
+                    now, sender, self._complete_since(sender, stored), self._remembered_since(stored)
+                )
             self._record(request, sender, stored)
             self._record_acts(now, request, sender, memory)
         return LeaseReply(
@@ -201,11 +205,15 @@
         """Since when every announcement that `sender` must know of is remembered here.
 
         A restart forgets them. That matters unless nobody has acted, or `sender` itself acted last and had
-        waited out the acts of others before. Where the actor did not announce its acts, it may go on acting
-        for a term.
+        waited out the acts of others before. Where the actor did not announce its acts, it may go on for a
+        term.
         """
         has_only_own_acts = stored.actor == sender and stored.is_settled
-        if stored.actor == NOBODY or has_only_own_acts:
+        return self._joined_at if has_only_own_acts else self._remembered_since(stored)
+
+    def _remembered_since(self, stored: StoredLease) -> float:
+        """Since when every announcement is remembered here."""
+        if stored.actor == NOBODY:
             return self._joined_at
         unannounced_s = 0.0 if stored.is_announcing else self._term_s
         return max(self._joined_at, self._restarted_at + unannounced_s)
--- a/larchgw/replication/lease_acts.py
+++ b/larchgw/replication/lease_acts.py
@@ -69,23 +69,53 @@
     """What a witness knows of the acts of holders other than the one that it answers.
 
     Attributes:
-        known_s: It knows every announcement made to it in the last so many seconds; below zero, acts that
-            were not announced may be begun for so long from now on.
-        ages_s: Target -> seconds since the last announcement of an act on it.
+        known_s: It knows every announcement of others made to it in the last so many seconds; below zero,
+            acts that were not announced may be begun for so long from now on.
+        ages_s: Target -> seconds since the last announcement of an act of another on it.
+        remembered_s: As `known_s`, but with the asker's own announcements, of an earlier life of it too.
+        own_ages_s: Target -> seconds since the asker last announced an act on it.
     """
 
     known_s: float
     ages_s: Mapping[str, float]
+    remembered_s: float
+    own_ages_s: Mapping[str, float]
 
     def to_json(self) -> dict[str, Any]:
         """As it is sent; the keys never change."""
-        return {"known": self.known_s, "ages": dict(self.ages_s)}
+        return {
+            "known": self.known_s,
+            "ages": dict(self.ages_s),
+            "remembered": self.remembered_s,
+            "own": dict(self.own_ages_s),
+        }
 
     @classmethod
     def from_json(cls, value: Mapping[str, Any]) -> KnownActs:
         """Reads what `to_json` gave; raises KeyError, TypeError or ValueError for anything else."""
-        ages = {str(target): float(age_s) for target, age_s in value["ages"].items()}
-        return cls(float(value["known"]), ages)
+        return cls(
+            float(value["known"]),
+            _read_ages(value["ages"]),
+            float(value["remembered"]),
+            _read_ages(value["own"]),
+        )
+
+
+def _read_ages(value: Mapping[str, Any]) -> dict[str, float]:
+    return {str(target): float(age_s) for target, age_s in value.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class ActHistory:
+    """What a holder knows of the acts before its own, of an earlier life of it too.
+
+    Attributes:
+        complete_since: Every act that was announced since then is among `announced_at`.
+        announced_at: Target -> when an act on it was announced last, at the latest.
+    """
+
+    complete_since: float
+    announced_at: Mapping[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,13 +127,13 @@
 class ActMemory:
     """What one witness remembers of announced acts under one lease; in memory only."""
 
-    def __init__(self, separation: float) -> None:
+    def __init__(self, retention_s: float) -> None:
         """Begins with nothing announced.
 
         Args:
-            separation: Seconds for which an announcement matters.
+            retention_s: For which an announcement is remembered; the separation of two holders at least.
         """
-        self._separation_s = separation
+        self._retention_s = retention_s
         self._last_by_target: dict[str, _Announced] = {}
         self._unannounced_until = -inf
 
@@ -116,26 +146,30 @@
         """Notes that a holder which announces nothing may act on anything until then."""
         self._unannounced_until = max(self._unannounced_until, until)
 
-    def known_to(self, now: float, sender: str, complete_since: float) -> KnownActs:
+    def known_to(self, now: float, sender: str, complete_since: float, remembered_since: float) -> KnownActs:
         """What is to be told to `sender`.
 
         Args:
             now: The time.
             sender: A holder, or a candidate.
-            complete_since: All announcements that were made since then are remembered.
+            complete_since: All announcements of others that were made since then are remembered.
+            remembered_since: All announcements, those of `sender` too.
         """
         self._last_by_target = {
             target: announced
             for target, announced in self._last_by_target.items()
-            if now - announced.at < self._separation_s
+            if now - announced.at < self._retention_s
         }
         known_s = now - max(complete_since, self._unannounced_until)
-        ages_s = {
-            target: now - announced.at
-            for target, announced in self._last_by_target.items()
-            if announced.holder != sender
-        }
-        return KnownActs(min(known_s, self._separation_s), ages_s)
+        remembered_s = now - max(remembered_since, self._unannounced_until)
+        ages_s: dict[str, float] = {}
+        own_ages_s: dict[str, float] = {}
+        for target, announced in self._last_by_target.items():
+            ages = own_ages_s if announced.holder == sender else ages_s
+            ages[target] = now - announced.at
+        return KnownActs(
+            min(known_s, self._retention_s), ages_s, min(remembered_s, self._retention_s), own_ages_s
+        )
 
 
 class PredecessorActs:
@@ -149,30 +183,38 @@
         """
         self._separation_s = separation
         self._complete_since: dict[str, float] = {}  # by witness
-        self._announced_at: dict[str, float] = {}  # by target
+        self._remembered_since: dict[str, float] = {}  # by witness
+        self._announced_at: dict[str, float] = {}  # by target, acts of others
+        self._own_announced_at: dict[str, float] = {}  # by target
         self._all_free_at = inf  # of targets on which no witness told an act
+        self._history_since = inf
 
     def observe(self, now: float, witness: str, acts: KnownActs) -> None:
         """Takes in what a witness told with its grant.
 
         What it tells later is about the same acts, as it has refused any others since its first grant.
         """
-        complete_since = now - acts.known_s
-        if witness in self._complete_since:
-            complete_since = min(complete_since, self._complete_since[witness])
-        else:
-            for target, age_s in acts.ages_s.items():
-                self._announced_at[target] = max(self._announced_at.get(target, -inf), now - age_s)
-        self._complete_since[witness] = complete_since
+        if witness not in self._complete_since:
+            _merge(self._announced_at, now, acts.ages_s)
+            _merge(self._own_announced_at, now, acts.own_ages_s)
+        for since, known_s in (
+            (self._complete_since, acts.known_s),
+            (self._remembered_since, acts.remembered_s),
+        ):
+            since[witness] = min(since.get(witness, inf), now - known_s)
 
     def settle(self, view: View) -> None:
         """Works out when targets of which nobody told an act are free, from the quorum that knows most."""
-        informed: list[str] = []
-        for witness, complete_since in sorted(self._complete_since.items(), key=lambda item: item[1]):
-            informed.append(witness)
-            if view.has_quorum(informed):
-                self._all_free_at = min(self._all_free_at, complete_since + self._separation_s)
-                return
+        complete_since = _known_to_a_quorum(self._complete_since, view)
+        self._all_free_at = min(self._all_free_at, complete_since + self._separation_s)
+        self._history_since = min(self._history_since, _known_to_a_quorum(self._remembered_since, view))
+
+    def history(self) -> ActHistory:
+        """All acts that witnesses told of, own ones of an earlier life too."""
+        announced_at = dict(self._own_announced_at)
+        for target, at in self._announced_at.items():
+            announced_at[target] = max(at, announced_at.get(target, -inf))
+        return ActHistory(self._history_since, announced_at)
 
     @property
     def all_free_at(self) -> float:
@@ -188,3 +230,18 @@
         """When this target may be acted on."""
         announced_at = self._announced_at.get(target, -inf)
         return max(self._all_free_at, announced_at + self._separation_s)
+
+
+def _merge(announced_at: dict[str, float], now: float, ages_s: Mapping[str, float]) -> None:
+    for target, age_s in ages_s.items():
+        announced_at[target] = max(announced_at.get(target, -inf), now - age_s)
+
+
+def _known_to_a_quorum(since_by_witness: Mapping[str, float], view: View) -> float:
+    """Since when a quorum of witnesses knows everything; infinite if no quorum has answered."""
+    informed: list[str] = []
+    for witness, since in sorted(since_by_witness.items(), key=lambda item: item[1]):
+        informed.append(witness)
+        if view.has_quorum(informed):
+            return since
+    return inf
--- a/larchgw/replication/lease_table.py
+++ b/larchgw/replication/lease_table.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 
 from .effects import PendingCall
 from .lease import AnnouncementCalls, Lease, LeaseHolder
 from .lease_acceptor import LeaseAcceptor
+from .lease_acts import ActHistory
 from .messages import LeaseRelease, LeaseReply, LeaseRequest
 from .outbound_messages import OutboundMessages
 from .settings import MemberSettings
@@ -50,9 +52,9 @@
         """The lease, if it is held and may be acted on now; otherwise it is asked for from now on."""
         return self._holder(name).lease(now)
 
-    def announce(self, now: float, name: str, target: str, view: View | None) -> PendingCall:
+    def announce(self, now: float, name: str, targets: Sequence[str], view: View | None) -> PendingCall:
         """Announces an act; see `LeaseHolder.announce`."""
-        return self._holder(name).announce(now, target, view)
+        return self._holder(name).announce(now, targets, view)
 
     def act_permitted_until(self, now: float, name: str, target: str) -> float:
         """Until when an announced act may be begun; see `LeaseHolder.act_permitted_until`."""
@@ -62,9 +64,9 @@
         """When acts of others on `target` are old enough; see `LeaseHolder.target_free_at`."""
         return self._holder(name).target_free_at(target)
 
-    def unknown_acts_until(self, name: str) -> float:
-        """When unknown acts of others ended; see `LeaseHolder.unknown_acts_until`."""
-        return self._holder(name).unknown_acts_until()
+    def act_history(self, name: str) -> ActHistory:
+        """The acts before this holding of the lease; see `LeaseHolder.act_history`."""
+        return self._holder(name).act_history()
 
     def _holder(self, name: str) -> LeaseHolder:
         holder = self._holders.get(name)
--- a/larchgw/replication/member.py
+++ b/larchgw/replication/member.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from math import inf
 from random import Random
 
@@ -13,6 +13,7 @@
 from .errors import MessageDecodeError, NotPrimaryError
 from .leadership import Leadership
 from .lease import Lease
+from .lease_acts import ActHistory
 from .member_parts import assemble
 from .message_codec import decode
 from .message_router import MessageRouter
@@ -272,8 +273,8 @@
             return None
         return self._parts.leases.lease(now, name)
 
-    def announce(self, now: float, name: str, target: str) -> tuple[PendingCall, Effects]:
-        """Announces an act on `target` under the lease `name`.
+    def announce(self, now: float, name: str, targets: Sequence[str]) -> tuple[PendingCall, Effects]:
+        """Announces an act on `targets` under the lease `name`.
 
         Once the call is done, `act_permitted_until` tells until when the act may be begun. It fails where the
         lease is not held, or no quorum of witnesses answers.
@@ -282,7 +283,7 @@
             OSError: The disk of this member, as one of the witnesses, refuses to store the lease.
         """
         self._observe_time(now)
-        call = self._parts.leases.announce(now, name, target, self._parts.witness.view)
+        call = self._parts.leases.announce(now, name, targets, self._parts.witness.view)
         return call, self._finish_call(now)
 
     def act_permitted_until(self, now: float, name: str, target: str) -> float:
@@ -293,9 +294,9 @@
         """From when on this member, as holder of the lease, may act on `target`, where others did lately."""
         return self._parts.leases.target_free_at(name, target)
 
-    def unknown_acts_until(self, name: str) -> float:
-        """When the last act of another that this member, as the holder, was not told may have been begun."""
-        return self._parts.leases.unknown_acts_until(name)
+    def act_history(self, name: str) -> ActHistory:
+        """The acts under the lease before this member held it, as far as witnesses remember them."""
+        return self._parts.leases.act_history(name)
 
     def set_contacts(self, addresses: Iterable[str]) -> None:
         """Sets rpc addresses of members known from elsewhere, to be asked for admission besides the seeds."""
--- a/larchgw/replication/settings.py
+++ b/larchgw/replication/settings.py
@@ -69,7 +69,8 @@
     Its identity if the disk is empty and this is not the first boot of a seed; must be unique.
     tolerated_failures: Members that may be lost at once. A record is acknowledged with one copy more at
     least, and twice as many and one witnesses decide. lease_term_s: Between acts of two holders of a
-    lease on one target, in seconds. all_in_sync_vote: Whether every in-sync member is to be a witness: more
+    lease on one target, in seconds. act_memory_s: For how long witnesses remember announced acts, if that is
+    longer than a new holder waits. all_in_sync_vote: Whether every in-sync member is to be a witness: more
     than `tolerated_failures` may be lost if they share a failure domain. compact_records: A snapshot replaces
     the log once it holds so many records, compact_bytes: or so many bytes, compact_replay_bytes: or once
     records times the size of the state are so many: to apply a record after a restart costs time in
@@ -84,6 +85,7 @@
     fresh_identity: str
     tolerated_failures: int
     lease_term_s: float
+    act_memory_s: float = 0.0
     all_in_sync_vote: bool = False
     compact_records: int = 100
     compact_bytes: int = 16 << 20
--- a/tests/placement/scripted_play.py
+++ b/tests/placement/scripted_play.py
@@ -20,7 +20,7 @@
 from larchgw.placement.model import Order, OrderOutcome, PlacementSettings, RunnerReport
 from larchgw.placement.orders import encode_order, outcome_of
 from larchgw.placement.service import PlacementService
-from larchgw.placement.service_runtime import PlacementRuntime, UnrestrictedOrderPermits
+from larchgw.placement.service_runtime import PlacementRuntime
 from larchgw.placement.summary import PlacementSummary
 from larchgw.rpc.generated.ttypes import DemandReport, ModelDemand
 from larchgw.runner_directory.runner_record import HeldModel, RunnerRecord, Stage
@@ -52,13 +52,6 @@
     expires_at: float
 
 
-class ScriptedPermits(UnrestrictedOrderPermits):
-    """Permits every order; another placer may have ordered until the first lease began."""
-
-    def unknown_orders_until_s(self) -> float:
-        return LEASES[0][1]
-
-
 class ScriptedPlay:
     """Plays `ticks` ticks and gives what the service did in `events`.
 
@@ -87,7 +80,6 @@
                 self.spawn,
                 PlacementSettings(5.0, 1.1),
                 self.planner_random_source,
-                ScriptedPermits(),
             )
         )
 
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -11,6 +11,7 @@
 from larchgw.experiments.place import Calls, HeldLease, run_at_once
 from larchgw.identifiers import RunnerId
 from larchgw.placement.completion_publisher import UNLOADING_MS
+from larchgw.placement.load_rate_limit import LoadHistory
 from larchgw.placement.model import Order, OrderOutcome, RunnerReport
 from larchgw.placement.orders import MAX_ORDERS
 from larchgw.placement.service import PlacementService
@@ -68,10 +69,12 @@
         self.announced: list[str] = []
         self.permitted_until = math.inf
         self.free_at: dict[str, float] = {}
-        self.unknown_until = -math.inf
+        self.history: LoadHistory | None = None
+        self.store_loads = 0
 
-    async def announce(self, runner_id: RunnerId) -> None:
+    async def announce(self, runner_id: RunnerId, is_store_load: bool) -> None:
         self.announced.append(runner_id)
+        self.store_loads += is_store_load
 
     def permitted_until_s(self, runner_id: RunnerId) -> float:
         return self.permitted_until
@@ -79,8 +82,8 @@
     def free_at_s(self, runner_id: RunnerId) -> float:
         return self.free_at.get(runner_id, -math.inf)
 
-    def unknown_orders_until_s(self) -> float:
-        return self.unknown_until
+    def load_history(self) -> LoadHistory | None:
+        return self.history
 
 
 class BeginTimes(Calls):
@@ -143,24 +146,40 @@
     assert blocked not in permits.announced[: len([at for at in sent_at(world) if at < 6.0])]
 
 
-def test_loads_wait_one_window_from_the_last_order_that_nobody_told_of(make_world: MakeWorld) -> None:
-    """Not from the acquisition of the lease, which may come seconds later."""
-    world, permits = make_world(12.0), ScriptedPermits()
-    permits.unknown_until = 1.5
-    calls = BeginTimes(world)
-    service, runtime = make_service(
-        world, lambda: HeldLease() if world.now >= 3.0 else None, calls, permits=permits
-    )
-    world.runners[0].call_count = 1  # somebody has ordered there before
-    world.runners[0]._note(0.0)
-    play_service(world, service)
-    loads_at = [
+def store_loads_at(world: World) -> list[float]:
+    return [
         at
         for runner in world.runners
         for at, action, _, adapter in runner.orders
         if action == "loading" and not adapter
     ]
-    assert 1.5 <= min(loads_at) - runtime.settings.load_window_s < 3.0
+
+
+def test_loads_wait_one_window_from_where_their_history_begins(make_world: MakeWorld) -> None:
+    """Not from the acquisition of the lease, which may come seconds later."""
+    world, permits = make_world(12.0), ScriptedPermits()
+    permits.history = LoadHistory(1.5, ())
+    service, runtime = make_service(world, lambda: HeldLease() if world.now >= 3.0 else None, permits=permits)
+    world.runners[0].call_count = 1  # somebody has ordered there before
+    world.runners[0]._note(0.0)
+    play_service(world, service)
+    assert 1.5 <= min(store_loads_at(world)) - runtime.settings.load_window_s < 3.0
+
+
+def test_a_holder_that_knows_all_loads_before_its_own_counts_them_and_does_not_pause(
+    make_world: MakeWorld,
+) -> None:
+    world, permits = make_world(12.0), ScriptedPermits()
+    service, runtime = make_service(world, lambda: HeldLease() if world.now >= 3.0 else None, permits=permits)
+    limit = service._reconciler.load_limiter.limit
+    permits.history = LoadHistory(3.0 - runtime.settings.load_window_s - 0.1, (2.9,) * (limit - 1))
+    world.runners[0].call_count = 1
+    world.runners[0]._note(0.0)
+    play_service(world, service)
+    loads_at = sorted(store_loads_at(world))
+    assert loads_at[0] < 3.5
+    assert loads_at[1] > 2.9 + runtime.settings.load_window_s
+    assert 0 < permits.store_loads <= len(loads_at)  # a model that was held before comes from the disk
 
 
 def test_an_order_that_was_queued_until_the_lease_was_lost_is_not_sent(make_world: MakeWorld) -> None:
--- a/tests/replication/test_lease.py
+++ b/tests/replication/test_lease.py
@@ -15,6 +15,7 @@
     ACT_DELIVERY_S,
     ACT_WINDOW_S,
     ActAnnouncement,
+    ActHistory,
     KnownActs,
     PredecessorActs,
     separation_s,
@@ -130,7 +131,7 @@
     machine = cluster.machines[address]
     member = machine.member
     assert member is not None
-    call, effects = member.announce(cluster.clock(machine), LEASE_NAME, target)
+    call, effects = member.announce(cluster.clock(machine), LEASE_NAME, (target,))
     machine.announcements.add(call.number)
     cluster._carry_out(machine, effects)
     cluster.run(0.05)
@@ -231,7 +232,8 @@
 
 
 def knows(since_s: float, **ages_s: float) -> KnownActs:
-    return KnownActs(since_s, {target.replace("_", "-"): age_s for target, age_s in ages_s.items()})
+    ages = {target.replace("_", "-"): age_s for target, age_s in ages_s.items()}
+    return KnownActs(since_s, ages, since_s, {})
 
 
 def test_targets_are_free_only_once_a_quorum_of_witnesses_has_told_what_it_knows() -> None:
@@ -266,6 +268,19 @@
     assert learned.all_free_at == pytest.approx(12.0 + separation_s(LEASE_TERM_S))
 
 
+def test_the_history_of_acts_holds_own_ones_of_an_earlier_life_as_far_as_a_quorum_remembers() -> None:
+    learned = PredecessorActs(separation_s(LEASE_TERM_S))
+    learned.observe(10.0, "a", KnownActs(9.0, {"runner-1": 2.0}, 6.0, {"store-load/1": 3.0}))
+    learned.observe(10.0, "b", KnownActs(9.0, {}, 1.0, {}))
+    learned.settle(VIEW)
+    assert learned.history() == ActHistory(9.0, {"runner-1": 8.0, "store-load/1": 7.0})
+    learned.observe(10.0, "c", KnownActs(9.0, {}, 6.5, {"store-load/2": 1.0}))
+    learned.settle(VIEW)
+    assert learned.history().complete_since == 4.0
+    assert "store-load/2" in learned.history().announced_at
+    assert learned.free_at("store-load/1") < 10.0  # an own act is waited for by nobody
+
+
 # ---- a witness and announced acts ----
 
 
