Placement: a new placer waits for no busy runner, and orders no load that its predecessor has under way

Cause: with a successor after a second instead of six, loads of the lost placer are still in progress. Runners that work on them gave no complete report, so the first order waited for the whole time-out of 0.5 s; and what they load was not counted, so that it could be ordered a second time elsewhere.

Change: a report of an occupied runner counts as one; the loads that the predecessor had published as expected count as pending at their runner until its report shows what it holds.

--- a/larchgw/control/placer_role.py
+++ b/larchgw/control/placer_role.py
@@ -11,6 +11,7 @@
 from ..distribution.keys import EXPECTED_LOADS_PREFIX, RUNNER_PREFIX
 from ..distribution.placer_entry import publish_placer
 from ..distribution.registry import Registry
+from ..identifiers import RunnerId
 from ..placement.model import PlacementSettings
 from ..placement.orders import OrderClient
 from ..placement.service import PlacementService
@@ -62,6 +63,7 @@
             PlacementRuntime(
                 clock=time.monotonic,
                 lease=self.current_lease,
+                expected_loads=self.expected_loads,
                 permits=self._permits,
                 calls=OrderClient(self._own_address),
                 publish=self.publish_expected_loads,
@@ -117,6 +119,13 @@
             self._expected_loads_serial,
         )
 
+    def expected_loads(self, runner_id: RunnerId) -> list[str]:
+        """What a placer has published as being loaded at a runner, and not withdrawn."""
+        entry = self._registry.get(EXPECTED_LOADS_PREFIX + runner_id)
+        if entry is None:
+            return []
+        return [name for name, remaining_ms in json.loads(entry.value).items() if remaining_ms >= 0.0]
+
     def _update_runner(self, runner_id: str) -> None:
         record = self._directory.get(runner_id)
         if record is not None:
--- a/larchgw/placement/order_tracker.py
+++ b/larchgw/placement/order_tracker.py
@@ -123,10 +123,10 @@
         if not report.is_occupied:
             state.order_count, state.poll_count = report.order_count, 0
             return
-        is_counted = state.is_predecessor_order_counted or self._load_limiter.has_complete_history
+        is_counted = state.is_busy_for_predecessor or self._load_limiter.has_complete_history
         if not is_counted:
             self._load_limiter.observe_loads(now_s)  # the order of a predecessor may be a load from the store
-        state.is_predecessor_order_counted = True
+        state.is_busy_for_predecessor = True
 
     def _follow_order(
         self, now_s: float, state: RunnerState, in_progress: OrderInProgress, report: RunnerReport
@@ -177,9 +177,10 @@
         """Drops what is known of a runner, as another process may order there from now on."""
         self._load_limiter.confirm(now_s, state.id)
         state.order_count, state.order_in_progress = None, None
-        state.next_poll_at_s, state.poll_count, state.is_predecessor_order_counted = now_s, 0, False
+        state.next_poll_at_s, state.poll_count, state.is_busy_for_predecessor = now_s, 0, False
         state.unconfirmed_loads.clear()
         state.unconfirmed_unloads.clear()
+        state.predecessor_loads = frozenset()
 
 
 def _give_up(state: RunnerState) -> None:
--- a/larchgw/placement/reconciler.py
+++ b/larchgw/placement/reconciler.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection, Container
 
 from ..configuration.model import Configuration
 from ..identifiers import RunnerId
@@ -102,10 +102,18 @@
         self.load_limiter.confirm(now_s, state.id)
         del self._runners[state.id]
 
-    def postpone_orders(self, free_at_s: Callable[[RunnerId], float]) -> None:
-        """Orders nothing at a runner before its `free_at_s`: another placer may have ordered there lately."""
+    def lease_acquired(
+        self, free_at_s: Callable[[RunnerId], float], expected_loads: Callable[[RunnerId], Collection[str]]
+    ) -> None:
+        """Goes on where another placer may have ended.
+
+        Args:
+            free_at_s: Gives, by runner, the time before which nothing is ordered there.
+            expected_loads: Gives, by runner, the `loadable_name` of loads that were expected there.
+        """
         for state in self._runners.values():
             state.backoff_until_s = max(state.backoff_until_s, free_at_s(state.id))
+            state.predecessor_loads = frozenset(expected_loads(state.id))
 
     def lease_lost(self, now_s: float) -> None:
         """Drops what is known of all runners: another process may order there from now on."""
--- a/larchgw/placement/runner_state.py
+++ b/larchgw/placement/runner_state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -63,8 +63,10 @@
         models_on_disk: Models that this incarnation has held, so that loading them again spares the store.
         next_poll_at_s: When its report is wanted next, while what it holds is not known.
         poll_count: Reports asked for, while what it holds is not known.
-        is_predecessor_order_counted: Whether an order of another process, in progress there, was counted as a
-            load.
+        is_busy_for_predecessor: Whether its reports show an order of another process in progress; while they
+            do, what it holds is not known.
+        predecessor_loads: `loadable_name` of what another placer had ordered to be loaded there, when this
+            process took over.
         backoff_until_s: No order before, after a rejection or an order without effect.
         unconfirmed_loads: `loadable_name` -> when its load was done, until a check-in shows it.
         unconfirmed_unloads: `loadable_name` -> when its unload was done, while check-ins still list it.
@@ -78,7 +80,8 @@
     models_on_disk: set[str] = field(default_factory=set)
     next_poll_at_s: float = 0.0
     poll_count: int = 0
-    is_predecessor_order_counted: bool = False
+    is_busy_for_predecessor: bool = False
+    predecessor_loads: frozenset[str] = frozenset()
     backoff_until_s: float = 0.0
     unconfirmed_loads: dict[str, float] = field(default_factory=dict)
     unconfirmed_unloads: dict[str, float] = field(default_factory=dict)
@@ -101,6 +104,11 @@
         """Whether a report has shown what it holds."""
         return self.order_count is not None
 
+    @property
+    def has_reported(self) -> bool:
+        """Whether a report has come since this process may order, of an order in progress at the least."""
+        return self.is_known or self.is_busy_for_predecessor
+
     @property
     def is_ready(self) -> bool:
         """Whether it serves and is not about to leave."""
@@ -127,10 +135,21 @@
         )
 
     def is_loading(self, model: str, adapter: str = "") -> bool:
-        """Whether a load of it is in progress."""
+        """Whether a load of it is in progress, or may be by order of a predecessor."""
+        if loadable_name(model, adapter) in self.loads_of_predecessor():
+            return True
         order = self.order_in_progress.order if self.order_in_progress else None
         return order is not None and order.is_load and (order.model, order.adapter) == (model, adapter)
 
+    def loads_of_predecessor(self) -> Set[str]:
+        """Returns the `loadable_name` of what may be loading by order of a predecessor.
+
+        Once a report shows what the runner holds, nothing is.
+        """
+        if self.is_known:
+            return frozenset()
+        return self.predecessor_loads - loadable_names(self.held)
+
     def loads_from_store(self, order: Order) -> bool:
         """Whether the order loads weights that this incarnation is not known to have held."""
         return order.is_load and not order.adapter and order.model not in self.models_on_disk
--- a/larchgw/placement/service.py
+++ b/larchgw/placement/service.py
@@ -51,6 +51,7 @@
         settings = runtime.settings
         self._clock, self._load_window_s = runtime.clock, settings.load_window_s
         self._spawn, self._permits = runtime.spawn, runtime.permits
+        self._expected_loads = runtime.expected_loads
         self._demand = DemandTracker(runtime.clock)
         self._planner = Planner(settings, runtime.random_source)
         self._reconciler = Reconciler(
@@ -153,8 +154,8 @@
     def _has_enough_reports(self, now_s: float) -> bool:
         """Whether reports of the runners have come, or those that are missing had time enough."""
         runners = self._reconciler.runners.values()
-        if all(state.is_known or not state.is_ready for state in runners):
-            if runners and not any(state.order_count for state in runners):
+        if all(state.has_reported or not state.is_ready for state in runners):
+            if runners and not any(state.order_count or state.is_busy_for_predecessor for state in runners):
                 self._reconciler.load_limiter.assume_unused()
             return True
         return now_s - self._lease_watch.acquired_at_s >= REPORTS_TIMEOUT_S
@@ -171,7 +172,7 @@
 
     def _lease_acquired(self, now_s: float, fencing_token: int) -> None:
         log.info("placement.started", fencing_token=fencing_token, runners=len(self._reconciler.runners))
-        self._reconciler.postpone_orders(self._permits.free_at_s)
+        self._reconciler.lease_acquired(self._permits.free_at_s, self._expected_loads)
         self._is_load_history_read = False
         if now_s - self._started_at_s < self._load_window_s:
             self._reconciler.load_limiter.assume_exhausted(now_s)
--- a/larchgw/placement/service_demand.py
+++ b/larchgw/placement/service_demand.py
@@ -76,6 +76,8 @@
                     if state.holds(model, adapter):
                         name = loadable_name(model, adapter)
                         self.holders[name] = self.holders.get(name, 0) + 1
+            for name in state.loads_of_predecessor():
+                self._pending[name] = self._pending.get(name, 0) + 1
             if state.order_in_progress is not None:
                 order = state.order_in_progress.order
                 name = order.name if order.is_load else order.purpose
--- a/larchgw/placement/service_runtime.py
+++ b/larchgw/placement/service_runtime.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -84,6 +84,11 @@
     task.add_done_callback(_tasks.discard)
 
 
+def expect_no_loads(runner_id: RunnerId) -> Collection[str]:
+    """Stands for `PlacementRuntime.expected_loads` where no other placer publishes any."""
+    return ()
+
+
 def publish_nothing(runner_id: RunnerId, completions_ms: dict[str, float]) -> None:
     """Stands for `PlacementRuntime.publish` where no dispatcher listens."""
 
@@ -102,6 +107,8 @@
         spawn: Runs a call beside the loop.
         settings: Limits of the deployment.
         random_source: Breaks ties between runners.
+        expected_loads: Returns the models, or "model/adapter", whose load at a runner was last published and
+            not withdrawn.
         permits: Says when an order may be sent to a runner.
     """
 
@@ -112,4 +119,5 @@
     spawn: Callable[[Coroutine[Any, Any, None]], None] = spawn_task
     settings: PlacementSettings = field(default_factory=PlacementSettings)
     random_source: random.Random = field(default_factory=random.Random)
+    expected_loads: Callable[[RunnerId], Collection[str]] = expect_no_loads
     permits: OrderPermits = field(default_factory=UnrestrictedOrderPermits)
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -1,5 +1,6 @@
 """Which load or unload is ordered next, for one runner that is full."""
 
+import math
 import random
 
 from larchgw.configuration.model import Configuration
@@ -10,7 +11,7 @@
 from larchgw.placement.reconciler import Reconciler
 from larchgw.rpc.generated.ttypes import DemandReport
 
-from .builders import R0, make_configuration, make_reconciler, model_demand, runner_record, runner_report
+from .builders import R0, R1, make_configuration, make_reconciler, model_demand, runner_record, runner_report
 from .conftest import FakeClock
 
 HELD = ("m0", "m1", "m2")
@@ -63,6 +64,26 @@
     assert [order.name for order in plan(clock, demand, reconciler, configuration)] == ["m1"]
 
 
+def test_a_load_in_progress_by_order_of_a_predecessor_is_not_ordered_at_another_runner(
+    clock: FakeClock, demand: DemandTracker
+) -> None:
+    configuration = make_configuration(count=8)
+    reconciler = make_reconciler(configuration)
+    for runner_id in (R0, R1):
+        reconciler.update_runner(clock.now_s, runner_record(runner_id, held=("m0",)))
+    reconciler.lease_acquired(
+        lambda runner_id: -math.inf, lambda runner_id: ["m5"] if runner_id == R1 else []
+    )
+    reconciler.receive_report(clock.now_s, R0, runner_report(("m0",)))
+    reconciler.receive_report(clock.now_s, R1, runner_report(("m0",), is_occupied=True))
+    report_waiting(demand, ("m5", 4000))
+    assert plan(clock, demand, reconciler, configuration) == []
+    reconciler.receive_report(
+        clock.now_s, R1, runner_report(("m0",), order_count=1)
+    )  # it has brought nothing
+    assert [order.name for order in plan(clock, demand, reconciler, configuration)] == ["m5"]
+
+
 def test_the_last_holder_of_a_model_that_requests_wait_for_is_not_evicted(
     clock: FakeClock, demand: DemandTracker
 ) -> None:
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -146,6 +146,19 @@
     assert blocked not in permits.announced[: len([at for at in sent_at(world) if at < 6.0])]
 
 
+def test_a_runner_that_still_works_for_a_predecessor_does_not_hold_up_the_first_orders(
+    make_world: MakeWorld,
+) -> None:
+    world = make_world(6.0)
+    busy = world.runners[0]
+    assert busy.order(0.0, busy.id, "loading", "m19", "", None, 1) == 202
+    assert busy._running is not None
+    busy._running.done_at = 99.0
+    service, _ = make_service(world, lambda: HeldLease(2))
+    play_service(world, service)
+    assert min(sent_at(world)) < 0.4
+
+
 def store_loads_at(world: World) -> list[float]:
     return [
         at
