--- a/larchgw/cli/explore.py
+++ b/larchgw/cli/explore.py
@@ -11,6 +11,7 @@
     "replication": "larchgw.model_checking.replication.main",
     "redundancy": "larchgw.model_checking.replication.redundancy",
     "check-ins": "larchgw.model_checking.check_ins.main",
+    "placement-lease": "larchgw.model_checking.placement_lease.main",
     "operator-calls": "larchgw.model_checking.operator_calls.main",
 }
 
@@ -20,8 +21,9 @@
     """Explores orders of messages, losses, crashes and power losses; the last line counts states and faults.
 
     Args:
-        name: The part: replication, redundancy (how soon the next loss may come), operator-calls, or
-            check-ins (which calls of runners are acknowledged, and who knows).
+        name: The part: replication, redundancy (how soon the next loss may come), operator-calls, check-ins
+            (which calls of runners are acknowledged, and who knows), or placement-lease (orders of one placer
+            after the other, and how soon the next one orders).
         seconds: How long to explore, in real time.
         seed: Of the random runs.
     """
--- a/larchgw/control/order_permits.py
+++ b/larchgw/control/order_permits.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from typing import Protocol
+
 from ..identifiers import RunnerId
 from ..placement.load_rate_limit import LoadHistory
+from ..replication.lease import Lease
 from ..replication.lease_acts import ACT_DELIVERY_S, ACT_WINDOW_S
+from ..replication.member import Member
 from .errors import ReplicationUnavailableError
-from .replicated_log import ReplicatedLog
 
 PLACER_LEASE = "placer"
 """Name of the lease whose holder is the placer."""
@@ -14,6 +18,23 @@
 """Before the fencing token and a serial number: each load from the weight store is announced as a target."""
 
 
+class ActAnnouncer(Protocol):
+    """Announces acts under a lease; `ReplicatedLog` is the implementation."""
+
+    @property
+    def member(self) -> Member:
+        """The replication member of this process."""
+
+    def lease(self, name: str) -> Lease | None:
+        """The lease, while this process holds it."""
+
+    async def announce(self, lease_name: str, targets: Sequence[str]) -> None:
+        """Announces an act; raises ReplicationUnavailableError where no quorum of witnesses answers."""
+
+    def act_permitted_until(self, lease_name: str, target: str) -> float:
+        """Until when an announced act may be begun."""
+
+
 class LeaseOrderPermits:
     """Permits orders as acts under the placer's lease, each announced to the witnesses before it is sent.
 
@@ -22,7 +43,7 @@
     Source: `replication.lease_acts`; the rule ONE of the rules page.
     """
 
-    def __init__(self, log: ReplicatedLog) -> None:
+    def __init__(self, log: ActAnnouncer) -> None:
         """Permits nothing before this process holds the lease.
 
         Args:
--- a/larchgw/model_checking/mutants.py
+++ b/larchgw/model_checking/mutants.py
@@ -14,6 +14,16 @@
 from .errors import InvariantError
 
 OriginalT = TypeVar("OriginalT")
+ReturnT = TypeVar("ReturnT")
+
+
+def always(value: ReturnT) -> Callable[[Callable[..., ReturnT]], Callable[..., ReturnT]]:
+    """A mistake for a `Patch`: the function returns `value`, whatever it is given."""
+
+    def make(original: Callable[..., ReturnT]) -> Callable[..., ReturnT]:
+        return lambda *arguments, **options: value
+
+    return make
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/larchgw/model_checking/placement_lease/cluster.py
@@ -0,0 +1,310 @@
+"""Control processes with the real placement service over the real lease, and runners that they order at.
+
+Time is virtual. A process that stands still goes on with what came meanwhile; its clock counts on. Clocks run
+up to one per cent apart.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine, Generator, Sequence
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from ...control.errors import ReplicationUnavailableError
+from ...control.order_permits import PLACER_LEASE, LeaseOrderPermits
+from ...identifiers import RunnerId
+from ...placement.model import Order, OrderOutcome, PlacementSettings, RunnerReport
+from ...placement.orders import outcome_of
+from ...placement.service import PlacementService
+from ...placement.service_runtime import PlacementRuntime
+from ...replication.effects import Effects, PendingCall
+from ...replication.lease import Lease
+from ...replication.lease_acts import ACT_DELIVERY_S
+from ...replication.member import Member
+from ..errors import SimulatedCrashError
+from ..replication.cluster import LEASE_TERM_S, SimulatedCluster
+from ..replication.machine import Machine, Wakeup
+from .invariants import OrderChecker, ReceivedOrder
+from .runners import (
+    LOAD_RATE_FACTOR,
+    LOAD_WINDOW_S,
+    MAX_LOADS,
+    REPORT_INTERVAL_S,
+    draw_demand,
+    make_configuration,
+    make_runners,
+    record_of,
+)
+
+MAX_CLOCK_RATE_ERROR = 0.005  # each way, so that two clocks run up to one per cent apart
+ROUND_S = 0.05  # between two rounds of a placement service
+CHECK_IN_INTERVAL_S = 1.0
+LATE_ORDER_RATE = 0.1  # share of the orders that take as long as an order may
+LOST_ANSWER_RATE = 0.05
+NO_MACHINE = "runners"  # where orders arrive
+
+Call = Coroutine["Suspended", None, None]
+
+
+@dataclass(frozen=True, slots=True)
+class Suspended:
+    """What a simulated coroutine waits for.
+
+    Attributes:
+        seconds: A time, or
+        call: the end of this call of the replication member.
+    """
+
+    seconds: float = 0.0
+    call: PendingCall | None = None
+
+    def __await__(self) -> Generator[Suspended, bool, bool]:
+        """Gives way to the simulation; the result tells whether the call has ended well."""
+        return (yield self)
+
+
+class SimulatedLog:
+    """Stands for the ReplicatedLog of one process: announces acts, and answers about the lease."""
+
+    def __init__(self, cluster: PlacementCluster, machine: Machine, member: Member) -> None:
+        """Serves the process of `member`."""
+        self._cluster, self._machine = cluster, machine
+        self.member = member
+
+    def lease(self, name: str) -> Lease | None:
+        """See ReplicatedLog."""
+        return self.member.lease(self._cluster.clock(self._machine), name)
+
+    async def announce(self, lease_name: str, targets: Sequence[str]) -> None:
+        """See ReplicatedLog."""
+        call = self._cluster.announce(self._machine, self.member, lease_name, targets)
+        if call is None or not await Suspended(call=call):
+            raise ReplicationUnavailableError("the act is not announced")
+
+    def act_permitted_until(self, lease_name: str, target: str) -> float:
+        """See ReplicatedLog."""
+        return self.member.act_permitted_until(self._cluster.clock(self._machine), lease_name, target)
+
+
+class SimulatedCalls:
+    """Orders and reports of one process at the simulated runners."""
+
+    def __init__(self, cluster: PlacementCluster, machine: Machine) -> None:
+        """Sends for `machine`."""
+        self._cluster, self._machine = cluster, machine
+
+    async def order(self, order: Order, fencing_token: int, begin_by_s: float) -> OrderOutcome:
+        """See RunnerCalls: from this call on, the order arrives whatever becomes of its sender."""
+        if self._cluster.clock(self._machine) >= begin_by_s:
+            return OrderOutcome.UNSENT
+        answer = self._cluster.send_order(self._machine, order, fencing_token)
+        await Suspended(seconds=answer.after_s)
+        return answer.outcome()
+
+    async def report(self, runner_id: RunnerId, address: str) -> RunnerReport | None:
+        """See RunnerCalls."""
+        runner = self._cluster.runners[runner_id]
+        await Suspended(seconds=self._cluster.random.uniform(0.001, 0.02))
+        runner.advance(self._cluster.now)
+        seen = runner.report(self._cluster.now)
+        return RunnerReport(seen.models, seen.occupied, seen.call_count)
+
+
+@dataclass(slots=True)
+class OrderAnswer:
+    """The answer to an order that is on its way.
+
+    Attributes:
+        after_s: Seconds from the sending of the order until its sender has the answer, or gives up.
+        status: Of the runner, once the order has arrived.
+        is_lost: Whether the answer does not come.
+    """
+
+    after_s: float
+    is_lost: bool
+    status: int = 0
+
+    def outcome(self) -> OrderOutcome:
+        """What the sender knows."""
+        return OrderOutcome.UNKNOWN if self.is_lost else outcome_of(self.status)
+
+
+class PlacementCluster(SimulatedCluster):
+    """A cluster whose processes place models.
+
+    Attributes:
+        runners: By id; their orders arrive whatever the links between control processes do.
+        order_checks: Watches the orders that they receive.
+        published: Runner -> expected loads, as the registry holds them everywhere.
+    """
+
+    def __init__(self, seed: int, machines: int, seeds: int, survive: int) -> None:
+        """Makes a cluster of which nothing runs yet; see SimulatedCluster."""
+        super().__init__(seed, machines, seeds, survive)
+        self.has_leases = False  # acts are checked at the runners
+        self.act_memory_s = LOAD_WINDOW_S + 1.0
+        self.configuration = make_configuration()
+        self.runners = make_runners(self.configuration)
+        self.order_checks = OrderChecker(LEASE_TERM_S, MAX_LOADS, LOAD_WINDOW_S)
+        self.published: dict[RunnerId, dict[str, float]] = {}
+        self._services: dict[str, PlacementService] = {}  # by address of a running process
+        self._calls: dict[tuple[str, int], Call] = {}  # address and number of the call that they wait for
+        self._ended_calls: dict[tuple[str, int], bool] = {}  # whose results nobody has asked for yet
+        self._next_report_at = self._next_check_in_at = self.now
+
+    def new_machine(self) -> Machine:
+        """See SimulatedCluster."""
+        machine = super().new_machine()
+        self._set_clock_rate(machine)
+        return machine
+
+    def _set_clock_rate(self, machine: Machine) -> None:
+        machine.clock_rate = 1.0 + self.random.uniform(-MAX_CLOCK_RATE_ERROR, MAX_CLOCK_RATE_ERROR)
+
+    def start(self, address: str, first_boot: bool = False) -> None:
+        """See SimulatedCluster; the process places models from now on."""
+        for calls in (self._calls, self._ended_calls):
+            for key in [key for key in calls if key[0] == address]:
+                del calls[key]
+        super().start(address, first_boot)
+        machine = self.machines[address]
+        if machine.member is None:
+            return
+        self._services[address] = self._make_service(machine, machine.member)
+        self._later(machine, self.random.uniform(0.0, ROUND_S), partial(self._play_round, machine))
+
+    def _make_service(self, machine: Machine, member: Member) -> PlacementService:
+        log = SimulatedLog(self, machine, member)
+        service = PlacementService(
+            PlacementRuntime(
+                clock=partial(self.clock, machine),
+                lease=lambda: log.lease(PLACER_LEASE),
+                calls=SimulatedCalls(self, machine),
+                publish=self.published.__setitem__,
+                spawn=partial(self._resume, machine),
+                settings=PlacementSettings(LOAD_WINDOW_S, LOAD_RATE_FACTOR),
+                random_source=self.random,
+                expected_loads=lambda runner_id: self.published.get(runner_id, {}),
+                permits=LeaseOrderPermits(log),
+            )
+        )
+        service.configure(self.configuration)
+        for runner in self.runners.values():
+            service.update_runner(record_of(runner))
+        return service
+
+    def holders(self) -> list[Machine]:
+        """Machines whose process holds the placer's lease now."""
+        return [
+            machine
+            for machine in self.running
+            if machine.member is not None and machine.member.lease(self.clock(machine), PLACER_LEASE)
+        ]
+
+    # ---- time ----
+
+    def _play_next_event(self) -> None:
+        super()._play_next_event()
+        while self.now >= self._next_report_at:
+            self._next_report_at += REPORT_INTERVAL_S
+            report = draw_demand(self.random, self.now)
+            for machine in self.running:
+                self._services[machine.address].receive_demand_report(report)
+        while self.now >= self._next_check_in_at:
+            self._next_check_in_at += CHECK_IN_INTERVAL_S
+            for runner in self.runners.values():
+                runner.advance(self.now)
+                for machine in self.running:
+                    self._services[machine.address].update_runner(record_of(runner))
+
+    def _play_round(self, machine: Machine) -> None:
+        self._services[machine.address].step()
+        self._later(machine, ROUND_S, partial(self._play_round, machine))
+
+    def _later(self, machine: Machine, seconds: float, resume: Callable[[], None]) -> None:
+        self._push(seconds, machine.address, Wakeup(machine.incarnation, resume))
+
+    def _resume(self, machine: Machine, call: Coroutine[Any, Any, None], result: bool | None = None) -> None:
+        """Lets a coroutine of a process go on until it waits again."""
+        try:
+            suspended = call.send(result)
+        except StopIteration:
+            return
+        if suspended.call is None:
+            self._later(machine, suspended.seconds, partial(self._resume, machine, call, True))
+            return
+        key = (machine.address, suspended.call.number)
+        if key in self._ended_calls:
+            self._resume(machine, call, self._ended_calls.pop(key))
+        else:
+            self._calls[key] = call
+
+    # ---- announcements ----
+
+    def announce(
+        self, machine: Machine, member: Member, lease_name: str, targets: Sequence[str]
+    ) -> PendingCall | None:
+        """Announces an act of a process; None where its disk refuses, or it ends."""
+        try:
+            call, effects = member.announce(self.clock(machine), lease_name, targets)
+        except OSError:
+            return None
+        except SimulatedCrashError:
+            self._crash(machine)
+            return None
+        machine.announcements.add(call.number)
+        self._carry_out(machine, effects)
+        return call
+
+    def _carry_out(self, machine: Machine, effects: Effects, written: float = 0.0) -> None:
+        super()._carry_out(machine, effects, written)
+        for call, is_done in [(done.call, True) for done in effects.done] + [
+            (failed.call, False) for failed in effects.failed
+        ]:
+            waiting = self._calls.pop((machine.address, call.number), None)
+            if waiting is not None:
+                self._resume(machine, waiting, is_done)
+            else:
+                self._ended_calls[machine.address, call.number] = is_done
+
+    # ---- orders ----
+
+    def send_order(self, machine: Machine, order: Order, fencing_token: int) -> OrderAnswer:
+        """Puts an order on its way; it arrives within `ACT_DELIVERY_S`, whatever becomes of its sender."""
+        is_late = self.random.random() < LATE_ORDER_RATE
+        delay_s = ACT_DELIVERY_S if is_late else self.random.uniform(0.0005, 0.01)
+        answer = OrderAnswer(delay_s + 0.001, self.random.random() < LOST_ANSWER_RATE)
+        arrival = _Arrival(self, machine.address, order, fencing_token, answer)
+        self._arrivals_later(delay_s, arrival)
+        return answer
+
+    def _arrivals_later(self, seconds: float, arrival: _Arrival) -> None:
+        """Orders arrive at an address that no machine has, so that no machine's fate concerns them."""
+        self._push(seconds, NO_MACHINE, Wakeup(0, arrival.arrive))
+
+    def receive_order(self, holder: str, order: Order, fencing_token: int) -> int:
+        """A runner receives an order; returns its status."""
+        runner = self.runners[order.runner_id]
+        self.order_checks.received(order.runner_id, ReceivedOrder(self.now, holder, fencing_token))
+        loads_before = len(runner.store.begun)
+        status = runner.order(
+            self.now, order.runner_id, order.action, order.model, order.adapter, order.if_revision, 0
+        )
+        if len(runner.store.begun) > loads_before:
+            self.order_checks.began_store_load(self.now)
+        if runner.fallen:
+            self.order_checks.fell(order.runner_id)
+        return status
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    cluster: PlacementCluster
+    holder: str
+    order: Order
+    fencing_token: int
+    answer: OrderAnswer
+
+    def arrive(self) -> None:
+        self.answer.status = self.cluster.receive_order(self.holder, self.order, self.fencing_token)
--- a/larchgw/model_checking/replication/cluster.py
+++ b/larchgw/model_checking/replication/cluster.py
@@ -26,7 +26,7 @@
 from ..links import Links
 from ..simulated_disk import SimulatedDisk
 from .invariants import InvariantChecker
-from .machine import Machine, Proposal
+from .machine import Machine, Proposal, Wakeup
 
 TICK_S = 0.02
 MAX_CLOCK_OFFSET_S = 50.0
@@ -77,6 +77,7 @@
         has_leases: Whether leases are checked; they depend on a common time.
         snapshot_padding_bytes: Of a snapshot, besides its state.
         chunk_bytes: A snapshot is sent in messages of so many bytes.
+        act_memory_s: For how long witnesses remember announced acts at least.
         compact_records: A log is compacted once it has so many records.
     """
 
@@ -107,7 +108,8 @@
         self.snapshot_padding_bytes = 120
         self.chunk_bytes = CHUNK_BYTES
         self.compact_records = 12
-        self._queue: list[tuple[float, int, str, Envelope | None]] = []
+        self.act_memory_s = 0.0
+        self._queue: list[tuple[float, int, str, Envelope | Wakeup | None]] = []
         self._order = 0
 
     # ---- machines ----
@@ -131,6 +133,7 @@
             f"{address}#{machine.incarnation}",
             self.survive,
             LEASE_TERM_S,
+            act_memory_s=self.act_memory_s,
             compact_records=self.compact_records,
             batch_bytes=200,
             chunk_bytes=self.chunk_bytes,
@@ -243,9 +246,12 @@
     def _play_next_event(self) -> None:
         at, _, address, message = heapq.heappop(self._queue)
         self.now = max(self.now, at)
-        self._event(self.machines[address], message)
+        if isinstance(message, Wakeup) and address not in self.machines:
+            message.resume()  # of the world outside the machines
+        else:
+            self._event(self.machines[address], message)
 
-    def _event(self, machine: Machine, message: Envelope | None) -> None:
+    def _event(self, machine: Machine, message: Envelope | Wakeup | None) -> None:
         if machine.member is None:
             return
         if machine.is_frozen:
@@ -255,7 +261,10 @@
                 self._push(TICK_S, machine.address, None)
             return
         self.events += 1
-        if message is None:
+        if isinstance(message, Wakeup):
+            if message.incarnation == machine.incarnation:
+                message.resume()
+        elif message is None:
             self._push(TICK_S, machine.address, None)
             self._call(machine, lambda member, clock: member.tick(clock))
             self._announce_act(machine)
@@ -281,7 +290,7 @@
 
     def clock(self, machine: Machine) -> float:
         """Returns what the machine's monotonic clock shows."""
-        return self.now + machine.clock_offset
+        return self.now * machine.clock_rate + machine.clock_offset
 
     def _snapshot(self, machine: Machine) -> bytes:
         content = f"{machine.version} {machine.name} ".encode() + b"." * self.snapshot_padding_bytes
@@ -401,7 +410,7 @@
         body = message.body[:-1] + bytes([message.body[-1] ^ 1])
         return PeerMessage(message.sender, message.receiver, message.kind, body)
 
-    def _push(self, after: float, address: str, message: Envelope | None) -> None:
+    def _push(self, after: float, address: str, message: Envelope | Wakeup | None) -> None:
         self._order += 1
         heapq.heappush(self._queue, (self.now + after, self._order, address, message))
 
--- /dev/null
+++ b/larchgw/model_checking/replication/lease_mistakes.py
@@ -0,0 +1,57 @@
+"""Deliberate mistakes in announced acts, for the mutants of every exploration that plays leases."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from math import inf
+
+from ...replication import view
+from ...replication.effects import PendingCall
+from ...replication.lease import LeaseHolder
+from ...replication.lease_acceptor import LeaseAcceptor
+from ...replication.lease_acts import ACT_WINDOW_S, ActMemory, KnownActs, PredecessorActs
+from ..mutants import Patch, always
+
+KnownTo = Callable[[ActMemory, float, str, float, float], KnownActs]
+Announce = Callable[[LeaseHolder, float, Sequence[str], view.View | None], PendingCall]
+
+
+def _tells_no_targets(original: KnownTo) -> KnownTo:
+    def known_to(
+        self: ActMemory, now: float, sender: str, complete_since: float, remembered_since: float
+    ) -> KnownActs:
+        return replace(original(self, now, sender, complete_since, remembered_since), ages_s={})
+
+    return known_to
+
+
+def _settled_from_the_start(original: property) -> property:
+    return property(lambda self: -inf)
+
+
+def _permits_whatever_was_announced(
+    original: Callable[[LeaseHolder, float, str], float],
+) -> Callable[[LeaseHolder, float, str], float]:
+    def act_permitted_until(self: LeaseHolder, now: float, target: str) -> float:
+        return inf if target in self._permitted_until else -inf
+
+    return act_permitted_until
+
+
+def _permits_at_once(original: Announce) -> Announce:
+    def announce(
+        self: LeaseHolder, now: float, targets: Sequence[str], accepted_view: view.View | None
+    ) -> PendingCall:
+        call = original(self, now, targets, accepted_view)
+        self._permitted_until.update(dict.fromkeys(targets, now + ACT_WINDOW_S))
+        return call
+
+    return announce
+
+
+TELLS_NO_TARGETS = Patch(ActMemory, "known_to", _tells_no_targets)
+HIDES_A_RESTART = Patch(LeaseAcceptor, "_complete_since", always(-inf))
+CLAIMS_TO_BE_SETTLED = Patch(PredecessorActs, "settled_at", _settled_from_the_start)
+PERMITS_FOR_EVER = Patch(LeaseHolder, "act_permitted_until", _permits_whatever_was_announced)
+PERMITS_AT_ONCE = Patch(LeaseHolder, "announce", _permits_at_once)
--- a/larchgw/model_checking/replication/machine.py
+++ b/larchgw/model_checking/replication/machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ...identifiers import MemberId
@@ -23,6 +24,19 @@
     record: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Wakeup:
+    """Something that a process waits for in its own code; it ends with the process.
+
+    Attributes:
+        incarnation: Of the process that waits.
+        resume: Goes on.
+    """
+
+    incarnation: int
+    resume: Callable[[], None]
+
+
 @dataclass
 class Machine:
     """One machine of the simulated cluster.
@@ -30,11 +44,12 @@
     Attributes:
         address: Its rpc address; never given to another machine.
         disk: All that is left of it once its process ends.
-        clock_offset: Seconds by which its monotonic clock is ahead of the simulation's time.
+        clock_offset: Seconds by which its monotonic clock was ahead of the simulation's time at its begin.
+        clock_rate: Seconds of that clock to one of the simulation.
         member: Its process, None while that does not run.
         incarnation: Counts the starts of its process.
         is_frozen: Whether the process stands still while its clock goes on.
-        inbox: Messages that came while it was frozen.
+        inbox: What came while it was frozen.
         version: Index of the newest record that the process has applied.
         proposals: Its own proposals that are not decided, by the number of their call.
         reads: By the number of the call, the newest acknowledged index when the read began.
@@ -45,10 +60,11 @@
     address: str
     disk: SimulatedDisk
     clock_offset: float
+    clock_rate: float = 1.0
     member: Member | None = None
     incarnation: int = 0
     is_frozen: bool = False
-    inbox: list[Envelope] = field(default_factory=list)
+    inbox: list[Envelope | Wakeup] = field(default_factory=list)
     version: int = 0
     proposals: dict[int, Proposal] = field(default_factory=dict)
     reads: dict[int, int] = field(default_factory=dict)
--- a/larchgw/model_checking/replication/mutants.py
+++ b/larchgw/model_checking/replication/mutants.py
@@ -4,16 +4,11 @@
 
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
-from math import inf
-from typing import TypeVar
 
 from ...replication import identity, member_parts, snapshot_transfer, view
-from ...replication.effects import PendingCall
 from ...replication.graceful_leave import GracefulLeave
 from ...replication.leadership import Leadership
-from ...replication.lease import LeaseHolder
 from ...replication.lease_acceptor import LeaseAcceptor
-from ...replication.lease_acts import ACT_WINDOW_S, ActMemory, KnownActs, PredecessorActs
 from ...replication.messages import InstallSnapshot, Promise
 from ...replication.ports import Cell
 from ...replication.replica import Replica
@@ -22,24 +17,21 @@
 from ...replication.view_change_round import ViewChangeRound
 from ...replication.view_changes import ViewChanges
 from ...replication.witness import Witness, WitnessState
-from ..mutants import Mutant, Patch
+from ..mutants import Mutant, Patch, always
+from .lease_mistakes import (
+    CLAIMS_TO_BE_SETTLED,
+    HIDES_A_RESTART,
+    PERMITS_AT_ONCE,
+    PERMITS_FOR_EVER,
+    TELLS_NO_TARGETS,
+)
 from .runs import play_faults, play_random_walk
 
-ReturnT = TypeVar("ReturnT")
 FollowResult = tuple[bool, int]
 Establish = Callable[[Cell, MemberSettings, Witness, LeaseAcceptor], identity.Identity]
-KnownTo = Callable[[ActMemory, float, str, float, float], KnownActs]
-Announce = Callable[[LeaseHolder, float, Sequence[str], view.View | None], PendingCall]
 Follow = Callable[[Replica, int, int, Sequence[int], Sequence[bytes]], FollowResult]
 
 
-def _always(value: ReturnT) -> Callable[[Callable[..., ReturnT]], Callable[..., ReturnT]]:
-    def make(original: Callable[..., ReturnT]) -> Callable[..., ReturnT]:
-        return lambda *arguments, **options: value
-
-    return make
-
-
 def _always_ready(original: property) -> property:
     return property(lambda self: True)
 
@@ -190,39 +182,6 @@
     return transfer_of
 
 
-def _tells_no_targets(original: KnownTo) -> KnownTo:
-    def known_to(
-        self: ActMemory, now: float, sender: str, complete_since: float, remembered_since: float
-    ) -> KnownActs:
-        return replace(original(self, now, sender, complete_since, remembered_since), ages_s={})
-
-    return known_to
-
-
-def _settled_from_the_start(original: property) -> property:
-    return property(lambda self: -inf)
-
-
-def _permits_whatever_was_announced(
-    original: Callable[[LeaseHolder, float, str], float],
-) -> Callable[[LeaseHolder, float, str], float]:
-    def act_permitted_until(self: LeaseHolder, now: float, target: str) -> float:
-        return inf if target in self._permitted_until else -inf
-
-    return act_permitted_until
-
-
-def _permits_at_once(original: Announce) -> Announce:
-    def announce(
-        self: LeaseHolder, now: float, targets: Sequence[str], accepted_view: view.View | None
-    ) -> PendingCall:
-        call = original(self, now, targets, accepted_view)
-        self._permitted_until.update(dict.fromkeys(targets, now + ACT_WINDOW_S))
-        return call
-
-    return announce
-
-
 MUTANTS = (
     Mutant(
         "acknowledges a record that one backup has",
@@ -277,7 +236,7 @@
         (Patch(member_parts, "load_or_create_identity", _names_a_wiped_disk_as_before),),
     ),
     Mutant(
-        "answers before its records are synced", play_random_walk, 0, (Patch(Replica, "sync", _always(None)),)
+        "answers before its records are synced", play_random_walk, 0, (Patch(Replica, "sync", always(None)),)
     ),
     Mutant(
         "does not compare the epochs of records",
@@ -289,13 +248,13 @@
         "takes a piece of a snapshot at a wrong offset",
         play_faults,
         18,
-        (Patch(IncomingSnapshot, "_fits", _always(True)),),
+        (Patch(IncomingSnapshot, "_fits", always(True)),),
     ),
     Mutant(
         "does not verify a snapshot",
         play_random_walk,
         29,
-        (Patch(snapshot_transfer, "_has_checksum", _always(True)),),
+        (Patch(snapshot_transfer, "_has_checksum", always(True)),),
     ),
     Mutant(
         "keeps the pieces of one snapshot for another",
@@ -319,37 +278,37 @@
         "does not tell which acts were announced",
         play_faults,
         2,
-        (Patch(ActMemory, "known_to", _tells_no_targets),),
+        (TELLS_NO_TARGETS,),
     ),
     Mutant(
         "does not say that a restart forgot announcements",
         play_faults,
         23,
-        (Patch(LeaseAcceptor, "_complete_since", _always(-inf)),),
+        (HIDES_A_RESTART,),
     ),
     Mutant(
         "says that it has waited out the acts of others before it has",
         play_faults,
         23,
-        (Patch(PredecessorActs, "settled_at", _settled_from_the_start),),
+        (CLAIMS_TO_BE_SETTLED,),
     ),
     Mutant(
         "acts long after it announced to",
         play_faults,
         59,
-        (Patch(LeaseHolder, "act_permitted_until", _permits_whatever_was_announced),),
+        (PERMITS_FOR_EVER,),
     ),
     Mutant(
         "acts before a quorum remembers that it will",
         play_faults,
         59,
-        (Patch(LeaseHolder, "announce", _permits_at_once),),
+        (PERMITS_AT_ONCE,),
     ),
     Mutant(
         "grants a lease that another holds",
         play_faults,
         0,
-        (Patch(LeaseAcceptor, "_remaining", _always(0.0)),),
+        (Patch(LeaseAcceptor, "_remaining", always(0.0)),),
     ),
     Mutant(
         "leads by a vote that came too late",
@@ -367,6 +326,6 @@
         "agrees to the end of a member in sync",
         play_random_walk,
         3,
-        (Patch(Leadership, "can_release", _always(True)),),
+        (Patch(Leadership, "can_release", always(True)),),
     ),
 )
--- a/larchgw/model_checking/replication/random_walk.py
+++ b/larchgw/model_checking/replication/random_walk.py
@@ -9,7 +9,7 @@
 from ...replication.messages import Envelope
 from ..links import no_link_is_cut
 from .cluster import SimulatedCluster
-from .machine import Machine
+from .machine import Machine, Wakeup
 
 CLOCK_LEAPS_S = (0.02, 0.02, 0.05, 0.12, 0.12, 0.55, 0.7)  # by which a clock runs ahead of a tick
 MAX_PENDING = 60  # messages under way; beyond this the oldest are lost
@@ -31,8 +31,8 @@
         for address in self.machines:
             self.start(address, first_boot=True)
 
-    def _push(self, after: float, address: str, message: Envelope | None) -> None:
-        if message is None:
+    def _push(self, after: float, address: str, message: Envelope | Wakeup | None) -> None:
+        if message is None or isinstance(message, Wakeup):
             return
         self.pending.append((address, message))
         if len(self.pending) > MAX_PENDING:
