Replication: bytes of announced acts recorded; names of the field for what a sole actor and free targets are

Recorded bytes are added for the request, the reply and the cell; those of earlier versions are as they were. "settled" said three things: it is `is_sole_actor`, `all_free_at_latest` and `evaluate` now.

--- a/larchgw/model_checking/placement_lease/runs.py
+++ b/larchgw/model_checking/placement_lease/runs.py
@@ -16,7 +16,7 @@
 FAULTS_S = 12.0
 RECOVERED_WITHIN_S = 6.0  # after the faults: until a placer orders again
 LOSSES = ("killed", "power lost", "frozen", "cut off")
-SETTLED_S = 8.0  # before the loss, so that orders are under way
+WARM_UP_S = 8.0  # before the loss, so that orders are under way
 MAX_VACANCY_S = 30.0
 
 
@@ -58,7 +58,7 @@
     cluster = PlacementCluster(seed, *SHAPES[seed % len(SHAPES)])
     for address in cluster.machines:
         cluster.start(address, first_boot=True)
-    cluster.run(SETTLED_S + Random(seed).uniform(0.0, 4.0))
+    cluster.run(WARM_UP_S + Random(seed).uniform(0.0, 4.0))
     (placer,) = cluster.holders()
     lost_at, how = cluster.now, LOSSES[(seed // len(SHAPES)) % len(LOSSES)]
     _lose(cluster, placer, how)
--- a/larchgw/model_checking/replication/lease_mistakes.py
+++ b/larchgw/model_checking/replication/lease_mistakes.py
@@ -26,7 +26,7 @@
     return known_to
 
 
-def _settled_from_the_start(original: property) -> property:
+def _all_free_from_the_start(original: property) -> property:
     return property(lambda self: -inf)
 
 
@@ -52,6 +52,6 @@
 
 TELLS_NO_TARGETS = Patch(ActMemory, "known_to", _tells_no_targets)
 HIDES_A_RESTART = Patch(LeaseAcceptor, "_complete_since", always(-inf))
-CLAIMS_TO_BE_SETTLED = Patch(PredecessorActs, "settled_at", _settled_from_the_start)
+CLAIMS_TO_ACT_ALONE = Patch(PredecessorActs, "all_free_at_latest", _all_free_from_the_start)
 PERMITS_FOR_EVER = Patch(LeaseHolder, "act_permitted_until", _permits_whatever_was_announced)
 PERMITS_AT_ONCE = Patch(LeaseHolder, "announce", _permits_at_once)
--- a/larchgw/model_checking/replication/mutants.py
+++ b/larchgw/model_checking/replication/mutants.py
@@ -19,7 +19,7 @@
 from ...replication.witness import Witness, WitnessState
 from ..mutants import Mutant, Patch, always
 from .lease_mistakes import (
-    CLAIMS_TO_BE_SETTLED,
+    CLAIMS_TO_ACT_ALONE,
     HIDES_A_RESTART,
     PERMITS_AT_ONCE,
     PERMITS_FOR_EVER,
@@ -290,7 +290,7 @@
         "says that it has waited out the acts of others before it has",
         play_faults,
         23,
-        (CLAIMS_TO_BE_SETTLED,),
+        (CLAIMS_TO_ACT_ALONE,),
     ),
     Mutant(
         "acts long after it announced to",
--- a/larchgw/replication/lease.py
+++ b/larchgw/replication/lease.py
@@ -250,7 +250,7 @@
             return
         if reply.granted and reply.acts is not None:
             self._predecessors.observe(now, sender, reply.acts)
-            self._predecessors.settle(self._elected_view)
+            self._predecessors.evaluate(self._elected_view)
             self._plan_begin_of_acts(now)
 
     def _begin_attempt(self, now: float, view: View) -> None:
@@ -274,7 +274,7 @@
             replies={},
         )
         self._highest_token = max(self._highest_token, token)
-        acts = ActAnnouncement(targets, is_acting and now >= self._predecessors.settled_at)
+        acts = ActAnnouncement(targets, is_acting and now >= self._predecessors.all_free_at_latest)
         request = LeaseRequest(self.name, token, is_renewal, view.epoch, self._attempts, is_acting, acts)
         for member in view.electors:
             self._outbound.send(member, request)
@@ -297,7 +297,7 @@
         for witness, reply in attempt.replies.items():
             if reply.granted and reply.acts is not None:
                 self._predecessors.observe(now, witness, reply.acts)
-        self._predecessors.settle(attempt.view)
+        self._predecessors.evaluate(attempt.view)
         if attempt.is_acting and self._state is not LeaseState.ACTING:
             self._state = LeaseState.ACTING
             log.info("lease.acquired", lease=self.name, fencing_token=self._fencing_token)
--- a/larchgw/replication/lease_acceptor.py
+++ b/larchgw/replication/lease_acceptor.py
@@ -34,7 +34,7 @@
         acting_token: The highest under which a holder acted, as far as this witness was asked.
         actor: Who acted under it: a member, NOBODY or UNKNOWN.
         is_announcing: Whether the actor announces its acts; members of earlier versions do not.
-        is_settled: Whether the actor has waited out the acts of all holders before it.
+        is_sole_actor: Whether the actor has waited out the acts of all holders before it.
     """
 
     fencing_token: int = 0
@@ -42,7 +42,7 @@
     acting_token: int = 0
     actor: str = UNKNOWN
     is_announcing: bool = False
-    is_settled: bool = False
+    is_sole_actor: bool = False
 
     def to_json(self) -> dict[str, Any]:
         """As it is stored; the keys never change."""
@@ -55,7 +55,7 @@
 
     def acts_to_json(self) -> dict[str, Any]:
         """What is stored of the actor's announcements, beside `to_json`: earlier versions skip it there."""
-        return {"announcing": self.is_announcing, "settled": self.is_settled}
+        return {"announcing": self.is_announcing, "sole": self.is_sole_actor}
 
     @classmethod
     def from_json(cls, value: Mapping[str, Any], acts: Mapping[str, Any]) -> StoredLease:
@@ -66,7 +66,7 @@
             value["acting_fence"],
             value["actor"],
             acts.get("announcing", False),
-            acts.get("settled", False),
+            acts.get("sole", False),
         )
 
 
@@ -208,7 +208,7 @@
         waited out the acts of others before. Where the actor did not announce its acts, it may go on for a
         term.
         """
-        has_only_own_acts = stored.actor == sender and stored.is_settled
+        has_only_own_acts = stored.actor == sender and stored.is_sole_actor
         return self._joined_at if has_only_own_acts else self._remembered_since(stored)
 
     def _remembered_since(self, stored: StoredLease) -> float:
@@ -235,7 +235,7 @@
                 acting_token=request.fencing_token,
                 actor=sender,
                 is_announcing=request.acts is not None,
-                is_settled=request.acts is not None and request.acts.is_settled,
+                is_sole_actor=request.acts is not None and request.acts.is_sole_actor,
             )
         if lease != stored:
             self._store({**self._leases, request.name: lease})
--- a/larchgw/replication/lease_acts.py
+++ b/larchgw/replication/lease_acts.py
@@ -48,20 +48,20 @@
 
     Attributes:
         targets: It is about to act on these, and only on these.
-        is_settled: No act of another holder is younger than the separation of two holders.
+        is_sole_actor: No act of another holder is younger than the separation of two holders.
     """
 
     targets: tuple[str, ...] = ()
-    is_settled: bool = False
+    is_sole_actor: bool = False
 
     def to_json(self) -> dict[str, Any]:
         """As it is sent; the keys never change."""
-        return {"targets": list(self.targets), "settled": self.is_settled}
+        return {"targets": list(self.targets), "sole": self.is_sole_actor}
 
     @classmethod
     def from_json(cls, value: Mapping[str, Any]) -> ActAnnouncement:
         """Reads what `to_json` gave; raises KeyError, TypeError or ValueError for anything else."""
-        return cls(tuple(map(str, value["targets"])), bool(value["settled"]))
+        return cls(tuple(map(str, value["targets"])), bool(value["sole"]))
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,7 +203,7 @@
         ):
             since[witness] = min(since.get(witness, inf), now - known_s)
 
-    def settle(self, view: View) -> None:
+    def evaluate(self, view: View) -> None:
         """Works out when targets of which nobody told an act are free, from the quorum that knows most."""
         complete_since = _known_to_a_quorum(self._complete_since, view)
         self._all_free_at = min(self._all_free_at, complete_since + self._separation_s)
@@ -222,7 +222,7 @@
         return self._all_free_at
 
     @property
-    def settled_at(self) -> float:
+    def all_free_at_latest(self) -> float:
         """When all targets are free."""
         return max([self._all_free_at, *map(self.free_at, self._announced_at)])
 
--- a/tests/replication/test_lease.py
+++ b/tests/replication/test_lease.py
@@ -239,10 +239,10 @@
 def test_targets_are_free_only_once_a_quorum_of_witnesses_has_told_what_it_knows() -> None:
     learned = PredecessorActs(separation_s(LEASE_TERM_S))
     learned.observe(10.0, "a", knows(9.0))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     assert learned.free_at("runner-1") == inf
     learned.observe(10.0, "b", knows(1.0, runner_2=0.5))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     assert learned.free_at("runner-1") == pytest.approx(9.0 + separation_s(LEASE_TERM_S))
     assert learned.free_at("runner-2") == pytest.approx(9.5 + separation_s(LEASE_TERM_S))
 
@@ -251,12 +251,14 @@
     learned = PredecessorActs(separation_s(LEASE_TERM_S))
     learned.observe(10.0, "a", knows(9.0))
     learned.observe(10.0, "b", knows(1.0))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     learned.observe(10.2, "c", knows(9.0, runner_1=2.0))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     assert learned.all_free_at <= 10.2
     assert (
-        learned.settled_at == learned.free_at("runner-1") == pytest.approx(8.2 + separation_s(LEASE_TERM_S))
+        learned.all_free_at_latest
+        == learned.free_at("runner-1")
+        == pytest.approx(8.2 + separation_s(LEASE_TERM_S))
     )
 
 
@@ -264,7 +266,7 @@
     learned = PredecessorActs(separation_s(LEASE_TERM_S))
     for each in ("a", "b"):
         learned.observe(10.0, each, knows(-2.0))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     assert learned.all_free_at == pytest.approx(12.0 + separation_s(LEASE_TERM_S))
 
 
@@ -272,10 +274,10 @@
     learned = PredecessorActs(separation_s(LEASE_TERM_S))
     learned.observe(10.0, "a", KnownActs(9.0, {"runner-1": 2.0}, 6.0, {"store-load/1": 3.0}))
     learned.observe(10.0, "b", KnownActs(9.0, {}, 1.0, {}))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     assert learned.history() == ActHistory(9.0, {"runner-1": 8.0, "store-load/1": 7.0})
     learned.observe(10.0, "c", KnownActs(9.0, {}, 6.5, {"store-load/2": 1.0}))
-    learned.settle(VIEW)
+    learned.evaluate(VIEW)
     assert learned.history().complete_since == 4.0
     assert "store-load/2" in learned.history().announced_at
     assert learned.free_at("store-load/1") < 10.0  # an own act is waited for by nobody
@@ -285,9 +287,11 @@
 
 
 def ask_with_acts(
-    token: int, *targets: str, is_renewal: bool = True, is_settled: bool = False
+    token: int, *targets: str, is_renewal: bool = True, is_sole_actor: bool = False
 ) -> LeaseRequest:
-    return LeaseRequest("placer", token, is_renewal, 1, 1, is_renewal, ActAnnouncement(targets, is_settled))
+    return LeaseRequest(
+        "placer", token, is_renewal, 1, 1, is_renewal, ActAnnouncement(targets, is_sole_actor)
+    )
 
 
 def test_a_witness_tells_a_new_holder_of_the_acts_of_others_and_of_no_own_ones() -> None:
@@ -316,7 +320,7 @@
     disk = SimulatedDisk()
     before = witness(disk)
     before.handle_request(0.0, "x", ask_with_acts(1, is_renewal=False), VIEW)
-    before.handle_request(0.1, "x", ask_with_acts(1, "runner-1", is_settled=True), VIEW)
+    before.handle_request(0.1, "x", ask_with_acts(1, "runner-1", is_sole_actor=True), VIEW)
     after = witness(disk)
     after.observe_restart(1.0)
     own = after.handle_request(1.5, "x", ask_with_acts(2, is_renewal=False), VIEW)
--- a/tests/replication/test_recorded_bytes.py
+++ b/tests/replication/test_recorded_bytes.py
@@ -16,6 +16,7 @@
 from larchgw.replication import identity
 from larchgw.replication.forced_new_view import plan_forced_view, write_forced_view
 from larchgw.replication.lease_acceptor import LeaseAcceptor
+from larchgw.replication.lease_acts import ActAnnouncement, KnownActs
 from larchgw.replication.message_codec import decode, encode
 from larchgw.replication.messages import (
     Accept,
@@ -99,6 +100,20 @@
     "lease_answer without a view": LeaseReply("planner", 2, True, 0, "", 0, 0.0, None),
     "lease_answer with a view": LeaseReply("planner", 2, False, 458752, "c:1", 458752, 1.25, JOINT_VIEW),
     "lease_answer of a later witness": LeaseReply("planner", 2, True, 458752, "?", 0, 0.0, None),
+    "lease_ask with announced acts": LeaseRequest(
+        "planner", 458753, True, 7, 3, True, ActAnnouncement(("i-7", "store-load/458753/1"), True)
+    ),
+    "lease_answer with known acts": LeaseReply(
+        "planner",
+        2,
+        True,
+        458752,
+        "c:1",
+        458752,
+        0.0,
+        None,
+        KnownActs(6.0, {"i-7": 1.5}, -2.5, {"i-8": 0.25}),
+    ),
     "lease_release": LeaseRelease("planner", 458753),
 }
 
@@ -191,6 +206,23 @@
     assert cell.matches("leases after becoming a witness again")
 
 
+def test_lease_acceptor_writes_what_a_holder_that_announces_its_acts_tells() -> None:
+    cell = MemoryCell()
+    acceptor = LeaseAcceptor(cell, LEASE_TERM_S)
+    acceptor.reset(from_first_boot=True)
+    for acts in (ActAnnouncement(("i-7",)), ActAnnouncement((), is_sole_actor=True)):
+        acceptor.handle_request(
+            1.0, "a:1", LeaseRequest("planner", 65537, True, 1, 1, True, acts), FIRST_VIEW
+        )
+    assert cell.matches("leases with a holder that announces its acts")
+    again = LeaseAcceptor(MemoryCell(recorded("cells")["leases with a holder that announces its acts"]), 3.0)
+    again.observe_restart(9.0)
+    request = LeaseRequest("planner", 65538, False, 1, 1, False, ActAnnouncement())
+    known = again.handle_request(9.5, "a:1", request, FIRST_VIEW).acts
+    assert known is not None
+    assert known.known_s > known.remembered_s == 0.5
+
+
 def test_lease_acceptor_of_a_new_identity_writes_recorded_cells() -> None:
     cell = MemoryCell()
     acceptor = LeaseAcceptor(cell, LEASE_TERM_S)
