--- a/larchgw/replication/interface.py
+++ b/larchgw/replication/interface.py
@@ -16,6 +16,7 @@
     follower.Follower         what a member does for a primary
     replica.Replica           durable through a `ports.Journal`: the log of records
     lease_acceptor            durable: the highest fencing token of each lease
+    lease_acts                acts announced under a lease
     lease.LeaseHolder         acquires and renews the lease of a singleton role over the witnesses
     effects.Effects           what the caller has to do after each call
 
@@ -28,6 +29,6 @@
 - A view is formed by a majority of the witnesses of the view before it and of its own, and its primary is
   from the in-sync set (primary and backups) of the last accepted view.
 - An empty disk that is not a first boot is a new identity: no vote, no data, until a view has added it.
-- A lease's fencing token is a number that a majority of witnesses has stored. A holder other than the last
-  one waits out a whole lease term before it acts. Time spent frozen counts.
+- A lease's fencing token is a number that a majority of witnesses has stored. A holder announces each act to
+  a majority first; its successor keeps a term from the last act on the same target. Time spent frozen counts.
 """
