Replication: a witness tells of announced acts with the first grant of a token only

Cause: every renewal's reply carried all acts of the last six seconds, 20 bytes and more each, several times a second. Change: once a witness has granted a token it refuses announcements under earlier ones, so that it has nothing new to tell; renewals are answered without acts, as they were before.

--- a/larchgw/replication/lease_acceptor.py
+++ b/larchgw/replication/lease_acceptor.py
@@ -146,7 +146,10 @@
         self._store({name: replace(lease, holder="") for name, lease in self._leases.items()})
 
     def handle_request(self, now: float, sender: str, request: LeaseRequest, view: View | None) -> LeaseReply:
-        """Grants, renews or refuses. What is granted is stored before the call returns."""
+        """Grants, renews or refuses. What is granted is stored before the call returns.
+
+        The acts of others are told with the first grant of a token: from then on none can be announced.
+        """
         stored = self._leases.get(request.name, self._default)
         stale = view is not None and request.view_epoch < view.epoch
         remaining = self._remaining(now, request, sender, stored)
@@ -158,7 +161,7 @@
         known_acts = None
         if granted:
             memory = self._acts.setdefault(request.name, ActMemory(self._retention_s))
-            if request.acts is not None:
+            if request.acts is not None and not known:
                 known_acts = memory.known_to(
                     now, sender, self._complete_since(sender, stored), self._remembered_since(stored)
                 )
--- a/larchgw/replication/lease_acts.py
+++ b/larchgw/replication/lease_acts.py
@@ -190,18 +190,13 @@
         self._history_since = inf
 
     def observe(self, now: float, witness: str, acts: KnownActs) -> None:
-        """Takes in what a witness told with its grant.
-
-        What it tells later is about the same acts, as it has refused any others since its first grant.
-        """
-        if witness not in self._complete_since:
-            _merge(self._announced_at, now, acts.ages_s)
-            _merge(self._own_announced_at, now, acts.own_ages_s)
-        for since, known_s in (
-            (self._complete_since, acts.known_s),
-            (self._remembered_since, acts.remembered_s),
-        ):
-            since[witness] = min(since.get(witness, inf), now - known_s)
+        """Takes in what a witness told with its first grant of the token; it refuses any other acts since."""
+        if witness in self._complete_since:
+            return  # the reply has come twice
+        _merge(self._announced_at, now, acts.ages_s)
+        _merge(self._own_announced_at, now, acts.own_ages_s)
+        self._complete_since[witness] = now - acts.known_s
+        self._remembered_since[witness] = now - acts.remembered_s
 
     def evaluate(self, view: View) -> None:
         """Works out when targets of which nobody told an act are free, from the quorum that knows most."""
--- a/larchgw/replication/messages.py
+++ b/larchgw/replication/messages.py
@@ -302,7 +302,8 @@
         acting_token: The token under which it acted.
         remaining_s: Seconds until the witness is free to grant.
         view: A newer view that the sender of the request lacks.
-        acts: What is known of acts of others; None where the lease is not granted, or the request had none.
+        acts: What is known of acts under earlier tokens; None where the lease is not granted, this token was
+            granted before, or the request had none.
     """
 
     name: str
--- a/tests/replication/test_lease.py
+++ b/tests/replication/test_lease.py
@@ -303,6 +303,7 @@
     assert granted.acts is not None
     assert granted.acts.ages_s == {"runner-1": pytest.approx(1.1)}
     assert granted.acts.known_s >= separation_s(LEASE_TERM_S)
+    assert asked.handle_request(1.3, "y", ask_with_acts(2), VIEW).acts is None  # not with each renewal
     again = asked.handle_request(2.5, "x", ask_with_acts(3, is_renewal=False), VIEW)
     assert again.acts is not None
     assert again.acts.ages_s == {}
