--- a/review/standins.py
+++ b/review/standins.py
@@ -194,7 +194,7 @@
         file = machine.folder / "local.json"
         file.write_text(json.dumps(settings))
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-        environment |= {"PYTHONPATH": "target/deps", "LARCHGW_NODE_FILE": str(file), "PYTHONDONTWRITEBYTECODE": "1"}
+        environment |= {"PYTHONPATH": "target/deps", "LARCHGW_NODE_FILE": str(file)}
         with (machine.folder / "log").open("ab") as log:
             machine.process = subprocess.Popen(
                 self._deploy["roles"][machine.role]["run"].split(),
