Edge: tell surplus answers, what a refusal rests on, and attempt ids that come again

Change: connections to runners are numbered; info line request.refused_after_rejection for what may run once only, with RUNNER:OUTCOME:CONNECTION of each rejection; info line request.id_repeated; counters of surplus answers by place, of repeated ids among the newest 2,048, and of attempts on a connection that has carried the same request.

No decision changes.

--- a/larchgw/edge/counters.py
+++ b/larchgw/edge/counters.py
@@ -33,4 +33,15 @@
         self.connections = Counter(
             "larchgw_edge_connections", "Connections to runners, by event", ["event"], registry=registry
         )
+        self.surplus_answers = Counter(
+            "larchgw_edge_surplus_answers",
+            "Bytes from runners that belong to no awaited answer, by where they came",
+            ["place"],
+            registry=registry,
+        )
+        self.repeated_ids = Counter(
+            "larchgw_edge_repeated_ids",
+            "Requests under an attempt id that a recent request had",
+            registry=registry,
+        )
         self.open = Gauge("larchgw_edge_open_requests", "Requests without a final answer", registry=registry)
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -25,6 +25,7 @@
 from .counters import EdgeCounters
 from .demand import DemandCounter
 from .errors import BadRequestError
+from .recent_ids import RecentIds
 from .request import ProxiedRequest
 from .runner_pool import RunnerPool
 
@@ -36,6 +37,7 @@
 # Retry-After: a 4xx would permanently reject a request that the configuration may allow. The memory for
 # request bodies is bounded in this state, too.
 UNCONFIGURED_LIMITS = Limits(header_bytes=1 << 18, body_bytes=1 << 28, header_ms=10_000.0)
+RECENT_IDS = 2048  # attempt ids in which a repetition is noticed
 DRAIN_POLL_S = 0.05  # between checks that every response has been written
 SLOW_CHUNK_S = 2.0  # for the next chunk of a body, once the time limit for a head has passed
 SLOW_BODY_S = 30.0  # for a complete body; allows for the largest bodies on slow links
@@ -94,6 +96,7 @@
         self._configuration: Configuration | None = None
         self._routes: RouteTable | None = None
         self._open: set[ProxiedRequest] = set()
+        self._recent_ids = RecentIds(RECENT_IDS)
         self._demand = DemandCounter()
         self._last_request_number = 0
         self._server: HttpServer | None = None
@@ -221,6 +224,9 @@
 
     def _begin(self, exchange: Exchange, route: Route, name: bytes) -> None:
         traits = self._traits(exchange, route, name)
+        if self._recent_ids.add(name):
+            self.counters.repeated_ids.inc()
+            log.info("request.id_repeated", request=name.decode("latin-1"), route=route.name)
         self.counters.requests.labels(route.kind).inc()
         self._context.budget.record_request(traits.arrived_at, traits.service)
         if traits.model:
--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -21,6 +21,7 @@
 from .context import ProxyContext
 from .errors import EventTooLongError, StreamMismatchError
 from .forwarding import request_bytes
+from .rejections import REJECTIONS, Rejection
 from .relay import BufferedRelay
 from .runner_connection import RunnerConnection
 from .stream_relay import StreamRelay
@@ -54,6 +55,8 @@
         self.name, self.traits = name, traits
         self._context, self._exchange = context, exchange
         self._tried: list[str] = []
+        self._connections: list[RunnerConnection] = []  # one for each attempt that got one
+        self._rejections: list[Rejection] = []
         # Attempts made, attempts that sent bytes to a runner, and attempts that may have run.
         self._attempts = self._deliveries = self._possible_runs = 0
         self._is_finished = self._is_deciding = self._demand_reported = False
@@ -186,6 +189,9 @@
         if connection is None:
             self._on_attempt_failed(AttemptOutcome.UNSENT)
             return
+        if connection in self._connections:
+            context.counters.connections.labels("same_request").inc()
+        self._connections.append(connection)
         self._connection = connection
         connection.begin(self, self._exchange.method == b"HEAD")
 
@@ -354,6 +360,8 @@
             self._deliveries += 1
         if not outcome.never_ran:
             self._possible_runs += 1
+        if outcome in REJECTIONS:
+            self._rejections.append(Rejection(attempt.runner, outcome, self._connections[-1].number))
         self._context.waiting.runner_freed(attempt.runner)
 
     def _on_attempt_failed(self, outcome: AttemptOutcome) -> None:
@@ -414,6 +422,7 @@
             spread = 1.0 + RETRY_AFTER_JITTER * self._context.random.random()
             seconds = min(max(retry_after, MIN_RETRY_AFTER_S) * spread, left * RETRY_AFTER_SHARE)
             self._context.counters.refused.labels(reason).inc()
+            self._log_refusal(reason)
             self._reply(503, reason, (("Retry-After", f"{seconds:.3f}"),))
 
     def _reply(self, status: int, reason: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
@@ -423,6 +432,17 @@
         self._exchange.reply(status, reason.encode() + b"\n", headers)
         self._finish("refused" if status == HTTPStatus.SERVICE_UNAVAILABLE else "failed")
 
+    def _log_refusal(self, reason: str) -> None:
+        """Logs which rejections the promise rests on that the request, which may run once only, never ran."""
+        if self._rejections and not self.traits.route.is_idempotent:
+            log.info(
+                "request.refused_after_rejection",
+                request=self.name.decode("latin-1"),
+                route=self.traits.route.name,
+                reason=reason,
+                rejections=",".join(str(rejection) for rejection in self._rejections),
+            )
+
     def _truncate(self, reason: str) -> None:
         """Ends a response that cannot be completed, so that the client detects the truncation."""
         self._context.counters.cut.inc()
--- a/larchgw/edge/runner_connection.py
+++ b/larchgw/edge/runner_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Protocol
 
 from ..net.connection import Connection, connect
@@ -15,6 +16,14 @@
 CONNECT_TIMEOUT_S = 0.3
 
 
+class SurplusPlace(Enum):
+    """Where bytes came that belong to no awaited answer. The values are label values of a metric."""
+
+    BEFORE = "before"  # an answer to another request, while one was awaited
+    BEHIND = "behind"  # after a complete answer
+    IDLE = "idle"  # while no request was in progress
+
+
 class CarriedRequest(Protocol):
     """The request that a connection carries. It ends with exactly one of `on_answer_end` and `on_lost`."""
 
@@ -53,12 +62,16 @@
     def on_stale(self, connection: RunnerConnection) -> None:
         """Called when a kept connection was closed while idle, or was found closed when reused."""
 
+    def on_surplus(self, place: SurplusPlace) -> None:
+        """Called when bytes came that belong to no awaited answer."""
+
 
 class RunnerConnection:
     """A connection that carries one request after another and is idle in between.
 
     Attributes:
         owner: The pool, notified of state changes.
+        number: Its number among the connections of this process, for log lines.
         address: The runner's host and port.
         idle_since: When it last became idle, in seconds of the loop's clock.
         idle_s: How long it had been idle before its current request.
@@ -66,9 +79,9 @@
         connection: The transport, or the reason why it could not be opened.
     """
 
-    def __init__(self, owner: ConnectionOwner, address: tuple[str, int]) -> None:
+    def __init__(self, owner: ConnectionOwner, address: tuple[str, int], number: int = 0) -> None:
         """Starts connecting."""
-        self.owner, self.address = owner, address
+        self.owner, self.address, self.number = owner, address, number
         self.idle_since = 0.0
         self.idle_s = 0.0
         self.is_reused = False
@@ -149,6 +162,7 @@
     def on_data(self, data: bytes) -> None:
         """Handles received bytes; on an idle connection they make it unusable."""
         if self._carried is None:
+            self.owner.on_surplus(SurplusPlace.IDLE)
             self.owner.on_stale(self)
             self.close()
             return
@@ -254,6 +268,10 @@
     def _finish(self, carried: CarriedRequest) -> None:
         """Ends the request after a complete response, and keeps the connection where that is safe."""
         self._carried = None
+        if self._answer.has_foreign_answer:
+            self.owner.on_surplus(SurplusPlace.BEFORE)
+        if self._answer.has_surplus:
+            self.owner.on_surplus(SurplusPlace.BEHIND)
         if self._is_reusable():
             self._end_delivery_checks()
             self.pause(False)  # it was paused for a slow client; the next request may be another client's
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -14,7 +14,7 @@
 from ..runner_directory.runner_record import RunnerRecord, Stage
 from .counters import EdgeCounters
 from .keep_alive_limit import KeepAliveLimit
-from .runner_connection import RunnerConnection
+from .runner_connection import RunnerConnection, SurplusPlace
 
 MIN_CONNECTIONS = 4  # per runner, however many dispatchers share its limit
 MAX_OVERSUBSCRIPTION = 2  # times its share; a dispatcher may exceed it for a while, as load is uneven
@@ -48,6 +48,7 @@
         self.loop, self._counters, self._max_open = loop, counters, max_open
         self._by_runner: dict[str, _RunnerConnections] = {}
         self._runner_ids: dict[RunnerConnection, str] = {}
+        self._opened = 0  # connections so far
         self._keep_alive_limits: dict[str, KeepAliveLimit] = {}  # by service
         self._expiry_timer: Deadline | None = None
 
@@ -136,6 +137,10 @@
         else:
             keep_alive_limit.observe_stale(now, connection.idle_s)
 
+    def on_surplus(self, place: SurplusPlace) -> None:
+        """Counts bytes that belong to no awaited answer; see `ConnectionOwner`."""
+        self._counters.surplus_answers.labels(place.value).inc()
+
     def _keep_alive_limit(self, service: str) -> KeepAliveLimit:
         return self._keep_alive_limits.setdefault(service, KeepAliveLimit())
 
@@ -168,7 +173,8 @@
                 self._counters.connections.labels("limit").inc()
                 return None
             connections.idle.popleft().close()
-        connection = RunnerConnection(self, connections.address)
+        self._opened += 1
+        connection = RunnerConnection(self, connections.address, self._opened)
         if not isinstance(connection.connection, Connection):
             self._counters.connections.labels("failed").inc()
             return None
--- a/tests/edge/test_parsers.py
+++ b/tests/edge/test_parsers.py
@@ -15,7 +15,7 @@
 from larchgw.edge.events import EventSplitter, parse
 from larchgw.edge.keep_alive_limit import KeepAliveLimit
 from larchgw.edge.request_head import model_of, parts_of, time_left, tokens_of
-from larchgw.edge.runner_connection import RunnerConnection
+from larchgw.edge.runner_connection import RunnerConnection, SurplusPlace
 from larchgw.net.connection_outcome import ConnectionOutcome
 from larchgw.net.heads import end_to_end
 from larchgw.net.loop import READ
@@ -134,6 +134,9 @@
     def on_stale(self, connection: RunnerConnection) -> None:
         pass
 
+    def on_surplus(self, place: SurplusPlace) -> None:
+        pass
+
 
 def carry(cuts: list[bytes], ending: ConnectionOutcome | None) -> tuple[CarriedRequest, Pool]:
     pool, carried = Pool(), CarriedRequest()
