--- a/larchgw/cli/system_trial.py
+++ b/larchgw/cli/system_trial.py
@@ -34,6 +34,7 @@
     folder: str | None
     fault: str | None = None
     hold: str = "20"
+    soak: str | None = None
 
 
 def system_trial(seconds: float, seed: int, sizes: SystemSizes, faults: bool) -> Command:
@@ -42,7 +43,7 @@
     from ..emulator.system.trial import SystemSpec
 
     site = Site(
-        edges=integer("edges", sizes.edges, 1, 30),
+        edges=integer("edges", sizes.edges, 1, 60),
         runners=integer("runners", sizes.runners, 3, 100),
         models=integer("models", sizes.models, 1, 200),
         rate=decimal("rate", sizes.rate, 0.1, 1000.0),
@@ -50,12 +51,27 @@
     if sizes.folder == _NO_VALUE:
         raise UsageError("--folder: needs the name of a new folder")
     folder = Path(sizes.folder).resolve() if sizes.folder else None
-    spec = SystemSpec(seconds, seed, site, faults, folder=folder)
+    spec = SystemSpec(seconds, seed, site, faults, _soak_parts(sizes, faults), folder=folder)
     if sizes.fault is not None:
         spec = _with_fault(spec, sizes)
     return Command(lambda: _run(spec))
 
 
+def _soak_parts(sizes: SystemSizes, faults: bool) -> tuple[str, ...]:
+    """Returns the parts of the soak, none without --soak. Raises UsageError."""
+    from ..emulator.system.soak import CLIENT_REPEATS, PARTS
+
+    if sizes.soak is None:
+        return ()
+    if faults or sizes.fault is not None:
+        raise UsageError("--soak: cannot be combined with --faults or --fault")
+    parts = PARTS if sizes.soak == _NO_VALUE else tuple(sizes.soak.split(","))
+    unknown = set(parts) - {*PARTS, CLIENT_REPEATS}
+    if unknown:
+        raise UsageError(f"--soak: name some of {', '.join((*PARTS, CLIENT_REPEATS))}, not {sizes.soak!r}")
+    return parts
+
+
 def _with_fault(spec: SystemSpec, sizes: SystemSizes) -> SystemSpec:
     """Returns the spec of a trial that injects one named fault. Raises UsageError."""
     from ..emulator.system.plays import FAULTS, Lengths
--- a/larchgw/cli/trial.py
+++ b/larchgw/cli/trial.py
@@ -90,6 +90,7 @@
     folder: str | None = None,
     fault: str | None = None,
     hold: str = "20",
+    soak: str | None = None,
 ) -> Command:
     """Runs an emulated fleet and one dispatcher under mixed load on loopback, and shows the results.
 
@@ -113,12 +114,15 @@
         folder: New folder in which settings, disks and logs of the processes are kept (with --system).
         fault: Injects one fault scenario instead (with --system): cut-off, one-way, race, second-loss,
             many-changes or answers. Requests are sent until it is over, regardless of --seconds.
+        soak: Disturbs processes, runners and the configuration in series that overlap, while clients keep
+            using open connections (with --system). With a value only these parts, separated by commas:
+            edges, core, operator, runners, answers; client-repeats, which the protocol forbids, too.
         hold: Seconds for which a process is cut off, or responses of runners are disturbed (with --fault).
     """
     length = decimal("seconds", seconds, 1.0)
     quiet = flag("no-faults", no_faults)
     if flag("system", system):
-        sizes = SystemSizes(edges, runners, models, rate, folder, fault, hold)
+        sizes = SystemSizes(edges, runners, models, rate, folder, fault, hold, soak)
         return system_trial(
             length, integer("seed", seed), sizes, flag("faults", faults or False) and not quiet
         )
--- /dev/null
+++ b/larchgw/emulator/system/answer_faults.py
@@ -0,0 +1,44 @@
+"""Faults that a runner draws for each of its answers, as long as they last."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFaults:
+    """How often a runner spoils its answers.
+
+    Attributes:
+        random: Draws which answers are spoilt.
+        rejected: Share of requests that are rejected although there is room.
+        repeated: Share of answers, rejections too, that are sent a second time once the next request has
+            come on their connection.
+        doubled: Share of answers, rejections too, that are sent a second time at once.
+        spoilt: Share of answers that are cut, garbled, reset or followed by another request's answer.
+        forgotten_after_s: Idle time of a connection after which whatever is sent on it is reset.
+    """
+
+    random: random.Random
+    rejected: float = 0.0
+    repeated: float = 0.0
+    doubled: float = 0.0
+    spoilt: float = 0.0
+    forgotten_after_s: float = float("inf")
+
+    def rejects(self) -> bool:
+        """Whether the next request is rejected."""
+        return self.random.random() < self.rejected
+
+    def repeats(self) -> bool:
+        """Whether the answer just sent comes again with the next request."""
+        return self.random.random() < self.repeated
+
+    def doubles(self) -> bool:
+        """Whether the answer just sent comes again at once."""
+        return self.random.random() < self.doubled
+
+    def spoils(self) -> bool:
+        """Whether the next answer is spoilt."""
+        return self.random.random() < self.spoilt
--- a/larchgw/emulator/system/clients.py
+++ b/larchgw/emulator/system/clients.py
@@ -88,9 +88,17 @@
         now: Callable[[], float],
         rng: random.Random,
         services: Callable[[str, str], tuple[str, ...]],
+        stays: bool = False,
+        repeats: bool = False,
     ) -> None:
+        """Creates clients without connections.
+
+        `stays`: first tries go to any edge that a connection is open to, ready or not. `repeats`: a request
+        that ends without an answer is sent again under its id, as some libraries do by themselves; the
+        protocol doesn't allow it.
+        """
         self._ingress, self._records, self._now, self._random = ingress, records, now, rng
-        self._services = services
+        self._services, self._stays, self._repeats = services, stays, repeats
         self.results: dict[str, ClassResult] = defaultdict(ClassResult)
         self.open = 0
         self._stopped = False
@@ -131,7 +139,8 @@
         for number in range(1 + wanted.retries):
             if last is not None and not await self._may_retry(wanted, last, deadline):
                 break
-            last = await self._try(intent, self._ingress.pick(intent.zone), deadline, fresh=number > 0)
+            edge = self._pick(intent.zone, fresh=number > 0)
+            last = await self._try(intent, edge, deadline, fresh=number > 0)
             result.tries += 1
             if last.whole and 200 <= last.status < 300:
                 break
@@ -139,6 +148,18 @@
         assert last is not None
         self._count(result, wanted, last, due)
 
+    def _pick(self, zone: str, fresh: bool) -> Machine:
+        """The edge of a try: one with an open connection, for clients that stay, else any."""
+        if self._stays and not fresh and self._random.random() >= NEW_CONNECTION_SHARE:
+            open_edges = [
+                edge
+                for edge in self._ingress.edges(zone)
+                if any(link.usable for link in self._kept.get(edge.ip, ()))
+            ]
+            if open_edges:
+                return self._random.choice(open_edges)
+        return self._ingress.pick(zone)
+
     async def _may_retry(self, wanted: RequestClass, last: Try, deadline: float) -> bool:
         """Whether it is tried again, once the time that it was asked to wait is over."""
         if last.status in FINAL or not (wanted.idempotent or last.status in PROMISES or not last.read):
@@ -176,19 +197,27 @@
             resumable=wanted.can_resume,
             services=self._services(HOST, target),
         )
+        if not await self._send(one, intent, edge, deadline, fresh):
+            one.read, one.ended_at = False, self._now()
+            return one
+        if self._repeats and not (fresh or one.status or one.gave_up):
+            await self._send(one, intent, self._ingress.pick(intent.zone), deadline, fresh=True)
+        return one
+
+    async def _send(self, one: Try, intent: Intent, edge: Machine, deadline: float, fresh: bool) -> bool:
+        """Sends the request and takes its answer. Returns False without a connection."""
         try:
             link = await self._link(edge.front, edge.ip, fresh)
         except (OSError, TimeoutError):
-            one.read, one.ended_at = False, self._now()
-            return one
+            return False
         self._records.tries[one.id] = one
-        one.sent_at = self._now()
+        one.edge, one.sent_at = edge.ip, self._now()
         over = link.ask(self._request(one, intent, deadline), one)
-        await self._watch(link, over, one, wanted)
+        await self._watch(link, over, one, intent.wanted)
         one.ended_at = self._now()
         if link.usable:
             self._kept[edge.ip].append(link)
-        return one
+        return True
 
     async def _link(self, address: str, edge: str, fresh: bool) -> ClientLink:
         kept = self._kept[edge]
--- a/larchgw/emulator/system/engine_runner.py
+++ b/larchgw/emulator/system/engine_runner.py
@@ -166,6 +166,7 @@
             lambda made: self._on_done(),
         )
         self._wrong: Mischief | None = None
+        self._head = b""
         stream.set_close_callback(self._closed)
         self._late = self._watch(request)
         if remaining <= 0:  # taken up behind its last event
@@ -221,7 +222,8 @@
             "Versions": str(VERSION),
             "Content-Type": "text/event-stream",
         }
-        send(self.stream, runner.head(200, fields, None))
+        self._head = runner.head(200, fields, None)
+        send(self.stream, self._head)
 
     def _on_done(self) -> None:
         if self.done.done() or self.arrival.broke_off:
@@ -230,6 +232,7 @@
         send(self.stream, chunk(b""))
         if self._wrong is Mischief.SURPLUS:
             self.runner.surplus(self.stream)
+        self.runner.repeat(self.stream, self._head + chunk(self.arrival.answer) + chunk(b""))
         self._over()
 
     def _expired(self) -> None:
--- a/larchgw/emulator/system/ingress.py
+++ b/larchgw/emulator/system/ingress.py
@@ -37,13 +37,17 @@
         """Whether every edge has just called itself ready."""
         return all(self._missed[edge.ip] == 0 for edge in self._edges)
 
+    def edges(self, zone: str) -> list[Machine]:
+        """The edges of a zone, ready or not."""
+        return [edge for edge in self._edges if edge.place.zone == zone]
+
     def ready(self) -> list[Machine]:
         """The edges that are in."""
         return [edge for edge in self._edges if self._missed[edge.ip] < MISSES]
 
     def pick(self, zone: str) -> Machine:
         """The edge of a new connection from a client of this zone."""
-        local = [edge for edge in self._edges if edge.place.zone == zone]
+        local = self.edges(zone)
         ready = [edge for edge in local if self._missed[edge.ip] < MISSES]
         if ready:
             return self._random.choice(ready if len(ready) >= LEAST_SHARE * len(local) else local)
--- a/larchgw/emulator/system/plain_runner.py
+++ b/larchgw/emulator/system/plain_runner.py
@@ -120,3 +120,4 @@
         send(stream, whole)
         if wrong is Mischief.SURPLUS:
             self.surplus(stream)
+        self.repeat(stream, whole)
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -157,6 +157,7 @@
     strays: list[tuple[str, float]] = field(default_factory=list)  # edge that sent bytes without a request
     troubles: list[Trouble] = field(default_factory=list)
     crashed: set[str] = field(default_factory=set)  # runners
+    repeated_answers: int = 0  # that runners sent a second time
     loads_per_s: float = 0.0
     read_back: dict[str, Any] | None = None
     read_back_at: float = math.inf
--- a/larchgw/emulator/system/rig.py
+++ b/larchgw/emulator/system/rig.py
@@ -9,7 +9,7 @@
 import shutil
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable, Collection
+from collections.abc import AsyncIterator, Callable, Collection, Sequence
 from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -31,6 +31,17 @@
 LINKED = "larchgw.fault_injection.linked"  # the program's entry under links that a test may cut
 
 
+PLANNED_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
+
+
+@dataclass(frozen=True, slots=True)
+class DelayedSignal:
+    """A signal in a series, and how long after the one before it is sent."""
+
+    delay_s: float
+    number: signal.Signals
+
+
 @dataclass(frozen=True, slots=True)
 class Place:
     """One machine: its role, its number in the network and its zone."""
@@ -122,10 +133,16 @@
             "time_limits": _fields(limits),
         }
 
+    def write_settings(self, settings: dict[str, Any]) -> Path:
+        """Writes the settings file whole, as a platform does while the process may read it."""
+        file, new = self.folder / "local.json", self.folder / "local.json.new"
+        new.write_text(json.dumps(settings))
+        new.replace(file)
+        return file
+
     async def start(self, settings: dict[str, Any]) -> None:
         """Writes the settings and starts the process."""
-        file = self.folder / "local.json"
-        file.write_text(json.dumps(settings))
+        file = self.write_settings(settings)
         if settings["data_dir"]:
             Path(settings["data_dir"]).mkdir(exist_ok=True)
         paths = filter(None, (str(self.source), os.environ.get("PYTHONPATH")))
@@ -302,6 +319,30 @@
         await self._start(machine)
         self._end(trouble)
 
+    async def restart_disturbed(self, machine: Machine, further: Sequence[DelayedSignal]) -> None:
+        """Ends the process in good order while it gets further signals, and starts it again."""
+        planned = all(one.number in PLANNED_SIGNALS for one in further)
+        trouble = self._begin(machine, planned=planned)
+        machine.signal(signal.SIGTERM)
+        await self._send_signals(machine, further)
+        await self._terminate(machine)
+        await self._start(machine)
+        self._end(trouble)
+
+    async def reload(self, machine: Machine, times: int, gap_s: float) -> None:
+        """Rewrites the settings file, with the seeds in another order each time, and sends SIGHUP."""
+        for _ in range(times):
+            self._seeds = [*self._seeds[1:], self._seeds[0]]
+            machine.write_settings(machine.settings(self._seeds, self._limits, False, self._survive))
+            await self._send_signals(machine, [DelayedSignal(gap_s, signal.SIGHUP)])
+
+    async def _send_signals(self, machine: Machine, signals: Sequence[DelayedSignal]) -> None:
+        """Sends signals one after the other. A process that they stopped goes on at the end."""
+        for one in signals:
+            await asyncio.sleep(one.delay_s)
+            machine.signal(one.number)
+        machine.signal(signal.SIGCONT)
+
     @asynccontextmanager
     async def cut_off(
         self, group: Collection[Machine], hold_outgoing: bool = True, hold_incoming: bool = True
--- a/larchgw/emulator/system/runner.py
+++ b/larchgw/emulator/system/runner.py
@@ -15,6 +15,7 @@
 
 from ...fault_injection.streams import RESET_ON_CLOSE
 from ..sockets import RealTime
+from .answer_faults import AnswerFaults
 from .httpstream import BadMessage, Request, head, read_body, read_head, send
 from .records import Arrival, Records
 
@@ -34,6 +35,7 @@
 
 
 SPOILT = (Mischief.GARBLE, Mischief.RESET)  # nothing of the answer itself is sent
+DRAWN = (Mischief.CUT, Mischief.GARBLE, Mischief.SURPLUS, Mischief.RESET)  # by runners with AnswerFaults
 
 
 @dataclass(slots=True)
@@ -69,6 +71,8 @@
         self.draining = self.dark = self.up = False
         self.incarnation = 0
         self.mischief: list[Mischief] = []
+        self.faults: AnswerFaults | None = None
+        self._repeats: dict[IOStream, bytes] = {}  # answers to be sent again with the next request
         self._seals = itertools.count(1)
         self._streams: set[IOStream] = set()
         self._listener: _Listener | None = None
@@ -156,19 +160,30 @@
             stream.close()
             return
         self._streams.add(stream)
+        answered_at = self.time.now()
         try:
             while not stream.closed():
                 request = await read_head(stream)
+                if self._is_forgotten(answered_at):
+                    self._reset(stream)
+                    return
                 early = self.answer_early(request, stream)
                 await read_body(stream, request)
                 if early is not None:
                     early.body, early.body_whole = request.body, True
                 else:
+                    self._send_again(stream, self._repeats.pop(stream, b""))
                     await self._serve(request, stream)
+                answered_at = self.time.now()
         except (StreamClosedError, BadMessage):
             stream.close()
         finally:
             self._streams.discard(stream)
+            self._repeats.pop(stream, None)
+
+    def _is_forgotten(self, answered_at: float) -> bool:
+        """Whether a connection that was last used then is reset by what is sent on it now."""
+        return self.faults is not None and self.time.now() > answered_at + self.faults.forgotten_after_s
 
     async def _serve(self, request: Request, stream: IOStream) -> None:
         if self.dark:
@@ -204,6 +219,8 @@
             self.turn_away(stream, arrival, 400)
         elif target is not None and target != self.id:
             self.turn_away(stream, arrival, 421)
+        elif self.faults is not None and self.faults.rejects():
+            self.turn_away(stream, arrival, 503)
         else:
             await self.run(request, stream, arrival)
 
@@ -236,13 +253,29 @@
         arrival.status, arrival.ended_at = status, self.time.now()
         arrival.seal = self.seal()
         fields = {"X-Attempt-Id": arrival.id, "X-Server-Seal": arrival.seal, "X-Not-Run": "1"}
-        send(stream, self.head(status, fields, 0))
+        rejection = self.head(status, fields, 0)
+        send(stream, rejection)
+        self.repeat(stream, rejection)
+
+    def repeat(self, stream: IOStream, answer: bytes) -> None:
+        """Sends an answer a second time, now or with the next request, where the faults say so."""
+        if self.faults is None:
+            return
+        if self.faults.doubles():
+            self._send_again(stream, answer)
+        elif self.faults.repeats():
+            self._repeats[stream] = answer
+
+    def _send_again(self, stream: IOStream, answer: bytes) -> None:
+        if answer:
+            self.records.repeated_answers += 1
+            send(stream, answer)
 
     def misbehave(self, stream: IOStream, arrival: Arrival) -> Mischief | None:
         """What is to be done to the next answer; if it is one of SPOILT, all is done and none follows."""
-        if not self.mischief:
+        wrong = self._next_mischief()
+        if wrong is None:
             return None
-        wrong = self.mischief.pop(0)
         if wrong in SPOILT:
             arrival.broke_off, arrival.ended_at = True, self.time.now()
         if wrong is Mischief.GARBLE:
@@ -252,6 +285,13 @@
             self._reset(stream)
         return wrong
 
+    def _next_mischief(self) -> Mischief | None:
+        if self.mischief:
+            return self.mischief.pop(0)
+        if self.faults is not None and self.faults.spoils():
+            return self.faults.random.choice(DRAWN)
+        return None
+
     def _reset(self, stream: IOStream) -> None:
         if not stream.closed():
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/larchgw/emulator/system/script.py
+++ b/larchgw/emulator/system/script.py
@@ -59,9 +59,9 @@
         operator = [self._move_route, self._race, self._invalid, self._lost_answers, self._add_route]
         runners = [self._release_runner, self._crash_runner, self._darken_runner, self._misbehaviour]
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._lane("core", core, self._limits.catch_up_s))
+            group.create_task(self._lane("core", core, rest_s=self._limits.catch_up_s))
             for name, troubles in (("edges", edges), ("operator", operator), ("runners", runners)):
-                group.create_task(self._lane(name, troubles, 0.0))
+                group.create_task(self._lane(name, troubles))
 
     async def final(self) -> None:
         """The last fault: every control process is killed right after it has acknowledged a change."""
@@ -78,13 +78,19 @@
         """No further troubles."""
         self._stopping.set()
 
-    async def _lane(self, name: str, troubles: Sequence[Trouble], rest_s: float) -> None:
+    async def _lane(
+        self,
+        name: str,
+        troubles: Sequence[Trouble],
+        rest_s: float = 0.0,
+        pause_s: tuple[float, float] = PAUSE_S,
+    ) -> None:
         """One trouble of each kind in the order that the seed gives, then in another one."""
         rng = self._dice(name)
         await self._pause(FIRST_S)
         while True:
             for trouble in rng.sample(troubles, len(troubles)):
-                await self._pause(rng.uniform(*PAUSE_S))
+                await self._pause(rng.uniform(*pause_s))
                 if self._stopping.is_set():
                     return
                 began = self._now()
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import tempfile
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -24,7 +25,9 @@
 from .runners import Runners
 from .script import Script
 from .site import LOADS_PER_S, Site
+from .soak import CLIENT_REPEATS, Soak
 
+REJECTIONS = (421, 503)  # by runners
 START_S = 60.0  # that the system may take to be ready, on a busy machine
 LOOK_S = 0.1
 LONGEST_PLAY_S = 600.0  # that requests come during a named fault
@@ -43,6 +46,7 @@
     seed: int = 1
     site: Site = field(default_factory=Site)
     faults: bool = False
+    soak: tuple[str, ...] = ()  # parts of a soak, played instead of the script
     fault: str | None = None  # one of `plays.FAULTS`; requests come until it has been played
     lengths: Lengths = Lengths()
     folder: Path | None = None  # where settings, disks and logs are kept; a passing one if left out
@@ -88,7 +92,11 @@
             "loads": len(self.records.loads),
             "orders": len(self.records.orders),
             "exits": sum(status != 0 for status in self.statuses),
+            "arrivals": len(self.records.arrivals),
+            "rejected": sum(arrival.status in REJECTIONS for arrival in self.records.arrivals),
+            "repeated": self.records.repeated_answers,
             "broken": len(self.broken),
+            **Counter(f"rule_{breach.rule.lower()}" for breach in self.broken),
         }
 
 
@@ -136,7 +144,15 @@
         )
         self._operator = Operator(controls, self._records, now, self._dice("operator"))
         self._ingress = Ingress(self._rig.edges, self._dice("ingress"))
-        self._clients = Clients(self._ingress, self._records, now, self._dice("clients"), self._services)
+        self._clients = Clients(
+            self._ingress,
+            self._records,
+            now,
+            self._dice("clients"),
+            self._services,
+            stays=bool(spec.soak),
+            repeats=CLIENT_REPEATS in spec.soak,
+        )
         self._asking: asyncio.Task[None] | None = None
 
     def _dice(self, part: str) -> random.Random:
@@ -150,8 +166,8 @@
         if spec.fault is not None:
             return await self._play_fault(spec.fault)
         intents = draw(spec.site, spec.seconds, self._dice("requests"), self._popularity)
-        script = Script(self._rig, self._runners, self._operator, LIMITS, self._dice, self._time.now)
-        playing = asyncio.create_task(script.run()) if spec.faults else None
+        script = self._script()
+        playing = asyncio.create_task(script.run()) if spec.faults or spec.soak else None
         await self._clients.play(intents, self._time.now())
         script.stop()
         if playing is not None:
@@ -159,6 +175,12 @@
             await script.final()
         return await self._end(script.events)
 
+    def _script(self) -> Script:
+        spec, now = self._spec, self._time.now
+        if spec.soak:
+            return Soak(self._rig, self._runners, self._operator, LIMITS, self._dice, now, spec.soak)
+        return Script(self._rig, self._runners, self._operator, LIMITS, self._dice, now)
+
     async def _play_fault(self, name: str) -> SystemOutcome:
         """One named fault, with requests from its begin to its end."""
         intents = draw(self._spec.site, LONGEST_PLAY_S, self._dice("requests"), self._popularity)
--- /dev/null
+++ b/tests/emulator/test_system_soak.py
@@ -0,0 +1,122 @@
+"""The soak: real processes under disturbances that come in series and overlap, and what its runners do."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larchgw.cli.errors import UsageError
+from larchgw.cli.main import call
+from larchgw.emulator.system.answer_faults import AnswerFaults
+from larchgw.emulator.system.records import Records
+from larchgw.emulator.system.site import Site
+from larchgw.emulator.system.soak import PARTS
+from larchgw.emulator.system.trial import SystemSpec, run
+from tests.support.asyncio_tests import on_loop
+from tests.support.system_runners import engine, plain, started
+
+STREAM = {"X_Model": "m1", "X_Token_Count": "40,20", "X_Prompt_Start": "aa:30,bb:10"}
+
+
+@pytest.mark.parametrize("seed", [2, 3])
+def test_a_short_soak_breaks_no_rule(tmp_path: Path, seed: int) -> None:
+    # Guards against REFUSED and TWICE of incident 67, which trials without overlapping faults had missed.
+    spec = SystemSpec(seconds=20.0, seed=seed, site=Site(rate=40.0), soak=PARTS, folder=tmp_path)
+    outcome = asyncio.run(run(spec))
+    assert outcome.broken == []
+    assert outcome.statuses == [0] * (spec.site.controls + spec.site.edges)
+    events = "\n".join(outcome.events)
+    for disturbance in ("killed", "frozen", "reloaded", "restarted", "adds a route", "spoilt answers"):
+        assert disturbance in events
+    assert outcome.records.repeated_answers > 0
+    assert outcome.figures()["rejected"] > 0
+    assert outcome.total("served") > 0
+
+
+def faults(**shares: float) -> AnswerFaults:
+    return AnswerFaults(random.Random(1), **shares)
+
+
+def make(kind: str, records: Records) -> Any:
+    return plain(records) if kind == "plain" else engine(records, "m1")
+
+
+@pytest.mark.parametrize("kind", ["plain", "engine"])
+@on_loop
+async def test_a_runner_rejects_its_share_although_there_is_room(kind: str) -> None:
+    records = Records()
+    runner = make(kind, records)
+    runner.faults = faults(rejected=1.0)
+    async with started(runner) as connect:
+        reply = await (await connect()).ask(**STREAM)
+    assert reply.status == 503
+    assert "x-not-run" in reply.headers
+    assert not records.arrivals[0].ran
+
+
+@pytest.mark.parametrize("kind", ["plain", "engine"])
+@pytest.mark.parametrize("rejected", [0.0, 1.0])
+@on_loop
+async def test_a_repeated_answer_comes_with_the_next_request_on_its_connection(
+    kind: str, rejected: float
+) -> None:
+    records = Records()
+    runner = make(kind, records)
+    runner.faults = faults(repeated=1.0, rejected=rejected)
+    async with started(runner) as connect:
+        caller, other = await connect(), await connect()
+        first = await caller.ask(id="id1", **STREAM)
+        assert (await other.ask(id="id2", **STREAM)).headers["x-attempt-id"] == "id2"
+        again = await caller.ask(id="id3", **STREAM)
+        own = await caller.reply()
+    assert (again.status, again.headers, again.body) == (first.status, first.headers, first.body)
+    assert again.headers["x-attempt-id"] == "id1"
+    assert own.headers["x-attempt-id"] == "id3"
+    assert records.repeated_answers == 1
+
+
+@on_loop
+async def test_a_doubled_answer_comes_at_once() -> None:
+    runner = plain(Records())
+    runner.faults = faults(doubled=1.0)
+    async with started(runner) as connect:
+        caller = await connect()
+        first, second = await caller.ask(id="id1"), await caller.reply()
+    assert first.headers["x-attempt-id"] == second.headers["x-attempt-id"] == "id1"
+
+
+@on_loop
+async def test_a_forgotten_connection_is_reset_by_the_next_request() -> None:
+    records = Records()
+    runner = plain(records)
+    runner.faults = faults(forgotten_after_s=0.0)
+    async with started(runner) as connect:
+        caller = await connect()
+        reply = await caller.ask()
+    assert not reply.whole
+    assert records.arrivals == []
+
+
+@on_loop
+async def test_spoilt_answers_are_not_whole_or_are_followed_by_another() -> None:
+    records = Records()
+    runner = plain(records)
+    runner.faults = faults(spoilt=1.0)
+    async with started(runner) as connect:
+        for number in range(8):
+            caller = await connect()
+            reply = await caller.ask(id=f"id{number}")
+            assert not reply.whole or (await caller.reply()).headers["x-attempt-id"] == "nobody"
+
+
+@pytest.mark.parametrize(
+    "options",
+    [{"soak": "edges,moon"}, {"soak": "True", "faults": "True"}, {"soak": "True", "fault": "race"}],
+)
+def test_a_soak_of_unknown_parts_or_beside_other_faults_is_refused(options: dict[str, str]) -> None:
+    with pytest.raises(UsageError, match="--soak"):
+        call(["try", "--system", *(f"--{name}={value}" for name, value in options.items())])
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -105,6 +105,6 @@
         known = read(config.rootpath)
     except ValueError as error:
         raise pytest.UsageError(str(error)) from error
-    asked = config.invocation_params.args
-    part = config.option.keyword or config.option.markexpr or any(".py" in str(arg) for arg in asked)
+    names_tests = config.args_source is pytest.Config.ArgsSource.ARGS
+    part = names_tests or bool(config.option.keyword or config.option.markexpr)
     config.pluginmanager.register(KnownRed(known, whole=not part), "known-red")
