Edge: no connection to a runner carries the same request twice

Cause: an answer was matched to its request by X-Attempt-Id alone. All attempts of a request carry the same id, and a request that a runner had rejected could go to it again on the same connection, the most recently used one. A runner may send an answer a second time, late, where the next one is expected: its second copy of the rejection was taken for the answer to the second attempt, which was running. If another attempt was allowed, the request ran twice (TWICE); if not, the client got 503 (REFUSED). Class of fault: a reply correlated with an id that isn't unique to one send.

Change: a request remembers the connections that have carried it, and the pool gives it none of them again. A connection carries only answers to what was sent on it, so an answer with the request's id can only belong to this attempt. The connections stay in use for other requests, as an answer with another id is skipped. The counter's event same_request, which this makes impossible, is replaced by avoided.

--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -185,12 +185,11 @@
             self._trace.sent(now)
         if self._deliveries:
             context.budget.record_retry(now, self.traits.service)
-        connection = context.pool.acquire(runner, idempotent=self.traits.route.is_idempotent)
+        idempotent = self.traits.route.is_idempotent
+        connection = context.pool.acquire(runner, idempotent, self._connections)
         if connection is None:
             self._on_attempt_failed(AttemptOutcome.UNSENT)
             return
-        if connection in self._connections:
-            context.counters.connections.labels("same_request").inc()
         self._connections.append(connection)
         self._connection = connection
         connection.begin(self, self._exchange.method == b"HEAD")
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import structlog
 
@@ -52,12 +52,17 @@
         self._keep_alive_limits: dict[str, KeepAliveLimit] = {}  # by service
         self._expiry_timer: Deadline | None = None
 
-    def acquire(self, runner: RunnerRecord, idempotent: bool) -> RunnerConnection | None:
+    def acquire(
+        self, runner: RunnerRecord, idempotent: bool, used: Collection[RunnerConnection] = ()
+    ) -> RunnerConnection | None:
         """Returns a connection that can carry a request to the runner; None if there is none.
 
         Args:
             runner: The runner.
             idempotent: Whether the request may run twice; if not, only a recently used connection is reused.
+            used: The connections that have carried the request before. None of them carries it again: a
+                runner may repeat an answer late, and all attempts of a request have one id, so that the
+                answer to an earlier attempt could not be told from the one to the next.
         """
         try:
             address = parse_address(runner.address)
@@ -67,7 +72,7 @@
         connections = self._by_runner.get(runner.id)
         if connections is None or connections.address != address:
             connections = _RunnerConnections(runner.service, address)
-        return self._reuse(connections, idempotent) or self._open(runner, connections)
+        return self._reuse(connections, idempotent, used) or self._open(runner, connections)
 
     def runners_changed(self, runners: Mapping[str, RunnerRecord]) -> None:
         """Closes idle connections to runners that accept no more requests, and withdraws unsent requests."""
@@ -148,15 +153,16 @@
         share = self._max_open(service)
         return max(share, MIN_CONNECTIONS) if share else 0
 
-    def _reuse(self, connections: _RunnerConnections, idempotent: bool) -> RunnerConnection | None:
+    def _reuse(
+        self, connections: _RunnerConnections, idempotent: bool, used: Collection[RunnerConnection]
+    ) -> RunnerConnection | None:
         now = self.loop.clock.now()
         limit_s = self._keep_alive_limit(connections.service).limit_s(now, idempotent)
-        while connections.idle:
-            connection = connections.idle[-1]
+        while (connection := self._newest_idle(connections, used)) is not None:
             idle_s = now - connection.idle_since
             if idle_s > limit_s:
                 return None
-            connections.idle.pop()
+            connections.idle.remove(connection)
             if isinstance(connection.connection, Connection) and connection.connection.is_reusable():
                 connection.idle_s = idle_s
                 connection.is_reused = True
@@ -166,6 +172,15 @@
             connection.close()
         return None
 
+    def _newest_idle(
+        self, connections: _RunnerConnections, used: Collection[RunnerConnection]
+    ) -> RunnerConnection | None:
+        for connection in reversed(connections.idle):
+            if connection not in used:
+                return connection
+            self._counters.connections.labels("avoided").inc()
+        return None
+
     def _open(self, runner: RunnerRecord, connections: _RunnerConnections) -> RunnerConnection | None:
         share = self._connection_share(runner.service)
         if share and len(connections.open) >= MAX_OVERSUBSCRIPTION * share:
--- a/tests/edge/test_repeated_rejections.py
+++ b/tests/edge/test_repeated_rejections.py
@@ -96,3 +96,22 @@
         first.say(error)
         second.answer(b"served")
         assert (await client.answer()).status == 200
+
+
+@on_loop
+async def test_the_connection_of_a_rejected_request_carries_other_requests() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        made.selection.script = [Send(made.records["i-1"]), Send(made.records["i-1"])]
+        client = await made.ask("/writing/x", "id1")
+        first = await runner.call()
+        first.say(rejection(first, "503 Busy"))
+        (await runner.call()).answer()
+        assert (await client.answer()).status == 200
+        opened = runner.opened
+        clients = [await made.ask("/writing/x", name) for name in ("id2", "id3")]
+        for call in [await runner.call() for _ in clients]:
+            call.answer()
+        for client in clients:
+            assert (await client.answer()).status == 200
+        assert runner.opened == opened
