Soak: requests that run on after their connection has closed, early answers, and a count of repeated sends

The protocol says that most runners drop a request once its connection closes, so some don't; a promise given after a cancelled attempt would show only there.

--- a/larchgw/emulator/system/answer_faults.py
+++ b/larchgw/emulator/system/answer_faults.py
@@ -17,6 +17,8 @@
             come on their connection.
         doubled: Share of answers, rejections too, that are sent a second time at once.
         spoilt: Share of answers that are cut, garbled, reset or followed by another request's answer.
+        carried_on: Share of requests that run on, or begin to run, although their connection has closed.
+        early: Share of answers that come before the body of their request is read (runners without models).
         forgotten_after_s: Idle time of a connection after which whatever is sent on it is reset.
     """
 
@@ -25,6 +27,8 @@
     repeated: float = 0.0
     doubled: float = 0.0
     spoilt: float = 0.0
+    carried_on: float = 0.0
+    early: float = 0.0
     forgotten_after_s: float = float("inf")
 
     def rejects(self) -> bool:
@@ -39,6 +43,14 @@
         """Whether the answer just sent comes again at once."""
         return self.random.random() < self.doubled
 
+    def carries_on(self) -> bool:
+        """Whether a request whose connection has closed is run all the same."""
+        return self.random.random() < self.carried_on
+
+    def answers_early(self) -> bool:
+        """Whether the next request is answered before its body is read."""
+        return self.random.random() < self.early
+
     def spoils(self) -> bool:
         """Whether the next answer is spoilt."""
         return self.random.random() < self.spoilt
--- a/larchgw/emulator/system/clients.py
+++ b/larchgw/emulator/system/clients.py
@@ -201,6 +201,7 @@
             one.read, one.ended_at = False, self._now()
             return one
         if self._repeats and not (fresh or one.status or one.gave_up):
+            self._records.repeated_requests += 1
             await self._send(one, intent, self._ingress.pick(intent.zone), deadline, fresh=True)
         return one
 
--- a/larchgw/emulator/system/engine_runner.py
+++ b/larchgw/emulator/system/engine_runner.py
@@ -189,7 +189,7 @@
 
     def _on_event(self) -> None:
         arrival = self.arrival
-        if self.runner.dark:
+        if self.runner.dark or self._engine is not self.runner.engine:
             arrival.broke_off = True
         if self.done.done() or arrival.broke_off:
             return
@@ -248,6 +248,8 @@
 
     def _closed(self) -> None:
         """The caller has left, or this runner has broken off."""
+        if self.runner.up and self.runner.carries_on():
+            return
         self.arrival.broke_off |= not self.runner.up
         self._engine.cancel(self._generation)
         self._over()
--- a/larchgw/emulator/system/plain_runner.py
+++ b/larchgw/emulator/system/plain_runner.py
@@ -54,7 +54,8 @@
             if self._is_over(life, arrival):
                 return
             self._waiting -= 1
-            if stream.closed() or self._too_late(request, arrival):
+            closed = stream.closed() and not self.carries_on()
+            if closed or self._too_late(request, arrival):
                 self._drop(stream, arrival)
                 return
             self._running += 1
@@ -68,7 +69,7 @@
     def answer_early(self, head: Request, stream: IOStream) -> Arrival | None:
         """Answers a request before its body is read, where that is its next mischief."""
         told = head.headers.get("x-target-runner", self.id)
-        if not head.id or told != self.id or self.dark or self.mischief[:1] != [Mischief.EARLY]:
+        if not head.id or told != self.id or self.dark or not self._is_next_early():
             return None
         arrival = Arrival(
             head.id,
@@ -84,6 +85,11 @@
         self._answer(stream, arrival)
         return arrival
 
+    def _is_next_early(self) -> bool:
+        if self.faults is not None and self.faults.answers_early():
+            self.mischief.insert(0, Mischief.EARLY)
+        return self.mischief[:1] == [Mischief.EARLY]
+
     def _is_over(self, life: int, arrival: Arrival) -> bool:
         """Whether the process that took the request has ended, or says nothing more."""
         over = life != self.incarnation or not self.up or self.dark
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -158,6 +158,7 @@
     troubles: list[Trouble] = field(default_factory=list)
     crashed: set[str] = field(default_factory=set)  # runners
     repeated_answers: int = 0  # that runners sent a second time
+    repeated_requests: int = 0  # that clients sent a second time under their id
     loads_per_s: float = 0.0
     read_back: dict[str, Any] | None = None
     read_back_at: float = math.inf
--- a/larchgw/emulator/system/runner.py
+++ b/larchgw/emulator/system/runner.py
@@ -285,6 +285,10 @@
             self._reset(stream)
         return wrong
 
+    def carries_on(self) -> bool:
+        """Whether a request whose connection has closed is run all the same."""
+        return self.faults is not None and self.faults.carries_on()
+
     def _next_mischief(self) -> Mischief | None:
         if self.mischief:
             return self.mischief.pop(0)
--- a/larchgw/emulator/system/soak.py
+++ b/larchgw/emulator/system/soak.py
@@ -156,5 +156,7 @@
             repeated=rng.choice((0.0, 0.2, 0.6)),
             doubled=rng.choice((0.0, 0.0, 0.3)),
             spoilt=rng.choice((0.0, 0.05, 0.2)),
+            carried_on=rng.choice((0.0, 1.0)),
+            early=rng.choice((0.0, 0.0, 0.2)),
             forgotten_after_s=rng.choice((float("inf"), 0.3)),
         )
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -95,6 +95,7 @@
             "arrivals": len(self.records.arrivals),
             "rejected": sum(arrival.status in REJECTIONS for arrival in self.records.arrivals),
             "repeated": self.records.repeated_answers,
+            "repeated_requests": self.records.repeated_requests,
             "broken": len(self.broken),
             **Counter(f"rule_{breach.rule.lower()}" for breach in self.broken),
         }
--- a/tests/emulator/test_system_soak.py
+++ b/tests/emulator/test_system_soak.py
@@ -17,7 +17,7 @@
 from larchgw.emulator.system.soak import PARTS
 from larchgw.emulator.system.trial import SystemSpec, run
 from tests.support.asyncio_tests import on_loop
-from tests.support.system_runners import engine, plain, started
+from tests.support.system_runners import engine, plain, started, until
 
 STREAM = {"X_Model": "m1", "X_Token_Count": "40,20", "X_Prompt_Start": "aa:30,bb:10"}
 
@@ -101,6 +101,33 @@
     assert records.arrivals == []
 
 
+@pytest.mark.parametrize("kind", ["plain", "engine"])
+@on_loop
+async def test_a_request_may_run_on_although_its_connection_has_closed(kind: str) -> None:
+    records = Records()
+    runner = make(kind, records)
+    runner.faults = faults(carried_on=1.0)
+    async with started(runner) as connect:
+        caller = await connect()
+        caller.send(**STREAM)
+        await until(lambda: records.arrivals)
+        caller.writer.close()
+        await until(lambda: records.arrivals[0].whole)
+    assert records.arrivals[0].ran
+
+
+@on_loop
+async def test_an_early_answer_comes_before_the_body_of_its_request() -> None:
+    records = Records()
+    runner = plain(records)
+    runner.faults = faults(early=1.0)
+    async with started(runner) as connect:
+        caller = await connect()
+        caller.writer.write(b"POST /ask/1 HTTP/1.1\r\nX-Attempt-Id: id1\r\nContent-Length: 4\r\n\r\n")
+        assert (await caller.reply()).status == 200
+        assert not records.arrivals[0].body_whole
+
+
 @on_loop
 async def test_spoilt_answers_are_not_whole_or_are_followed_by_another() -> None:
     records = Records()
