--- a/larchgw/emulator/system/rig.py
+++ b/larchgw/emulator/system/rig.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator, Callable, Collection, Sequence
-from contextlib import ExitStack, asynccontextmanager
+from contextlib import ExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -62,6 +62,7 @@
         self.folder = folder / place.name
         self.folder.mkdir()
         self.process: asyncio.subprocess.Process | None = None
+        self._descriptor: int | None = None  # pidfd of the process
         self.exits: list[int] = []  # statuses of ends that were asked for by SIGTERM
         self.source = ROOT  # folder of the checkout whose program it runs from its next start on
 
@@ -166,11 +167,18 @@
                 start_new_session=True,
                 pass_fds=descriptors,
             )
+        with suppress(ProcessLookupError):  # it has ended already
+            self._descriptor = os.pidfd_open(self.process.pid)
 
     def signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process, if it is there."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
+        """Sends a signal to the process, if it is there.
+
+        Not by `Process.send_signal`: that may take the exit status of a process that has just ended, so that
+        asyncio reports 255 in its place.
+        """
+        if self.running and self._descriptor is not None:
+            with suppress(ProcessLookupError):
+                signal.pidfd_send_signal(self._descriptor, number)
 
     async def terminate(self, grace_s: float) -> int:
         """SIGTERM, and SIGKILL if it takes longer than that. Returns the exit status."""
@@ -182,6 +190,7 @@
         except TimeoutError:
             self.signal(signal.SIGKILL)
             status = await self.process.wait()
+        self._close_descriptor()
         self.exits.append(status)
         return status
 
@@ -190,6 +199,12 @@
         self.signal(signal.SIGKILL)
         if self.process is not None:
             await self.process.wait()
+        self._close_descriptor()
+
+    def _close_descriptor(self) -> None:
+        if self._descriptor is not None:
+            os.close(self._descriptor)
+        self._descriptor = None
 
     def wipe(self) -> None:
         """Empties its disk. Its process must not run."""
--- a/larchgw/emulator/system/soak.py
+++ b/larchgw/emulator/system/soak.py
@@ -33,6 +33,7 @@
 SETTLED_S = 1.0  # after a start, until the process handles SIGHUP
 SIGNAL_GAP_S = (0.02, 1.2)
 MAX_DISTURBED_SHARE = 0.7  # of the edges, at the same time
+MAX_DISTURBED = 8  # edges at the same time: each start takes much of a processor for a moment
 EDGES, CORE, OPERATOR, RUNNERS, ANSWERS = "edges", "core", "operator", "runners", "answers"
 CLIENT_REPEATS = "client-repeats"  # breaks the protocol: only on request
 PARTS = (EDGES, CORE, OPERATOR, RUNNERS, ANSWERS)
@@ -64,7 +65,8 @@
         """See Script; `parts` of PARTS are played."""
         super().__init__(rig, runners, operator, limits, dice, now)
         self._parts = parts
-        self._edges_left = asyncio.Semaphore(max(int(MAX_DISTURBED_SHARE * len(rig.edges)), 1))
+        disturbed = min(int(MAX_DISTURBED_SHARE * len(rig.edges)), MAX_DISTURBED)
+        self._edges_left = asyncio.Semaphore(max(disturbed, 1))
 
     async def run(self) -> None:
         """Plays all lanes; returns once each has ended its last disturbance after `stop`."""
