--- a/larchgw/emulator/system/judge_answers.py
+++ b/larchgw/emulator/system/judge_answers.py
@@ -123,7 +123,13 @@
         if case.touch.unplanned(one.sent_at, one.ended_at):
             continue
         if any(_ending(case, trouble, one) for trouble in case.records.troubles):
-            yield Breach("LOST", one.ended_at, f"{one.id} was read by {one.edge}, which ended without answer")
+            lasted_s = one.ended_at - one.sent_at
+            got = f"status {one.status}, {len(one.answer)} bytes after {lasted_s:.2f} s"
+            yield Breach(
+                "LOST",
+                one.ended_at,
+                f"{one.id} ({one.kind}) got {got} from an edge that was ending; {case.history(one)}",
+            )
 
 
 def _ending(case: Case, trouble: Trouble, one: Try) -> bool:
--- a/larchgw/emulator/system/judge_retries.py
+++ b/larchgw/emulator/system/judge_retries.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterator
 
 from .breach import Breach, Case
-from .records import Try
 
 PROMISES = (408, 421, 429, 503)  # statuses that promise that the request has not run and never will
 TRIES_ALLOWED = 3  # requests that may have run on more runners than their route allows
@@ -17,7 +16,7 @@
     for one in case.records.tries.values():
         runs = case.runs(one.id)
         if not one.idempotent and len(runs) > 1:
-            yield Breach("TWICE", runs[1].at, f"{one.id} {_history(case, one)}")
+            yield Breach("TWICE", runs[1].at, f"{one.id} {case.history(one)}")
 
 
 def refused(case: Case) -> Iterator[Breach]:
@@ -25,15 +24,7 @@
     for one in case.records.tries.values():
         runs = case.runs(one.id)
         if one.status in PROMISES and not one.idempotent and runs:
-            yield Breach("REFUSED", one.ended_at, f"{one.id} got {one.status} and {_history(case, one)}")
-
-
-def _history(case: Case, one: Try) -> str:
-    """What each runner did with a request, in order."""
-    return f"at {one.edge}: " + ", ".join(
-        f"{arrival.runner} {'ran' if arrival.ran else arrival.status or 'dropped'}"
-        for arrival in case.arrivals[one.id]
-    )
+            yield Breach("REFUSED", one.ended_at, f"{one.id} got {one.status} and {case.history(one)}")
 
 
 def tries(case: Case) -> Iterator[Breach]:
