Trial: how late clients and runners were at worst (lag_ms)

Need: whether a request that a client saw end late was late at the edge or in the trial's own process couldn't be told.

--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -157,6 +157,7 @@
     strays: list[tuple[str, float]] = field(default_factory=list)  # edge that sent bytes without a request
     troubles: list[Trouble] = field(default_factory=list)
     crashed: set[str] = field(default_factory=set)  # runners
+    longest_lag_s: float = 0.0  # by which clients and runners were late to act, as this process got no time
     repeated_answers: int = 0  # that runners sent a second time
     repeated_requests: int = 0  # that clients sent a second time under their id
     loads_per_s: float = 0.0
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -30,6 +30,7 @@
 REJECTIONS = (421, 503)  # by runners
 START_S = 60.0  # that the system may take to be ready, on a busy machine
 LOOK_S = 0.1
+LAG_CHECK_S = 0.05
 LONGEST_PLAY_S = 600.0  # that requests come during a named fault
 LIMITS = TimeLimits(fenced=True, grace_period_s=6.0)
 
@@ -94,6 +95,7 @@
             "exits": sum(status != 0 for status in self.statuses),
             "arrivals": len(self.records.arrivals),
             "rejected": sum(arrival.status in REJECTIONS for arrival in self.records.arrivals),
+            "lag_ms": round(1000.0 * self.records.longest_lag_s),
             "repeated": self.records.repeated_answers,
             "repeated_requests": self.records.repeated_requests,
             "broken": len(self.broken),
@@ -154,7 +156,7 @@
             stays=bool(spec.soak),
             repeats=CLIENT_REPEATS in spec.soak,
         )
-        self._asking: asyncio.Task[None] | None = None
+        self._background: list[asyncio.Task[None]] = []
 
     def _dice(self, part: str) -> random.Random:
         """Random choices of one part: how often another part draws does not change them."""
@@ -216,8 +218,8 @@
 
     async def close(self) -> None:
         """Ends all that may still run."""
-        if self._asking is not None:
-            self._asking.cancel()
+        for task in self._background:
+            task.cancel()
         self._clients.close()
         self._ingress.close()
         self._operator.close()
@@ -235,7 +237,18 @@
             raise TrialError(f"no configuration was taken within {START_S:.0f} s; {self._look_at_logs()}")
         await self._until(self._known, "runners' check-ins are not acknowledged")
         await self._until(self._settled, "the processes do not become ready")
-        self._asking = asyncio.create_task(self._ingress.run())
+        self._background = [
+            asyncio.create_task(self._ingress.run()),
+            asyncio.create_task(self._measure_lag()),
+        ]
+
+    async def _measure_lag(self) -> None:
+        """Records how late this process's event loop runs."""
+        while True:
+            due = self._time.now() + LAG_CHECK_S
+            await asyncio.sleep(LAG_CHECK_S)
+            lag_s = self._time.now() - due
+            self._records.longest_lag_s = max(self._records.longest_lag_s, lag_s)
 
     async def _known(self) -> bool:
         """Whether every runner's check-in was taken."""
