Test of a taken port: another trial may use the port number on its own addresses

Cause: the port number follows from seed 7, and a bind on all addresses fails where any trial that runs beside it, such as the new soak tests, listens on that number at one address.

Change: the test takes the first seed whose port it can bind; what it asks of the claim is as before.

--- a/tests/emulator/test_system_trial.py
+++ b/tests/emulator/test_system_trial.py
@@ -87,14 +87,28 @@
         second.close()
 
 
+def take_a_port_of_a_network_everywhere(taken: socket.socket) -> tuple[int, int]:
+    """Returns a seed and a port of the network that it claims, bound on all addresses.
+
+    Another trial may use the port number on addresses of its own; then the next seed is tried.
+    """
+    for seed in range(7, 57):
+        wanted = Network.claim(random.Random(seed))
+        wanted.close()
+        try:
+            taken.bind(("0.0.0.0", wanted.first_port + 3))
+        except OSError:
+            continue
+        return seed, wanted.first_port + 3
+    raise AssertionError("no port is free on all addresses")
+
+
 def test_a_port_that_is_taken_on_all_addresses_is_not_claimed() -> None:
-    wanted = Network.claim(random.Random(7))
-    wanted.close()
     with socket.socket() as taken:
-        taken.bind(("0.0.0.0", wanted.first_port + 3))
-        other = Network.claim(random.Random(7))
+        seed, port = take_a_port_of_a_network_everywhere(taken)
+        other = Network.claim(random.Random(seed))
         other.close()
-    assert not other.first_port <= wanted.first_port + 3 < other.first_port + PORTS
+    assert not other.first_port <= port < other.first_port + PORTS
 
 
 def test_every_model_is_held_at_the_start_where_there_is_room() -> None:
