Logs: which program runs, and each further attempt of a request that may run once

Change: both roles log process.build (release, digest of the sources, read in a thread after the start: 24 ms of processor time here), larchgw version prints the same. Edges log request.sent_again with the attempts before and the connection, and request.refused_unsent where a promise rests on attempts of which no byte left.

--- a/larchgw/cli/main.py
+++ b/larchgw/cli/main.py
@@ -1,6 +1,6 @@
 """The command line, based on Fire.
 
-Sub-commands: `larchgw [serve|edge|control|check|settings|losses|try|lab|explore|system]`.
+Sub-commands: `larchgw [serve|edge|control|check|settings|losses|try|lab|explore|system|version]`.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from .losses import losses
 from .system import SYSTEM
 from .trial import trial
+from .version import version
 
 
 @string_arguments
@@ -66,6 +67,7 @@
     "lab": lab,
     "explore": explore,
     "system": SYSTEM,
+    "version": version,
 }
 
 
--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -20,8 +20,8 @@
 from .answers import Verdict, classify, reported_load
 from .context import ProxyContext
 from .errors import EventTooLongError, StreamMismatchError
+from .failed_attempts import NO_CONNECTION, FailedAttempt, listed
 from .forwarding import request_bytes
-from .rejections import REJECTIONS, Rejection
 from .relay import BufferedRelay
 from .runner_connection import RunnerConnection
 from .stream_relay import StreamRelay
@@ -56,13 +56,14 @@
         self._context, self._exchange = context, exchange
         self._tried: list[str] = []
         self._connections: list[RunnerConnection] = []  # one for each attempt that got one
-        self._rejections: list[Rejection] = []
+        self._failed_attempts: list[FailedAttempt] = []  # those that never ran
         # Attempts made, attempts that sent bytes to a runner, and attempts that may have run.
         self._attempts = self._deliveries = self._possible_runs = 0
         self._is_finished = self._is_deciding = self._demand_reported = False
         self._attempt: Attempt | None = None
         self._choice: Send | None = None
         self._connection: RunnerConnection | None = None
+        self._connection_number = NO_CONNECTION  # of the last attempt
         self._rejected_as: AttemptOutcome | None = None  # set once the response will not be forwarded
         self._head: AnswerHead | None = None
         self._relay: BufferedRelay | None = None
@@ -187,6 +188,9 @@
             context.budget.record_retry(now, self.traits.service)
         idempotent = self.traits.route.is_idempotent
         connection = context.pool.acquire(runner, idempotent, self._connections)
+        self._connection_number = connection.number if connection is not None else NO_CONNECTION
+        if self._failed_attempts and not idempotent:
+            self._log_further_attempt(runner)
         if connection is None:
             self._on_attempt_failed(AttemptOutcome.UNSENT)
             return
@@ -359,8 +363,8 @@
             self._deliveries += 1
         if not outcome.never_ran:
             self._possible_runs += 1
-        if outcome in REJECTIONS:
-            self._rejections.append(Rejection(attempt.runner, outcome, self._connections[-1].number))
+        if outcome.never_ran:
+            self._failed_attempts.append(FailedAttempt(attempt.runner, outcome, self._connection_number))
         self._context.waiting.runner_freed(attempt.runner)
 
     def _on_attempt_failed(self, outcome: AttemptOutcome) -> None:
@@ -432,15 +436,26 @@
         self._finish("refused" if status == HTTPStatus.SERVICE_UNAVAILABLE else "failed")
 
     def _log_refusal(self, reason: str) -> None:
-        """Logs which rejections the promise rests on that the request, which may run once only, never ran."""
-        if self._rejections and not self.traits.route.is_idempotent:
-            log.info(
-                "request.refused_after_rejection",
-                request=self.name.decode("latin-1"),
-                route=self.traits.route.name,
-                reason=reason,
-                rejections=",".join(str(rejection) for rejection in self._rejections),
-            )
+        """Logs what the promise rests on that the request, which may run once only, never ran."""
+        attempts = self._failed_attempts
+        if not attempts or self.traits.route.is_idempotent:
+            return
+        fields = {"request": self.name.decode("latin-1"), "route": self.traits.route.name, "reason": reason}
+        if any(attempt.is_rejection for attempt in attempts):
+            log.info("request.refused_after_rejection", **fields, rejections=listed(attempts))
+        else:
+            log.info("request.refused_unsent", **fields, attempts=listed(attempts))
+
+    def _log_further_attempt(self, runner: RunnerRecord) -> None:
+        """Logs that a request, which may run once only, goes to a runner again, and after which attempts."""
+        log.info(
+            "request.sent_again",
+            request=self.name.decode("latin-1"),
+            route=self.traits.route.name,
+            runner=runner.id,
+            connection=self._connection_number,
+            attempts=listed(self._failed_attempts),
+        )
 
     def _truncate(self, reason: str) -> None:
         """Ends a response that cannot be completed, so that the client detects the truncation."""
--- a/larchgw/runtime/process.py
+++ b/larchgw/runtime/process.py
@@ -15,6 +15,7 @@
 from ..storage.errors import StorageError
 from . import logs
 from .background_tasks import BackgroundTasks
+from .build_identity import build_identity
 from .settings_watch import Reloadable, SettingsWatch
 
 log = structlog.get_logger()
@@ -78,13 +79,25 @@
     loop.add_signal_handler(signal.SIGHUP, watch.check)
     await role.start()
     tasks = BackgroundTasks()
+    build = asyncio.create_task(_log_build())
     tasks.every("settings", SETTINGS_CHECK_PERIOD_S, watch.check)
     await stop_requested.wait()
     log.info("process.stopping")
+    build.cancel()
     tasks.stop()
     await role.stop()
 
 
+async def _log_build() -> None:
+    """Logs which program this is, read in a thread so that a start isn't delayed."""
+    try:
+        build = await asyncio.to_thread(build_identity)
+    except OSError as error:
+        log.warning("process.build_unreadable", error=str(error))
+        return
+    log.info("process.build", version=build.version, source=build.source)
+
+
 def _report_settings(error: SettingsError) -> int:
     print(f"larchgw: {error}", file=sys.stderr)
     return EXIT_USAGE
--- a/tests/edge/test_surplus_answers.py
+++ b/tests/edge/test_surplus_answers.py
@@ -66,6 +66,46 @@
     ]
 
 
+@on_loop
+async def test_a_further_attempt_of_what_may_run_once_names_those_before() -> None:
+    runners = [ScriptedRunner("i-1"), ScriptedRunner("i-2")]
+    async with edge(*runners) as made:
+        with capture_logs() as lines:
+            client = await made.ask("/writing/x", "id1")
+            (await runners[0].call()).turn_away()
+            (await runners[1].call()).answer()
+            assert (await client.answer()).status == 200
+            client = await made.ask("/read_only/x", "id2")
+            (await runners[0].call()).turn_away()
+            (await runners[1].call()).answer()
+            assert (await client.answer()).status == 200
+    assert [line for line in lines if line["event"] == "request.sent_again"] == [
+        {
+            "event": "request.sent_again",
+            "log_level": "info",
+            "request": "id1",
+            "route": "r-writing",
+            "runner": "i-2",
+            "connection": 2,
+            "attempts": "i-1:FULL:1",
+        }
+    ]
+
+
+@on_loop
+async def test_a_refusal_after_attempts_that_never_left_names_them() -> None:
+    runner = ScriptedRunner("i-1")
+    async with edge(runner) as made:
+        runner.close()
+        with capture_logs() as lines:
+            client = await made.ask("/writing/x", "id1")
+            assert (await client.answer()).status == 503
+    refusals = [line for line in lines if line["event"].startswith("request.refused")]
+    assert [(line["event"], line["attempts"]) for line in refusals] == [
+        ("request.refused_unsent", "i-1:CONNECT_FAILED:1")
+    ]
+
+
 @on_loop
 async def test_an_attempt_id_that_comes_again_is_counted_and_logged() -> None:
     runner = ScriptedRunner("i-1")
--- a/tests/emulator/test_system_trial.py
+++ b/tests/emulator/test_system_trial.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import random
+import re
 import socket
 import subprocess
 import sys
@@ -38,6 +39,8 @@
     read_back = outcome.records.read_back
     assert read_back is not None
     assert read_back["config_version"] == 1
+    for log in tmp_path.glob("*/log"):
+        assert re.search(r"event=process\.build version=\S+ source=[0-9a-f]{12}$", log.read_text(), re.M)
 
 
 def refused(address: str) -> bool:
