Soak: restarts at one address, long prompts at rare models, impatient clients, programs of another checkout

Need: the soak's streams had bodies of 20 bytes and mostly several runners, its clients waited as told, and two versions could only be compared on scratch copies. Tests of the emulator pass.

--- a/larchgw/cli/system_trial.py
+++ b/larchgw/cli/system_trial.py
@@ -18,6 +18,8 @@
 
 MAX_SHOWN_BREACHES = 20
 FAULT_CONTROL_PROCESSES = 5  # number of control processes in a trial of a named fault
+PACKAGE = "larchgw"  # folder of the program in a checkout
+ALL_SOAK_PARTS = "all"  # but those that break the protocol
 _NO_VALUE = "True"  # what Fire passes for an option without a value
 TERMINATED = 143  # exit status, 128 + SIGTERM
 Result = TypeVar("Result")
@@ -35,11 +37,13 @@
     fault: str | None = None
     hold: str = "20"
     soak: str | None = None
+    programs: str | None = None
 
 
 def system_trial(seconds: float, seed: int, sizes: SystemSizes, faults: bool) -> Command:
     """Builds the command of a trial of the whole system. Raises UsageError."""
     from ..emulator.system.site import Site
+    from ..emulator.system.soak import LONG_PROMPTS
     from ..emulator.system.trial import SystemSpec
 
     site = Site(
@@ -51,7 +55,10 @@
     if sizes.folder == _NO_VALUE:
         raise UsageError("--folder: needs the name of a new folder")
     folder = Path(sizes.folder).resolve() if sizes.folder else None
-    spec = SystemSpec(seconds, seed, site, faults, _soak_parts(sizes, faults), folder=folder)
+    parts = _soak_parts(sizes, faults)
+    if LONG_PROMPTS in parts:
+        site = site.with_long_prompts()
+    spec = SystemSpec(seconds, seed, site, faults, parts, folder=folder, programs=_programs(sizes))
     if sizes.fault is not None:
         spec = _with_fault(spec, sizes)
     return Command(lambda: _run(spec))
@@ -59,19 +66,32 @@
 
 def _soak_parts(sizes: SystemSizes, faults: bool) -> tuple[str, ...]:
     """Returns the parts of the soak, none without --soak. Raises UsageError."""
-    from ..emulator.system.soak import CLIENT_REPEATS, PARTS
+    from ..emulator.system.soak import ALL_PARTS, CLIENT_REPEATS, PARTS
 
     if sizes.soak is None:
         return ()
     if faults or sizes.fault is not None:
         raise UsageError("--soak: cannot be combined with --faults or --fault")
-    parts = PARTS if sizes.soak == _NO_VALUE else tuple(sizes.soak.split(","))
-    unknown = set(parts) - {*PARTS, CLIENT_REPEATS}
-    if unknown:
-        raise UsageError(f"--soak: name some of {', '.join((*PARTS, CLIENT_REPEATS))}, not {sizes.soak!r}")
+    named = {_NO_VALUE: PARTS, ALL_SOAK_PARTS: ALL_PARTS}
+    parts = named.get(sizes.soak, tuple(sizes.soak.split(",")))
+    known = (*ALL_PARTS, CLIENT_REPEATS)
+    if set(parts) - set(known):
+        raise UsageError(f"--soak: name some of {', '.join((*known, ALL_SOAK_PARTS))}, not {sizes.soak!r}")
     return parts
 
 
+def _programs(sizes: SystemSizes) -> Path:
+    """Returns the checkout whose programs are played. Raises UsageError."""
+    from ..emulator.system.rig import ROOT
+
+    if sizes.programs is None:
+        return ROOT
+    folder = Path(sizes.programs).resolve()
+    if not (folder / PACKAGE).is_dir():
+        raise UsageError(f"--programs: {folder} holds no {PACKAGE}; name a checkout's folder")
+    return folder
+
+
 def _with_fault(spec: SystemSpec, sizes: SystemSizes) -> SystemSpec:
     """Returns the spec of a trial that injects one named fault. Raises UsageError."""
     from ..emulator.system.plays import FAULTS, Lengths
--- a/larchgw/cli/trial.py
+++ b/larchgw/cli/trial.py
@@ -91,6 +91,7 @@
     fault: str | None = None,
     hold: str = "20",
     soak: str | None = None,
+    programs: str | None = None,
 ) -> Command:
     """Runs an emulated fleet and one dispatcher under mixed load on loopback, and shows the results.
 
@@ -116,13 +117,15 @@
             many-changes or answers. Requests are sent until it is over, regardless of --seconds.
         soak: Disturbs processes, runners and the configuration in series that overlap, while clients keep
             using open connections (with --system). With a value only these parts, separated by commas:
-            edges, core, operator, runners, answers; client-repeats, which the protocol forbids, too.
+            edges, core, operator, runners, answers; and, left out without a value: restarts, long-prompts,
+            impatient-clients (`all` names these and all before), client-repeats (the protocol forbids it).
+        programs: Checkout whose programs the processes run, another one than this (with --system).
         hold: Seconds for which a process is cut off, or responses of runners are disturbed (with --fault).
     """
     length = decimal("seconds", seconds, 1.0)
     quiet = flag("no-faults", no_faults)
     if flag("system", system):
-        sizes = SystemSizes(edges, runners, models, rate, folder, fault, hold, soak)
+        sizes = SystemSizes(edges, runners, models, rate, folder, fault, hold, soak, programs)
         return system_trial(
             length, integer("seed", seed), sizes, flag("faults", faults or False) and not quiet
         )
--- a/larchgw/emulator/system/answer_faults.py
+++ b/larchgw/emulator/system/answer_faults.py
@@ -19,6 +19,7 @@
         spoilt: Share of answers that are cut, garbled, reset or followed by another request's answer.
         carried_on: Share of requests that run on, or begin to run, although their connection has closed.
         early: Share of answers that come before the body of their request is read (runners without models).
+        rejected_early: Share of requests with long bodies that are rejected before the body is read.
         forgotten_after_s: Idle time of a connection after which whatever is sent on it is reset.
     """
 
@@ -29,6 +30,7 @@
     spoilt: float = 0.0
     carried_on: float = 0.0
     early: float = 0.0
+    rejected_early: float = 0.0
     forgotten_after_s: float = float("inf")
 
     def rejects(self) -> bool:
@@ -51,6 +53,10 @@
         """Whether the next request is answered before its body is read."""
         return self.random.random() < self.early
 
+    def rejects_early(self) -> bool:
+        """Whether the next request, which has a long body, is rejected before that is read."""
+        return self.random.random() < self.rejected_early
+
     def spoils(self) -> bool:
         """Whether the next answer is spoilt."""
         return self.random.random() < self.spoilt
--- a/larchgw/emulator/system/clients.py
+++ b/larchgw/emulator/system/clients.py
@@ -28,6 +28,8 @@
 LEAST_SILENCE_S, SILENCE_TARGETS, SILENCE_GAPS = 2.0, 4.0, 8.0  # after which a stream is given up
 MOST_REST_S = 12.0  # of a kept connection before it is used again; edges close it after 15 s
 WATCH_S = 0.1
+IMPATIENT_RETRIES = 4  # of a client that doesn't wait
+IMPATIENT_SHARE = 0.5  # of its retries come at once
 PROBE = 999_999  # number of a request that no user wants
 
 
@@ -69,7 +71,11 @@
         wanted = site.classes[bisect(shares, rng.random() * shares[-1])]
         intent = Intent(len(intents), wanted, due, rng.choice(ZONE_NAMES), session=rng.randrange(SESSIONS))
         if wanted.is_stream:
-            name = popularity(due)[bisect(weights, rng.random() * weights[-1])]
+            names = popularity(due)
+            if wanted.wants_rare_models:
+                name = rng.choice(names[len(names) // 2 :])
+            else:
+                name = names[bisect(weights, rng.random() * weights[-1])]
             adapters = catalogue[name].adapters
             has_adapter = adapters and rng.random() < ADAPTER_SHARE
             intent.model = f"{name}/a{rng.randint(1, adapters)}" if has_adapter else name
@@ -90,15 +96,17 @@
         services: Callable[[str, str], tuple[str, ...]],
         stays: bool = False,
         repeats: bool = False,
+        impatient: bool = False,
     ) -> None:
         """Creates clients without connections.
 
         `stays`: first tries go to any edge that a connection is open to, ready or not. `repeats`: a request
         that ends without an answer is sent again under its id, as some libraries do by themselves; the
-        protocol doesn't allow it.
+        protocol doesn't allow it. `impatient`: half of the retries don't wait as told, and come more often.
         """
         self._ingress, self._records, self._now, self._random = ingress, records, now, rng
         self._services, self._stays, self._repeats = services, stays, repeats
+        self._impatient = impatient
         self.results: dict[str, ClassResult] = defaultdict(ClassResult)
         self.open = 0
         self._stopped = False
@@ -136,7 +144,8 @@
         result.asked += 1
         self.open += 1
         last: Try | None = None
-        for number in range(1 + wanted.retries):
+        retries = IMPATIENT_RETRIES if self._impatient else wanted.retries
+        for number in range(1 + retries):
             if last is not None and not await self._may_retry(wanted, last, deadline):
                 break
             edge = self._pick(intent.zone, fresh=number > 0)
@@ -164,6 +173,8 @@
         """Whether it is tried again, once the time that it was asked to wait is over."""
         if last.status in FINAL or not (wanted.idempotent or last.status in PROMISES or not last.read):
             return False
+        if self._impatient and self._random.random() < IMPATIENT_SHARE:
+            return self._now() < deadline
         left = deadline - self._now()
         await asyncio.sleep(max(min(last.retry_after, left * HONOURED), 0.0))
         return self._now() < deadline
--- a/larchgw/emulator/system/httpstream.py
+++ b/larchgw/emulator/system/httpstream.py
@@ -30,6 +30,11 @@
         """Its attempt id; empty without one."""
         return self.headers.get("x-attempt-id", "")
 
+    @property
+    def body_bytes(self) -> int:
+        """The length of its body, as its head tells."""
+        return int(self.headers.get("content-length", "0"))
+
     def json(self) -> dict[str, Any] | None:
         """Its body as a JSON object; None if it is none."""
         try:
@@ -59,9 +64,8 @@
 
 async def read_body(stream: IOStream, request: Request) -> None:
     """Reads the body of a request whose head has been read. Raises StreamClosedError."""
-    length = int(request.headers.get("content-length", "0"))
-    if length:
-        request.body = await stream.read_bytes(length)
+    if request.body_bytes:
+        request.body = await stream.read_bytes(request.body_bytes)
 
 
 def head(status: int, headers: dict[str, str], length: int | None) -> bytes:
--- a/larchgw/emulator/system/rig.py
+++ b/larchgw/emulator/system/rig.py
@@ -56,7 +56,12 @@
     """One process of the system and the machine that it stands for."""
 
     def __init__(
-        self, place: Place, network: Network, folder: Path, link_controller: LinkController | None = None
+        self,
+        place: Place,
+        network: Network,
+        folder: Path,
+        link_controller: LinkController | None = None,
+        source: Path = ROOT,
     ) -> None:
         self.place, self.network, self._link_controller = place, network, link_controller
         self.folder = folder / place.name
@@ -64,7 +69,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self._descriptor: int | None = None  # pidfd of the process
         self.exits: list[int] = []  # statuses of ends that were asked for by SIGTERM
-        self.source = ROOT  # folder of the checkout whose program it runs from its next start on
+        self.source = source  # folder of the checkout whose program it runs from its next start on
 
     @property
     def ip(self) -> str:
@@ -237,9 +242,10 @@
         controls: int,
         edges: int,
         linked: bool = False,
+        source: Path = ROOT,
     ) -> None:
         self._network, self._folder, self._records, self._limits = network, folder, records, limits
-        self._now = now
+        self._now, self._source = now, source
         self.links = LinkController()
         self._link_controller = self.links if linked else None
         self._survive = max((controls - 1) // 2, 1)
@@ -389,7 +395,7 @@
         await machine.kill()
         place = replace(machine.place, name=f"control-{self._next_number}", number=self._next_number)
         self._next_number += 1
-        successor = Machine(place, self._network, self._folder, self._link_controller)
+        successor = Machine(place, self._network, self._folder, self._link_controller, self._source)
         self.controls[self.controls.index(machine)] = successor
         self._seeds = [one.control for one in self.controls[:SEEDS]]
         await self._start(successor)
@@ -400,7 +406,7 @@
 
     def _machine(self, role: str, index: int, number: int) -> Machine:
         place = Place(f"{role}-{index + 1}", role, number, ZONE_NAMES[index % len(ZONE_NAMES)])
-        return Machine(place, self._network, self._folder, self._link_controller)
+        return Machine(place, self._network, self._folder, self._link_controller, self._source)
 
     async def _start(self, machine: Machine, first_boot: bool = False) -> None:
         await machine.start(machine.settings(self._seeds, self._limits, first_boot, self._survive))
--- a/larchgw/emulator/system/runner.py
+++ b/larchgw/emulator/system/runner.py
@@ -22,6 +22,7 @@
 GARBAGE = b"\x00\x01 this is no answer\r\n\r\n"
 DARK_LOOK_S = 0.05
 HEALTH_PATH = "/health"
+LONG_BYTES = 16384  # of a body that may be rejected before it is read
 
 
 class Mischief(Enum):
@@ -167,7 +168,7 @@
                 if self._is_forgotten(answered_at):
                     self._reset(stream)
                     return
-                early = self.answer_early(request, stream)
+                early = self._reject_early(request, stream) or self.answer_early(request, stream)
                 await read_body(stream, request)
                 if early is not None:
                     early.body, early.body_whole = request.body, True
@@ -181,6 +182,17 @@
             self._streams.discard(stream)
             self._repeats.pop(stream, None)
 
+    def _reject_early(self, head: Request, stream: IOStream) -> Arrival | None:
+        """The arrival of a request that is rejected before its long body has come; None for most."""
+        if self.faults is None or self.dark or not head.id or head.body_bytes < LONG_BYTES:
+            return None
+        if head.headers.get("x-target-runner", self.id) != self.id or not self.faults.rejects_early():
+            return None
+        arrival = self._arrival(head)
+        arrival.body_whole = False
+        self.turn_away(stream, arrival, 503)
+        return arrival
+
     def _is_forgotten(self, answered_at: float) -> bool:
         """Whether a connection that was last used then is reset by what is sent on it now."""
         return self.faults is not None and self.time.now() > answered_at + self.faults.forgotten_after_s
@@ -205,6 +217,18 @@
             await self._request(request, stream, target)
 
     async def _request(self, request: Request, stream: IOStream, target: str | None) -> None:
+        arrival = self._arrival(request)
+        if not request.id:
+            self.turn_away(stream, arrival, 400)
+        elif target is not None and target != self.id:
+            self.turn_away(stream, arrival, 421)
+        elif self.faults is not None and self.faults.rejects():
+            self.turn_away(stream, arrival, 503)
+        else:
+            await self.run(request, stream, arrival)
+
+    def _arrival(self, request: Request) -> Arrival:
+        """Writes down that this request has come."""
         arrival = Arrival(
             request.id,
             self.id,
@@ -215,14 +239,7 @@
             request.body,
         )
         self.records.arrivals.append(arrival)
-        if not request.id:
-            self.turn_away(stream, arrival, 400)
-        elif target is not None and target != self.id:
-            self.turn_away(stream, arrival, 421)
-        elif self.faults is not None and self.faults.rejects():
-            self.turn_away(stream, arrival, 503)
-        else:
-            await self.run(request, stream, arrival)
+        return arrival
 
     async def _silence(self) -> None:
         """Says nothing until this life is over."""
--- a/larchgw/emulator/system/runners.py
+++ b/larchgw/emulator/system/runners.py
@@ -53,6 +53,7 @@
             runner.preload(held)
         beat_s = BEAT_MS / 1000.0
         self.checkins = {id(runner): Checkins(runner, controls, beat_s, rng) for runner in self.all}
+        self._locks = {id(runner): asyncio.Lock() for runner in self.all}  # one trouble at a time for each
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _make(self, site: Site, described: Described, records: Records, store: WeightStore) -> Runner:
@@ -87,6 +88,10 @@
 
     async def release(self, runner: Runner) -> None:
         """Drains, leaves, ends, and starts anew."""
+        async with self._locks[id(runner)]:
+            await self._release(runner)
+
+    async def _release(self, runner: Runner) -> None:
         checkins = self.checkins[id(runner)]
         for _ in range(int(self._limits.grace_period_s)):
             if await checkins.drain():
@@ -102,16 +107,32 @@
 
     async def crash(self, runner: Runner, for_s: float) -> None:
         """Ends without a word, and starts anew after that time."""
-        runner.crash()
-        await asyncio.sleep(for_s)
-        self._begin(runner)
+        async with self._locks[id(runner)]:
+            runner.crash()
+            await asyncio.sleep(for_s)
+            self._begin(runner)
 
     async def darken(self, runner: Runner, for_s: float) -> None:
         """Falls silent without its connections breaking, and starts anew after that time."""
-        runner.go_dark()
-        await asyncio.sleep(for_s)
-        runner.end()
-        self._begin(runner)
+        async with self._locks[id(runner)]:
+            runner.go_dark()
+            await asyncio.sleep(for_s)
+            runner.end()
+            self._begin(runner)
+
+    async def swap_addresses(self, first: Runner, second: Runner) -> None:
+        """Both end without a word, and each starts anew at the address of the other."""
+        one, other = first.described, second.described
+        # In one order everywhere, so that two swaps can't wait for each other.
+        earlier, later = sorted((id(first), id(second)))
+        async with self._locks[earlier], self._locks[later]:
+            for runner in (first, second):
+                runner.crash()
+            await asyncio.sleep(self._limits.reuse_after_s)
+            one.address, other.address = other.address, one.address
+            first.incarnation = second.incarnation = max(first.incarnation, second.incarnation)
+            for runner in (first, second):
+                self._begin(runner)
 
     def misbehave(self, runner: Runner) -> Mischief:
         """Spoils one of its next answers."""
--- a/larchgw/emulator/system/site.py
+++ b/larchgw/emulator/system/site.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ...configuration.model import Model
@@ -24,6 +24,8 @@
 PLAIN_SLOTS = 8
 STRIDE = 4
 LONG_BODY_BYTES = 300_000
+PROMPT_BYTES = (18_000, 110_000)  # of bodies that hold a long prompt
+_SPREAD = 7919  # a prime: consecutive numbers get bodies of unlike lengths
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,10 +46,15 @@
     output_tokens: int = 0
     prompt: tuple[int, int] = (0, 0)  # tokens shared with others, and its own
     long_body_every: int = 0  # request with a body of LONG_BODY_BYTES; 0: none
+    has_long_prompt: bool = False  # bodies of PROMPT_BYTES
+    wants_rare_models: bool = False  # models of the less wanted half only
 
     def body(self, number: int) -> bytes:
         """The body of this request."""
         text = b"request %d" % number
+        if self.has_long_prompt:
+            least, most = PROMPT_BYTES
+            return text.ljust(least + number * _SPREAD % (most - least + 1), b".")
         is_long = self.long_body_every and number % self.long_body_every == 0
         return text.ljust(LONG_BODY_BYTES, b".") if is_long else text
 
@@ -105,6 +112,23 @@
     RequestClass("ticket", "writing", 0.2, LOOKUP, 400, 4000, long_body_every=5),
 )
 
+# Streams that may run once, with long bodies, for models of which most stand on one runner only: a second
+# attempt has no other runner to go to.
+LONG_PROMPTS = RequestClass(
+    "reprint",
+    "streaming",
+    0.2,
+    ENGINES,
+    1500,
+    6000,
+    tries=1,
+    gap_aim_ms=400,
+    output_tokens=40,
+    prompt=(2000, 700),
+    has_long_prompt=True,
+    wants_rare_models=True,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Site:
@@ -117,6 +141,10 @@
     rate: float = 20.0  # requests a second
     classes: tuple[RequestClass, ...] = field(default=CLASSES)
 
+    def with_long_prompts(self) -> Site:
+        """The same site with one more class of requests."""
+        return replace(self, classes=(*self.classes, LONG_PROMPTS))
+
     def model_names(self) -> list[str]:
         """The models, the most asked for first."""
         return [f"model-{number}" for number in range(1, self.models + 1)]
--- a/larchgw/emulator/system/soak.py
+++ b/larchgw/emulator/system/soak.py
@@ -1,7 +1,8 @@
 """A seeded soak: disturbances in series that overlap, without rest between them.
 
 Each edge has a lane of its own, so that several are stopped, killed, frozen and reloaded at the same time.
-The control processes, the operator and the runners have lanes beside them. No disk is lost, so nothing that
+The control processes, the operator and the runners have lanes beside them, and some parts change what the
+clients ask for. No disk is lost, so nothing that
 was acknowledged may be, whatever the order of the disturbances.
 """
 
@@ -29,14 +30,21 @@
 DOWN_S = (0.0, 0.8)
 FROZEN_S = (0.1, 1.6)
 FAULTY_S = (1.0, 4.0)  # that a runner spoils answers
-SERIES = (2, 4)  # signals, kills or freezes in a row
+SERIES = (2, 4)  # signals, kills, freezes or restarts in a row
+RESTART_GAP_S = (0.4, 3.5)  # between the restarts of a runner
 SETTLED_S = 1.0  # after a start, until the process handles SIGHUP
 SIGNAL_GAP_S = (0.02, 1.2)
 MAX_DISTURBED_SHARE = 0.7  # of the edges, at the same time
 MAX_DISTURBED = 8  # edges at the same time: each start takes much of a processor for a moment
 EDGES, CORE, OPERATOR, RUNNERS, ANSWERS = "edges", "core", "operator", "runners", "answers"
+# Runners that restart in a row at their address, or at another one's.
+RESTARTS = "restarts"
+LONG_PROMPTS = "long-prompts"  # a class of streams that may run once, with long bodies; rejected early, too
+IMPATIENT_CLIENTS = "impatient-clients"  # some retry at once and more often
 CLIENT_REPEATS = "client-repeats"  # breaks the protocol: only on request
 PARTS = (EDGES, CORE, OPERATOR, RUNNERS, ANSWERS)
+FURTHER_PARTS = (RESTARTS, LONG_PROMPTS, IMPATIENT_CLIENTS)
+ALL_PARTS = (*PARTS, *FURTHER_PARTS)
 MachineTrouble = Callable[[Machine], Awaitable[str]]
 
 
@@ -94,6 +102,7 @@
             Lane("core", CORE, core, CORE_PAUSE_S),
             Lane("operator", OPERATOR, operator, OPERATOR_PAUSE_S),
             Lane("runners", RUNNERS, runners, RUNNER_PAUSE_S),
+            Lane("restarts", RESTARTS, [self._restart_runner, self._swap_runners], RUNNER_PAUSE_S),
         ]
 
     async def _at_edge(self, kind: MachineTrouble, edge: Machine) -> str:
@@ -142,6 +151,22 @@
 
     # Runners
 
+    async def _restart_runner(self) -> str:
+        """A runner restarts several times in a row at its address, each time under a new id."""
+        runner, times = self._dispensable(), self._random.randint(*SERIES)
+        for _ in range(times):
+            await self._runners.crash(runner, self._random.uniform(*DOWN_S))
+            await asyncio.sleep(self._random.uniform(*RESTART_GAP_S))
+        return f"{runner.id} had restarted {times} times at its address"
+
+    async def _swap_runners(self) -> str:
+        """Two runners of different services crash, and each comes back at the other's address."""
+        first = self._dispensable()
+        others = [one for one in self._runners.all if one.described.service != first.described.service]
+        second = self._random.choice(others)
+        await self._runners.swap_addresses(first, second)
+        return f"{first.id} and {second.id} have each other's address"
+
     async def _spoil_answers(self, runner: Runner) -> str:
         """A runner rejects, repeats and spoils for a while."""
         seconds = self._random.uniform(*FAULTY_S)
@@ -160,5 +185,6 @@
             spoilt=rng.choice((0.0, 0.05, 0.2)),
             carried_on=rng.choice((0.0, 1.0)),
             early=rng.choice((0.0, 0.0, 0.2)),
+            rejected_early=rng.choice((0.0, 0.3)) if LONG_PROMPTS in self._parts else 0.0,
             forgotten_after_s=rng.choice((float("inf"), 0.3)),
         )
--- a/larchgw/emulator/system/trial.py
+++ b/larchgw/emulator/system/trial.py
@@ -21,11 +21,11 @@
 from .operator import Operator
 from .plays import Lengths, PlayError, Plays
 from .records import Records
-from .rig import Rig
+from .rig import ROOT, Rig
 from .runners import Runners
 from .script import Script
 from .site import LOADS_PER_S, Site
-from .soak import CLIENT_REPEATS, Soak
+from .soak import CLIENT_REPEATS, IMPATIENT_CLIENTS, Soak
 
 REJECTIONS = (421, 503)  # by runners
 START_S = 60.0  # that the system may take to be ready, on a busy machine
@@ -51,6 +51,7 @@
     fault: str | None = None  # one of `plays.FAULTS`; requests come until it has been played
     lengths: Lengths = Lengths()
     folder: Path | None = None  # where settings, disks and logs are kept; a passing one if left out
+    programs: Path = ROOT  # checkout whose programs the processes run
 
 
 @dataclass(slots=True)
@@ -140,6 +141,7 @@
             site.controls,
             site.edges,
             linked=spec.fault is not None,
+            source=spec.programs,
         )
         controls = self._rig.control_addresses
         self._runners = Runners(
@@ -155,6 +157,7 @@
             self._services,
             stays=bool(spec.soak),
             repeats=CLIENT_REPEATS in spec.soak,
+            impatient=IMPATIENT_CLIENTS in spec.soak,
         )
         self._background: list[asyncio.Task[None]] = []
 
--- a/tests/emulator/test_system_soak.py
+++ b/tests/emulator/test_system_soak.py
@@ -11,10 +11,16 @@
 
 from larchgw.cli.errors import UsageError
 from larchgw.cli.main import call
+from larchgw.configuration.settings import TimeLimits
+from larchgw.emulator.sockets import RealTime
 from larchgw.emulator.system.answer_faults import AnswerFaults
+from larchgw.emulator.system.clients import draw
+from larchgw.emulator.system.network import Network
 from larchgw.emulator.system.records import Records
-from larchgw.emulator.system.site import Site
-from larchgw.emulator.system.soak import PARTS
+from larchgw.emulator.system.runner import LONG_BYTES
+from larchgw.emulator.system.runners import Runners
+from larchgw.emulator.system.site import ENGINES, LONG_PROMPTS, LOOKUP, PROMPT_BYTES, Site
+from larchgw.emulator.system.soak import ALL_PARTS, PARTS
 from larchgw.emulator.system.trial import SystemSpec, run
 from tests.support.asyncio_tests import on_loop
 from tests.support.system_runners import engine, plain, started, until
@@ -37,6 +43,19 @@
     assert outcome.total("served") > 0
 
 
+def test_a_short_soak_of_all_parts_breaks_no_rule(tmp_path: Path) -> None:
+    # Guards against REFUSED and TWICE of incident 71: streams that may run once, with long bodies, at models
+    # that stand on one runner, while runners restart at their address and clients retry at once.
+    site = Site(edges=4, runners=12, rate=40.0).with_long_prompts()
+    spec = SystemSpec(seconds=20.0, seed=4, site=site, soak=ALL_PARTS, folder=tmp_path)
+    outcome = asyncio.run(run(spec))
+    assert outcome.broken == []
+    assert outcome.statuses == [0] * (site.controls + site.edges)
+    events = "\n".join(outcome.events)
+    assert "times at its address" in events or "have each other's address" in events
+    assert outcome.results["reprint"].served > 0
+
+
 def faults(**shares: float) -> AnswerFaults:
     return AnswerFaults(random.Random(1), **shares)
 
@@ -128,6 +147,26 @@
         assert not records.arrivals[0].body_whole
 
 
+@pytest.mark.parametrize("kind", ["plain", "engine"])
+@on_loop
+async def test_a_long_request_may_be_rejected_before_its_body_has_come(kind: str) -> None:
+    records = Records()
+    runner = make(kind, records)
+    runner.faults = faults(rejected_early=1.0)
+    async with started(runner) as connect:
+        caller = await connect()
+        caller.writer.write(
+            b"POST /ask/1 HTTP/1.1\r\nX-Attempt-Id: id1\r\nContent-Length: %d\r\n\r\n" % LONG_BYTES
+        )
+        reply = await caller.reply()
+        assert (reply.status, "x-not-run" in reply.headers) == (503, True)
+        assert not records.arrivals[0].body_whole
+        caller.writer.write(bytes(LONG_BYTES))
+        await until(lambda: records.arrivals[0].body_whole)
+        assert (await caller.ask(id="id2", **STREAM)).status == 200
+    assert [arrival.ran for arrival in records.arrivals] == [False, True]
+
+
 @on_loop
 async def test_spoilt_answers_are_not_whole_or_are_followed_by_another() -> None:
     records = Records()
@@ -147,3 +186,41 @@
 def test_a_soak_of_unknown_parts_or_beside_other_faults_is_refused(options: dict[str, str]) -> None:
     with pytest.raises(UsageError, match="--soak"):
         call(["try", "--system", *(f"--{name}={value}" for name, value in options.items())])
+
+
+def test_long_prompts_have_bodies_of_the_declared_lengths_and_want_rare_models() -> None:
+    site = Site(rate=200.0).with_long_prompts()
+    names = site.model_names()
+    intents = draw(site, 20.0, random.Random(1), lambda due: names)
+    long_prompts = [intent for intent in intents if intent.wanted is LONG_PROMPTS]
+    lengths = [len(intent.wanted.body(intent.number)) for intent in long_prompts]
+    assert PROMPT_BYTES[0] <= min(lengths) < max(lengths) <= PROMPT_BYTES[1]
+    assert len(set(lengths)) > len(lengths) / 2
+    assert {intent.model.partition("/")[0] for intent in long_prompts} == set(names[len(names) // 2 :])
+    assert not LONG_PROMPTS.idempotent
+    assert LONG_PROMPTS.route()["tries"] == 1
+
+
+@on_loop
+async def test_swapped_runners_come_back_under_new_ids_at_each_others_address() -> None:
+    network = Network.claim(random.Random(1))
+    records, limits = Records(), TimeLimits(reuse_after_s=0.0)
+    runners = Runners(Site(), network, RealTime(), records, limits, lambda: [], random.Random(1))
+    try:
+        runners.start()
+        first, second = runners.of(ENGINES)[0], runners.of(LOOKUP)[0]
+        ids, addresses = [first.id, second.id], [first.described.address, second.described.address]
+        await runners.swap_addresses(first, second)
+        assert [first.described.address, second.described.address] == addresses[::-1]
+        assert {first.id, second.id}.isdisjoint(ids)
+        assert records.crashed == set(ids)
+        assert first.up
+        assert second.up
+    finally:
+        runners.close()
+        network.close()
+
+
+def test_programs_that_are_not_there_are_refused(tmp_path: Path) -> None:
+    with pytest.raises(UsageError, match="--programs"):
+        call(["try", "--system", f"--programs={tmp_path}"])
