Exploration of an edge's attempts: what may run once runs once, a refused request never runs

Change: larchgw explore attempts plays the real ProxiedRequest, RunnerPool and RunnerConnection against simulated sockets and runners that reject, run from the head on, run after a close, repeat answers, break off and restart at their address, with clients that leave, deadlines, stops and withdrawals. The pool keeps open connections in order and takes the function that opens them, so that a run follows its seed.

--- a/larchgw/cli/explore.py
+++ b/larchgw/cli/explore.py
@@ -10,6 +10,7 @@
 EXPLORATIONS = {  # name -> module whose `main` runs the exploration
     "replication": "larchgw.model_checking.replication.main",
     "redundancy": "larchgw.model_checking.replication.redundancy",
+    "attempts": "larchgw.model_checking.attempts.main",
     "check-ins": "larchgw.model_checking.check_ins.main",
     "placement-lease": "larchgw.model_checking.placement_lease.main",
     "operator-calls": "larchgw.model_checking.operator_calls.main",
@@ -26,7 +27,7 @@
         name: Component or property: replication, redundancy (time until another loss is tolerated),
             operator-calls, check-ins (which calls of runners are acknowledged, and which processes know of
             them), or placement-lease (orders of successive placers, and the time until the next one issues
-            orders).
+            orders), attempts (an edge's requests at runners that reject, repeat, break off and restart).
         seconds: Time limit in seconds of real time.
         seed: Seed of the random runs.
     """
--- a/larchgw/edge/runner_connection.py
+++ b/larchgw/edge/runner_connection.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Protocol
 
-from ..net.connection import Connection, connect
+from ..net.connection import Connect, Connection, connect
 from ..net.connection_outcome import ConnectionOutcome
 from ..net.loop import WORKERS, EventLoop
 from ..net.timers import Deadline
@@ -79,8 +79,14 @@
         connection: The transport, or the reason why it could not be opened.
     """
 
-    def __init__(self, owner: ConnectionOwner, address: tuple[str, int], number: int = 0) -> None:
-        """Starts connecting."""
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        address: tuple[str, int],
+        number: int = 0,
+        connect: Connect = connect,
+    ) -> None:
+        """Starts connecting; `connect` opens the transport."""
         self.owner, self.address, self.number = owner, address, number
         self.idle_since = 0.0
         self.idle_s = 0.0
--- a/larchgw/edge/runner_pool.py
+++ b/larchgw/edge/runner_pool.py
@@ -8,7 +8,7 @@
 import structlog
 
 from ..net.address import parse_address
-from ..net.connection import Connection
+from ..net.connection import Connect, Connection, connect
 from ..net.loop import EventLoop
 from ..net.timers import Deadline
 from ..runner_directory.runner_record import RunnerRecord, Stage
@@ -30,13 +30,19 @@
     def __init__(self, service: str, address: tuple[str, int]) -> None:
         self.service, self.address = service, address
         self.idle: deque[RunnerConnection] = deque()
-        self.open: set[RunnerConnection] = set()
+        self.open: dict[RunnerConnection, None] = {}  # oldest first
 
 
 class RunnerPool:
     """The connections of this process to all runners."""
 
-    def __init__(self, loop: EventLoop, counters: EdgeCounters, max_open: Callable[[str], int]) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        counters: EdgeCounters,
+        max_open: Callable[[str], int],
+        connect: Connect = connect,
+    ) -> None:
         """Creates an empty pool.
 
         Args:
@@ -44,7 +50,9 @@
             counters: Counts events of the connections.
             max_open: Returns, for a service, this process's share of the connections that one of its runners
                 accepts; 0 for no limit.
+            connect: Opens the transports.
         """
+        self._connect = connect
         self.loop, self._counters, self._max_open = loop, counters, max_open
         self._by_runner: dict[str, _RunnerConnections] = {}
         self._runner_ids: dict[RunnerConnection, str] = {}
@@ -123,7 +131,7 @@
         connections = self._by_runner.get(runner_id) if runner_id is not None else None
         if runner_id is None or connections is None:
             return
-        connections.open.discard(connection)
+        connections.open.pop(connection, None)
         if connection in connections.idle:
             connections.idle.remove(connection)
         if not connections.open:
@@ -189,12 +197,12 @@
                 return None
             connections.idle.popleft().close()
         self._opened += 1
-        connection = RunnerConnection(self, connections.address, self._opened)
+        connection = RunnerConnection(self, connections.address, self._opened, self._connect)
         if not isinstance(connection.connection, Connection):
             self._counters.connections.labels("failed").inc()
             return None
         self._by_runner[runner.id] = connections
-        connections.open.add(connection)
+        connections.open[connection] = None
         self._runner_ids[connection] = runner.id
         self._counters.connections.labels("opened").inc()
         return connection
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -5,6 +5,7 @@
 import errno
 import select
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from .connection_outcome import ConnectionOutcome
@@ -260,3 +261,7 @@
         sock.close()
         return ConnectionOutcome.REFUSED if error == errno.ECONNREFUSED else ConnectionOutcome.NEVER_UP
     return Connection(loop, sock, owner, connecting=True, rank=rank)
+
+
+Connect = Callable[[EventLoop, tuple[str, int], ConnectionOwner, int], Connection | ConnectionOutcome]
+"""The type of `connect`: loop, address, owner and rank; returns the connection or why there is none."""
