Edge: count surplus answers on connections that never carried their request

Whether runners keep to that was not visible. Change: such answers count as place "elsewhere"; those of a request that the connection carried as one of its last four count as "before", as until now. Tests of edge pass.

--- a/larchgw/edge/answer_parser.py
+++ b/larchgw/edge/answer_parser.py
@@ -47,7 +47,7 @@
         is_complete: Whether this request's response is complete.
         keep_alive: Whether the runner keeps the connection open after the response.
         has_surplus: Whether bytes were received after the response.
-        has_foreign_answer: Whether a response to another request was received.
+        foreign_ids: The `X-Attempt-Id` of each response to another request that was received.
     """
 
     def __init__(self, attempt_id: bytes, head_only: bool) -> None:
@@ -62,7 +62,8 @@
         self._body: list[bytes] = []
         self.head = AnswerHead()
         self.has_head = self.is_complete = self.keep_alive = False
-        self.has_surplus = self.has_foreign_answer = False
+        self.has_surplus = False
+        self.foreign_ids: list[bytes] = []
 
     def feed(self, data: bytes) -> bool:
         """Parses received bytes. Returns False if they are not part of a valid response."""
@@ -134,7 +135,8 @@
         if self.has_head:
             self.is_complete = True
         elif self.head.status >= 200:
-            self.has_foreign_answer = True  # the right one may follow
+            # The right one may follow.
+            self.foreign_ids.append(self.head.headers.get(ATTEMPT_ID, b""))
 
 
 def keep_alive_timeout_s(headers: Mapping[bytes, bytes]) -> float | None:
--- a/larchgw/edge/runner_connection.py
+++ b/larchgw/edge/runner_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
 from typing import Protocol
 
@@ -14,12 +15,14 @@
 from .answer_parser import AnswerHead, AnswerParser
 
 CONNECT_TIMEOUT_S = 0.3
+RECENT_IDS = 4  # of a connection, to tell where a surplus answer belongs
 
 
 class SurplusPlace(Enum):
     """Where bytes came that belong to no awaited answer. The values are label values of a metric."""
 
-    BEFORE = "before"  # an answer to another request, while one was awaited
+    BEFORE = "before"  # an answer to an earlier request of the connection, while one was awaited
+    ELSEWHERE = "elsewhere"  # an answer to a request that the connection has not carried, or long ago
     BEHIND = "behind"  # after a complete answer
     IDLE = "idle"  # while no request was in progress
 
@@ -95,6 +98,7 @@
         self._answer = AnswerParser(b"", head_only=False)
         self._head_reported = False
         self._request_bytes = 0  # handed to the transport
+        self._recent_ids: deque[bytes] = deque(maxlen=RECENT_IDS)  # of the requests carried last
         self._has_received = False  # whether a byte was received since the request was sent
         self._connect_timer: Deadline | None = None
         self._delivery_timer: Deadline | None = None  # set until a long request is delivered
@@ -122,6 +126,7 @@
         self._has_received = self._head_reported = False
         self._request_bytes = 0
         self._answer = AnswerParser(carried.name, head_only)
+        self._recent_ids.append(carried.name)
         if not self.is_connecting:
             self._write(carried)
 
@@ -274,8 +279,9 @@
     def _finish(self, carried: CarriedRequest) -> None:
         """Ends the request after a complete response, and keeps the connection where that is safe."""
         self._carried = None
-        if self._answer.has_foreign_answer:
-            self.owner.on_surplus(SurplusPlace.BEFORE)
+        for foreign_id in self._answer.foreign_ids:
+            is_own = foreign_id in self._recent_ids
+            self.owner.on_surplus(SurplusPlace.BEFORE if is_own else SurplusPlace.ELSEWHERE)
         if self._answer.has_surplus:
             self.owner.on_surplus(SurplusPlace.BEHIND)
         if self._is_reusable():
@@ -291,7 +297,7 @@
         connection, answer = self.connection, self._answer
         if not isinstance(connection, Connection) or connection.closed or connection.peer_ended:
             return False
-        if answer.has_surplus or answer.has_foreign_answer:
+        if answer.has_surplus or answer.foreign_ids:
             return False
         return answer.keep_alive and self._is_delivered()
 
--- a/tests/edge/test_surplus_answers.py
+++ b/tests/edge/test_surplus_answers.py
@@ -20,7 +20,7 @@
     ).encode()
 
 
-@pytest.mark.parametrize("place", ["before", "behind", "idle"])
+@pytest.mark.parametrize("place", ["before", "elsewhere", "behind", "idle"])
 @on_loop
 async def test_surplus_answers_are_counted_by_where_they_came(place: str) -> None:
     runner = ScriptedRunner("i-1")
@@ -34,11 +34,16 @@
             second = await runner.call()
             second.say(answer_of(first) + answer_of(second))
             assert (await client.answer()).fields["x-attempt-id"] == "id2"
+        elif place == "elsewhere":
+            client.ask("/writing/x", "id2")
+            second = await runner.call()
+            second.say(answer_of(first).replace(b"id1", b"id0") + answer_of(second))
+            assert (await client.answer()).fields["x-attempt-id"] == "id2"
         elif place == "idle":
             first.say(answer_of(first))
         await until(lambda: sample(made, "surplus_answers", place=place) == 1)
-        others = {"before", "behind", "idle"} - {place}
-        assert [sample(made, "surplus_answers", place=other) for other in others] == [0.0, 0.0]
+        others = {"before", "elsewhere", "behind", "idle"} - {place}
+        assert [sample(made, "surplus_answers", place=other) for other in others] == [0.0, 0.0, 0.0]
 
 
 @on_loop
