--- a/larchgw/emulator/system/clientlink.py
+++ b/larchgw/emulator/system/clientlink.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 
 import httptools
@@ -43,6 +44,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._over = asyncio.get_running_loop().create_future()
         self.last_used_at = self._now()
+        one.closed_before = _is_closed_by_peer(self._transport)
         self._transport.write(request)
         return self._over
 
@@ -127,6 +129,13 @@
             self.close()
 
 
+def _is_closed_by_peer(transport: asyncio.Transport) -> bool:
+    """Whether the edge's end of the connection has come, seen by the event loop or not yet."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _seconds(text: str) -> float:
     try:
         return max(float(text), 0.0)
--- a/larchgw/emulator/system/judge_answers.py
+++ b/larchgw/emulator/system/judge_answers.py
@@ -125,6 +125,8 @@
         if any(_ending(case, trouble, one) for trouble in case.records.troubles):
             lasted_s = one.ended_at - one.sent_at
             got = f"status {one.status}, {len(one.answer)} bytes after {lasted_s:.2f} s"
+            if one.closed_before:
+                got += ", sent after its edge had closed the connection,"
             yield Breach(
                 "LOST",
                 one.ended_at,
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -37,6 +37,7 @@
     whole: bool = False
     gave_up: bool = False  # the client left before the answer ended
     read: bool = True  # the whole request was sent
+    closed_before: bool = False  # its edge had closed the connection before the request was sent
 
 
 @dataclass(slots=True)
--- a/tests/emulator/test_system_clients.py
+++ b/tests/emulator/test_system_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -45,6 +46,18 @@
     return Try("id1", "writing", "desk.example", "/ask/1", b"", "127.0.0.1", 0.0, 5.0)
 
 
+@pytest.mark.parametrize("closed", [False, True])
+@on_loop
+async def test_a_request_tells_whether_its_connection_was_closed_before_it_was_sent(closed: bool) -> None:
+    async with linked([]) as (link, _, edge):
+        if closed:
+            # A close that the client's loop has not seen yet, as on a busy machine.
+            edge.get_extra_info("socket").shutdown(socket.SHUT_WR)
+        one = attempt()
+        link.ask(b"POST /ask/1 HTTP/1.1\r\n\r\n", one)
+        assert one.closed_before is closed
+
+
 @pytest.mark.parametrize(
     ("answer", "closes", "whole"),
     [
--- a/tests/emulator/test_system_judge.py
+++ b/tests/emulator/test_system_judge.py
@@ -242,6 +242,19 @@
     assert rules(records([dropped], [broke], troubles=planned)) == []
 
 
+@pytest.mark.parametrize("closed_before", [False, True])
+def test_a_lost_request_tells_whether_its_connection_was_closed_before_it_was_sent(
+    closed_before: bool,
+) -> None:
+    dropped = attempt(
+        "a", status=0, seal="", answer=b"", answer_id="", whole=False, closed_before=closed_before
+    )
+    planned = [Trouble(EDGE, 99.0, 107.0, planned=True)]
+    (breach,) = judge(records([dropped], [], troubles=planned), TimeLimits())
+    assert breach.rule == "LOST"
+    assert ("sent after its edge had closed the connection" in breach.what) is closed_before
+
+
 def test_a_run_at_a_service_that_no_version_names_breaks_route() -> None:
     assert rules(records([attempt("a")], [arrival("a", service="desk")])) == ["ROUTE"]
 
