Connections: a closing connection lingers from its last byte, and gives up only a peer that reads nothing

Cause: the second to linger counted from the close, so that output which the kernel had not taken by then was dropped; a server out of descriptors closed such connections, too. Change: the second counts from the last byte written; output is given up after 10 s without progress; only connections whose output is written are closed for newcomers. Tests of net, edge and docs pass.

--- a/larchgw/net/client_connection.py
+++ b/larchgw/net/client_connection.py
@@ -36,7 +36,7 @@
         body_memory: The memory for bodies not yet passed to the handler.
         single_request: Whether each connection carries one request only.
         stopping: Whether connections close after their last response.
-        lingering: Connections being closed after their last response, with the start time (loop's clock).
+        lingering: Connections being closed after their last response; see `HttpServer`.
     """
 
     loop: EventLoop
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -15,7 +15,10 @@
 READ_BYTES = 65536
 MAX_READS = 4  # chunks read in one iteration, so that an end of stream after the data is seen
 MAX_UNSENT_BYTES = 1 << 20
-LINGER_S = 1.0  # for the peer to read the last response before the connection is closed
+LINGER_S = 1.0  # after the last byte was written, for the peer to read it before the connection is closed
+# Without progress before a closing connection gives up what is unwritten. The kernel takes more only once a
+# third of its buffer is free, which a slow peer needs seconds for.
+STALLED_S = 10.0
 
 
 class ConnectionOwner(Protocol):
@@ -103,7 +106,10 @@
             self._update_watch()
 
     def close_after_write(self, lingering: dict[Connection, float] | None = None) -> None:
-        """Writes pending output, then closes; until then `lingering` holds it with the time of this call.
+        """Writes pending output, then closes; until then `lingering` holds it.
+
+        The time in `lingering` is that of this call and, once all output is written, the time of that.
+        Pending output is given up only if the peer takes none of it for STALLED_S.
 
         Closing immediately with unread bytes in the socket would reset the connection, and the reset can
         reach the peer before it has read the last response.
@@ -112,13 +118,13 @@
             return
         self._closing = True
         self.loop.closing_count += 1
-        now = self.loop.clock.now()
-        self._linger_timer = self.loop.deadlines.add(now + LINGER_S, self.close)
         if lingering is not None:
             self._lingering = lingering
-            lingering[self] = now
+            lingering[self] = self.loop.clock.now()
         if not self._output:
-            self._shut_down_writing()
+            self._linger()
+        else:
+            self._close_after(STALLED_S)
         self._paused = False
         if not self.closed:
             self._update_watch()
@@ -142,7 +148,16 @@
         if not was_closing:
             self.owner.on_end(ending)
 
-    def _shut_down_writing(self) -> None:
+    def _close_after(self, seconds: float) -> None:
+        """Closes the connection after that time, instead of when it was to be closed before."""
+        self.loop.deadlines.cancel(self._linger_timer)
+        self._linger_timer = self.loop.deadlines.add(self.loop.clock.now() + seconds, self.close)
+
+    def _linger(self) -> None:
+        """Gives the peer time to read the last response, which is written."""
+        self._close_after(LINGER_S)
+        if self in self._lingering:
+            self._lingering[self] = self.loop.clock.now()
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -188,9 +203,11 @@
             del self._output[:sent]
             if not self._output:
                 if self._closing:
-                    self._shut_down_writing()
+                    self._linger()
                 else:
                     self.owner.on_written()
+            elif self._closing and sent:
+                self._close_after(STALLED_S)
         if not self.closed:
             self._update_watch()
 
--- a/larchgw/net/http_server.py
+++ b/larchgw/net/http_server.py
@@ -28,8 +28,8 @@
         connections: The connections that accept requests.
         without_request: Those without a complete request so far, longest silent first.
         idle: Those between two requests, longest idle first.
-        lingering: Connections being closed after their last response, with the start time. They still use
-            file descriptors.
+        lingering: Connections being closed after their last response, with the time at which they began to
+            close or, later, had written all output. They still use file descriptors.
     """
 
     def __init__(
@@ -125,16 +125,16 @@
     def _close_idle_connection(self) -> bool:
         """Closes one connection that has no request in progress. Returns whether there was one.
 
-        Prefers a connection that has been lingering for a while. Next is the longest silent connection
-        without a complete request, unless it is recent: its first request may be in transit and would be
-        lost. Last is the connection that has been idle longest.
+        Prefers a connection that has been lingering for a while since its output was written. Next is the
+        longest silent connection without a complete request, unless it is recent: its first request may be
+        in transit and would be lost. Last is the connection that has been idle longest.
         """
         silent, idle = next(iter(self.without_request), None), next(iter(self.idle), None)
-        answered, since = next(iter(self.lingering.items()), (None, 0.0))
         recent = self.loop.clock.now() - FIRST_REQUEST_GRACE_S
-        if answered is not None and since < recent:
-            answered.close()
-            return True
+        for answered, since in self.lingering.items():
+            if since < recent and not answered.busy():
+                answered.close()
+                return True
         if silent is not None and (idle is None or silent.received_at < recent):
             chosen = silent
         elif idle is not None:
