Edge: the failed attempts of a request and their log lines in one class; one list of promising statuses

A move without a change of behaviour: request.py lost 23 lines, the emulator, the judge and the exploration share PROMISES, and answers.NEVER_RAN_STATUSES, which also meets responses of requests that may have run, is PROMISE_STATUSES. Tests of edge, emulator, docs and the exploration pass.

--- a/larchgw/edge/answers.py
+++ b/larchgw/edge/answers.py
@@ -9,7 +9,9 @@
 SEAL = b"x-server-seal"
 NOT_RUN = b"x-not-run"
 LOAD = b"x-runner-load"
-NEVER_RAN_STATUSES = (408, 429, 503)  # tell a client that its request never ran and never will
+# A client takes these as a promise that its request never ran and never will; an edge takes them so from a
+# runner only with X-Not-Run.
+PROMISE_STATUSES = (408, 429, 503)
 
 
 class Verdict(Enum):
@@ -27,7 +29,7 @@
     """Classifies a response that carries the request's attempt id."""
     if head.status == 421:
         return Verdict.NOT_HELD
-    if head.status in NEVER_RAN_STATUSES:
+    if head.status in PROMISE_STATUSES:
         return Verdict.FULL if NOT_RUN in head.headers else Verdict.MAY_HAVE_RUN
     if 200 <= head.status < 300:
         if not head.headers.get(SEAL):
--- a/larchgw/edge/failed_attempts.py
+++ b/larchgw/edge/failed_attempts.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
+import structlog
+
+from ..configuration.model import Route
 from ..routing.interface import AttemptOutcome
 
 REJECTIONS = (AttemptOutcome.FULL, AttemptOutcome.NOT_HELD)
 NO_CONNECTION = 0  # the number of the connection of an attempt that got none
+log = structlog.get_logger()
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +39,43 @@
         return f"{self.runner}:{self.outcome.name}:{self.connection}"
 
 
-def listed(attempts: Sequence[FailedAttempt]) -> str:
-    """Returns the attempts in order, as log lines show them."""
-    return ",".join(str(attempt) for attempt in attempts)
+class FailedAttempts:
+    """The failed attempts of one request, in order; logs what rests on them if it may run only once."""
+
+    def __init__(self, request: bytes, route: Route) -> None:
+        """Starts empty; `request` is the `X-Attempt-Id`."""
+        self._request, self._route = request.decode("latin-1"), route
+        self._attempts: list[FailedAttempt] = []
+
+    def add(self, attempt: FailedAttempt) -> None:
+        """Adds the last attempt."""
+        self._attempts.append(attempt)
+
+    def log_further_attempt(self, runner: str, connection: int) -> None:
+        """Logs that the request goes to a runner again, if it had failed attempts."""
+        if self._is_told():
+            log.info(
+                "request.sent_again",
+                request=self._request,
+                route=self._route.name,
+                runner=runner,
+                connection=connection,
+                attempts=str(self),
+            )
+
+    def log_refusal(self, reason: str) -> None:
+        """Logs that the client is promised that the request never ran, if it had failed attempts."""
+        if not self._is_told():
+            return
+        fields = {"request": self._request, "route": self._route.name, "reason": reason}
+        if any(attempt.is_rejection for attempt in self._attempts):
+            log.info("request.refused_after_rejection", **fields, rejections=str(self))
+        else:
+            log.info("request.refused_unsent", **fields, attempts=str(self))
+
+    def _is_told(self) -> bool:
+        return bool(self._attempts) and not self._route.is_idempotent
+
+    def __str__(self) -> str:
+        """Returns the form in log lines: the attempts, separated by commas."""
+        return ",".join(str(attempt) for attempt in self._attempts)
--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -20,7 +20,7 @@
 from .answers import Verdict, classify, reported_load
 from .context import ProxyContext
 from .errors import EventTooLongError, StreamMismatchError
-from .failed_attempts import NO_CONNECTION, FailedAttempt, listed
+from .failed_attempts import NO_CONNECTION, FailedAttempt, FailedAttempts
 from .forwarding import request_bytes
 from .relay import BufferedRelay
 from .runner_connection import RunnerConnection
@@ -56,7 +56,7 @@
         self._context, self._exchange = context, exchange
         self._tried: list[str] = []
         self._connections: list[RunnerConnection] = []  # one for each attempt that got one
-        self._failed_attempts: list[FailedAttempt] = []  # those that never ran
+        self._failed_attempts = FailedAttempts(name, traits.route)
         # Attempts made, attempts that sent bytes to a runner, and attempts that may have run.
         self._attempts = self._deliveries = self._possible_runs = 0
         self._is_finished = self._is_deciding = self._demand_reported = False
@@ -189,8 +189,7 @@
         idempotent = self.traits.route.is_idempotent
         connection = context.pool.acquire(runner, idempotent, self._connections)
         self._connection_number = connection.number if connection is not None else NO_CONNECTION
-        if self._failed_attempts and not idempotent:
-            self._log_further_attempt(runner)
+        self._failed_attempts.log_further_attempt(runner.id, self._connection_number)
         if connection is None:
             self._on_attempt_failed(AttemptOutcome.UNSENT)
             return
@@ -364,7 +363,7 @@
         if not outcome.never_ran:
             self._possible_runs += 1
         if outcome.never_ran:
-            self._failed_attempts.append(FailedAttempt(attempt.runner, outcome, self._connection_number))
+            self._failed_attempts.add(FailedAttempt(attempt.runner, outcome, self._connection_number))
         self._context.waiting.runner_freed(attempt.runner)
 
     def _on_attempt_failed(self, outcome: AttemptOutcome) -> None:
@@ -425,7 +424,7 @@
             spread = 1.0 + RETRY_AFTER_JITTER * self._context.random.random()
             seconds = min(max(retry_after, MIN_RETRY_AFTER_S) * spread, left * RETRY_AFTER_SHARE)
             self._context.counters.refused.labels(reason).inc()
-            self._log_refusal(reason)
+            self._failed_attempts.log_refusal(reason)
             self._reply(503, reason, (("Retry-After", f"{seconds:.3f}"),))
 
     def _reply(self, status: int, reason: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
@@ -435,28 +434,6 @@
         self._exchange.reply(status, reason.encode() + b"\n", headers)
         self._finish("refused" if status == HTTPStatus.SERVICE_UNAVAILABLE else "failed")
 
-    def _log_refusal(self, reason: str) -> None:
-        """Logs what the promise rests on that the request, which may run once only, never ran."""
-        attempts = self._failed_attempts
-        if not attempts or self.traits.route.is_idempotent:
-            return
-        fields = {"request": self.name.decode("latin-1"), "route": self.traits.route.name, "reason": reason}
-        if any(attempt.is_rejection for attempt in attempts):
-            log.info("request.refused_after_rejection", **fields, rejections=listed(attempts))
-        else:
-            log.info("request.refused_unsent", **fields, attempts=listed(attempts))
-
-    def _log_further_attempt(self, runner: RunnerRecord) -> None:
-        """Logs that a request, which may run once only, goes to a runner again, and after which attempts."""
-        log.info(
-            "request.sent_again",
-            request=self.name.decode("latin-1"),
-            route=self.traits.route.name,
-            runner=runner.id,
-            connection=self._connection_number,
-            attempts=listed(self._failed_attempts),
-        )
-
     def _truncate(self, reason: str) -> None:
         """Ends a response that cannot be completed, so that the client detects the truncation."""
         self._context.counters.cut.inc()
--- a/larchgw/emulator/system/clients.py
+++ b/larchgw/emulator/system/clients.py
@@ -14,7 +14,7 @@
 from .clientlink import ClientLink
 from .histogram import Histogram
 from .ingress import Ingress
-from .records import Records, Try
+from .records import PROMISES, Records, Try
 from .rig import Machine
 from .site import HOST, ZONE_NAMES, RequestClass, Site
 
@@ -23,7 +23,6 @@
 SESSIONS = 40
 NEW_CONNECTION_SHARE = 0.2  # of first tries; the others use a kept one where there is one
 FINAL = (400, 401, 404, 413, 431)  # after these, no client tries again
-PROMISES = (408, 421, 429, 503)
 HONOURED = 1 / 3  # of the time left, as the longest Retry-After that is kept to
 LEAST_SILENCE_S, SILENCE_TARGETS, SILENCE_GAPS = 2.0, 4.0, 8.0  # after which a stream is given up
 MOST_REST_S = 12.0  # of a kept connection before it is used again; edges close it after 15 s
--- a/larchgw/emulator/system/judge_retries.py
+++ b/larchgw/emulator/system/judge_retries.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterator
 
 from .breach import Breach, Case
+from .records import PROMISES
 
-PROMISES = (408, 421, 429, 503)  # statuses that promise that the request has not run and never will
 TRIES_ALLOWED = 3  # requests that may have run on more runners than their route allows
 
 
--- a/larchgw/emulator/system/records.py
+++ b/larchgw/emulator/system/records.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+PROMISES = (408, 421, 429, 503)  # statuses that promise that the request has not run and never will
+
 
 @dataclass(slots=True)
 class Try:
--- a/larchgw/model_checking/attempts/ledger.py
+++ b/larchgw/model_checking/attempts/ledger.py
@@ -4,10 +4,9 @@
 
 from collections import Counter
 
+from ...emulator.system.records import PROMISES
 from ..errors import InvariantError
 
-PROMISES = (408, 421, 429, 503)  # tell a client that its request never ran and never will
-
 
 class Ledger:
     """The runs and final responses of one exploration run, checked at each change.
