Build identity read by one loop; a request's id is decoded only for a log line

Second read: the identity had two loops over a generator, for starts and for the command, which now runs the coroutine; and each request decoded its id though few are logged. Behaviour, digest and log lines as before.

--- a/larchgw/edge/failed_attempts.py
+++ b/larchgw/edge/failed_attempts.py
@@ -44,7 +44,7 @@
 
     def __init__(self, request: bytes, route: Route) -> None:
         """Starts empty; `request` is the `X-Attempt-Id`."""
-        self._request, self._route = request.decode("latin-1"), route
+        self._request, self._route = request, route
         self._attempts: list[FailedAttempt] = []
 
     def add(self, attempt: FailedAttempt) -> None:
@@ -56,8 +56,7 @@
         if self._is_told():
             log.info(
                 "request.sent_again",
-                request=self._request,
-                route=self._route.name,
+                **self._fields(),
                 runner=runner,
                 connection=connection,
                 attempts=str(self),
@@ -67,15 +66,18 @@
         """Logs that the client is promised that the request never ran, if it had failed attempts."""
         if not self._is_told():
             return
-        fields = {"request": self._request, "route": self._route.name, "reason": reason}
         if any(attempt.is_rejection for attempt in self._attempts):
-            log.info("request.refused_after_rejection", **fields, rejections=str(self))
+            log.info("request.refused_after_rejection", **self._fields(), reason=reason, rejections=str(self))
         else:
-            log.info("request.refused_unsent", **fields, attempts=str(self))
+            log.info("request.refused_unsent", **self._fields(), reason=reason, attempts=str(self))
 
     def _is_told(self) -> bool:
         return bool(self._attempts) and not self._route.is_idempotent
 
+    def _fields(self) -> dict[str, str]:
+        """Returns the fields that each of the log lines has."""
+        return {"request": self._request.decode("latin-1"), "route": self._route.name}
+
     def __str__(self) -> str:
         """Returns the form in log lines: the attempts, separated by commas."""
         return ",".join(str(attempt) for attempt in self._attempts)
--- a/larchgw/runtime/build_identity.py
+++ b/larchgw/runtime/build_identity.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-from collections.abc import Generator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -27,35 +26,21 @@
     source: str
 
 
-def read_files(package: Path = PACKAGE) -> Generator[None, None, BuildIdentity]:
-    """Reads the package's Python files, one at each step, and returns their identity. Raises OSError."""
+async def read_build_identity(package: Path = PACKAGE) -> BuildIdentity:
+    """Reads the package's Python files and returns their identity; other tasks run between the files.
+
+    Raises:
+        OSError: A file cannot be read.
+    """
     digest = hashlib.sha256()
     for path in sorted(package.rglob("*.py")):
         data = path.read_bytes()
         digest.update(f"{path.relative_to(package).as_posix()}\0{len(data)}\0".encode())
         digest.update(data)
-        yield
+        await asyncio.sleep(0)
     return BuildIdentity(__version__, digest.hexdigest()[:DIGEST_DIGITS])
 
 
 def build_identity(package: Path = PACKAGE) -> BuildIdentity:
-    """Returns the identity of the package's Python files. Raises OSError."""
-    steps = read_files(package)
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            identity: BuildIdentity = end.value
-            return identity
-
-
-async def build_identity_in_steps() -> BuildIdentity:
-    """Returns the identity of this program; other tasks run between the files. Raises OSError."""
-    steps = read_files()
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            identity: BuildIdentity = end.value
-            return identity
-        await asyncio.sleep(0)
+    """Does the same where no event loop runs. Raises OSError."""
+    return asyncio.run(read_build_identity(package))
--- a/larchgw/runtime/process.py
+++ b/larchgw/runtime/process.py
@@ -15,7 +15,7 @@
 from ..storage.errors import StorageError
 from . import logs
 from .background_tasks import BackgroundTasks
-from .build_identity import build_identity_in_steps
+from .build_identity import read_build_identity
 from .settings_watch import Reloadable, SettingsWatch
 
 log = structlog.get_logger()
@@ -91,7 +91,7 @@
 async def _log_build() -> None:
     """Logs which program this is, read between other tasks so that they aren't delayed."""
     try:
-        build = await build_identity_in_steps()
+        build = await read_build_identity()
     except OSError as error:
         log.warning("process.build_unreadable", error=str(error))
         return
