Control: a drain or Leave is on the disks of a majority before it is acknowledged

Cause: the entry was replicated to a majority of the witnesses, but the registry is in memory everywhere. A pull is answered 10 ms after a change, so for that long nobody else had it; the runner checks in no more, and the edges hand back "ready".

A push is answered once its departures are durable, Unavailable if the disk refuses them. The local copy is one of the copies that the majority is counted from, so a standing or full disk of the acknowledging process does not prevent it.

--- a/larchgw/control/assembly.py
+++ b/larchgw/control/assembly.py
@@ -28,10 +28,12 @@
 from ..runtime.membership import make_swim
 from ..runtime.random_source import new_random_source
 from ..runtime.rpc_clients import RpcClients
+from ..storage.disk_thread import DiskThread
 from ..storage.files import DiskFiles
 from .configuration_state import ConfigurationState
 from .contact_monitor import ContactMonitor
 from .control_processes import ControlProcesses
+from .departure_store import DepartureStore
 from .disk import ControlDisk
 from .latest_view import LatestView
 from .majority_contact import PullContact
@@ -84,6 +86,7 @@
         pullers: Pull entries from the other control processes.
         pull_service: Serves pulls from other processes.
         handoff: Pushes urgent entries to the other control processes.
+        departures: Stores the departures of runners on disk.
         contact: Tells whether a majority of the witnesses is reachable.
     """
 
@@ -94,6 +97,7 @@
     pullers: PeerPullers
     pull_service: PullService
     handoff: HintedHandoff
+    departures: DepartureStore
     contact: PullContact
 
 
@@ -212,14 +216,23 @@
         node_name=settings.node_name,
     )
     contact = PullContact(member.id, latest_view.get, pullers.contact_proven_at)
+    departures = DepartureStore(registry, replication.disk.departures, DiskThread("departures"))
     return DistributionComponents(
         registry=registry,
         publisher=ConfigurationPublisher(replication.state, registry, lambda: member.is_primary),
         latest_view=latest_view,
         processes=processes,
         pullers=pullers,
-        pull_service=PullService(registry, contact.is_isolated, processes.all_addresses),
-        handoff=HintedHandoff(RpcClient, processes.peers_and_witnesses, node_name=settings.node_name),
+        pull_service=PullService(
+            registry, contact.is_isolated, processes.all_addresses, durable_entries=departures
+        ),
+        handoff=HintedHandoff(
+            RpcClient,
+            processes.peers_and_witnesses,
+            node_name=settings.node_name,
+            durable_entries=departures,
+        ),
+        departures=departures,
         contact=contact,
     )
 
--- a/larchgw/control/disk.py
+++ b/larchgw/control/disk.py
@@ -12,6 +12,8 @@
 from ..storage.reserve import Reserve
 
 LOG_FOLDER = "log"
+DEPARTURES_FOLDER = "departures"  # journal of runners that are draining or have left
+DEPARTURES_SEGMENT_BYTES = 256 * 1024
 RESERVE_NEVER_FILLED = -1
 FREE_BYTES_UNKNOWN = -1  # in the status, if the file system does not report its free space
 
@@ -22,13 +24,14 @@
     Attributes:
         folder: Path of the data folder.
         log: The log of the replication member.
+        departures: The journal of departed runners; see departure_store.py, which owns it.
         ports: Storage interfaces of the member, which owns them.
         reserve: Reserved space for small values when the disk is full.
     """
 
-    def __init__(self, folder: str, log: Log, reserve: Reserve, ports: Ports) -> None:
+    def __init__(self, folder: str, log: Log, departures: Log, reserve: Reserve, ports: Ports) -> None:
         """Wraps recovered files; use `open` to recover them."""
-        self.folder, self.log, self.ports = folder, log, ports
+        self.folder, self.log, self.departures, self.ports = folder, log, departures, ports
         self.reserve = reserve
         self._reserve_filled_at_index = RESERVE_NEVER_FILLED  # the log's first index at the last refill
 
@@ -44,12 +47,13 @@
         """
         reserve = Reserve(files, folder)
         log = Log.open(files, os.path.join(folder, LOG_FOLDER))
+        departures = Log.open(files, os.path.join(folder, DEPARTURES_FOLDER), DEPARTURES_SEGMENT_BYTES)
 
         def cell(name: str) -> Cell:
             return Cell(files, folder, name, reserve)
 
         ports = Ports(identity=cell("identity"), witness=cell("witness"), leases=cell("leases"), journal=log)
-        return cls(folder, log, reserve, ports)
+        return cls(folder, log, departures, reserve, ports)
 
     def refill_reserve(self) -> None:
         """Refills the reserve at the first call, and whenever a compaction has freed space since then.
--- a/larchgw/control/majority_contact.py
+++ b/larchgw/control/majority_contact.py
@@ -32,10 +32,14 @@
         Also true after the start of this process until contact has been proven.
         """
 
-    def is_majority(self, addresses: Collection[str]) -> bool:
+    def is_majority(self, addresses: Collection[str], *, with_this_process: bool = True) -> bool:
         """Whether the processes at these RPC addresses and this one are a majority of the witnesses.
 
         While the set of witnesses is being changed, a majority of the previous set is required as well.
+
+        Args:
+            addresses: RPC addresses of other processes.
+            with_this_process: Whether this process counts, if it is a witness.
         """
 
 
@@ -71,21 +75,27 @@
         A process that knows no view does not know the witnesses, and is isolated.
         """
         view = self._view()
-        return view is None or not self._has_quorum(view, self._is_proven)
+        return view is None or not self._has_quorum(view, self._is_proven, with_this_process=True)
 
-    def is_majority(self, addresses: Collection[str]) -> bool:
+    def is_majority(self, addresses: Collection[str], *, with_this_process: bool = True) -> bool:
         """Whether these addresses and this process form a majority; see MajorityContact."""
         view = self._view()
-        return view is not None and self._has_quorum(view, lambda address: address in addresses)
+        return view is not None and self._has_quorum(
+            view, lambda address: address in addresses, with_this_process=with_this_process
+        )
 
-    def _has_quorum(self, view: View, counts: Callable[[str], bool]) -> bool:
-        """Whether this process and the witnesses whose address satisfies `counts` form a quorum.
+    def _has_quorum(self, view: View, counts: Callable[[str], bool], *, with_this_process: bool) -> bool:
+        """Whether the witnesses whose address satisfies `counts` form a quorum, if wanted with this process.
 
         `counts` is never true for this process's own address. This process is matched by its identity: after
         the loss of its disk it is no longer a witness, although its address is still that of one.
         """
         return view.has_quorum(
-            [name for name in view.all_witnesses if name == self._member_id or counts(view.addresses[name])]
+            [
+                name
+                for name in view.all_witnesses
+                if (with_this_process and name == self._member_id) or counts(view.addresses[name])
+            ]
         )
 
     def _is_proven(self, address: str) -> bool:
--- a/larchgw/control/node.py
+++ b/larchgw/control/node.py
@@ -89,6 +89,7 @@
         self._http.stop()
         await asyncio.sleep(OPEN_CALLS_GRACE_S)
         self.tasks.stop()
+        self.components.distribution.departures.close()
         self._rpc.stop()
         self.components.clients.close()
 
--- a/larchgw/control/runner_check_ins.py
+++ b/larchgw/control/runner_check_ins.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from ..distribution.hinted_handoff import LOCAL_COPY
 from ..distribution.keys import RUNNER_PREFIX
 from ..distribution.registry import Registry
 from ..rpc.generated.ttypes import Entry
@@ -16,16 +17,16 @@
 
 
 class Replicator(Protocol):
-    """Pushes entries to the other control processes; implemented by hinted_handoff.HintedHandoff."""
+    """Brings entries to the disks of the control processes; implemented by hinted_handoff.HintedHandoff."""
 
     async def replicate(
         self, entries: Sequence[Entry], timeout_s: float, quorum_reached: Callable[[set[str]], bool]
     ) -> set[str]:
-        """Pushes entries to the other control processes.
+        """Pushes entries to the other control processes, and stores them on the disk of this one.
 
         Returns:
-            The RPC addresses of the processes that have the entries, as soon as `quorum_reached` is true for
-            them, but no later than after `timeout_s`.
+            The RPC addresses of the processes that have the entries on disk, with LOCAL_COPY for this one, as
+            soon as `quorum_reached` is true for them, but no later than after `timeout_s`.
         """
 
 
@@ -34,8 +35,9 @@
 
     A runner that gets no acknowledgement calls another process. Its report is recorded anyway, so that edges
     that can reach only this process know the runner. The news that a runner is draining or has left is
-    replicated to a majority of the witnesses before it is acknowledged: every control process that edges may
-    pull from then knows it within MAX_CONTACT_AGE_S (majority_contact.py).
+    replicated to a majority of the witnesses before it is acknowledged, and is on the disk of each of them
+    (departure_store.py): every control process that edges may pull from then knows it within
+    MAX_CONTACT_AGE_S (majority_contact.py), also if all of them are restarted meanwhile.
     """
 
     def __init__(
@@ -78,13 +80,18 @@
         return not outcome.needs_replication or await self._replicate(runner_id)
 
     async def _replicate(self, runner_id: str) -> bool:
-        """Pushes the runner's entry; returns whether a majority of the witnesses has it."""
+        """Replicates the runner's entry; returns whether a majority of the witnesses has it on disk."""
         entry = self._registry.get(RUNNER_PREFIX + runner_id)
         record = self._directory.get(runner_id)
         if entry is None or record is None:
             return False
-        is_majority = self._contact.is_majority
-        if not is_majority(await self._replicator.replicate([entry], HANDOFF_TIMEOUT_S, is_majority)):
+        has_majority = self._has_majority
+        if not has_majority(await self._replicator.replicate([entry], HANDOFF_TIMEOUT_S, has_majority)):
             return False
         self._directory.mark_replicated(runner_id, record.stage)
         return True
+
+    def _has_majority(self, accepted_by: set[str]) -> bool:
+        return self._contact.is_majority(
+            accepted_by - {LOCAL_COPY}, with_this_process=LOCAL_COPY in accepted_by
+        )
--- a/larchgw/distribution/hinted_handoff.py
+++ b/larchgw/distribution/hinted_handoff.py
@@ -1,9 +1,9 @@
 """Hinted handoff: pushes urgent entries to other control processes before they are acknowledged.
 
-`HintedHandoff.replicate` pushes entries to every peer and returns the peers that have them, without waiting
-for the slowest once there is a quorum. Entries that a peer did not accept are stored as hints, and `run`
-delivers them in batches when the peer answers again. Hints let a returning peer learn urgent entries sooner;
-no guarantee depends on them, because peers also pull from one another.
+`HintedHandoff.replicate` pushes entries to every peer, stores them on the disk of this process, and returns
+who has them, without waiting for the slowest once there is a quorum. Entries that a peer did not accept are
+stored as hints, and `run` delivers them in batches when the peer answers again. Hints let a returning peer
+learn urgent entries sooner; no guarantee depends on them, because peers also pull from one another.
 
 Source: DeCandia and others, "Dynamo", SOSP 2007, section 4.6.
 """
@@ -19,6 +19,7 @@
 from ..rpc.errors import RpcError
 from ..rpc.generated.ttypes import Entry, PushRequest
 from .connection import Connect, Connection
+from .durable_entries import DurableEntries
 from .hints import HintStore
 
 log = structlog.get_logger()
@@ -27,6 +28,7 @@
 BATCH_PAUSE_S = 0.05  # between two batches to one peer
 HANDOVER_INTERVAL_S = 0.5  # between two attempts to deliver hints
 HANDOVER_TIMEOUT_S = 1.0
+LOCAL_COPY = ""  # in the result of `replicate`: this process itself
 
 
 class HintedHandoff:
@@ -43,6 +45,7 @@
         *,
         node_name: str = "",
         max_hints: int = MAX_HINTS_PER_PEER,
+        durable_entries: DurableEntries | None = None,
     ) -> None:
         """Creates it without connections; `run` delivers hints.
 
@@ -51,10 +54,12 @@
             peers: Returns the RPC addresses of the other live control processes.
             node_name: Name of this process, for the logs of the called processes.
             max_hints: Maximum number of entries stored for one peer.
+            durable_entries: Stores the entries on the disk of this process; None if it has none.
         """
         self._connect = connect
         self._peers = peers
         self._node_name = node_name
+        self._durable_entries = durable_entries
         self._connections: dict[str, Connection] = {}
         self._pushes: set[asyncio.Task[bool]] = set()  # started by `replicate` and still in flight
         self.hints = HintStore(max_hints)
@@ -65,22 +70,25 @@
         timeout_s: float,
         quorum_reached: Callable[[set[str]], bool] = lambda accepted_by: False,
     ) -> set[str]:
-        """Pushes entries to all peers.
+        """Pushes entries to all peers, and stores them on the disk of this process meanwhile.
 
         Args:
-            entries: The entries to push.
-            timeout_s: Timeout of each push.
-            quorum_reached: Whether the peers that have accepted the entries so far are sufficient.
+            entries: The entries to push; this process has them in its registry.
+            timeout_s: Timeout of each push, and of storing them.
+            quorum_reached: Whether those that have accepted the entries so far are sufficient.
 
         Returns:
-            The peers that have accepted the entries, as soon as `quorum_reached` is true for them, all peers
-            have answered, or `timeout_s` has passed. The remaining pushes continue in the background, and a
-            hint is stored for each one that fails.
+            The peers that have accepted the entries, and LOCAL_COPY if this process has stored them, as soon
+            as `quorum_reached` is true for them, all have answered, or `timeout_s` has passed. The remaining
+            pushes continue in the background, and a hint is stored for each one that fails.
         """
         pushes = {
             asyncio.ensure_future(self._push_or_keep_hint(peer, entries, timeout_s)): peer
             for peer in self._peers()
         }
+        if self._durable_entries is not None:
+            storing = self._store(self._durable_entries, entries, timeout_s)
+            pushes[asyncio.ensure_future(storing)] = LOCAL_COPY
         self._pushes.update(pushes)
         accepted_by: set[str] = set()
         pending = set(pushes)
@@ -121,16 +129,27 @@
             self.hints.remove_delivered(peer, batch)
             await asyncio.sleep(BATCH_PAUSE_S)
 
+    async def _store(self, store: DurableEntries, entries: Sequence[Entry], timeout_s: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await store.make_durable(entries)
+        except TimeoutError:
+            return False
+        finally:
+            self._forget_current_task()
+
     async def _push_or_keep_hint(self, peer: str, entries: Sequence[Entry], timeout_s: float) -> bool:
-        task = asyncio.current_task()
         try:
             is_accepted = await self._push(peer, entries, timeout_s)
         finally:
-            self._pushes.discard(task)  # type: ignore[arg-type]  # this coroutine runs as one of the tasks
+            self._forget_current_task()
         if not is_accepted:
             self.hints.add(peer, entries)
         return is_accepted
 
+    def _forget_current_task(self) -> None:
+        self._pushes.discard(asyncio.current_task())  # type: ignore[arg-type]  # runs as one of the tasks
+
     async def _push(
         self, peer: str, entries: Sequence[Entry], timeout_s: float, failure_level: int = logging.INFO
     ) -> bool:
--- a/larchgw/distribution/pull_service.py
+++ b/larchgw/distribution/pull_service.py
@@ -14,7 +14,8 @@
 import asyncio
 from collections.abc import Callable
 
-from ..rpc.generated.ttypes import Entry, PullReply, PullRequest, PushReply, PushRequest
+from ..rpc.generated.ttypes import Entry, PullReply, PullRequest, PushReply, PushRequest, Unavailable
+from .durable_entries import DurableEntries
 from .registry import Registry
 from .version_vectors import cursor_key
 
@@ -37,6 +38,7 @@
         control_addresses: Callable[[], list[str]],
         gather_delay_s: float = GATHER_DELAY_S,
         max_reply_bytes: int = MAX_REPLY_BYTES,
+        durable_entries: DurableEntries | None = None,
     ) -> None:
         """Starts watching the registry.
 
@@ -46,11 +48,13 @@
             control_addresses: Returns the RPC addresses of the currently known control processes.
             gather_delay_s: Delay from a change until waiting callers are woken.
             max_reply_bytes: Approximate limit on the total size of the entries in one reply.
+            durable_entries: Stores pushed entries on the disk of this process; None if it has none.
         """
         self.registry = registry
         self._is_isolated = is_isolated
         self._control_addresses = control_addresses
         self._max_reply_bytes = max_reply_bytes
+        self._durable_entries = durable_entries
         self._waiting_for_any_change = _WaitingCallers(gather_delay_s)
         self._waiting_for_own_change = _WaitingCallers(gather_delay_s)
         registry.watch("", self._on_change)
@@ -83,8 +87,18 @@
         return reply
 
     async def push(self, request: PushRequest) -> PushReply:
-        """Merges entries pushed by another process; replies once they are in the registry."""
-        self.registry.merge(request.entries or [])
+        """Merges entries pushed by another process; replies once those that need it are durable.
+
+        Raises:
+            Unavailable: They are in the registry, but could not be written to the disk.
+        """
+        entries = request.entries or []
+        self.registry.merge(entries)
+        store = self._durable_entries
+        if store is not None and not await store.make_durable(entries):
+            raise Unavailable(
+                "the disk refuses the entries", "free space or replace the disk; push them again"
+            )
         return PushReply(have=self.registry.vector())
 
     def wake(self) -> None:
--- a/larchgw/model_checking/check_ins/fault_injection.py
+++ b/larchgw/model_checking/check_ins/fault_injection.py
@@ -1,7 +1,9 @@
 """Injects random faults into processes and links, and checks that the cluster recovers.
 
-A restart loses the state that is in memory only. It is therefore injected only while the number of faulty
-control processes stays within what the deployment tolerates. Partitions and freezes are not limited.
+A restart loses the state that is in memory only. That of a single process is injected only while the number
+of faulty control processes stays within what the deployment tolerates. A loss of power of all of them comes
+at any time, mostly right after an acknowledgement; their disks keep what was synced. Partitions and freezes
+are not limited.
 """
 
 from __future__ import annotations
@@ -22,6 +24,10 @@
 RECOVERY_S = 3.0  # for which a process still counts as faulty after its fault
 CONVERGENCE_S = 6.0  # from the last fault until the cluster must have recovered
 SYMMETRIC_SHARE = 0.6  # of the partitions
+POWER_LOSS_AFTER_S = (0.0, 0.05)  # after the acknowledgement of a departure
+POWER_LOSS_POLL_S = 0.001
+POWER_LOSS_WAIT_S = 1.0  # for such an acknowledgement; without one the power is lost then
+DOWN_S = (0.0, 0.8)  # from a loss of power until each process starts again
 CUT_EDGE_SHARE = 0.6  # of the edge restarts after which the edge reaches one control process only
 
 
@@ -45,7 +51,14 @@
                 self._cluster.configure()
             if self._random.random() < OBSERVATION_INTERVAL_S / FAULT_INTERVAL_S:
                 await self._random.choice(
-                    [self._partition, self._partition, self._freeze, self._restart, self._restart_edge]
+                    [
+                        self._partition,
+                        self._partition,
+                        self._freeze,
+                        self._restart,
+                        self._restart_edge,
+                        self._lose_power,
+                    ]
                 )()
 
     async def recover(self) -> None:
@@ -64,6 +77,13 @@
         if self._cluster.acknowledged_calls() == acknowledged_before:
             raise InvariantError("no runner call was acknowledged after the last fault")
 
+    async def _pause(self, seconds: float) -> None:
+        """Waits, and observes the cluster meanwhile; no fault ends in that time."""
+        until = now() + seconds
+        while (left_s := until - now()) > 0.0:
+            await asyncio.sleep(min(left_s, OBSERVATION_INTERVAL_S))
+            self._cluster.observe()
+
     async def _step(self) -> None:
         await asyncio.sleep(OBSERVATION_INTERVAL_S)
         scheduled, self._scheduled = self._scheduled, []
@@ -103,6 +123,22 @@
         process.start()
         self._in_fault_until[process.name] = now() + RECOVERY_S
 
+    async def _lose_power(self) -> None:
+        """All control processes lose power at the same moment, and start again with their disks."""
+        acknowledged, until = self._cluster.checks.acknowledged, now() + POWER_LOSS_WAIT_S
+        count = len(acknowledged)
+        while len(acknowledged) == count and now() < until:
+            await self._pause(POWER_LOSS_POLL_S)
+        await self._pause(self._random.choice([0.0, self._random.uniform(*POWER_LOSS_AFTER_S)]))
+        control = self._cluster.control
+        await asyncio.gather(*(process.end() for process in control))
+        for process in control:
+            process.disk.lose_power(self._random)
+        for process in self._random.sample(control, len(control)):
+            await self._pause(self._random.uniform(*DOWN_S) / len(control))
+            process.start()
+            self._in_fault_until[process.name] = now() + RECOVERY_S
+
     async def _restart_edge(self) -> None:
         """Restarts an edge. With CUT_EDGE_SHARE it can reach only one control process for a while."""
         edge = self._random.choice(self._cluster.edges)
--- a/larchgw/model_checking/check_ins/invariants.py
+++ b/larchgw/model_checking/check_ins/invariants.py
@@ -4,7 +4,8 @@
   than MAX_CONTACT_AGE_S ago.
 - An edge knows of those that were acknowledged MAX_CONTACT_AGE_S before its last pull from a process in
   contact began, and its configuration is no older than the one that a majority held then.
-- When a drain or Leave is acknowledged, a majority knows of it.
+- When a drain or Leave is acknowledged, a majority knows of it. (The first invariant detects one that is in
+  memory only, once all control processes have lost power.)
 - A process that acknowledges a call could exchange messages with a majority within the last
   MAX_CONTACT_AGE_S.
 - After the faults all processes are in contact and have the newest configuration, and runner calls are
--- a/larchgw/model_checking/check_ins/mutants.py
+++ b/larchgw/model_checking/check_ins/mutants.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
+from ...control.departure_store import DepartureStore
 from ...control.majority_contact import PullContact
 from ...control.runner_check_ins import RunnerCheckIns
 from ...distribution.puller import Puller, _Session
 from ...replication import view
-from ...rpc.generated.ttypes import PullReply
+from ...rpc.generated.ttypes import Entry, PullReply
 from ...runner_directory.directory import CheckInOutcome
 from ..mutants import Mutant, Patch
 from ..replication.mutants import counts_one_vote_less_as_majority
@@ -17,6 +18,7 @@
 Accept = Callable[[Puller, _Session, PullReply, float], None]
 MergeFromIsolated = Callable[[Puller, _Session, PullReply], None]
 Replicate = Callable[[RunnerCheckIns, str], Awaitable[bool]]
+MakeDurable = Callable[[DepartureStore, Sequence[Entry]], Awaitable[bool]]
 Acknowledge = Callable[[RunnerCheckIns, str, CheckInOutcome], Awaitable[bool]]
 
 
@@ -35,6 +37,13 @@
     return replicate
 
 
+def _acknowledges_from_memory(original: MakeDurable) -> MakeDurable:
+    async def make_durable(self: DepartureStore, entries: Sequence[Entry]) -> bool:
+        return True
+
+    return make_durable
+
+
 def _treats_start_as_contact(
     original: Callable[[PullContact, str], bool],
 ) -> Callable[[PullContact, str], bool]:
@@ -89,16 +98,22 @@
         0,
         (Patch(RunnerCheckIns, "_replicate", _ignores_replication_result),),
     ),
+    Mutant(
+        "acknowledges a drain from memory",
+        play_faults,
+        23,
+        (Patch(DepartureStore, "make_durable", _acknowledges_from_memory),),
+    ),
     Mutant(
         "takes a start for contact",
         play_faults,
-        4,
+        0,
         (Patch(PullContact, "_is_proven", _treats_start_as_contact),),
     ),
     Mutant(
         "counts contact from the arrival of answers",
         play_faults,
-        8,
+        22,
         (Patch(Puller, "_accept", _dates_contact_by_reply_arrival),),
     ),
     Mutant(
@@ -110,13 +125,13 @@
     Mutant(
         "takes a configuration from a process that is cut off",
         play_faults,
-        11,
+        15,
         (Patch(Puller, "_is_current", _trusts_isolated_processes),),
     ),
     Mutant(
         "claims what it left out of a cut-off process's answer",
         play_faults,
-        19,
+        22,
         (Patch(Puller, "_merge_from_isolated", _advances_past_omitted_entries),),
     ),
     Mutant(
--- a/larchgw/model_checking/check_ins/network.py
+++ b/larchgw/model_checking/check_ins/network.py
@@ -13,8 +13,8 @@
 from typing import Protocol, TypeAlias
 
 from ...identifiers import RunnerId
-from ...rpc.errors import RpcConnectionError, RpcTimeoutError
-from ...rpc.generated.ttypes import PullReply, PullRequest, PushReply, PushRequest
+from ...rpc.errors import RpcConnectionError, RpcTimeoutError, RpcUnavailableError
+from ...rpc.generated.ttypes import PullReply, PullRequest, PushReply, PushRequest, Unavailable
 from ...runner_directory.runner_record import Stage
 
 DELAY_RANGE_S = (0.001, 0.04)  # one way
@@ -104,6 +104,7 @@
 
         Raises:
             RpcTimeoutError: No reply came in time.
+            RpcUnavailableError: The called process refuses the call.
             RpcConnectionError: The called process ended during the call.
         """
         try:
@@ -111,6 +112,8 @@
                 return await self._exchange(sender, receiver, argument)
         except TimeoutError as error:
             raise RpcTimeoutError(f"{receiver}: no reply in {timeout_s} s") from error
+        except Unavailable as error:
+            raise RpcUnavailableError(receiver, "call", error.reason, error.remedy) from error
 
     async def _exchange(self, sender: str, receiver: str, argument: Argument) -> Reply:
         service = self._services[receiver]
@@ -118,7 +121,9 @@
         await self._transfer(sender, receiver)
         self._check_incarnation(service, incarnation, receiver)
         # As over sockets, the called process finishes its work even if the caller has timed out.
-        reply = await asyncio.shield(asyncio.ensure_future(service.serve(argument)))
+        serving = asyncio.ensure_future(service.serve(argument))
+        serving.add_done_callback(_ignore_error)  # the caller may have timed out
+        reply = await asyncio.shield(serving)
         await self._transfer(receiver, sender)
         self._check_incarnation(service, incarnation, receiver)
         return reply
@@ -133,6 +138,11 @@
             raise RpcConnectionError(f"{name} ended during the call")
 
 
+def _ignore_error(serving: asyncio.Future[Reply]) -> None:
+    if not serving.cancelled():
+        serving.exception()
+
+
 class SimulatedConnection:
     """One process's connection to another one; see distribution.connection.Connection."""
 
--- a/larchgw/model_checking/check_ins/processes.py
+++ b/larchgw/model_checking/check_ins/processes.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from itertools import count
 
+from ...control.departure_store import DepartureStore
 from ...control.majority_contact import PullContact
 from ...control.runner_check_ins import RunnerCheckIns
 from ...distribution.hinted_handoff import HintedHandoff
@@ -27,6 +28,8 @@
 from ...rpc.generated.ttypes import PullRequest, PushRequest
 from ...runner_directory.directory import RunnerDirectory
 from ...runner_directory.runner_record import RunnerRecord, Stage
+from ...storage.disk_thread import DiskOperation
+from ..simulated_disk import SimulatedDisk
 from .network import Argument, Network, Reply, RunnerCall, SimulatedConnection
 
 HEARTBEAT_S = 0.5
@@ -34,6 +37,7 @@
 RUNNER_TIMEOUT_S = 1.0  # PROTOCOL: a runner waits one second for an acknowledgement
 MAX_REPLY_BYTES = 600  # small, so that replies are split
 DRAIN_SHARE = 0.7  # of the runners that leave
+DISK_TIME_S = (0.001, 0.03)  # of a write with its sync
 
 OnAcknowledged = Callable[[str, RunnerCall], None]
 """Called with a control process's name and the call that it acknowledges."""
@@ -54,11 +58,25 @@
     return asyncio.get_running_loop().time()
 
 
+class SimulatedDiskExecutor:
+    """Implements storage.disk_thread.DiskExecutor in virtual time."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        """Takes the source of the times that operations take."""
+        self._random_source = random_source
+
+    async def run(self, operation: DiskOperation) -> None:
+        """See DiskExecutor."""
+        await asyncio.sleep(self._random_source.uniform(*DISK_TIME_S))
+        operation()
+
+
 class ControlProcess:
     """One control process.
 
     Attributes:
         stored: The configuration on its disk, published at each start.
+        disk: The rest of its disk: the departures that it stored.
     """
 
     def __init__(
@@ -84,6 +102,8 @@
         self._on_acknowledged = on_acknowledged
         self._tasks: list[asyncio.Task[None]] = []
         self.stored: StoredConfiguration | None = None
+        self.disk = SimulatedDisk()
+        self._disk_times = random.Random(name)
         network.add(name, self)
 
     def start(self) -> None:
@@ -91,6 +111,9 @@
         self.incarnation += 1
         self.is_running = True
         self.registry = Registry(f"{self.name}.{self.incarnation}")
+        executor = SimulatedDiskExecutor(self._disk_times)
+        departures = DepartureStore(self.registry, self.disk.ports().journal, executor)
+        self._departures = departures
         peers = PeerPullers(
             self.registry,
             self._connect,
@@ -101,9 +124,13 @@
         )
         self.contact = PullContact(self.name, lambda: first_view(self._names), peers.contact_proven_at, now)
         self.pulls = PullService(
-            self.registry, self.contact.is_isolated, lambda: self._names, max_reply_bytes=MAX_REPLY_BYTES
+            self.registry,
+            self.contact.is_isolated,
+            lambda: self._names,
+            max_reply_bytes=MAX_REPLY_BYTES,
+            durable_entries=departures,
         )
-        self.handoff = HintedHandoff(self._connect, lambda: self._others)
+        self.handoff = HintedHandoff(self._connect, lambda: self._others, durable_entries=departures)
         self.directory = RunnerDirectory(self.registry, now, HEARTBEAT_S, self.registry.origin)
         self.check_ins = RunnerCheckIns(self.directory, self.registry, self.contact, self.handoff)
         if self.stored is not None:
@@ -113,6 +140,7 @@
     async def end(self) -> None:
         """Kills the process."""
         self.is_running = False
+        self._departures.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/control/test_contact_monitor.py
+++ b/tests/control/test_contact_monitor.py
@@ -16,7 +16,7 @@
     def is_isolated(self) -> bool:
         return self.isolated
 
-    def is_majority(self, addresses: Collection[str]) -> bool:
+    def is_majority(self, addresses: Collection[str], *, with_this_process: bool = True) -> bool:
         return False
 
 
--- a/tests/control/test_recorded_bytes.py
+++ b/tests/control/test_recorded_bytes.py
@@ -20,7 +20,7 @@
 
 from larchgw.configuration.packing import pack
 from larchgw.configuration.settings import NodeSettings
-from larchgw.control import http_api, restore
+from larchgw.control import departure_store, http_api, restore
 from larchgw.control.configuration_state import ConfigurationState
 from larchgw.control.disk import ControlDisk
 from larchgw.control.errors import ReplicationUnavailableError
@@ -41,6 +41,7 @@
 )
 from larchgw.distribution.placer_entry import publish_placer
 from larchgw.distribution.registry import Registry
+from larchgw.identifiers import RunnerId
 from larchgw.membership.member import Member as Process
 from larchgw.membership.member import MemberState
 from larchgw.membership.settings import SwimSettings
@@ -54,7 +55,7 @@
 from larchgw.replication.view import View
 from larchgw.rpc.codec import encode_struct
 from larchgw.rpc.generated import ttypes
-from larchgw.runner_directory.directory import RunnerDirectory
+from larchgw.runner_directory.directory import GONE_MAJOR, RunnerDirectory
 from larchgw.runner_directory.errors import CheckInError
 from larchgw.runner_directory.runner_record import RunnerRecord, Stage
 from larchgw.runtime.rpc_clients import RpcClients
@@ -125,6 +126,25 @@
     assert state.snapshot().hex() == recorded["both orders"]
 
 
+def written_departures() -> list[str]:
+    record = RunnerRecord(RunnerId("i-1"), "s", "10.0.0.9:80", "a", Stage.DRAINING, call_count=4, owner="o/1")
+    draining = ttypes.Entry("runner/i-1", 4, int(Stage.DRAINING), "core-1.ab", 9, record.encode())
+    gone = ttypes.Entry("runner/i-2", GONE_MAJOR, int(Stage.GONE), "core-2.cd", 1, b"\x00\xff")
+    return [record.hex() for record in departure_store.encode_records([draining, gone])]
+
+
+def test_departures_are_written_and_read_as_recorded() -> None:
+    recorded = fixture("departures.json")
+    assert written_departures() == recorded
+    entries = departure_store.decode_record(bytes.fromhex(str(recorded[0])))
+    assert [(entry.key, entry.major, entry.minor, entry.origin, entry.sequence) for entry in entries] == [
+        ("runner/i-1", 4, int(Stage.DRAINING), "core-1.ab", 9),
+        ("runner/i-2", GONE_MAJOR, int(Stage.GONE), "core-2.cd", 1),
+    ]
+    assert RunnerRecord.decode(entries[0].value).stage is Stage.DRAINING
+    assert entries[1].value == b"\x00\xff"
+
+
 def folder_contents(folder: Path) -> dict[str, str]:
     return {
         str(
--- a/tests/control/test_runner_check_ins.py
+++ b/tests/control/test_runner_check_ins.py
@@ -4,16 +4,17 @@
 
 import asyncio
 import json
-from collections.abc import Collection, Coroutine
+from collections.abc import Collection, Coroutine, Sequence
 from typing import Any
 
 import testtools
 
 from larchgw.control.runner_check_ins import HANDOFF_TIMEOUT_S, RunnerCheckIns
 from larchgw.distribution.hinted_handoff import HintedHandoff
+from larchgw.distribution.pull_service import PullService
 from larchgw.distribution.registry import Registry
 from larchgw.emulator.virtual_loop import run
-from larchgw.rpc.generated.ttypes import PushReply, PushRequest
+from larchgw.rpc.generated.ttypes import Entry, PushReply, PushRequest
 from larchgw.runner_directory.directory import SILENCE_TIMEOUT_HEARTBEATS, RunnerDirectory
 from larchgw.runner_directory.runner_record import Stage
 from tests.support.scripted_peers import ScriptedPeer, connect_to, now
@@ -32,21 +33,42 @@
     def is_isolated(self) -> bool:
         return self.is_cut_off
 
-    def is_majority(self, addresses: Collection[str]) -> bool:
-        return bool({"b", "c"} & set(addresses))
+    def is_majority(self, addresses: Collection[str], *, with_this_process: bool = True) -> bool:
+        return len({"b", "c"} & set(addresses)) + with_this_process >= 2
+
+
+class ScriptedStore:
+    """Scripted durable copies: a disk that works, stands still or refuses writes."""
+
+    def __init__(self) -> None:
+        self.entries: list[Entry] = []
+        self.is_hung = self.refuses_writes = False
+
+    async def make_durable(self, entries: Sequence[Entry]) -> bool:
+        while self.is_hung:
+            await asyncio.sleep(0.01)
+        if self.refuses_writes:
+            return False
+        self.entries.extend(entries)
+        return True
 
 
 class RunnerCheckInsTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.peers = [ScriptedPeer("b"), ScriptedPeer("c")]
+        self.stores = {name: ScriptedStore() for name in "abc"}
+        for peer in self.peers:
+            self.install_store(peer)
         self.contact = ScriptedContact()
         self.registry = Registry("a.1")
         self.count = 0
 
     def run_with_components(self, main: Coroutine[Any, Any, None]) -> None:
         async def main_with_components() -> None:
-            self.handoff = HintedHandoff(connect_to(self.peers), lambda: ["b", "c"])
+            self.handoff = HintedHandoff(
+                connect_to(self.peers), lambda: ["b", "c"], durable_entries=self.stores["a"]
+            )
             self.directory = RunnerDirectory(self.registry, now, HEARTBEAT_S, "a/1")
             self.check_ins = RunnerCheckIns(self.directory, self.registry, self.contact, self.handoff)
             try:
@@ -61,6 +83,19 @@
         body = {"service": "s", "address": "10.0.0.9:80", "state": state, "call_count": self.count}
         return await self.check_ins.check_in("i-1", json.dumps(body).encode())
 
+    def install_store(self, peer: ScriptedPeer) -> None:
+        peer.service = PullService(
+            peer.registry, lambda: False, lambda: [], durable_entries=self.stores[peer.name]
+        )
+
+    def copies(self, stage: Stage) -> set[str]:
+        """The processes that have a departure of this stage on disk."""
+        return {
+            name
+            for name, store in self.stores.items()
+            if any(entry.minor == int(stage) for entry in store.entries)
+        }
+
     def stage_at(self, peer: ScriptedPeer) -> Stage | None:
         entry = peer.registry.get("runner/i-1")
         return Stage(entry.minor) if entry is not None else None
@@ -100,6 +135,50 @@
 
         self.run_with_components(main())
 
+    def test_drain_and_leave_are_on_the_disks_of_a_majority_before_they_are_acknowledged(self) -> None:
+        """Guards against acknowledgements from memory, which a restart of all processes forgets."""
+
+        async def main() -> None:
+            self.stores["b"].is_hung = True
+            assert await self.check_in("draining")
+            assert self.copies(Stage.DRAINING) == {"a", "c"}
+            self.stores["c"].is_hung = True
+            assert not await self.check_ins.leave("i-1")
+            assert now() < RUNNER_TIMEOUT_S
+
+        self.run_with_components(main())
+
+    def test_a_process_whose_disk_stands_or_is_full_acknowledges_with_the_copies_of_two_others(self) -> None:
+        async def main() -> None:
+            self.stores["a"].is_hung = True
+            assert await self.check_in("draining")
+            assert now() < PROMPT_S
+            self.stores["a"].is_hung, self.stores["a"].refuses_writes = False, True
+            assert await self.check_ins.leave("i-1")
+            assert now() < 2 * PROMPT_S
+            assert "a" not in self.copies(Stage.GONE)
+
+        self.run_with_components(main())
+
+    def test_nothing_is_acknowledged_while_a_majority_of_the_disks_is_full(self) -> None:
+        async def main() -> None:
+            self.stores["a"].refuses_writes = self.stores["c"].refuses_writes = True
+            assert not await self.check_in("draining")
+            assert not await self.check_ins.leave("i-1")
+            self.stores["a"].refuses_writes = False
+            assert await self.check_ins.leave("i-1")
+
+        self.run_with_components(main())
+
+    def test_a_standing_disk_holds_up_no_check_in_of_a_ready_runner(self) -> None:
+        async def main() -> None:
+            for store in self.stores.values():
+                store.is_hung = True
+            assert await self.check_in()
+            assert now() == 0.0
+
+        self.run_with_components(main())
+
     def test_stopping_process_records_check_ins_but_acknowledges_none(self) -> None:
         async def main() -> None:
             assert await self.check_in()
--- a/tests/support/scripted_peers.py
+++ b/tests/support/scripted_peers.py
@@ -8,7 +8,8 @@
 
 from larchgw.distribution.pull_service import PullService
 from larchgw.distribution.registry import Registry
-from larchgw.rpc.errors import RpcConnectionError, RpcTimeoutError
+from larchgw.rpc.errors import RpcConnectionError, RpcTimeoutError, RpcUnavailableError
+from larchgw.rpc.generated.ttypes import Unavailable
 
 
 class ScriptedPeer:
@@ -53,6 +54,8 @@
                 return reply
         except TimeoutError:
             raise RpcTimeoutError(f"{self.name} took too long") from None
+        except Unavailable as error:
+            raise RpcUnavailableError(self.name, method, error.reason, error.remedy) from None
 
     async def _while_hung(self) -> None:
         """A process that hangs sends no answer, also to what it was asked before."""
