Runners: one that crashed with all control processes is called silent in time

What operators saw: after a restart of all control processes, a runner that checked in no more was called silent only 9.8 and 13 s later, where 3.2 heartbeats (3.84 s) are meant; edges went on sending to it.

Cause: the record survives at dispatchers only, which handed it back 5 to 7.5 s after their new contact, and the silence time-out began when it came. Two waits, one after the other, for what one of them shows: the runner could have checked in since the restart. Class: a time-out counted from the news in place of the event.

Change: a restarted process counts the silence of its earlier incarnations' runners from when it began to accept check-ins; time in isolation or in a pause still doesn't count. Dispatchers hand back after 1.5 to 2.25 heartbeats, before such a runner counts as silent and after living ones have checked in again.

The directory's test fails on the code before (still READY after 3.7 s).

--- a/larchgw/control/assembly.py
+++ b/larchgw/control/assembly.py
@@ -252,6 +252,7 @@
         settings.beat_ms / 1000.0,
         owner_name(address, incarnation),
         ownership.is_owner_alive,
+        ownership.is_earlier_incarnation,
     )
     limits = settings.time_limits
     placer = PlacerRole(
--- a/larchgw/control/runner_ownership.py
+++ b/larchgw/control/runner_ownership.py
@@ -26,12 +26,16 @@
         own_address: RPC address of this process.
         present: The control processes that are currently members.
     """
-    address = owner.rpartition("/")[0]
+    address = _address(owner)
     if address == own_address:
         return False
     return any(process.address_rpc == address for process in present)
 
 
+def _address(owner: str) -> str:
+    return owner.rpartition("/")[0]
+
+
 class RunnerOwnership:
     """Tells the runner directory which owners of runners are still alive."""
 
@@ -46,3 +50,7 @@
         if self._contact.is_isolated():
             return True
         return is_owner_present(owner, self._own_address, self._present())
+
+    def is_earlier_incarnation(self, owner: str) -> bool:
+        """Whether the owner, which is not the current incarnation of this process, is an earlier one."""
+        return _address(owner) == self._own_address
--- a/larchgw/distribution/pull_settings.py
+++ b/larchgw/distribution/pull_settings.py
@@ -8,6 +8,9 @@
 
 WAIT_SHARE = 0.25  # wait of one pull, as a share of the time within which a change must be in force
 REPLY_GRACE_SHARE = 0.35  # how much longer than the wait a reply may take, as a share of that time
+DEFAULT_HEARTBEAT_S = 1.2
+HAND_BACK_HEARTBEATS = 1.5  # by then, runners that still exist have checked in again
+HAND_BACK_SPREAD = (1.0, 1.5)  # random factor of the delay, so that dispatchers push at different times
 MAX_PEER_WAIT_S = 0.25  # between control processes, whose pulls prove contact (control/majority_contact.py)
 MAX_PEER_BACKOFF_S = 0.25  # the longest pause before an unresponsive control process is called again
 
@@ -27,7 +30,8 @@
             in another zone.
         resync_after_s: Disconnection time after which tombstones may have been missed; half of their
             retention time.
-        hand_back_after_s: Delay from a change of the source until runners unknown to it are pushed to it.
+        hand_back_after_s: Delay from a change of the source until runners unknown to it are pushed to it,
+            before the factor HAND_BACK_SPREAD. The runners must arrive before they would count as silent.
     """
 
     wait_s: float = 0.5
@@ -45,10 +49,21 @@
         return self.wait_s + self.reply_grace_s
 
     @classmethod
-    def from_time_limits(cls, limits: TimeLimits) -> PullSettings:
-        """Returns waits so short that changes arrive in time even if one control process has just failed."""
+    def from_time_limits(
+        cls, limits: TimeLimits, heartbeat_interval_s: float = DEFAULT_HEARTBEAT_S
+    ) -> PullSettings:
+        """Returns waits so short that changes arrive in time even if one control process has just failed.
+
+        Args:
+            limits: The bounds of the deployment.
+            heartbeat_interval_s: Seconds between two check-ins of a runner.
+        """
         bound_s = min(limits.apply_ms, limits.drain_end_ms) / 1000.0
-        return cls(wait_s=WAIT_SHARE * bound_s, reply_grace_s=REPLY_GRACE_SHARE * bound_s)
+        return cls(
+            wait_s=WAIT_SHARE * bound_s,
+            reply_grace_s=REPLY_GRACE_SHARE * bound_s,
+            hand_back_after_s=HAND_BACK_HEARTBEATS * heartbeat_interval_s,
+        )
 
     def for_control_peers(self) -> PullSettings:
         """Returns the settings for pulls of one control process from another."""
--- a/larchgw/distribution/puller.py
+++ b/larchgw/distribution/puller.py
@@ -21,7 +21,7 @@
 from ..rpc.generated.ttypes import PullReply, PullRequest, PushRequest
 from .connection import Connect, Connection
 from .keys import RUNNER_PREFIX
-from .pull_settings import PullSettings
+from .pull_settings import HAND_BACK_SPREAD, PullSettings
 from .registry import Registry
 from .resync import Resync
 from .source_selector import SourceSelector
@@ -204,7 +204,7 @@
         if not reply.more:
             self.contact_proven_at = began_at
         if session.update(reply) and self._hands_back_runners:
-            delay_s = self._settings.hand_back_after_s * self._random_source.uniform(1.0, 1.5)
+            delay_s = self._settings.hand_back_after_s * self._random_source.uniform(*HAND_BACK_SPREAD)
             session.hand_back_at = now + delay_s
         if self._is_only_source and reply.control:
             self._learned_addresses = list(reply.control)
--- a/larchgw/edge/node.py
+++ b/larchgw/edge/node.py
@@ -68,7 +68,7 @@
             self.registry,
             RpcClient,
             lambda: seed_rpc_addresses(self.settings),
-            PullSettings.from_time_limits(settings.time_limits),
+            PullSettings.from_time_limits(settings.time_limits, settings.beat_ms / 1000.0),
             random_source,
             node_name=settings.node_name,
             is_near=self._is_in_zone,
--- a/larchgw/runner_directory/directory.py
+++ b/larchgw/runner_directory/directory.py
@@ -19,7 +19,10 @@
     another process, that process publishes a record with itself as owner, and the former owner stops
     monitoring the runner. If a process receives a record of an earlier check-in than the last one that it has
     received itself, it publishes its own. When an owner is lost, all other processes wait for another silence
-    time-out, in which its runners can check in elsewhere, and then publish them as SILENT.
+    time-out, in which its runners can check in elsewhere, and then publish them as SILENT. A process that was
+    restarted is itself responsible for the runners of its earlier incarnations. They could check in since it
+    began to accept check-ins, so it counts their silence from then on, even if their records reach it later:
+    after a restart of all control processes, dispatchers hand them back.
 
     Time in which this process was paused (frozen) does not count towards the time-outs. Neither does time in
     which it is cut off from the majority, since it then rejects check-ins, which other processes receive.
@@ -97,6 +100,7 @@
         heartbeat_interval_s: float,
         owner: str,
         is_owner_alive: Callable[[str], bool] = lambda owner: True,
+        is_earlier_incarnation: Callable[[str], bool] = lambda owner: False,
     ) -> None:
         """Reads the runners in the registry, and subscribes to its changes.
 
@@ -107,12 +111,16 @@
             owner: Name of this incarnation of the process.
             is_owner_alive: Returns whether the owner named in a record still monitors its runners. It must
                 return True while this process is cut off from the majority, since it cannot know.
+            is_earlier_incarnation: Returns whether the owner named in a record is this process before its
+                last restart.
         """
         self.owner = owner
         self._registry = registry
         self._clock = clock
         self._heartbeat_interval_s = heartbeat_interval_s
         self._is_owner_alive = is_owner_alive
+        self._is_earlier_incarnation = is_earlier_incarnation
+        self._accepts_check_ins_since = clock()
         self._records: dict[str, RunnerRecord] = {}
         self._changed_at: dict[str, float] = {}
         self._ids_by_owner: dict[str, set[str]] = {}
@@ -256,6 +264,7 @@
 
     def _extend_timeouts(self, seconds: float) -> None:
         """Extends all silence time-outs by the time in which this process was paused or isolated."""
+        self._accepts_check_ins_since += seconds
         for heartbeat in self._heartbeats.values():
             heartbeat.received_at += seconds
         self._owner_lost_since = {owner: at + seconds for owner, at in self._owner_lost_since.items()}
@@ -279,7 +288,7 @@
     def _publish_runners_of_lost_owners(self, now: float) -> None:
         others = [owner for owner in self._ids_by_owner if owner != self.owner]
         self._owner_lost_since = {
-            owner: self._owner_lost_since.get(owner, now)
+            owner: self._owner_lost_since.get(owner, self._newly_lost_since(owner, now))
             for owner in others
             if not self._is_owner_alive(owner)
         }
@@ -288,6 +297,10 @@
                 for runner_id in list(self._ids_by_owner.get(owner, ())):
                     self._publish_silent(runner_id, self._records[runner_id].call_count)
 
+    def _newly_lost_since(self, owner: str, now: float) -> float:
+        """Returns since when a lost owner's runners could have checked in elsewhere."""
+        return self._accepts_check_ins_since if self._is_earlier_incarnation(owner) else now
+
     def _remove_expired(self, now: float) -> None:
         expired = {
             runner_id
--- a/tests/distribution/test_source_selector.py
+++ b/tests/distribution/test_source_selector.py
@@ -8,8 +8,9 @@
 import testtools
 
 from larchgw.configuration.settings import TimeLimits
-from larchgw.distribution.pull_settings import PullSettings
+from larchgw.distribution.pull_settings import HAND_BACK_SPREAD, PullSettings
 from larchgw.distribution.source_selector import SourceSelector
+from larchgw.runner_directory.directory import SILENCE_TIMEOUT_HEARTBEATS
 
 SETTINGS = PullSettings()
 
@@ -104,3 +105,9 @@
     def test_waits_are_derived_from_the_shorter_time_limit(self) -> None:
         settings = PullSettings.from_time_limits(TimeLimits(apply_ms=2000, drain_end_ms=1000))
         assert settings.wait_s + settings.reply_grace_s < 0.7
+
+    def test_runners_are_handed_back_before_they_would_count_as_silent(self) -> None:
+        """Guards against runners that crashed with all control processes and are called silent too late."""
+        settings = PullSettings.from_time_limits(TimeLimits(), heartbeat_interval_s=1.2)
+        latest_s = settings.hand_back_after_s * max(HAND_BACK_SPREAD) + settings.wait_s
+        assert latest_s < SILENCE_TIMEOUT_HEARTBEATS * 1.2
--- a/tests/runner_directory/test_directory.py
+++ b/tests/runner_directory/test_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import replace
 from itertools import pairwise
 
@@ -10,6 +11,7 @@
 from hypothesis import strategies as st
 
 from larchgw.distribution.registry import Registry
+from larchgw.rpc.generated.ttypes import Entry
 from larchgw.runner_directory.directory import TOMBSTONE_RETENTION_S, RunnerDirectory
 from larchgw.runner_directory.runner_record import HeldModel, RunnerRecord, Stage
 
@@ -24,7 +26,13 @@
 class Process:
     """The directory of one control process, with a shared clock and the records that it published."""
 
-    def __init__(self, name: str, clock: list[float], lost: set[str] | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        clock: list[float],
+        lost: set[str] | None = None,
+        earlier_incarnations: Collection[str] = (),
+    ) -> None:
         self.registry = Registry(name)
         self.published: list[RunnerRecord] = []
         self.registry.watch("runner/", lambda entry: self.published.append(RunnerRecord.decode(entry.value)))
@@ -34,6 +42,7 @@
             HEARTBEAT_S,
             name,
             is_owner_alive=lambda owner: owner not in (lost or set()),
+            is_earlier_incarnation=lambda owner: owner in earlier_incarnations,
         )
 
     def stage(self, id: str = "i-1") -> Stage:
@@ -245,6 +254,38 @@
         self.pass_time(2.0, self.b, restarted)
         assert self.b.stage() == Stage.READY
 
+    def test_a_record_handed_back_after_a_restart_does_not_begin_another_silence_time_out(self) -> None:
+        """Guards against a runner that crashed with all control processes and is called silent too late."""
+        restarted = Process("a.2", self.clock, {"a.1"}, earlier_incarnations={"a.1"})
+        self.pass_time(2.0, restarted)
+        handed_back = record(owner="a.1")
+        restarted.registry.merge([Entry("runner/i-1", 1, 0, "a.1", 1, handed_back.encode())])
+        self.pass_time(restarted.directory.silence_timeout_s - 2.5, restarted)
+        assert restarted.stage() is Stage.READY
+        self.pass_time(1.0, restarted)
+        assert restarted.stage() is Stage.SILENT
+
+    def test_time_in_isolation_after_a_restart_does_not_count_as_silence(self) -> None:
+        restarted = Process("a.2", self.clock, {"a.1"}, earlier_incarnations={"a.1"})
+        for _ in range(40):
+            self.clock[0] += 0.25
+            restarted.directory.tick(self.clock[0], isolated=True)
+        handed_back = record(owner="a.1")
+        restarted.registry.merge([Entry("runner/i-1", 1, 0, "a.1", 1, handed_back.encode())])
+        self.pass_time(restarted.directory.silence_timeout_s - 0.5, restarted)
+        assert restarted.stage() is Stage.READY
+
+    def test_a_runner_that_checked_in_elsewhere_stays_ready_whatever_its_former_owner_publishes(self) -> None:
+        restarted = Process("a.2", self.clock, {"a.1"}, earlier_incarnations={"a.1"})
+        self.pass_time(10.0, restarted, self.b)
+        self.b.directory.check_in(record(count=2))
+        handed_back = record(owner="a.1")
+        restarted.registry.merge([Entry("runner/i-1", 1, 0, "a.1", 1, handed_back.encode())])
+        self.pass_time(0.5, restarted, self.b)
+        exchange(restarted, self.b)
+        assert restarted.stage() is Stage.READY
+        assert self.b.stage() is Stage.READY
+
     def test_expired_tombstones_are_removed_and_ready_runners_are_not(self) -> None:
         self.a.directory.check_in(record("gone", count=1))
         self.a.directory.leave("gone")
