Edge: the body of an ended request is freed by its last reference

Cause: half of it, a reference cycle. A request keeps its cancelled deadline timer, whose action is a method of the request; the same holds for the stream time-out. So its Exchange with the body waits for the cyclic collector, which counts objects and not bytes. Found beside it, same class: a connection and its owner refer to each other, so output that was unsent when the connection was closed (all of a body, for a withdrawn request) stayed as well.

Change: an ended request drops timers, stream time-out and body; a closed connection drops its output and remembers only how much was unsent.

--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -72,7 +72,7 @@
         self._wait_timer: Deadline | None = None
         self._trace = RequestTrace.of(traits, name)
         self._stream_timeout: StreamTimeout | None = None
-        self._deadline_timer = context.loop.deadlines.add(
+        self._deadline_timer: Deadline | None = context.loop.deadlines.add(
             max(traits.deadline_at - DEADLINE_MARGIN_S, traits.arrived_at), self._on_deadline
         )
 
@@ -466,9 +466,12 @@
         self._is_finished = True
         self._stop_waiting()
         self._context.loop.deadlines.cancel(self._deadline_timer)
+        self._deadline_timer = None  # it refers to this object
         if self._stream_timeout is not None:
             self._stream_timeout.stop()
+            self._stream_timeout = None
         if self._trace is not None:
             self._trace.finished(self._context.now(), end)
-        self._exchange.handler_data = self._exchange.on_drained = None  # frees the request body immediately
+        self._exchange.handler_data = self._exchange.on_drained = None  # likewise
+        self._exchange.body = b""
         self._context.on_request_ended(self)
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -72,6 +72,7 @@
         self._lingering: dict[Connection, float] = {}  # the collection that lists it while it closes
         self._linger_timer: Deadline | None = None
         self._output = bytearray()
+        self._unsent_at_close = 0
         sock.setblocking(False)
         if sock.family != socket.AF_UNIX:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -79,7 +80,12 @@
 
     @property
     def unsent(self) -> int:
-        """The number of bytes that the kernel has not accepted yet."""
+        """The number of bytes that the kernel has not accepted, now or when the connection was closed."""
+        return self._unsent_at_close if self.closed else len(self._output)
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of output in memory; none once the connection is closed."""
         return len(self._output)
 
     def busy(self) -> bool:
@@ -134,6 +140,8 @@
         if self.closed:
             return
         self.closed = True
+        self._unsent_at_close = len(self._output)
+        self._output = bytearray()  # connection and owner refer to each other: nobody may free them for long
         if self._closing:
             self._receive()  # unread bytes would make this close a reset
         self.loop.closing_count -= self._closing
