Connections: a long body is sent without copies

Change: an attempt is a head and the shared body; a connection's output is a queue of pieces, of which those of 16 kB and more are kept by reference. Short pieces are joined as before, so that they cost one system call.

--- a/larchgw/edge/forwarding.py
+++ b/larchgw/edge/forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from ..net.heads import Fields
 from ..net.http_server import Exchange
 from .request_head import EXPECT_VERSION, LAST_EVENT_ID, forwarded_fields
@@ -11,10 +13,22 @@
 BODY_HEADERS = (b"content-length", b"transfer-encoding")
 
 
-def request_bytes(
+@dataclass(frozen=True, slots=True)
+class SerializedRequest:
+    """The bytes of one attempt: the head, and the body, which all attempts of the request share."""
+
+    head: bytes
+    body: bytes
+
+    def __len__(self) -> int:
+        """Returns the number of bytes."""
+        return len(self.head) + len(self.body)
+
+
+def serialize_request(
     exchange: Exchange, name: bytes, runner: str, left_s: float, priority: int, stream: StreamRelay | None
-) -> bytes:
-    """Returns the request bytes for one attempt; a `stream` that has started is resumed.
+) -> SerializedRequest:
+    """Returns the bytes of the request for one attempt; a `stream` that has started is resumed.
 
     Method, target and body are those of the client. The body is always sent with a Content-Length.
     """
@@ -26,7 +40,7 @@
     )
     if exchange.body or any(field in exchange.headers for field in BODY_HEADERS):
         lines.append(b"Content-Length: %d" % len(exchange.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + exchange.body
+    return SerializedRequest(b"\r\n".join(lines) + b"\r\n\r\n", exchange.body)
 
 
 def _fields(exchange: Exchange, stream: StreamRelay | None) -> Fields:
--- a/larchgw/edge/request.py
+++ b/larchgw/edge/request.py
@@ -21,7 +21,7 @@
 from .context import ProxyContext
 from .errors import EventTooLongError, StreamMismatchError
 from .failed_attempts import NO_CONNECTION, FailedAttempt, FailedAttempts
-from .forwarding import request_bytes
+from .forwarding import SerializedRequest, serialize_request
 from .relay import BufferedRelay
 from .runner_connection import RunnerConnection
 from .stream_relay import StreamRelay
@@ -199,8 +199,8 @@
 
     # Called by the runner connection
 
-    def request(self) -> bytes | None:
-        """Returns the request bytes for the current runner; None if it no longer accepts requests."""
+    def request(self) -> SerializedRequest | None:
+        """Returns the request for the current runner; None if it no longer accepts requests."""
         attempt, choice = self._attempt, self._choice
         if attempt is None or choice is None:
             return None
@@ -208,7 +208,9 @@
         if runner is None or runner.stage >= Stage.DRAINING or runner.address != choice.runner.address:
             return None
         left_s = self.traits.deadline_at - self._context.now()
-        return request_bytes(self._exchange, self.name, attempt.runner, left_s, choice.priority, self._stream)
+        return serialize_request(
+            self._exchange, self.name, attempt.runner, left_s, choice.priority, self._stream
+        )
 
     def on_answer(self, head: AnswerHead) -> None:
         """Handles the head of the runner's response."""
--- a/larchgw/edge/runner_connection.py
+++ b/larchgw/edge/runner_connection.py
@@ -13,6 +13,7 @@
 from ..routing.interface import AttemptOutcome
 from . import stale_connection
 from .answer_parser import AnswerHead, AnswerParser
+from .forwarding import SerializedRequest
 
 CONNECT_TIMEOUT_S = 0.3
 RECENT_IDS = 4  # of a connection, to tell where a surplus answer belongs
@@ -32,8 +33,8 @@
 
     name: bytes  # its X-Attempt-Id
 
-    def request(self) -> bytes | None:
-        """Returns the request bytes once connected; None if the request must no longer be sent."""
+    def request(self) -> SerializedRequest | None:
+        """Returns the request once connected; None if the request must no longer be sent."""
 
     def on_answer(self, head: AnswerHead) -> None:
         """Called with the head of the response."""
@@ -217,7 +218,7 @@
         if self._is_long():
             stale_connection.watch_by_polling(self.connection.sock)
             self._check_delivery_later()
-        self.connection.write(request)
+        self.connection.write(request.head, request.body)
 
     def _is_sent(self) -> bool:
         """Whether the kernel has any of the request: a runner may run it before it has all of a long body."""
--- a/larchgw/model_checking/attempts/mutants.py
+++ b/larchgw/model_checking/attempts/mutants.py
@@ -102,31 +102,31 @@
     Mutant(
         "a connection carries the same request again",
         play,
-        10,
+        40,
         (Patch(RunnerPool, "acquire", _reuses_connections_that_carried_the_request),),
     ),
     Mutant(
         "a request that a runner has got in part counts as not sent",
         play,
-        149,
+        12,
         (Patch(RunnerConnection, "_is_sent", _counts_as_sent_only_what_is_sent_whole),),
     ),
     Mutant(
         "a cancelled attempt counts as not sent",
         play,
-        4,
+        2,
         (Patch(RunnerConnection, "cancel", _cancels_as_unsent),),
     ),
     Mutant(
         "a connection that fails before an answer counts as not sent",
         play,
-        3,
+        5,
         (Patch(RunnerConnection, "_loss_outcome", always(AttemptOutcome.CONNECT_FAILED)),),
     ),
     Mutant(
         "a request that was sent is withdrawn from a draining runner",
         play,
-        3,
+        2,
         (Patch(RunnerConnection, "withdraw_unsent", _withdraws_what_is_sent),),
     ),
     Mutant(
@@ -138,13 +138,13 @@
     Mutant(
         "a 503 without X-Not-Run counts as a rejection",
         play,
-        19,
+        3,
         (Patch(request, "classify", _trusts_rejections_without_not_run),),
     ),
     Mutant(
         "a silent runner counts as one that did not run the request",
         play,
-        2,
+        8,
         (Patch(ProxiedRequest, "_end_attempt", _promises_after_silence),),
     ),
     Mutant(
--- a/larchgw/net/connection.py
+++ b/larchgw/net/connection.py
@@ -10,6 +10,7 @@
 
 from .connection_outcome import ConnectionOutcome
 from .loop import CLIENTS, READ, WRITE, EventLoop
+from .output_buffer import OutputBuffer
 from .timers import Deadline
 
 READ_BYTES = 65536
@@ -71,7 +72,7 @@
         self._closing = False
         self._lingering: dict[Connection, float] = {}  # the collection that lists it while it closes
         self._linger_timer: Deadline | None = None
-        self._output = bytearray()
+        self._output = OutputBuffer()
         self._unsent_at_close = 0
         sock.setblocking(False)
         if sock.family != socket.AF_UNIX:
@@ -92,14 +93,15 @@
         """Whether output is pending or the connection is closed."""
         return self.closed or bool(self._output)
 
-    def write(self, data: bytes) -> None:
-        """Sends bytes, buffering what the kernel does not accept now.
+    def write(self, *pieces: bytes) -> None:
+        """Sends bytes, buffering what the kernel does not accept now; a long piece is not copied.
 
         If more than `max_unsent` bytes stay unsent, the connection ends with CLOGGED.
         """
         if self.closed or self._closing:
             return
-        self._output += data
+        for piece in pieces:
+            self._output.append(piece)
         if not self.connecting:
             self._flush()
             if not self.closed and len(self._output) > self.max_unsent:
@@ -141,7 +143,7 @@
             return
         self.closed = True
         self._unsent_at_close = len(self._output)
-        self._output = bytearray()  # connection and owner refer to each other: nobody may free them for long
+        self._output.clear()  # connection and owner refer to each other: nobody may free them for long
         if self._closing:
             self._receive()  # unread bytes would make this close a reset
         self.loop.closing_count -= self._closing
@@ -202,13 +204,10 @@
     def _flush(self) -> None:
         if self._output:
             try:
-                sent = self.sock.send(self._output)
-            except BlockingIOError:
-                sent = 0
+                sent = self._output.send(self.sock)
             except OSError:
                 self._on_connection_end(ConnectionOutcome.BROKE)
                 return
-            del self._output[:sent]
             if not self._output:
                 if self._closing:
                     self._linger()
--- a/tests/edge/test_parsers.py
+++ b/tests/edge/test_parsers.py
@@ -13,6 +13,7 @@
 from larchgw.edge.answer_parser import AnswerHead
 from larchgw.edge.errors import EventTooLongError
 from larchgw.edge.events import EventSplitter, parse
+from larchgw.edge.forwarding import SerializedRequest
 from larchgw.edge.keep_alive_limit import KeepAliveLimit
 from larchgw.edge.request_head import model_of, parts_of, time_left, tokens_of
 from larchgw.edge.runner_connection import RunnerConnection, SurplusPlace
@@ -92,8 +93,8 @@
         self.head: AnswerHead | None = None
         self.body, self.ends = b"", []  # type: bytes, list[object]
 
-    def request(self) -> bytes | None:
-        return b""
+    def request(self) -> SerializedRequest | None:
+        return SerializedRequest(b"", b"")
 
     def on_answer(self, head: AnswerHead) -> None:
         assert self.head is None
