Edge: the bodies of open requests are bounded by memory_mb

The limit for bodies counted a body only until it was handed on; what the handler held, the larger part of its life, had no bound at all.

Change: at the edge a body counts from the head of its request until the answer has ended or the client has left, against 0.6 of memory_mb. With a Content-Length the whole body is reserved before any of it is read, so a request that doesn't fit gets 503 with Retry-After at once; a chunked one gets it when it exceeds what is left. The less urgent a route's rank, the smaller its share, down to three quarters, so that the rest is there for the most urgent. The job dispatcher's fronts count as before.

--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -13,6 +13,7 @@
 from ..configuration.route_table import RouteTable
 from ..configuration.settings import NodeSettings
 from ..net.address import parse_address
+from ..net.body_memory import MIN_SHARE
 from ..net.counters import Counters
 from ..net.http_server import Exchange, HttpServer, ServerLimits
 from ..net.loop import EventLoop
@@ -31,7 +32,7 @@
 
 RESERVED_FILES = 200  # file descriptors kept for files other than sockets
 CLIENT_SHARE = 0.6  # of the file descriptors; the rest is for runners, RPC and readiness
-BODY_SHARE = 0.25  # of the memory limit, for request bodies still being received
+BODY_SHARE = 0.6  # of the memory limit, for the bodies of open requests
 UNCONFIGURED_RETRY_S = 0.5
 # Limits until the first configuration arrives. Each request is read completely and answered 503 with
 # Retry-After: a 4xx would permanently reject a request that the configuration may allow. The memory for
@@ -95,6 +96,7 @@
         )
         self._configuration: Configuration | None = None
         self._routes: RouteTable | None = None
+        self._lowest_rank = 0  # of the configured routes; 0 is the most urgent
         self._open: set[ProxiedRequest] = set()
         self._recent_ids = RecentIds(RECENT_IDS)
         self._demand = DemandCounter()
@@ -110,6 +112,7 @@
         """Applies the routes, services and limits of a configuration to all later requests."""
         self._routes = RouteTable(configuration)
         self._configuration = configuration
+        self._lowest_rank = max((route.rank for route in configuration.routes), default=0)
         if self._server is not None:
             self._server.limits = _server_limits(configuration.limits)
         self._context.waiting.invalidate_all()
@@ -142,6 +145,8 @@
             self,
             max_connections=max(int(CLIENT_SHARE * files), 1),
             max_body_memory_bytes=int(BODY_SHARE * self._settings.limits.memory_mb * (1 << 20)),
+            bodies_until_answered=True,
+            body_share=self._body_share,
             limits=limits,
         )
         return self._server.listener.address
@@ -271,6 +276,15 @@
         self._open.discard(request)
         self.counters.open.set(len(self._open))
 
+    def _body_share(self, exchange: Exchange) -> float:
+        """Returns the share of the body memory that a request may fill: less for less urgent routes."""
+        if self._routes is None or not self._lowest_rank:
+            return 1.0
+        host = exchange.headers.get(b"host", b"").decode("latin-1")
+        route = self._routes.find(host, exchange.path.decode("latin-1"))
+        rank = route.rank if route is not None else 0
+        return 1.0 - (1.0 - MIN_SHARE) * rank / self._lowest_rank
+
     def _max_open(self, service: str) -> int:
         service_config = self._configuration.service(service) if self._configuration is not None else None
         if service_config is None or service_config.max_conns <= 0:
--- a/larchgw/net/client_connection.py
+++ b/larchgw/net/client_connection.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
 
@@ -33,7 +34,8 @@
         loop: The event loop.
         counters: Counts invalid input.
         handler: Handles the requests.
-        body_memory: The memory for bodies not yet passed to the handler.
+        body_memory: The memory for request bodies.
+        body_share: Returns the share of it that may be in use once a request's body counts.
         single_request: Whether each connection carries one request only.
         stopping: Whether connections close after their last response.
         lingering: Connections being closed after their last response; see `HttpServer`.
@@ -43,6 +45,7 @@
     counters: Counters
     handler: Handler
     body_memory: BodyMemory
+    body_share: Callable[[Exchange], float]
     single_request: bool
     stopping: bool
     lingering: dict[Connection, float]
@@ -133,6 +136,8 @@
         self.server.loop.deadlines.cancel(self._peer_check_timer)
         self.server.on_closed(self)
         exchange, self.current = self.current, None
+        if exchange is not None:
+            self._release_body(exchange)
         self._drop_waiting()
         if exchange is not None and not exchange.done:
             exchange.done = True
@@ -166,6 +171,10 @@
         self.server.on_request_begun(self)
         self.waiting.append(exchange)
 
+    def body_share(self, exchange: Exchange) -> float:
+        """Returns the share of the body memory that may be in use once the body of `exchange` counts."""
+        return self.server.body_share(exchange)
+
     def on_continue_expected(self) -> None:
         """Sends 100 Continue, unless responses to earlier requests are pending."""
         if self.current is None and not self.waiting:
@@ -192,6 +201,8 @@
         self.server.loop.deadlines.cancel(self._timeout)
         self.server.loop.deadlines.cancel(self._peer_check_timer)
         self.server.on_closed(self)
+        if self.current is not None:
+            self._release_body(self.current)
         self.current, self._reader.stopped = None, True
         self.connection.close()
 
@@ -218,7 +229,8 @@
             and not (self.connection.busy() or self.connection.peer_ended)
         ):
             exchange = self.current = self.waiting.popleft()
-            self.server.body_memory.release(len(exchange.body))  # from here on accounted for by the handler
+            if not self.server.body_memory.until_answered:
+                self._release_body(exchange)  # from here on accounted for by the handler
             if exchange.error is not None:
                 self.server.counters.bad.labels(self.server.handler.name, str(exchange.error[0])).inc()
                 status, reason = exchange.error
@@ -253,9 +265,14 @@
     def _drop_waiting(self) -> None:
         """Discards all requests that were not handled."""
         self._reader.discard_body()
-        self.server.body_memory.release(sum(len(x.body) for x in self.waiting))
+        for exchange in self.waiting:
+            self._release_body(exchange)
         self.waiting.clear()
 
+    def _release_body(self, exchange: Exchange) -> None:
+        self.server.body_memory.release(exchange.reserved_bytes)
+        exchange.reserved_bytes = 0
+
     @property
     def unsent(self) -> int:
         """The number of output bytes that the kernel has not accepted yet."""
@@ -273,16 +290,17 @@
         lines += [] if keep_alive else ["Connection: close"]
         head = "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n"
         self.connection.write(head if exchange.method == b"HEAD" else head + body)
-        self._finish_answer(keep_alive)
+        self._finish_answer(exchange, keep_alive)
 
     def _stays_open_after(self, exchange: Exchange) -> bool:
         """Whether the connection stays open after the response to this request."""
         stops = self.server.stopping and not self.waiting
         return exchange.keep_alive and not stops and not self.server.single_request
 
-    def _finish_answer(self, keep_alive: bool) -> None:
+    def _finish_answer(self, exchange: Exchange, keep_alive: bool) -> None:
         """Proceeds to the next request, or closes the connection."""
         self.current = None
+        self._release_body(exchange)
         if self.connection.closed:
             return
         if keep_alive:
@@ -321,7 +339,7 @@
         writer, self._writer = self._writer, None
         if exchange is not self.current or writer is None:
             return
-        self._finish_answer(writer.end(complete) and exchange.keep_alive)
+        self._finish_answer(exchange, writer.end(complete) and exchange.keep_alive)
         if self.server.stopping:
             self.retire()
 
--- a/larchgw/net/exchange.py
+++ b/larchgw/net/exchange.py
@@ -54,6 +54,7 @@
         headers: The header values by lower-case name; values of the same name are joined.
         fields: The header fields as received, in order.
         body: The complete body.
+        reserved_bytes: What is reserved for the body in the listener's BodyMemory.
         began_at: When the first byte was received.
         received_at: When the last byte was received.
         keep_alive: Whether the connection may stay open after the response.
@@ -72,6 +73,7 @@
         "headers",
         "fields",
         "body",
+        "reserved_bytes",
         "began_at",
         "received_at",
         "keep_alive",
@@ -92,6 +94,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.fields: Fields = []
         self.body = b""
+        self.reserved_bytes = 0
         self.keep_alive = True
         self.error: tuple[int, str] | None = None
         self.handler_data: Any = None
--- a/larchgw/net/http_server.py
+++ b/larchgw/net/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 from .body_memory import BodyMemory
 from .client_connection import ClientConnection
@@ -22,6 +23,8 @@
     """Listens for clients and keeps their connections in the order of their arrival.
 
     Attributes:
+        body_memory: The memory for request bodies.
+        body_share: See `__init__`.
         limits: The limits of requests; a replacement applies to the next received bytes and time-outs.
         single_request: Whether each connection carries one request only.
         stopping: Whether connections close after their last response.
@@ -40,6 +43,8 @@
         handler: Handler,
         max_connections: int,
         max_body_memory_bytes: int,
+        bodies_until_answered: bool = False,
+        body_share: Callable[[Exchange], float] = lambda exchange: 1.0,
         single_request: bool = False,
         inherited: int | None = None,
         limits: ServerLimits | None = None,
@@ -52,7 +57,10 @@
             address: Host and port to listen on.
             handler: Handles the requests; its name is that of the listener.
             max_connections: The connection limit; at the limit, idle connections are closed for new ones.
-            max_body_memory_bytes: The memory for bodies not yet passed to the handler.
+            max_body_memory_bytes: The memory for request bodies; see BodyMemory.
+            bodies_until_answered: Whether bodies count until their requests are answered.
+            body_share: Returns the share of that memory that may be in use once a request's body counts; it
+                has its head only.
             single_request: Whether each connection carries one request only.
             inherited: A listening file descriptor to use instead of `address`.
             limits: The limits of requests.
@@ -63,7 +71,10 @@
         self.loop, self.counters, self.handler = loop, counters, handler
         self.limits = limits or ServerLimits()
         self.single_request = single_request
-        self.body_memory = BodyMemory(counters, handler.name, max_body_memory_bytes)
+        self.body_memory = BodyMemory(
+            counters, handler.name, max_body_memory_bytes, until_answered=bodies_until_answered
+        )
+        self.body_share = body_share
         self.connections: dict[ClientConnection, None] = {}
         # Both are in order of age, so that finding a connection to close takes constant time.
         self.without_request: dict[ClientConnection, None] = {}
--- a/larchgw/net/request_reader.py
+++ b/larchgw/net/request_reader.py
@@ -35,6 +35,9 @@
     def on_refused(self, exchange: Exchange) -> None:
         """Called with the error to send, `exchange.error`, for an invalid request; reading has stopped."""
 
+    def body_share(self, exchange: Exchange) -> float:
+        """Returns the share of the body memory that may be in use once the body of `exchange` counts."""
+
     def on_continue_expected(self) -> None:
         """Called when the client waits for an interim response (100) before it sends the body."""
 
@@ -56,6 +59,7 @@
         self._head_bytes = self._raw_bytes = 0
         self._url = b""
         self._body = bytearray()
+        self._reserved_bytes = 0  # for the body that is being received
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -87,7 +91,8 @@
 
     def discard_body(self) -> None:
         """Discards the body being received."""
-        self._bodies.release(len(self._body))
+        self._bodies.release(self._reserved_bytes)
+        self._reserved_bytes = 0
         self._body = bytearray()
 
     # Called by the parser
@@ -139,6 +144,8 @@
             self.refuse(400, "both Content-Length and Transfer-Encoding")
         elif length.isdigit() and int(length) > self._limits().body_bytes:
             self._too_large()
+        elif length.isdigit() and self._bodies.until_answered and not self._reserve(int(length)):
+            return
         elif incoming.headers.get(b"expect", b"").lower() == b"100-continue":
             self._owner.on_continue_expected()
 
@@ -148,10 +155,8 @@
             return
         if len(self._body) + len(body) > self._limits().body_bytes:
             self._too_large()
-        elif self._bodies.reserve(len(body)):
+        elif self._reserve(len(self._body) + len(body)):
             self._body += body
-        else:
-            self.refuse(503, "no memory for the body")
 
     def on_message_complete(self) -> None:
         """Passes on the complete request."""
@@ -159,7 +164,19 @@
         if incoming is None or self.stopped:
             return
         incoming.body, self._body = bytes(self._body), bytearray()
+        incoming.reserved_bytes, self._reserved_bytes = self._reserved_bytes, 0
         self._owner.on_request(incoming)
 
+    def _reserve(self, size: int) -> bool:
+        """Reserves memory for a body of `size` bytes, or refuses the request; returns whether it did."""
+        incoming, missing = self.incoming, size - self._reserved_bytes
+        if missing <= 0:
+            return True
+        if incoming is None or not self._bodies.reserve(missing, lambda: self._owner.body_share(incoming)):
+            self.refuse(503, "no memory for the body")
+            return False
+        self._reserved_bytes = size
+        return True
+
     def _too_large(self) -> None:
         self.refuse(413, f"the body is over {self._limits().body_bytes // 1024} KiB")
--- a/tests/net/test_request_reader.py
+++ b/tests/net/test_request_reader.py
@@ -40,6 +40,9 @@
         assert not exchange.keep_alive
         self.refused.append(exchange.error)
 
+    def body_share(self, exchange: Exchange) -> float:
+        return 1.0
+
     def on_continue_expected(self) -> None:
         self.continues += 1
 
