Soak: all control processes are killed right after a Leave; DRAIN binds them

Change: the part `herd` (in `all`, too) kills all control processes 0 to 50 ms after a runner's Leave; the runner serves on for 9 to 11 s. The judge counts arrivals from machines that have been in touch for twice contact_ms, whoever gave the acknowledgement.

--- a/larchgw/emulator/system/checkins.py
+++ b/larchgw/emulator/system/checkins.py
@@ -27,6 +27,7 @@
     ) -> None:
         self.runner, self._controls, self._beat_s, self._random = runner, controls, beat_s, rng
         self.acknowledged = 0
+        self.has_left = False  # it checks in no more, though it still serves
         self._address = ""  # that took the last one
         self._count = 0
         self._client = AsyncHTTPClient(force_instance=True)
@@ -34,9 +35,9 @@
     async def run(self) -> None:
         """Checks in for as long as the runner lives."""
         life = self.runner.incarnation
-        self._count = 0
+        self._count, self.has_left = 0, False
         while self.runner.up and self.runner.incarnation == life:
-            if not self.runner.dark:
+            if not (self.runner.dark or self.has_left):
                 await self.tell()
             await asyncio.sleep(self._beat_s * self._random.uniform(1 - JITTER, 1 + JITTER))
 
@@ -67,6 +68,7 @@
 
     async def leave(self) -> bool:
         """Says that it is gone."""
+        self.has_left = True
         return await self._call("Leave", b"", True)
 
     def prefer(self, address: str) -> None:
--- a/larchgw/emulator/system/judge_retries.py
+++ b/larchgw/emulator/system/judge_retries.py
@@ -79,18 +79,22 @@
 
 
 def drain(case: Case) -> Iterator[Breach]:
-    """Requests that reached a runner too long after its draining was acknowledged."""
+    """Requests that reached a runner too long after its draining was acknowledged, by machines in touch.
+
+    The acknowledgement binds whatever happened to the control processes since. After a loss of most of them,
+    machines are in touch again twice `contact_ms` later.
+    """
     acknowledged: dict[str, float] = {}
     for one in case.records.acknowledgements:
-        if case.touch.machine(one.control, one.at):
-            acknowledged.setdefault(one.runner, one.at)
-    latest = case.limits.drain_end_ms / 1000.0
+        acknowledged.setdefault(one.runner, one.at)
+    latest, contact_s = case.limits.drain_end_ms / 1000.0, case.limits.contact_ms / 1000.0
     for arrival in case.records.arrivals:
         at = acknowledged.get(arrival.runner)
         sender = case.records.tries.get(arrival.id)
         if at is None or sender is None or arrival.status == 421 or arrival.at <= at + latest:
             continue
-        if case.touch.between(sender.edge, at, arrival.at):
+        is_stable = case.touch.core_is_stable(arrival.at - contact_s)
+        if is_stable and case.touch.machine(sender.edge, arrival.at):
             yield Breach(
                 "DRAIN",
                 arrival.at,
--- a/larchgw/emulator/system/runners.py
+++ b/larchgw/emulator/system/runners.py
@@ -105,6 +105,15 @@
         await asyncio.sleep(self._limits.reuse_after_s)
         self._begin(runner)
 
+    async def leave_early(self, runner: Runner, serves_on_s: float) -> None:
+        """Leaves without having said that it drains, serves on for that time, ends, and starts anew."""
+        async with self._locks[id(runner)]:
+            await self.checkins[id(runner)].leave()
+            await asyncio.sleep(serves_on_s)
+            runner.end()
+            await asyncio.sleep(self._limits.reuse_after_s)
+            self._begin(runner)
+
     async def crash(self, runner: Runner, for_s: float) -> None:
         """Ends without a word, and starts anew after that time."""
         async with self._locks[id(runner)]:
--- a/larchgw/emulator/system/soak.py
+++ b/larchgw/emulator/system/soak.py
@@ -34,16 +34,21 @@
 RESTART_GAP_S = (0.4, 3.5)  # between the restarts of a runner
 SETTLED_S = 1.0  # after a start, until the process handles SIGHUP
 SIGNAL_GAP_S = (0.02, 1.2)
+HERD_AFTER_S = (0.0, 0.05)  # after the acknowledgement
+SERVES_ON_S = (9.0, 11.0)  # of a runner after its Leave: until the core is stable again, and longer
+RECENT = 8  # acknowledgements that are looked at
+LOOK_S = 0.001  # between looks for the acknowledgement
 MAX_DISTURBED_SHARE = 0.7  # of the edges, at the same time
 MAX_DISTURBED = 8  # edges at the same time: each start takes much of a processor for a moment
 EDGES, CORE, OPERATOR, RUNNERS, ANSWERS = "edges", "core", "operator", "runners", "answers"
 # Runners that restart in a row at their address, or at another one's.
 RESTARTS = "restarts"
+HERD = "herd"  # all control processes killed right after a Leave; in the lane of `core`
 LONG_PROMPTS = "long-prompts"  # a class of streams that may run once, with long bodies; rejected early, too
 IMPATIENT_CLIENTS = "impatient-clients"  # some retry at once and more often
 CLIENT_REPEATS = "client-repeats"  # breaks the protocol: only on request
 PARTS = (EDGES, CORE, OPERATOR, RUNNERS, ANSWERS)
-FURTHER_PARTS = (RESTARTS, LONG_PROMPTS, IMPATIENT_CLIENTS)
+FURTHER_PARTS = (RESTARTS, HERD, LONG_PROMPTS, IMPATIENT_CLIENTS)
 ALL_PARTS = (*PARTS, *FURTHER_PARTS)
 MachineTrouble = Callable[[Machine], Awaitable[str]]
 
@@ -93,7 +98,9 @@
             Lane(f"answers {number}", ANSWERS, [partial(self._spoil_answers, runner)], RUNNER_PAUSE_S)
             for number, runner in enumerate(self._runners.all)
         ]
-        core = [partial(self._at_some_controls, kind) for kind in kinds]
+        core: list[Trouble] = [partial(self._at_some_controls, kind) for kind in kinds]
+        if HERD in self._parts:
+            core.append(self._kill_herd)
         operator = [self._move_route, self._race, self._invalid, self._lost_answers, self._add_route]
         runners = [self._release_runner, self._crash_runner, self._darken_runner]
         return [
@@ -115,6 +122,20 @@
         machines = self._random.sample(self._rig.controls, self._random.randint(1, 2))
         return "; ".join(await asyncio.gather(*(kind(machine) for machine in machines)))
 
+    async def _kill_herd(self) -> str:
+        """All control processes are killed right after a runner's Leave was acknowledged."""
+        runner = self._dispensable()
+        acknowledged, left = runner.records.acknowledgements, runner.id
+        leaving = asyncio.ensure_future(self._runners.leave_early(runner, self._random.uniform(*SERVES_ON_S)))
+        while not (leaving.done() or any(one.runner == left for one in acknowledged[-RECENT:])):
+            await asyncio.sleep(LOOK_S)
+        delay_s = self._random.choice([0.0, self._random.uniform(*HERD_AFTER_S)])
+        await asyncio.sleep(delay_s)
+        down_s = self._random.uniform(*DOWN_S)
+        await self._rig.kill_all(self._rig.controls, down_s)
+        await leaving
+        return f"{left} left, all control processes killed {1000 * delay_s:.0f} ms later for {down_s:.1f} s"
+
     # One machine
 
     async def _stop(self, machine: Machine) -> str:
--- a/tests/emulator/test_system_soak.py
+++ b/tests/emulator/test_system_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import re
 from pathlib import Path
 from typing import Any
 
@@ -20,7 +21,7 @@
 from larchgw.emulator.system.runner import LONG_BYTES
 from larchgw.emulator.system.runners import Runners
 from larchgw.emulator.system.site import ENGINES, LONG_PROMPTS, LOOKUP, PROMPT_BYTES, Site
-from larchgw.emulator.system.soak import ALL_PARTS, PARTS
+from larchgw.emulator.system.soak import ALL_PARTS, CORE, HERD, PARTS, RUNNERS
 from larchgw.emulator.system.trial import SystemSpec, run
 from tests.support.asyncio_tests import on_loop
 from tests.support.system_runners import engine, plain, started, until
@@ -56,6 +57,16 @@
     assert outcome.results["reprint"].served > 0
 
 
+def test_a_short_soak_with_all_control_processes_killed_after_a_leave_breaks_no_rule(tmp_path: Path) -> None:
+    # Guards against DRAIN of issue 74: a Leave that is acknowledged from memory.
+    site = Site(rate=40.0)
+    spec = SystemSpec(seconds=25.0, seed=2, site=site, soak=(CORE, RUNNERS, HERD), folder=tmp_path)
+    outcome = asyncio.run(run(spec))
+    assert outcome.broken == []
+    assert re.search("left, all control processes killed", "\n".join(outcome.events))
+    assert outcome.total("served") > 0
+
+
 def faults(**shares: float) -> AnswerFaults:
     return AnswerFaults(random.Random(1), **shares)
 
