--- a/larchgw/control/departure_store.py
+++ b/larchgw/control/departure_store.py
@@ -52,9 +52,7 @@
 
     def add(self, entries: Iterable[Entry]) -> None:
         """Adds entries, unless the batch has the same or a newer one of their key."""
-        for entry in entries:
-            if not self.covers(entry):
-                self.entries[entry.key] = entry
+        _add_newest(self.entries, entries)
 
     def covers(self, entry: Entry) -> bool:
         """Returns whether the batch has this entry, or a newer one of its key."""
@@ -75,8 +73,7 @@
             StorageError: The journal cannot be read.
         """
         self._journal, self._executor = journal, executor
-        self._durable = _recover(journal)
-        self._records = _record_count(journal)  # since the last compaction
+        self._durable, self._records = _recover(journal)  # the records since the last compaction
         self._must_compact = False
         self._pending: _Batch | None = None  # not being written yet
         self._writing: _Batch | None = None
@@ -197,9 +194,7 @@
         if batch is None or batch.done.done():
             return
         batch.done.set_result(False)
-        if self._pending is None:
-            self._pending = _Batch(asyncio.get_running_loop().create_future())
-        self._pending.add(batch.entries.values())
+        self._enqueue(batch.entries.values())
 
 
 def _covers(held: dict[str, Entry], entry: Entry) -> bool:
@@ -207,6 +202,13 @@
     return known is not None and rank(known) >= rank(entry)
 
 
+def _add_newest(held: dict[str, Entry], entries: Iterable[Entry]) -> None:
+    """Adds entries, unless `held` has the same or a newer one of their key."""
+    for entry in entries:
+        if not _covers(held, entry):
+            held[entry.key] = entry
+
+
 def encode_records(entries: Sequence[Entry]) -> list[bytes]:
     """Encodes entries as records of the journal: each is a PushRequest, as sent between processes."""
     starts = range(0, len(entries), MAX_ENTRIES_PER_RECORD)
@@ -222,23 +224,11 @@
     return encode_struct(PushRequest(node_name="", entries=list(entries)))
 
 
-def _recover(journal: Journal) -> dict[str, Entry]:
-    """Returns the newest stored entry of each key."""
+def _recover(journal: Journal) -> tuple[dict[str, Entry], int]:
+    """Returns the newest stored entry of each key, and the number of records after the snapshot."""
     newest: dict[str, Entry] = {}
-    snapshot = journal.snapshot()
-    records = [] if snapshot is None else [snapshot[1]]
-    records += [record for _, record in journal.read(_first_index(journal), journal.last_index)]
-    for record in records:
-        for entry in decode_record(record):
-            if not _covers(newest, entry):
-                newest[entry.key] = entry
-    return newest
-
-
-def _first_index(journal: Journal) -> int:
-    snapshot = journal.snapshot()
-    return 1 if snapshot is None else snapshot[0] + 1
-
-
-def _record_count(journal: Journal) -> int:
-    return journal.last_index - _first_index(journal) + 1
+    index, snapshot = journal.snapshot() or (0, _encode_record([]))
+    records = [record for _, record in journal.read(index + 1, journal.last_index)]
+    for record in (snapshot, *records):
+        _add_newest(newest, decode_record(record))
+    return newest, len(records)
--- a/larchgw/distribution/hinted_handoff.py
+++ b/larchgw/distribution/hinted_handoff.py
@@ -90,6 +90,8 @@
             storing = self._store(self._durable_entries, entries, timeout_s)
             pushes[asyncio.ensure_future(storing)] = LOCAL_COPY
         self._pushes.update(pushes)
+        for push in pushes:
+            push.add_done_callback(self._pushes.discard)
         accepted_by: set[str] = set()
         pending = set(pushes)
         while pending and not quorum_reached(accepted_by):
@@ -135,21 +137,13 @@
                 return await store.make_durable(entries)
         except TimeoutError:
             return False
-        finally:
-            self._forget_current_task()
 
     async def _push_or_keep_hint(self, peer: str, entries: Sequence[Entry], timeout_s: float) -> bool:
-        try:
-            is_accepted = await self._push(peer, entries, timeout_s)
-        finally:
-            self._forget_current_task()
+        is_accepted = await self._push(peer, entries, timeout_s)
         if not is_accepted:
             self.hints.add(peer, entries)
         return is_accepted
 
-    def _forget_current_task(self) -> None:
-        self._pushes.discard(asyncio.current_task())  # type: ignore[arg-type]  # runs as one of the tasks
-
     async def _push(
         self, peer: str, entries: Sequence[Entry], timeout_s: float, failure_level: int = logging.INFO
     ) -> bool:
--- a/larchgw/edge/proxy.py
+++ b/larchgw/edge/proxy.py
@@ -213,8 +213,7 @@
         except BadRequestError as error:
             self._reply_locally(exchange, 400, str(error))
             return
-        host = exchange.headers.get(b"host", b"").decode("latin-1")
-        route = self._routes.find(host, exchange.path.decode("latin-1"))
+        route = _find_route(self._routes, exchange)
         if route is None:
             self._reply_locally(exchange, 404, "no route")
             return
@@ -280,8 +279,7 @@
         """Returns the share of the body memory that a request may fill: less for less urgent routes."""
         if self._routes is None or not self._lowest_rank:
             return 1.0
-        host = exchange.headers.get(b"host", b"").decode("latin-1")
-        route = self._routes.find(host, exchange.path.decode("latin-1"))
+        route = _find_route(self._routes, exchange)
         rank = route.rank if route is not None else 0
         return 1.0 - (1.0 - MIN_SHARE) * rank / self._lowest_rank
 
@@ -307,6 +305,11 @@
         done()
 
 
+def _find_route(routes: RouteTable, exchange: Exchange) -> Route | None:
+    host = exchange.headers.get(b"host", b"").decode("latin-1")
+    return routes.find(host, exchange.path.decode("latin-1"))
+
+
 def choose_service(route: Route, attempt_id: bytes) -> str:
     """Returns the service for this attempt id: deterministic, and distributed by the route's weights."""
     shares = [share for share in route.split() if share.weight > 0]
